--- /dev/null
+++ b/jest.config.cjs
@@ -0,0 +1,11 @@
+module.exports = {
+  testEnvironment: 'node',
+  roots: ['<rootDir>/src', '<rootDir>/test'],
+  testMatch: ['**/*.spec.ts'],
+  transform: {
+    '^.+\\.ts$': ['@swc/jest', { jsc: { target: 'es2022', parser: { syntax: 'typescript' } }, module: { type: 'commonjs' } }]
+  },
+  moduleNameMapper: { '^(\\.{1,2}/.*)\\.js$': '$1' },
+  injectGlobals: true,
+  testTimeout: 60000
+}
