--- a/src/config/configDb.ts
+++ b/src/config/configDb.ts
@@ -3,7 +3,7 @@
 import { parseRules } from '../rules/rulesParser.js'
 import { emptyFold } from './configFold.js'
 import type { Fold, Step } from './configFold.js'
-import type { PeerVersion, Publication } from './configTypes.js'
+import type { CurrentConfig, PeerVersion, Publication } from './configTypes.js'
 import type { Hash } from '../hash.js'
 import type { Random } from '../random.js'
 import type { Ruleset } from '../rules/rulesTypes.js'
@@ -22,8 +22,10 @@
 export interface MissedCheck {
   /** When it began, in ms. */
   readonly since: number
-  /** Versions that peers have answered since. */
-  readonly heard: Map<string, number>
+  /** Carried by its questions; messages that waited through the pause do not answer it. */
+  readonly question: number
+  /** Peers that have answered. */
+  readonly heard: Set<string>
   /** When peers are asked next, in ms. */
   nextAsk: number
 }
@@ -41,6 +43,8 @@
   digest: string
   ruleset: Ruleset | undefined
   rulesetVersion: number
+  /** What callers of the feature see; undefined until rules could be read. */
+  current: CurrentConfig | undefined
   /** Whether the rules of the version in force could be read. */
   understood: boolean
   /** The last steps, in order, that led to the version in force. */
@@ -54,11 +58,14 @@
   snapshotAt: number
   /** When a read that reached the log's end was sent, in ms. */
   caughtUpAt: number
+  /** Starts at a random number, so that an answer meant for another process fits no read of this one. */
   nextToken: number
   /** Messages that were left out because they did not fit their schema or the state. */
   dropped: number
 }
 
+/** The first token is below this. */
+const maxFirstToken = 2 ** 30
 /** Differences kept for peers at most. */
 const maxSteps = 64
 /** Characters of differences kept for peers at most. */
@@ -86,6 +93,7 @@
   digest: digestOf(options.hash, []),
   ruleset: undefined,
   rulesetVersion: 0,
+  current: undefined,
   understood: true,
   steps: [],
   peers: [],
@@ -94,7 +102,7 @@
   lastSeen: undefined,
   snapshotAt: 0,
   caughtUpAt: -Infinity,
-  nextToken: 1,
+  nextToken: 1 + options.random.below(maxFirstToken),
   dropped: 0
 })
 
@@ -143,11 +151,17 @@
 }
 
 const readRules = (db: ConfigDb): void => {
-  const parsed = parseRules(db.fold.revision.lines.join('\n'))
+  const text = `${db.fold.revision.lines.join('\n')}\n`
+  const parsed = parseRules(text)
   db.understood = parsed.isOk()
-  if (parsed.isErr()) return
-  db.ruleset = createRuleset(parsed.value)
-  db.rulesetVersion = versionInForce(db)
+  if (parsed.isOk()) {
+    db.ruleset = createRuleset(parsed.value)
+    db.rulesetVersion = versionInForce(db)
+  }
+  const publication = lastPublication(db)
+  if (db.ruleset === undefined || publication === undefined) return
+  const { version, publisher, at } = publication
+  db.current = { version, ruleset: db.ruleset, rulesetVersion: db.rulesetVersion, text, publisher, at }
 }
 
 /**
--- a/src/config/configMachine.ts
+++ b/src/config/configMachine.ts
@@ -24,6 +24,8 @@
 const askInterval = 250
 /** Peers asked at a time during a check, and answers that end it. */
 const checkPeers = 3
+/** Questions are numbered from 1 to this. */
+const maxQuestion = 2 ** 30
 
 /** What the feature takes. */
 export type ConfigMachineInput = ConfigInput | LogInput | PeerInput | Tick
@@ -45,9 +47,8 @@
 /** Whether a check has its answer: the log's end was read, or enough peers know nothing higher. */
 const isAnswered = (db: ConfigDb, check: MissedCheck, now: number): boolean => {
   if (db.caughtUpAt >= check.since) return true
-  const versions = [...check.heard.values()]
-  if (versions.some(version => version > versionInForce(db))) return false
-  if (versions.length >= Math.min(checkPeers, db.peers.length) && versions.length > 0) return true
+  if ([...db.versions.values()].some(({ version }) => version > versionInForce(db))) return false
+  if (check.heard.size >= Math.min(checkPeers, db.peers.length) && check.heard.size > 0) return true
   return now - check.since >= checkPatience
 }
 
@@ -91,7 +92,7 @@
     const paused = db.lastSeen === undefined || now - db.lastSeen > pauseThreshold
     db.lastSeen = now
     if (!paused) return
-    db.check = { since: now, heard: new Map(), nextAsk: now }
+    db.check = { since: now, question: 1 + options.random.below(maxQuestion), heard: new Set(), nextAsk: now }
     follower.urge(now)
   }
 
@@ -131,7 +132,7 @@
       case 'config.peers':
         setPeers(input.peers)
         return []
-      case 'config.survey': return spreader.ask(db.peers.length)
+      case 'config.survey': return spreader.ask(db.peers.length, 1 + options.random.below(maxQuestion))
       case 'config.publish': return publisher.start(input, now)
       case 'log.records': return takeRecords(input, now)
       case 'log.failed': return takeFailure(input, now)
@@ -154,7 +155,7 @@
     }
     if (now < check.nextAsk) return []
     check.nextAsk = now + askInterval
-    return spreader.ask(checkPeers)
+    return spreader.ask(checkPeers, check.question)
   }
 
   const handle = (input: ConfigMachineInput, now: number): readonly ConfigMachineEffect[] => {
@@ -166,13 +167,6 @@
     return effects
   }
 
-  const current = (): CurrentConfig | undefined => {
-    const publication = lastPublication(db)
-    if (db.ruleset === undefined || publication === undefined) return undefined
-    const { version, publisher: by, at } = publication
-    return { version, ruleset: db.ruleset, rulesetVersion: db.rulesetVersion, text: `${db.fold.revision.lines.join('\n')}\n`, publisher: by, at }
-  }
-
   const versionOf = (instance: string): PeerVersion | undefined => {
     if (instance === options.self) return { version: versionInForce(db), understood: db.understood, at: db.lastSeen ?? 0 }
     return db.versions.get(instance)
@@ -182,5 +176,5 @@
     db.lastSeen !== undefined && now - db.lastSeen <= pauseThreshold &&
     db.check === undefined && db.ruleset !== undefined && !isOutdated(db)
 
-  return { handle, current, versionOf, ready, dump: () => dumpOf(db, publisher.pending()) }
+  return { handle, current: () => db.current, versionOf, ready, dump: () => dumpOf(db, publisher.pending()) }
 }
--- a/src/config/configMessages.ts
+++ b/src/config/configMessages.ts
@@ -19,8 +19,10 @@
   understood: z.boolean(),
   /** The log's time of the newest snapshot known, in ms; 0 if none. */
   snapshotAt: z.number(),
-  /** Whether an answer is asked for though nothing differs. */
-  ask: z.boolean()
+  /** Asks for an answer that carries this number; 0 asks for none unless something differs. */
+  ask: z.number().int().nonnegative(),
+  /** The number of the question that this answers; 0 if it answers none. */
+  answers: z.number().int().nonnegative()
 })
 
 /** Asks for what follows version `have`; `whole` asks for the whole text. */
--- a/src/config/configSnapshots.ts
+++ b/src/config/configSnapshots.ts
@@ -11,10 +11,12 @@
 
 /** The part of the retention after which the first rank appends. */
 const dueShare = 1 / 4
-/** The part of the retention that each next rank waits longer. */
-const rankShare = 1 / 64
-/** Ranks that wait for one another; those after them wait as long as the last. */
-const maxRank = 15
+/** The part of the retention that each of the first ranks waits longer than the one before. */
+const rankShare = 1 / 32
+/** Ranks that wait for one another in turn; those after them spread over `lateShare`, from `lateStart` on. */
+const firstRanks = 8
+const lateStart = 1 / 2
+const lateShare = 1 / 4
 /** Ms between looks at whether a snapshot is due. */
 const lookInterval = 10_000
 /** Ms within which the log's end must have been read. */
@@ -44,8 +46,11 @@
 
   const isDue = (now: number): boolean => {
     if (!db.fold.anchored || versionInForce(db) === 0 || now - db.caughtUpAt > maxStaleness) return false
-    const patience = retention * (dueShare + rankShare * Math.min(maxRank, rankOf(db)))
-    return now - db.snapshotAt >= patience
+    const age = now - db.snapshotAt
+    if (age < retention * dueShare) return false
+    const rank = rankOf(db)
+    const share = rank < firstRanks ? dueShare + rankShare * rank : lateStart + lateShare * rank / (db.peers.length + 1)
+    return age >= retention * share
   }
 
   const tick = (now: number): readonly LogEffect[] => {
--- a/src/config/configSpreader.ts
+++ b/src/config/configSpreader.ts
@@ -37,8 +37,8 @@
   /** Announces a version that came into force. */
   readonly announce: (now: number) => readonly SpreadEffect[]
   readonly tick: (now: number) => readonly SpreadEffect[]
-  /** Asks `count` random peers for their version. */
-  readonly ask: (count: number) => readonly SpreadEffect[]
+  /** Asks `count` random peers for their version; their answers carry `question`, a number from 1. */
+  readonly ask: (count: number, question: number) => readonly SpreadEffect[]
   /** Takes a message; `changed` tells whether a higher version came into force. */
   readonly take: (from: string, message: ConfigMessage, now: number) => { readonly changed: boolean, readonly effects: readonly SpreadEffect[] }
   readonly lost: (from: string) => void
@@ -73,7 +73,7 @@
     return [...picked]
   }
 
-  const digest = (ask: boolean): ConfigDigest => ({
+  const digest = (ask: number, answers: number): ConfigDigest => ({
     kind: 'config.digest',
     version: versionInForce(db),
     digest: db.digest,
@@ -81,11 +81,12 @@
     fresh: db.check === undefined,
     understood: db.understood,
     snapshotAt: db.snapshotAt,
-    ask
+    ask,
+    answers
   })
 
-  const digestsTo = (peers: readonly string[], ask: boolean): SpreadEffect[] => {
-    const message = digest(ask)
+  const digestsTo = (peers: readonly string[], ask = 0, answers = 0): SpreadEffect[] => {
+    const message = digest(ask, answers)
     return peers.map(peer => send(peer, message))
   }
 
@@ -115,7 +116,7 @@
     nextRound = now + roundInterval
     const last = db.steps.slice(-1)
     const small = last.length === 1 && sizeOfStep(last[0]) <= maxUnaskedSize
-    if (!small) return digestsTo(pick(changeFanout), false)
+    if (!small) return digestsTo(pick(changeFanout))
     const message = changeFrom(versionInForce(db) - 1, last)
     return pick(changeFanout).map(peer => send(peer, message))
   }
@@ -140,11 +141,11 @@
     if (now >= nextRound) {
       roundsLeft--
       nextRound = roundsLeft > 0 ? now + roundInterval : Infinity
-      effects.push(...digestsTo(pick(roundFanout), false))
+      effects.push(...digestsTo(pick(roundFanout)))
     }
     if (now >= nextGossip) {
       nextGossip = now + gossipInterval * (0.8 + 0.4 * random.unit())
-      effects.push(...digestsTo(pick(1), false))
+      effects.push(...digestsTo(pick(1)))
     }
     return effects
   }
@@ -155,21 +156,25 @@
     db.fold = takeRevision(db.fold, db.fold.revision, message.cursor - 1)
   }
 
+  /** Helps a peer that is behind: with the differences if they are short, else by naming the version. */
+  const bringUp = (peer: string, version: number, asked: number): readonly SpreadEffect[] => {
+    const steps = stepsAfter(version)
+    const small = steps !== undefined && steps.reduce((size, step) => size + sizeOfStep(step), 0) <= maxUnaskedSize
+    if (small) return [send(peer, changeFrom(version, steps))]
+    return asked > 0 ? [] : digestsTo([peer])
+  }
+
   const takeDigest = (from: string, message: ConfigDigest, now: number): readonly SpreadEffect[] => {
     const { version, understood, fresh } = message
     db.versions.set(from, { version, understood, fresh, at: now })
     db.snapshotAt = Math.max(db.snapshotAt, message.snapshotAt)
-    if (fresh) db.check?.heard.set(from, version)
+    if (fresh && db.check?.question === message.answers) db.check.heard.add(from)
     const own = versionInForce(db)
-    if (version > own) return requestFrom(from, false, now)
-    if (version === own) {
-      anchorBy(message)
-      return message.ask ? digestsTo([from], false) : []
-    }
-    const steps = stepsAfter(version)
-    const small = steps !== undefined && steps.reduce((size, step) => size + sizeOfStep(step), 0) <= maxUnaskedSize
-    const answer = message.ask || !small ? digestsTo([from], false) : []
-    return small ? [send(from, changeFrom(version, steps)), ...answer] : answer
+    const reply = message.ask > 0 ? digestsTo([from], 0, message.ask) : []
+    if (version > own) return [...requestFrom(from, false, now), ...reply]
+    if (version < own) return [...bringUp(from, version, message.ask), ...reply]
+    anchorBy(message)
+    return reply
   }
 
   const takeWant = (from: string, have: number, whole: boolean, now: number): readonly SpreadEffect[] => {
@@ -217,5 +222,5 @@
     }
   }
 
-  return { announce, tick, ask: count => digestsTo(pick(count), true), take, lost: from => { db.versions.delete(from) } }
+  return { announce, tick, ask: (count, question) => digestsTo(pick(count), question), take, lost: from => { db.versions.delete(from) } }
 }
