--- /dev/null
+++ b/test/matrix/scenarios.ts
@@ -0,0 +1,17 @@
+/** The scenarios of the fault matrix; each protocol adds its own line. */
+import type { Hash } from '../../src/hash.js'
+import type { Scenario } from './matrixTypes.js'
+
+/** Builds a scenario; the hash functions load asynchronously, before any run. */
+export type ScenarioFactory = (hash: Hash) => Scenario
+
+/** Every protocol under test. */
+export const scenarioFactories: readonly ScenarioFactory[] = [
+]
+
+/**
+ * Builds every scenario.
+ *
+ * @param hash - hash functions, loaded
+ */
+export const createScenarios = (hash: Hash): Scenario[] => scenarioFactories.map(factory => factory(hash))
