Claims: fold, partitions and machine

Cause: a call that may not be repeated has to be claimed on the log before it is dispatched.

Change: claims are appended by the holder of the call's partition, read back, and granted if they are the call's first. Ends of calls are recorded too.

--- /dev/null
+++ b/src/claims/claimsHolder.ts
@@ -0,0 +1,62 @@
+/** The partitions that an instance holds; each exists while it is in use. */
+import { createPartition } from './claimsPartition.js'
+import type { Partition, PartitionDump, PartitionStep } from './claimsPartition.js'
+import type { Claim, Close } from './claimsMessages.js'
+import { partitionOf, streamOf } from './claimsPlacement.js'
+import type { Hash } from '../hash.js'
+import type { LogInput } from '../ports/logPort.js'
+
+/** All partitions of an instance. */
+export interface Holder {
+  readonly claim: (claim: Claim, from: string, now: number) => PartitionStep
+  readonly close: (close: Close, from: string, now: number) => PartitionStep
+  readonly log: (input: LogInput, now: number) => PartitionStep
+  readonly tick: (now: number) => PartitionStep
+  readonly dump: () => readonly PartitionDump[]
+}
+
+/** Settings of the partitions. */
+export interface HolderOptions {
+  readonly hash: Hash
+  readonly window: number
+  readonly skew: number
+  readonly retention: number
+}
+
+const nothing: PartitionStep = { effects: [], replies: [] }
+
+/**
+ * Creates a holder without partitions; one comes into being with its first claim.
+ *
+ * @param options - hash and bounds of time
+ */
+export const createHolder = ({ hash, ...bounds }: HolderOptions): Holder => {
+  const partitions = new Map<string, Partition>()
+  let tokens = 0
+  const nextToken = (): number => tokens++
+
+  const partitionFor = (call: Claim | Close): Partition => {
+    const stream = streamOf(partitionOf(hash, call))
+    const partition = partitions.get(stream) ?? createPartition({ ...bounds, stream, nextToken })
+    partitions.set(stream, partition)
+    return partition
+  }
+
+  const tick = (now: number): PartitionStep => {
+    if (partitions.size === 0) return nothing
+    const steps: PartitionStep[] = []
+    for (const [stream, partition] of partitions) {
+      steps.push(partition.tick(now))
+      if (partition.isIdle(now)) partitions.delete(stream)
+    }
+    return { effects: steps.flatMap(step => step.effects), replies: steps.flatMap(step => step.replies) }
+  }
+
+  return {
+    claim: (claim, from, now) => partitionFor(claim).claim(claim, from, now),
+    close: (close, from, now) => partitionFor(close).close(close, from, now),
+    log: (input, now) => partitions.get(input.stream)?.log(input, now) ?? nothing,
+    tick,
+    dump: () => [...partitions.values()].map(partition => partition.dump())
+  }
+}
--- /dev/null
+++ b/src/claims/claimsMachine.ts
@@ -0,0 +1,335 @@
+/**
+ * At most once for calls that may not be repeated. An instance claims a call on
+ * the log before it dispatches it: the claim goes to the holder of the call's
+ * partition, which appends it, reads the stream back and answers what the log
+ * decided. An instance that gives an attempt up drops its nonce first and then
+ * records that it has, until the log has it or the key has expired.
+ */
+import { createClaimsDb, addAttempt, closeOf, removeAttempt, sweepClaimsDb } from './claimsDb.js'
+import type { LocalAttempt, Phase } from './claimsDb.js'
+import { createHolder } from './claimsHolder.js'
+import { keyTime } from './claimsKey.js'
+import { callName, claimsMessageSchema } from './claimsMessages.js'
+import type { Attempt, Claim, ClaimsMessage, Finding, Owner, Verdict } from './claimsMessages.js'
+import { findingFromMemory, refusalFromMemory } from './claimsLocal.js'
+import { createPlacement, partitionOf } from './claimsPlacement.js'
+import { createRecorder } from './claimsRecorder.js'
+import { RetentionTooShort } from './claimsErrors.js'
+import { claimPatience, defaultAnswerBytes, dispatchLimit, holderPatience, logDownFor, lookupPatience, mostAttempts, retryBase, sweepInterval } from './claimsTimes.js'
+import { clockSkew, keyWindow } from './claimsTypes.js'
+import type { BeginInput, ClaimsEffect, ClaimsInput, ClaimsOptions, NotRunReason, Outcome, Refusal } from './claimsTypes.js'
+import { assertNever } from '../errors.js'
+import type { PartitionDump } from './claimsPartition.js'
+
+/** The claims of one instance. */
+export interface Claims {
+  readonly handle: (input: ClaimsInput, now: number) => readonly ClaimsEffect[]
+  /**
+   * To be asked right before a dispatch. True at most once for a grant, and
+   * never after the deadline; after false the attempt ends with
+   * `claims.refused`, unless it has ended already.
+   */
+  readonly mayDispatch: (request: number, now: number) => boolean
+  readonly dump: () => ClaimsDump
+}
+
+/** State of the claims, without the bodies of answers. */
+export interface ClaimsDump {
+  readonly attempts: readonly { readonly request: number, readonly workspace: string, readonly key: string, readonly nonce: string, readonly phase: string }[]
+  readonly ended: number
+  readonly answers: number
+  readonly answerBytes: number
+  readonly pendingCloses: number
+  readonly partitions: readonly PartitionDump[]
+  /** Messages that did not match their schema. */
+  readonly malformed: number
+}
+
+/**
+ * Creates the claims of an instance.
+ *
+ * @param options - identity, hash and random numbers, bounds
+ * @returns claims without any attempt
+ * @throws RetentionTooShort if the log forgets a claim before its key expires
+ */
+export const createClaims = (options: ClaimsOptions): Claims => {
+  const { self, incarnation, hash, random, window = keyWindow, skew = clockSkew, retention } = options
+  const leastRetention = window + 2 * skew
+  if (retention <= leastRetention) throw new RetentionTooShort(retention, leastRetention)
+  const db = createClaimsDb(options.answerBytes ?? defaultAnswerBytes)
+  const placement = createPlacement(hash)
+  const holder = createHolder({ window, skew, retention, hash })
+  const logDownUntil = new Map<number, number>()
+  let effects: ClaimsEffect[] = []
+  let nonces = 0
+  let sweptAt = -Infinity
+  let malformed = 0
+
+  const nextNonce = (): string => `${(nonces++).toString(36)}.${random.below(2 ** 30).toString(36)}`
+
+  const retryAfter = (): number => retryBase + random.below(retryBase)
+
+  const refuse = (request: number, refusal: Refusal): void => {
+    effects.push({ kind: 'claims.refused', request, refusal })
+  }
+
+  const send = (to: string, message: ClaimsMessage, now: number): void => {
+    if (to === self) receive(self, message, now)
+    else effects.push({ kind: 'peer.send', to, message })
+  }
+
+  const holderFor = (partition: number, tries: number): string => {
+    const holders = placement.holders(partition)
+    return holders[tries] ?? self
+  }
+
+  const { record, repeat } = createRecorder(db, (close, tries, now) =>
+    send(holderFor(partitionOf(hash, close), tries % 3), { kind: 'claims.close', close }, now))
+
+  const begin = (input: BeginInput, now: number): void => {
+    const refusal = refusalAtOnce(input, now)
+    if (refusal !== undefined) return refuse(input.request, refusal)
+    const { request, workspace, key, fingerprint, deadline } = input
+    const claim: Claim = { kind: 'claim', workspace, key, claimant: self, incarnation, nonce: nextNonce(), fingerprint, deadline }
+    const attempt: LocalAttempt = { request, claim, name: callName(input), keyTime: keyTime(key) ?? now, begunAt: now, phase: { kind: 'granted' } }
+    addAttempt(db, attempt)
+    ask(attempt, 0, now)
+  }
+
+  const refusalAtOnce = (input: BeginInput, now: number): Refusal | undefined => {
+    const time = keyTime(input.key)
+    if (time === undefined) return { kind: 'notRun', reason: 'keyMalformed', scope: 'call' }
+    const known = refusalFromMemory(db, input, retryAfter())
+    if (known !== undefined) return known
+    if (now - time > window) return { kind: 'unknown', reason: 'keyExpired' }
+    if (time - now > skew) return { kind: 'notRun', reason: 'keyAhead', scope: 'attempt', retryAfter: time - now - skew }
+    if (now >= input.deadline) return { kind: 'notRun', reason: 'deadlinePassed', scope: 'attempt' }
+    if (db.byRequest.size >= mostAttempts) return { kind: 'notRun', reason: 'overloaded', scope: 'attempt', retryAfter: retryAfter() }
+    const until = logDownUntil.get(partitionOf(hash, input)) ?? -Infinity
+    if (now < until) return { kind: 'notRun', reason: 'logUnavailable', scope: 'attempt', retryAfter: until - now + retryAfter() }
+    return undefined
+  }
+
+  const ask = (attempt: LocalAttempt, tries: number, now: number): void => {
+    const to = holderFor(partitionOf(hash, attempt.claim), tries)
+    attempt.phase = { kind: 'claiming', holder: to, sentAt: now, tries }
+    send(to, { kind: 'claims.claim', claim: attempt.claim }, now)
+  }
+
+  const end = (attempt: LocalAttempt, refusal: Refusal): void => {
+    removeAttempt(db, attempt)
+    refuse(attempt.request, refusal)
+  }
+
+  /** Drops the nonce, then records that it is dropped. */
+  const giveUp = (attempt: LocalAttempt, reason: NotRunReason, now: number, appended = true): void => {
+    const scope = attempt.phase.kind === 'granted' ? 'call' : 'attempt'
+    const comesBack = reason === 'logUnavailable' || reason === 'superseded'
+    end(attempt, { kind: 'notRun', reason, scope, ...comesBack && { retryAfter: retryAfter() } })
+    if (appended) record(closeOf(attempt.claim, 'notRun'), attempt.keyTime, now)
+  }
+
+  const settle = (request: number, outcome: Outcome, now: number): void => {
+    const attempt = db.byRequest.get(request)
+    if (attempt === undefined) return
+    removeAttempt(db, attempt)
+    if (outcome.kind === 'ran') db.answers.set(attempt.name, outcome.answer)
+    if (outcome.kind !== 'notRun') {
+      const { nonce, fingerprint } = attempt.claim
+      db.ended.set(attempt.name, { nonce, fingerprint, keyTime: attempt.keyTime, outcome: outcome.kind })
+    }
+    record(closeOf(attempt.claim, outcome.kind), attempt.keyTime, now)
+  }
+
+  const abandon = (request: number, now: number): void => {
+    const attempt = db.byRequest.get(request)
+    if (attempt !== undefined && attempt.phase.kind !== 'dispatched') giveUp(attempt, 'abandoned', now)
+  }
+
+  const unsent = (request: number): void => {
+    const attempt = db.byRequest.get(request)
+    if (attempt?.phase.kind === 'dispatched') attempt.phase = { kind: 'granted' }
+  }
+
+  const mayDispatch = (request: number, now: number): boolean => {
+    const attempt = db.byRequest.get(request)
+    if (attempt?.phase.kind !== 'granted' || isLate(attempt, now)) return false
+    attempt.phase = { kind: 'dispatched' }
+    return true
+  }
+
+  const isLate = ({ claim, keyTime: time }: LocalAttempt, now: number): boolean =>
+    now >= claim.deadline || now - time > window
+
+  const applyVerdict = (nonce: string, verdict: Verdict, now: number): void => {
+    const attempt = db.byNonce.get(nonce)
+    if (attempt?.phase.kind !== 'claiming') return
+    if (isLate(attempt, now)) return giveUp(attempt, 'deadlinePassed', now)
+    switch (verdict.kind) {
+      case 'won':
+        attempt.phase = { kind: 'granted' }
+        effects.push({ kind: 'claims.granted', request: attempt.request })
+        return
+      case 'taken': return applyTaken(attempt, verdict.owner, verdict.state, now)
+      case 'spent': return giveUp(attempt, 'superseded', now)
+      case 'expired': return giveUpUnknown(attempt, 'keyExpired', now)
+      case 'undecided': return giveUpUnknown(attempt, 'recordsExpired', now)
+      case 'unavailable':
+        logDownUntil.set(partitionOf(hash, attempt.claim), now + logDownFor)
+        return giveUp(attempt, 'logUnavailable', now, verdict.appended || attempt.phase.tries > 0)
+      default: return assertNever(verdict)
+    }
+  }
+
+  const giveUpUnknown = (attempt: LocalAttempt, reason: 'keyExpired' | 'recordsExpired', now: number): void => {
+    end(attempt, { kind: 'unknown', reason })
+    record(closeOf(attempt.claim, 'notRun'), attempt.keyTime, now)
+  }
+
+  const applyTaken = (attempt: LocalAttempt, owner: Owner, state: 'held' | 'ran' | 'unknown', now: number): void => {
+    if (owner.fingerprint !== undefined && owner.fingerprint !== attempt.claim.fingerprint) return end(attempt, { kind: 'fingerprintMismatch' })
+    if (state === 'unknown') return end(attempt, { kind: 'unknown', reason: 'answerLost' })
+    const claimant = placement.find(owner.claimant)
+    const isGone = owner.claimant !== self && claimant?.incarnation !== owner.incarnation
+    if (isGone && state === 'ran') return end(attempt, { kind: 'ran' })
+    if (isGone) return end(attempt, { kind: 'unknown', reason: 'answerLost' })
+    attempt.phase = { kind: 'asking', owner, recorded: state, sentAt: now }
+    const asked = { workspace: owner.workspace, key: owner.key, claimant: owner.claimant, incarnation: owner.incarnation, nonce: owner.nonce }
+    send(owner.claimant, { kind: 'claims.lookup', owner: asked, asker: attempt.claim.nonce }, now)
+  }
+
+  const findingOn = (owner: Attempt, now: number): Finding => {
+    const time = keyTime(owner.key)
+    const isOwn = owner.claimant === self && owner.incarnation === incarnation
+    if (!isOwn || time === undefined || now - time > window) return { kind: 'unknown' }
+    const finding = findingFromMemory(db, owner)
+    const isUnrecorded = finding.kind === 'neverRun' && !db.pendingCloses.has(owner.nonce)
+    if (isUnrecorded) record({ kind: 'close', ...owner, outcome: 'notRun' }, time, now)
+    return finding
+  }
+
+  const applyFinding = (asker: string, nonce: string, finding: Finding): void => {
+    const attempt = db.byNonce.get(asker)
+    if (attempt?.phase.kind !== 'asking' || attempt.phase.owner.nonce !== nonce) return
+    if (finding.kind === 'ran') return end(attempt, finding)
+    if (attempt.phase.recorded === 'ran') return end(attempt, { kind: 'ran' })
+    switch (finding.kind) {
+      case 'running': return end(attempt, { kind: 'inProgress', retryAfter: retryAfter() })
+      case 'unknown': return end(attempt, { kind: 'unknown', reason: 'answerLost' })
+      case 'neverRun': return end(attempt, { kind: 'notRun', reason: 'superseded', scope: 'attempt', retryAfter: retryAfter() })
+      default: return assertNever(finding)
+    }
+  }
+
+  /** The claimant does not answer: only what the log says is left. */
+  const resolveUnanswered = (attempt: LocalAttempt, { owner, recorded }: Phase & { kind: 'asking' }, now: number): void => {
+    const mayStillRun = owner.deadline !== undefined && now < owner.deadline
+    if (recorded === 'ran') return end(attempt, { kind: 'ran' })
+    end(attempt, mayStillRun ? { kind: 'inProgress', retryAfter: retryAfter() } : { kind: 'unknown', reason: 'answerLost' })
+  }
+
+  const receive = (from: string, message: ClaimsMessage, now: number): void => {
+    switch (message.kind) {
+      case 'claims.claim': return reply(holder.claim(message.claim, from, now), now)
+      case 'claims.close': return reply(holder.close(message.close, from, now), now)
+      case 'claims.verdict':
+        if (message.incarnation === incarnation) applyVerdict(message.nonce, message.verdict, now)
+        return
+      case 'claims.closed':
+        if (message.incarnation === incarnation) db.pendingCloses.delete(message.nonce)
+        return
+      case 'claims.lookup':
+        return send(from, { kind: 'claims.found', asker: message.asker, nonce: message.owner.nonce, finding: findingOn(message.owner, now) }, now)
+      case 'claims.found': return applyFinding(message.asker, message.nonce, message.finding)
+      default: return assertNever(message)
+    }
+  }
+
+  const reply = (step: ReturnType<typeof holder.tick>, now: number): void => {
+    effects.push(...step.effects)
+    for (const each of step.replies) {
+      if (each.kind === 'closed') send(each.to, { kind: 'claims.closed', nonce: each.close.nonce, incarnation: each.close.incarnation }, now)
+      else send(each.to, { kind: 'claims.verdict', nonce: each.claim.nonce, incarnation: each.claim.incarnation, verdict: each.verdict }, now)
+    }
+  }
+
+  const lose = (peer: string, now: number): void => {
+    for (const attempt of [...db.byRequest.values()]) {
+      const { phase } = attempt
+      if (phase.kind === 'claiming' && phase.holder === peer) ask(attempt, phase.tries + 1, now)
+      if (phase.kind === 'asking' && phase.owner.claimant === peer) resolveUnanswered(attempt, phase, now)
+    }
+  }
+
+  const advance = (attempt: LocalAttempt, now: number): void => {
+    const { phase } = attempt
+    switch (phase.kind) {
+      case 'claiming':
+        if (isLate(attempt, now)) return giveUp(attempt, 'deadlinePassed', now)
+        if (now - attempt.begunAt >= claimPatience) return giveUp(attempt, 'logUnavailable', now)
+        if (now - phase.sentAt >= holderPatience) ask(attempt, phase.tries + 1, now)
+        return
+      case 'asking':
+        if (now - phase.sentAt >= lookupPatience) resolveUnanswered(attempt, phase, now)
+        return
+      case 'granted':
+        if (isLate(attempt, now)) giveUp(attempt, 'deadlinePassed', now)
+        return
+      case 'dispatched':
+        if (now - attempt.claim.deadline >= dispatchLimit) settle(attempt.request, { kind: 'unknown' }, now)
+        return
+      default: assertNever(phase)
+    }
+  }
+
+  const tick = (now: number): void => {
+    for (const attempt of db.byRequest.values()) advance(attempt, now)
+    reply(holder.tick(now), now)
+    if (now - sweptAt < sweepInterval) return
+    sweptAt = now
+    sweepClaimsDb(db, now - window - skew)
+    repeat(now)
+  }
+
+  const dispatchInput = (input: ClaimsInput, now: number): void => {
+    switch (input.kind) {
+      case 'claims.begin': return begin(input, now)
+      case 'claims.settle': return settle(input.request, input.outcome, now)
+      case 'claims.unsent': return unsent(input.request)
+      case 'claims.abandon': return abandon(input.request, now)
+      case 'claims.members': return placement.update(input.instances)
+      case 'log.appended':
+      case 'log.records':
+      case 'log.failed': return reply(holder.log(input, now), now)
+      case 'peer.message': return receiveUnread(input.from, input.message, now)
+      case 'peer.lost': return lose(input.from, now)
+      case 'tick': return tick(now)
+      default: assertNever(input)
+    }
+  }
+
+  const receiveUnread = (from: string, unread: unknown, now: number): void => {
+    const parsed = claimsMessageSchema.safeParse(unread)
+    if (parsed.success) receive(from, parsed.data, now)
+    else malformed++
+  }
+
+  const handle = (input: ClaimsInput, now: number): readonly ClaimsEffect[] => {
+    effects = []
+    dispatchInput(input, now)
+    return effects
+  }
+
+  const dump = (): ClaimsDump => ({
+    attempts: [...db.byRequest.values()].map(({ request, claim, phase }) =>
+      ({ request, workspace: claim.workspace, key: claim.key, nonce: claim.nonce, phase: phase.kind })),
+    ended: db.ended.size,
+    answers: db.answers.size,
+    answerBytes: db.answers.calculatedSize,
+    pendingCloses: db.pendingCloses.size,
+    partitions: holder.dump(),
+    malformed
+  })
+
+  return { handle, mayDispatch, dump }
+}
--- /dev/null
+++ b/src/claims/claimsMessages.ts
@@ -0,0 +1,116 @@
+/** Schemas of the claims' log records and of their messages between instances. */
+import { z } from 'zod'
+
+/** Identifies one attempt of a call across the fleet. */
+const attemptFields = {
+  workspace: z.string(),
+  key: z.string(),
+  claimant: z.string(),
+  incarnation: z.string(),
+  /** Given by the claimant; never used twice in one incarnation. */
+  nonce: z.string()
+}
+
+const attemptSchema = z.object(attemptFields)
+
+/** An attempt's request for the sole right to dispatch. */
+const claimSchema = z.object({
+  kind: z.literal('claim'),
+  ...attemptFields,
+  fingerprint: z.string(),
+  /** Absolute, in ms. */
+  deadline: z.number()
+})
+
+/** The end of an attempt; `notRun` gives its nonce up for ever. */
+const closeSchema = z.object({
+  kind: z.literal('close'),
+  ...attemptFields,
+  outcome: z.enum(['ran', 'notRun', 'unknown'])
+})
+
+/** Payload of one append: the records of a short interval. */
+export const batchSchema = z.object({
+  kind: z.literal('claims.batch'),
+  records: z.array(z.discriminatedUnion('kind', [claimSchema, closeSchema]))
+})
+
+/** The attempt that owns a call; fingerprint and deadline are absent when only its end is known. */
+const ownerSchema = z.object({
+  ...attemptFields,
+  fingerprint: z.string().optional(),
+  deadline: z.number().optional()
+})
+
+/** What the log says of an attempt. */
+const verdictSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('won') }),
+  z.object({ kind: z.literal('taken'), owner: ownerSchema, state: z.enum(['held', 'ran', 'unknown']) }),
+  /** The nonce is spent, and the call is open to another attempt. */
+  z.object({ kind: z.literal('spent') }),
+  /** The claim was appended outside the key's window. */
+  z.object({ kind: z.literal('expired') }),
+  /** Earlier records of the call may have expired. */
+  z.object({ kind: z.literal('undecided') }),
+  /** The log gave no answer. `appended` is false only if no append of the claim was tried. */
+  z.object({ kind: z.literal('unavailable'), appended: z.boolean() })
+])
+
+/** The whole answer of a call. */
+const answerSchema = z.object({
+  status: z.number(),
+  headers: z.record(z.string(), z.string()),
+  body: z.instanceof(Uint8Array)
+})
+
+/** What the claimant knows of its own attempt. */
+const findingSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('running') }),
+  z.object({ kind: z.literal('ran'), answer: answerSchema.optional() }),
+  z.object({ kind: z.literal('unknown') }),
+  /** The attempt was never dispatched and never will be. */
+  z.object({ kind: z.literal('neverRun') })
+])
+
+/** Messages of claims between instances. */
+export const claimsMessageSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('claims.claim'), claim: claimSchema }),
+  z.object({ kind: z.literal('claims.verdict'), nonce: z.string(), incarnation: z.string(), verdict: verdictSchema }),
+  z.object({ kind: z.literal('claims.close'), close: closeSchema }),
+  z.object({ kind: z.literal('claims.closed'), nonce: z.string(), incarnation: z.string() }),
+  z.object({ kind: z.literal('claims.lookup'), owner: attemptSchema, asker: z.string() }),
+  z.object({ kind: z.literal('claims.found'), asker: z.string(), nonce: z.string(), finding: findingSchema })
+])
+
+/** Identity of one attempt. */
+export type Attempt = z.infer<typeof attemptSchema>
+/** A claim as recorded. */
+export type Claim = z.infer<typeof claimSchema>
+/** The end of an attempt as recorded. */
+export type Close = z.infer<typeof closeSchema>
+/** One append. */
+export type Batch = z.infer<typeof batchSchema>
+/** The attempt that owns a call. */
+export type Owner = z.infer<typeof ownerSchema>
+/** What the log says of an attempt. */
+export type Verdict = z.infer<typeof verdictSchema>
+/** The whole answer of a call. */
+export type Answer = z.infer<typeof answerSchema>
+/** What a claimant says of its own attempt. */
+export type Finding = z.infer<typeof findingSchema>
+/** Any message of claims. */
+export type ClaimsMessage = z.infer<typeof claimsMessageSchema>
+
+/**
+ * A string that is equal for equal attempts only.
+ *
+ * @param attempt - the attempt
+ */
+export const attemptId = ({ claimant, incarnation, nonce }: Attempt): string => JSON.stringify([claimant, incarnation, nonce])
+
+/**
+ * A string that is equal for attempts of the same call only.
+ *
+ * @param call - workspace and key
+ */
+export const callName = ({ workspace, key }: Pick<Attempt, 'workspace' | 'key'>): string => `${key} ${workspace}`
--- /dev/null
+++ b/src/claims/claimsRecorder.ts
@@ -0,0 +1,41 @@
+/** Sees to it that the end of each attempt is recorded, or its key expired. */
+import type { ClaimsDb, PendingClose } from './claimsDb.js'
+import type { Close } from './claimsMessages.js'
+import { closeInterval } from './claimsTimes.js'
+
+/** Records ends of attempts. */
+export interface Recorder {
+  readonly record: (close: Close, keyTime: number, now: number) => void
+  /** Repeats what has not been confirmed. */
+  readonly repeat: (now: number) => void
+}
+
+/** How a close reaches a holder. */
+export type SendClose = (close: Close, tries: number, now: number) => void
+
+/**
+ * Creates a recorder.
+ *
+ * @param db - keeps what is not yet recorded
+ * @param send - sends to the holder that `tries` selects
+ */
+export const createRecorder = (db: ClaimsDb, send: SendClose): Recorder => {
+  const attempt = (pending: PendingClose, now: number): void => {
+    const { tries } = pending
+    pending.sentAt = now
+    pending.tries++
+    send(pending.close, tries, now)
+  }
+
+  const record = (close: Close, keyTime: number, now: number): void => {
+    const pending: PendingClose = { close, keyTime, sentAt: now, tries: 0 }
+    db.pendingCloses.set(close.nonce, pending)
+    attempt(pending, now)
+  }
+
+  const repeat = (now: number): void => {
+    for (const pending of db.pendingCloses.values()) if (now - pending.sentAt >= closeInterval) attempt(pending, now)
+  }
+
+  return { record, repeat }
+}
