--- a/src/claims/claimsDb.ts
+++ b/src/claims/claimsDb.ts
@@ -3,7 +3,8 @@
  * ended, the answers kept for repeats, and ends that the log has not yet got.
  */
 import { LRUCache } from 'lru-cache'
-import type { Answer, Claim, Close, Owner } from './claimsMessages.js'
+import { attemptId, attemptOf, callName } from './claimsMessages.js'
+import type { Answer, Attempt, Claim, Close, Owner } from './claimsMessages.js'
 
 /** How far an attempt is. */
 export type Phase =
@@ -94,6 +95,19 @@
   db.byNonce.delete(attempt.claim.nonce)
 }
 
+/**
+ * The attempt under way here that a message names, if any.
+ *
+ * @param db - the state
+ * @param named - the message's attempt
+ */
+export const findAttempt = (db: ClaimsDb, named: Attempt): LocalAttempt | undefined => {
+  const attempt = db.byNonce.get(named.nonce)
+  if (attempt === undefined) return undefined
+  const { claim, name } = attempt
+  return attemptId(claim) === attemptId(named) && name === callName(named) ? attempt : undefined
+}
+
 /**
  * Forgets ended calls and unrecorded ends whose keys have expired.
  *
@@ -112,15 +126,11 @@
 /**
  * The end of an attempt, as the log records it.
  *
- * @param claim - the attempt's claim
+ * @param claim - what names the attempt
  * @param outcome - how it ended
  */
-export const closeOf = (claim: Claim, outcome: Close['outcome']): Close => ({
+export const closeOf = (claim: Attempt, outcome: Close['outcome']): Close => ({
   kind: 'close',
-  workspace: claim.workspace,
-  key: claim.key,
-  claimant: claim.claimant,
-  incarnation: claim.incarnation,
-  nonce: claim.nonce,
+  ...attemptOf(claim),
   outcome
 })
--- a/src/claims/claimsLocal.ts
+++ b/src/claims/claimsLocal.ts
@@ -1,5 +1,6 @@
-/** What an instance can say of a call from its own memory, without the log. */
+/** What an instance can say of a call by itself, without the log. */
 import type { ClaimsDb } from './claimsDb.js'
+import { keyTime } from './claimsKey.js'
 import { callName } from './claimsMessages.js'
 import type { Attempt, Finding } from './claimsMessages.js'
 import type { BeginInput, Refusal } from './claimsTypes.js'
@@ -38,3 +39,28 @@
   if (ended?.nonce !== attempt.nonce) return { kind: 'neverRun' }
   return ended.outcome === 'ran' ? { kind: 'ran', answer: db.answers.get(name) } : { kind: 'unknown' }
 }
+
+/** Bounds of time for keys. */
+export interface KeyBounds {
+  /** Age in ms at which a key is no longer accepted. */
+  readonly window: number
+  /** Greatest difference between clocks, in ms. */
+  readonly skew: number
+}
+
+/**
+ * The refusal of an attempt whose key or deadline admits no claim.
+ *
+ * @param input - the attempt
+ * @param bounds - of the key's time
+ * @param now - in ms
+ * @returns undefined if the attempt may be claimed
+ */
+export const refusalByTime = ({ key, deadline }: BeginInput, { window, skew }: KeyBounds, now: number): Refusal | undefined => {
+  const time = keyTime(key)
+  if (time === undefined) return { kind: 'notRun', reason: 'keyMalformed', scope: 'call' }
+  if (now - time > window) return { kind: 'unknown', reason: 'keyExpired' }
+  if (time - now > skew) return { kind: 'notRun', reason: 'keyAhead', scope: 'attempt', retryAfter: time - now - skew }
+  if (now >= deadline) return { kind: 'notRun', reason: 'deadlinePassed', scope: 'attempt' }
+  return undefined
+}
--- a/src/claims/claimsMachine.ts
+++ b/src/claims/claimsMachine.ts
@@ -5,13 +5,13 @@
  * decided. An instance that gives an attempt up drops its nonce first and then
  * records that it has, until the log has it or the key has expired.
  */
-import { createClaimsDb, addAttempt, closeOf, removeAttempt, sweepClaimsDb } from './claimsDb.js'
+import { createClaimsDb, addAttempt, closeOf, findAttempt, removeAttempt, sweepClaimsDb } from './claimsDb.js'
 import type { LocalAttempt, Phase } from './claimsDb.js'
 import { createHolder } from './claimsHolder.js'
 import { keyTime } from './claimsKey.js'
-import { callName, claimsMessageSchema } from './claimsMessages.js'
+import { attemptId, attemptOf, callName, claimsMessageSchema } from './claimsMessages.js'
 import type { Attempt, Claim, ClaimsMessage, Finding, Owner, Verdict } from './claimsMessages.js'
-import { findingFromMemory, refusalFromMemory } from './claimsLocal.js'
+import { findingFromMemory, refusalByTime, refusalFromMemory } from './claimsLocal.js'
 import { createPlacement, partitionOf } from './claimsPlacement.js'
 import { createRecorder } from './claimsRecorder.js'
 import { RetentionTooShort } from './claimsErrors.js'
@@ -97,13 +97,8 @@
   }
 
   const refusalAtOnce = (input: BeginInput, now: number): Refusal | undefined => {
-    const time = keyTime(input.key)
-    if (time === undefined) return { kind: 'notRun', reason: 'keyMalformed', scope: 'call' }
-    const known = refusalFromMemory(db, input, retryAfter())
+    const known = refusalFromMemory(db, input, retryAfter()) ?? refusalByTime(input, { window, skew }, now)
     if (known !== undefined) return known
-    if (now - time > window) return { kind: 'unknown', reason: 'keyExpired' }
-    if (time - now > skew) return { kind: 'notRun', reason: 'keyAhead', scope: 'attempt', retryAfter: time - now - skew }
-    if (now >= input.deadline) return { kind: 'notRun', reason: 'deadlinePassed', scope: 'attempt' }
     if (db.byRequest.size >= mostAttempts) return { kind: 'notRun', reason: 'overloaded', scope: 'attempt', retryAfter: retryAfter() }
     const until = logDownUntil.get(partitionOf(hash, input)) ?? -Infinity
     if (now < until) return { kind: 'notRun', reason: 'logUnavailable', scope: 'attempt', retryAfter: until - now + retryAfter() }
@@ -161,8 +156,8 @@
   const isLate = ({ claim, keyTime: time }: LocalAttempt, now: number): boolean =>
     now >= claim.deadline || now - time > window
 
-  const applyVerdict = (nonce: string, verdict: Verdict, now: number): void => {
-    const attempt = db.byNonce.get(nonce)
+  const applyVerdict = (named: Attempt, verdict: Verdict, now: number): void => {
+    const attempt = findAttempt(db, named)
     if (attempt?.phase.kind !== 'claiming') return
     if (isLate(attempt, now)) return giveUp(attempt, 'deadlinePassed', now)
     switch (verdict.kind) {
@@ -194,8 +189,7 @@
     if (isGone && state === 'ran') return end(attempt, { kind: 'ran' })
     if (isGone) return end(attempt, { kind: 'unknown', reason: 'answerLost' })
     attempt.phase = { kind: 'asking', owner, recorded: state, sentAt: now }
-    const asked = { workspace: owner.workspace, key: owner.key, claimant: owner.claimant, incarnation: owner.incarnation, nonce: owner.nonce }
-    send(owner.claimant, { kind: 'claims.lookup', owner: asked, asker: attempt.claim.nonce }, now)
+    send(owner.claimant, { kind: 'claims.lookup', owner: attemptOf(owner), asker: attemptOf(attempt.claim) }, now)
   }
 
   const findingOn = (owner: Attempt, now: number): Finding => {
@@ -204,13 +198,13 @@
     if (!isOwn || time === undefined || now - time > window) return { kind: 'unknown' }
     const finding = findingFromMemory(db, owner)
     const isUnrecorded = finding.kind === 'neverRun' && !db.pendingCloses.has(owner.nonce)
-    if (isUnrecorded) record({ kind: 'close', ...owner, outcome: 'notRun' }, time, now)
+    if (isUnrecorded) record(closeOf(owner, 'notRun'), time, now)
     return finding
   }
 
-  const applyFinding = (asker: string, nonce: string, finding: Finding): void => {
-    const attempt = db.byNonce.get(asker)
-    if (attempt?.phase.kind !== 'asking' || attempt.phase.owner.nonce !== nonce) return
+  const applyFinding = (asker: Attempt, owner: Attempt, finding: Finding): void => {
+    const attempt = findAttempt(db, asker)
+    if (attempt?.phase.kind !== 'asking' || attemptId(attempt.phase.owner) !== attemptId(owner)) return
     if (finding.kind === 'ran') return end(attempt, finding)
     if (attempt.phase.recorded === 'ran') return end(attempt, { kind: 'ran' })
     switch (finding.kind) {
@@ -232,24 +226,25 @@
     switch (message.kind) {
       case 'claims.claim': return reply(holder.claim(message.claim, from, now), now)
       case 'claims.close': return reply(holder.close(message.close, from, now), now)
-      case 'claims.verdict':
-        if (message.incarnation === incarnation) applyVerdict(message.nonce, message.verdict, now)
-        return
-      case 'claims.closed':
-        if (message.incarnation === incarnation) db.pendingCloses.delete(message.nonce)
-        return
+      case 'claims.verdict': return applyVerdict(message.attempt, message.verdict, now)
+      case 'claims.closed': return confirm(message.attempt)
       case 'claims.lookup':
-        return send(from, { kind: 'claims.found', asker: message.asker, nonce: message.owner.nonce, finding: findingOn(message.owner, now) }, now)
-      case 'claims.found': return applyFinding(message.asker, message.nonce, message.finding)
+        return send(from, { kind: 'claims.found', asker: message.asker, owner: message.owner, finding: findingOn(message.owner, now) }, now)
+      case 'claims.found': return applyFinding(message.asker, message.owner, message.finding)
       default: return assertNever(message)
     }
   }
 
+  const confirm = (closed: Attempt): void => {
+    const pending = db.pendingCloses.get(closed.nonce)
+    if (pending !== undefined && attemptId(pending.close) === attemptId(closed)) db.pendingCloses.delete(closed.nonce)
+  }
+
   const reply = (step: ReturnType<typeof holder.tick>, now: number): void => {
     effects.push(...step.effects)
     for (const each of step.replies) {
-      if (each.kind === 'closed') send(each.to, { kind: 'claims.closed', nonce: each.close.nonce, incarnation: each.close.incarnation }, now)
-      else send(each.to, { kind: 'claims.verdict', nonce: each.claim.nonce, incarnation: each.claim.incarnation, verdict: each.verdict }, now)
+      if (each.kind === 'closed') send(each.to, { kind: 'claims.closed', attempt: attemptOf(each.close) }, now)
+      else send(each.to, { kind: 'claims.verdict', attempt: attemptOf(each.claim), verdict: each.verdict }, now)
     }
   }
 
@@ -321,8 +316,7 @@
   }
 
   const dump = (): ClaimsDump => ({
-    attempts: [...db.byRequest.values()].map(({ request, claim, phase }) =>
-      ({ request, workspace: claim.workspace, key: claim.key, nonce: claim.nonce, phase: phase.kind })),
+    attempts: [...db.byRequest.values()].map(({ request, claim, phase }) => ({ request, workspace: claim.workspace, key: claim.key, nonce: claim.nonce, phase: phase.kind })),
     ended: db.ended.size,
     answers: db.answers.size,
     answerBytes: db.answers.calculatedSize,
--- a/src/claims/claimsMessages.ts
+++ b/src/claims/claimsMessages.ts
@@ -75,11 +75,11 @@
 /** Messages of claims between instances. */
 export const claimsMessageSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('claims.claim'), claim: claimSchema }),
-  z.object({ kind: z.literal('claims.verdict'), nonce: z.string(), incarnation: z.string(), verdict: verdictSchema }),
+  z.object({ kind: z.literal('claims.verdict'), attempt: attemptSchema, verdict: verdictSchema }),
   z.object({ kind: z.literal('claims.close'), close: closeSchema }),
-  z.object({ kind: z.literal('claims.closed'), nonce: z.string(), incarnation: z.string() }),
-  z.object({ kind: z.literal('claims.lookup'), owner: attemptSchema, asker: z.string() }),
-  z.object({ kind: z.literal('claims.found'), asker: z.string(), nonce: z.string(), finding: findingSchema })
+  z.object({ kind: z.literal('claims.closed'), attempt: attemptSchema }),
+  z.object({ kind: z.literal('claims.lookup'), owner: attemptSchema, asker: attemptSchema }),
+  z.object({ kind: z.literal('claims.found'), owner: attemptSchema, asker: attemptSchema, finding: findingSchema })
 ])
 
 /** Identity of one attempt. */
@@ -108,6 +108,14 @@
  */
 export const attemptId = ({ claimant, incarnation, nonce }: Attempt): string => JSON.stringify([claimant, incarnation, nonce])
 
+/**
+ * The identity of a claim, of its end or of an owner.
+ *
+ * @param record - what names the attempt
+ */
+export const attemptOf = ({ workspace, key, claimant, incarnation, nonce }: Attempt): Attempt =>
+  ({ workspace, key, claimant, incarnation, nonce })
+
 /**
  * A string that is equal for attempts of the same call only.
  *
--- /dev/null
+++ b/test/matrix/claimsVariants.ts
@@ -0,0 +1,120 @@
+/** Deliberately broken claims, made by changing what goes in and out of the sound ones. */
+import type { Claims } from '../../src/claims/claimsMachine.js'
+import type { ClaimsEffect, ClaimsInput, Refusal } from '../../src/claims/claimsTypes.js'
+import type { Promised } from './matrixTypes.js'
+
+/** Each variant with the promise that it must break. */
+export const claimsVariants = {
+  dispatchesUnread: 'atMostOnce',
+  lastClaimWins: 'atMostOnce',
+  dispatchesOnLogFailure: 'atMostOnce',
+  retriesUnknown: 'atMostOnce',
+  retriesExpired: 'atMostOnce',
+  forgetsWindow: 'atMostOnce',
+  voidsAfterDispatch: 'atMostOnce',
+  trustsLostAck: 'notRunTrue',
+  keepsNonce: 'notRunTrue',
+  dispatchesAfterRefusal: 'notRunTrue',
+  dispatchesUnchecked: 'notRunTrue',
+  mixesAnswers: 'ownAnswer',
+  inventsRan: 'ownAnswer'
+} as const satisfies Record<string, Promised>
+
+type Variant = keyof typeof claimsVariants
+
+/** Whether a variant accepts keys of any age. */
+export const isUnbounded = (variant: string): boolean => variant === 'forgetsWindow'
+
+type Handle = Claims['handle']
+
+const grantInstead = (handle: Handle, given: Set<number>, when: (refusal: Refusal) => boolean): Handle => (input, now) =>
+  handle(input, now).map(effect => {
+    if (effect.kind !== 'claims.refused' || !when(effect.refusal)) return effect
+    given.add(effect.request)
+    return { kind: 'claims.granted', request: effect.request }
+  })
+
+const changeRefusals = (handle: Handle, change: (refusal: Refusal) => Refusal): Handle => (input, now) =>
+  handle(input, now).map(effect => effect.kind === 'claims.refused' ? { ...effect, refusal: change(effect.refusal) } : effect)
+
+interface RawBatch { readonly records: readonly { readonly kind: string, readonly key: string }[] }
+
+/** Drops each claim that a later one of the same call follows. */
+const keepLastClaims = (input: ClaimsInput): ClaimsInput => {
+  if (input.kind !== 'log.records') return input
+  const claims = input.records.flatMap(({ offset, payload }) =>
+    (payload as RawBatch).records.map((record, index) => ({ record, order: offset * 1e4 + index })))
+  const isLast = (key: string, order: number): boolean =>
+    !claims.some(each => each.record.kind === 'claim' && each.record.key === key && each.order > order)
+  const records = input.records.map(record => ({
+    ...record,
+    payload: { ...record.payload as RawBatch, records: (record.payload as RawBatch).records.filter((each, index) => each.kind !== 'claim' || isLast(each.key, record.offset * 1e4 + index)) }
+  }))
+  return { ...input, records }
+}
+
+/** The wrapper of one variant. `given` are grants that the sound claims did not give. */
+const wrap = (variant: Variant, sound: Claims, given: Set<number>): Handle => {
+  const { handle } = sound
+  const granted = new Set<number>()
+  const begun = new Map<number, string>()
+  let lastAnswer: Refusal | undefined
+
+  switch (variant) {
+    case 'dispatchesUnread': return (input, now) => {
+      const effects = handle(input, now).filter(effect => effect.kind !== 'claims.granted')
+      if (input.kind !== 'claims.begin' || effects.some(effect => effect.kind === 'claims.refused')) return effects
+      given.add(input.request)
+      return [...effects, { kind: 'claims.granted', request: input.request }]
+    }
+    case 'lastClaimWins': return (input, now) => handle(keepLastClaims(input), now)
+    case 'dispatchesOnLogFailure': return grantInstead(handle, given, refusal => refusal.kind === 'notRun' && refusal.reason === 'logUnavailable')
+    case 'retriesUnknown': return grantInstead(handle, given, refusal => refusal.kind === 'unknown' && refusal.reason === 'answerLost')
+    case 'retriesExpired': return grantInstead(handle, given, refusal => refusal.kind === 'unknown' && refusal.reason === 'keyExpired')
+    case 'forgetsWindow': return handle
+    case 'voidsAfterDispatch': return (input, now) =>
+      handle(input.kind === 'claims.abandon' ? { kind: 'claims.settle', request: input.request, outcome: { kind: 'notRun' } } : input, now)
+    case 'trustsLostAck': return (input, now) => {
+      if (input.kind === 'claims.begin') begun.set(input.request, input.key)
+      const effects = handle(input, now)
+      if (input.kind !== 'log.failed') return effects
+      const refused = [...begun.keys()].map((request): ClaimsEffect => ({ kind: 'claims.refused', request, refusal: { kind: 'notRun', reason: 'logUnavailable', scope: 'attempt' } }))
+      return [...effects, ...refused]
+    }
+    case 'keepsNonce': return (input, now) => input.kind === 'claims.abandon'
+      ? [{ kind: 'claims.refused', request: input.request, refusal: { kind: 'notRun', reason: 'abandoned', scope: 'attempt' } }]
+      : handle(input, now)
+    case 'dispatchesAfterRefusal': return (input, now) => {
+      const effects = handle(input, now)
+      for (const effect of effects) {
+        if (effect.kind === 'claims.granted') granted.add(effect.request)
+        if (effect.kind === 'claims.refused' && granted.has(effect.request)) given.add(effect.request)
+      }
+      return effects
+    }
+    case 'dispatchesUnchecked': return (input, now) => {
+      const effects = handle(input, now)
+      for (const effect of effects) if (effect.kind === 'claims.granted') given.add(effect.request)
+      return effects
+    }
+    case 'mixesAnswers': return changeRefusals(handle, refusal => {
+      if (refusal.kind !== 'ran' || refusal.answer === undefined) return refusal
+      lastAnswer ??= refusal
+      return lastAnswer
+    })
+    case 'inventsRan': return changeRefusals(handle, refusal => refusal.kind === 'notRun' ? { kind: 'ran' } : refusal)
+  }
+}
+
+/**
+ * Wraps sound claims.
+ *
+ * @param variant - `sound` or a name of `claimsVariants`
+ * @param sound - the claims of one instance
+ */
+export const breakClaims = (variant: string, sound: Claims): Claims => {
+  if (!(variant in claimsVariants)) return sound
+  const given = new Set<number>()
+  const handle = wrap(variant as Variant, sound, given)
+  return { ...sound, handle, mayDispatch: (request, now) => given.delete(request) || sound.mayDispatch(request, now) }
+}
--- a/test/matrix/matrix.ts
+++ b/test/matrix/matrix.ts
@@ -17,10 +17,10 @@
   readonly more?: readonly Injection[]
   readonly noFault?: boolean
   readonly seed: number
+  readonly seeds: number
   readonly variant: string
   readonly pairs?: number | true
   readonly random: number
-  readonly quiet?: boolean
 }
 
 const variantPairs = 2000
@@ -54,6 +54,7 @@
   .option('--more <step:fault>', 'a further fault in the same run; may be repeated', parseMore)
   .option('--no-fault', 'the run without a fault')
   .option('--seed <seed>', 'seed of each run', parseCount, 1)
+  .option('--seeds <count>', 'how many seeds to run, from --seed on', parseCount, 1)
   .option('--variant <name>', 'a deliberately broken variant', soundVariant)
   .option('--pairs [count]', 'pairs of faults too: all, or as many drawn at random', parseCount)
   .option('--random <count>', 'runs of random faults in each protocol', parseCount, 0)
@@ -80,6 +81,8 @@
   return [...singlePlans(scenario, seed, variant), ...drawn, ...randomPlans(scenario, options.random, longestRandom, random)].filter(wanted)
 }
 
+const seedsOf = ({ seed, seeds }: Options): number[] => Array.from({ length: seeds }, (_, index) => seed + index)
+
 const printTable = (runs: readonly CaseRun[], scenarios: readonly Scenario[]): void => {
   console.log('promise            fault               ran  passed  failed  not applicable')
   const rows = tabulate(runs, scenarios)
@@ -128,7 +131,7 @@
   const scenarios = createScenarios(await loadHash()).filter(scenario => scenario.name === (options.scenario ?? scenario.name))
   if (scenarios.length === 0) program.error(`no scenario is named ${options.scenario}`)
   const bare = scenarios.flatMap(scenario => enumerate(scenario).bareSteps.map(step => `${scenario.name}/${step}`))
-  const runs = scenarios.flatMap(scenario => plansOf(scenario, options, withoutFault).map(plan => runCase(scenario, plan)))
+  const runs = scenarios.flatMap(scenario => seedsOf(options).flatMap(seed => plansOf(scenario, { ...options, seed }, withoutFault)).map(plan => runCase(scenario, plan)))
   const failures = runs.filter(run => run.scenario.promises.some(promise => broke(run, promise)))
   const whole = !withoutFault && !isReplay(options) && options.variant === soundVariant
   printTable(runs, whole ? scenarios : [])
