Claims: bounded take-over, and no failover while a holder is at work

Cause: by reading the code: with a slow log each claimant would have asked every holder after 500 ms, and each would have read and appended the partition, so that a slow log got three times the load. A new holder read all that the log keeps.

Change: a holder says that a claim is queued after 200 ms; a claimant waits on. A holder finds its starting offset by bisection on the log's time. A claim that no holder answers is refused as claimTimeout. Retention must exceed the key window by four times the clock skew.

--- a/src/claims/claimsFold.ts
+++ b/src/claims/claimsFold.ts
@@ -101,7 +101,9 @@
     if (time === undefined) return { kind: 'expired' }
     const expired = latest - time > window
     if (time - skew < since) return { kind: expired ? 'expired' : 'undecided' }
-    return verdictOnCall(claim, calls.get(callName(claim))) ?? (expired ? { kind: 'expired' } : undefined)
+    const verdict = verdictOnCall(claim, calls.get(callName(claim)))
+    const isOpen = verdict === undefined || verdict.kind === 'spent'
+    return expired && isOpen ? { kind: 'expired' } : verdict
   }
 
   const sweep = (): void => {
--- a/src/claims/claimsMachine.ts
+++ b/src/claims/claimsMachine.ts
@@ -17,9 +17,9 @@
 import { RetentionTooShort } from './claimsErrors.js'
 import { claimPatience, defaultAnswerBytes, dispatchLimit, holderPatience, logDownFor, lookupPatience, mostAttempts, retryBase, sweepInterval } from './claimsTimes.js'
 import { clockSkew, keyWindow } from './claimsTypes.js'
-import type { BeginInput, ClaimsEffect, ClaimsInput, ClaimsOptions, NotRunReason, Outcome, Refusal } from './claimsTypes.js'
+import type { BeginInput, ClaimsDump, ClaimsEffect, ClaimsInput, ClaimsOptions, NotRunReason, Outcome, Refusal } from './claimsTypes.js'
 import { assertNever } from '../errors.js'
-import type { PartitionDump } from './claimsPartition.js'
+import type { PartitionReply } from './claimsPartition.js'
 
 /** The claims of one instance. */
 export interface Claims {
@@ -33,18 +33,6 @@
   readonly dump: () => ClaimsDump
 }
 
-/** State of the claims, without the bodies of answers. */
-export interface ClaimsDump {
-  readonly attempts: readonly { readonly request: number, readonly workspace: string, readonly key: string, readonly nonce: string, readonly phase: string }[]
-  readonly ended: number
-  readonly answers: number
-  readonly answerBytes: number
-  readonly pendingCloses: number
-  readonly partitions: readonly PartitionDump[]
-  /** Messages that did not match their schema. */
-  readonly malformed: number
-}
-
 /**
  * Creates the claims of an instance.
  *
@@ -54,7 +42,7 @@
  */
 export const createClaims = (options: ClaimsOptions): Claims => {
   const { self, incarnation, hash, random, window = keyWindow, skew = clockSkew, retention } = options
-  const leastRetention = window + 2 * skew
+  const leastRetention = window + 4 * skew
   if (retention <= leastRetention) throw new RetentionTooShort(retention, leastRetention)
   const db = createClaimsDb(options.answerBytes ?? defaultAnswerBytes)
   const placement = createPlacement(hash)
@@ -80,11 +68,11 @@
 
   const holderFor = (partition: number, tries: number): string => {
     const holders = placement.holders(partition)
-    return holders[tries] ?? self
+    return holders[tries % holders.length] ?? self
   }
 
   const { record, repeat } = createRecorder(db, (close, tries, now) =>
-    send(holderFor(partitionOf(hash, close), tries % 3), { kind: 'claims.close', close }, now))
+    send(holderFor(partitionOf(hash, close), tries), { kind: 'claims.close', close }, now))
 
   const begin = (input: BeginInput, now: number): void => {
     const refusal = refusalAtOnce(input, now)
@@ -119,7 +107,7 @@
   /** Drops the nonce, then records that it is dropped. */
   const giveUp = (attempt: LocalAttempt, reason: NotRunReason, now: number, appended = true): void => {
     const scope = attempt.phase.kind === 'granted' ? 'call' : 'attempt'
-    const comesBack = reason === 'logUnavailable' || reason === 'superseded'
+    const comesBack = reason === 'logUnavailable' || reason === 'claimTimeout' || reason === 'superseded'
     end(attempt, { kind: 'notRun', reason, scope, ...comesBack && { retryAfter: retryAfter() } })
     if (appended) record(closeOf(attempt.claim, 'notRun'), attempt.keyTime, now)
   }
@@ -227,6 +215,7 @@
       case 'claims.claim': return reply(holder.claim(message.claim, from, now), now)
       case 'claims.close': return reply(holder.close(message.close, from, now), now)
       case 'claims.verdict': return applyVerdict(message.attempt, message.verdict, now)
+      case 'claims.queued': return extend(message.attempt, from, now)
       case 'claims.closed': return confirm(message.attempt)
       case 'claims.lookup':
         return send(from, { kind: 'claims.found', asker: message.asker, owner: message.owner, finding: findingOn(message.owner, now) }, now)
@@ -235,17 +224,28 @@
     }
   }
 
+  const extend = (queued: Attempt, from: string, now: number): void => {
+    const attempt = findAttempt(db, queued)
+    if (attempt?.phase.kind === 'claiming' && attempt.phase.holder === from) attempt.phase = { ...attempt.phase, sentAt: now }
+  }
+
   const confirm = (closed: Attempt): void => {
     const pending = db.pendingCloses.get(closed.nonce)
     if (pending !== undefined && attemptId(pending.close) === attemptId(closed)) db.pendingCloses.delete(closed.nonce)
   }
 
+  const messageOf = (reply: PartitionReply): ClaimsMessage => {
+    switch (reply.kind) {
+      case 'closed': return { kind: 'claims.closed', attempt: attemptOf(reply.close) }
+      case 'queued': return { kind: 'claims.queued', attempt: attemptOf(reply.claim) }
+      case 'verdict': return { kind: 'claims.verdict', attempt: attemptOf(reply.claim), verdict: reply.verdict }
+      default: return assertNever(reply)
+    }
+  }
+
   const reply = (step: ReturnType<typeof holder.tick>, now: number): void => {
     effects.push(...step.effects)
-    for (const each of step.replies) {
-      if (each.kind === 'closed') send(each.to, { kind: 'claims.closed', attempt: attemptOf(each.close) }, now)
-      else send(each.to, { kind: 'claims.verdict', attempt: attemptOf(each.claim), verdict: each.verdict }, now)
-    }
+    for (const each of step.replies) send(each.to, messageOf(each), now)
   }
 
   const lose = (peer: string, now: number): void => {
@@ -261,7 +261,7 @@
     switch (phase.kind) {
       case 'claiming':
         if (isLate(attempt, now)) return giveUp(attempt, 'deadlinePassed', now)
-        if (now - attempt.begunAt >= claimPatience) return giveUp(attempt, 'logUnavailable', now)
+        if (now - attempt.begunAt >= claimPatience) return giveUp(attempt, 'claimTimeout', now)
         if (now - phase.sentAt >= holderPatience) ask(attempt, phase.tries + 1, now)
         return
       case 'asking':
--- a/src/claims/claimsMessages.ts
+++ b/src/claims/claimsMessages.ts
@@ -76,6 +76,8 @@
 export const claimsMessageSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('claims.claim'), claim: claimSchema }),
   z.object({ kind: z.literal('claims.verdict'), attempt: attemptSchema, verdict: verdictSchema }),
+  /** The claim waits for the log; the holder is at work. */
+  z.object({ kind: z.literal('claims.queued'), attempt: attemptSchema }),
   z.object({ kind: z.literal('claims.close'), close: closeSchema }),
   z.object({ kind: z.literal('claims.closed'), attempt: attemptSchema }),
   z.object({ kind: z.literal('claims.lookup'), owner: attemptSchema, asker: attemptSchema }),
--- a/src/claims/claimsPartition.ts
+++ b/src/claims/claimsPartition.ts
@@ -5,15 +5,19 @@
  * read the same order.
  */
 import { createFold } from './claimsFold.js'
-import type { Fold, FoldOptions } from './claimsFold.js'
+import type { Fold } from './claimsFold.js'
 import { attemptId } from './claimsMessages.js'
 import type { Batch, Claim, Close, Verdict } from './claimsMessages.js'
-import { appendGap, appendTries, closeDelay, foldSweepInterval, logPatience, logPause, longestBatch, longestPage, longestQueue, partitionIdle } from './claimsTimes.js'
-import type { LogEffect, LogInput, LogRecord } from '../ports/logPort.js'
+import { createSeek } from './claimsSeek.js'
+import type { Seek } from './claimsSeek.js'
+import { appendGap, appendTries, closeDelay, foldSweepInterval, logPatience, logPause, longestBatch, longestPage, longestQueue, partitionIdle, queuedNotice } from './claimsTimes.js'
+import type { LogEffect, LogInput } from '../ports/logPort.js'
 
 /** What a partition has to say to instances. */
 export type PartitionReply =
   | { readonly kind: 'verdict', readonly to: string, readonly claim: Claim, readonly verdict: Verdict }
+  /** The claim still waits for the log. */
+  | { readonly kind: 'queued', readonly to: string, readonly claim: Claim }
   | { readonly kind: 'closed', readonly to: string, readonly close: Close }
 
 /** What a partition asks of the node. */
@@ -58,6 +62,7 @@
   readonly item: Item
   readonly from: string
   readonly since: number
+  noticedAt: number
   /** Appends tried; any of them may yet take effect. */
   tries: number
   /** Whether an append of it is under way or not yet read back. */
@@ -78,6 +83,7 @@
   const { stream, nextToken } = options
   const claims = new Map<string, Waiting<Claim>>()
   const closes = new Map<string, Waiting<Close>>()
+  let seek: Seek | undefined
   let fold: Fold | undefined
   let next: number | undefined
   let caughtUp = false
@@ -89,13 +95,19 @@
   let usedAt = -Infinity
   let sweptAt = -Infinity
 
-  const boundsOf = (since: number): FoldOptions => ({ since, window: options.window, skew: options.skew })
-
   const read = (now: number): LogEffect[] => {
     if (reading !== undefined || !stale || now < pausedUntil) return []
     stale = false
     reading = { token: nextToken(), at: now }
-    return [{ kind: 'log.read', owner: 'claims', token: reading.token, stream, from: next ?? 0, limit: longestPage }]
+    const range = next === undefined ? { from: nextProbe(now), limit: 1 } : { from: next, limit: longestPage }
+    return [{ kind: 'log.read', owner: 'claims', token: reading.token, stream, ...range }]
+  }
+
+  /** Oldest key that may be claimed now, earlier by all that clocks may differ. */
+  const nextProbe = (now: number): number => {
+    seek ??= createSeek(now - options.window - 3 * options.skew, options.skew)
+    const step = seek.step()
+    return step.from
   }
 
   const batch = (): Batch['records'] => {
@@ -174,23 +186,37 @@
     return replies
   }
 
-  /** Starts anew where the stream now begins; records before it are gone. */
-  const restart = (first: number, records: readonly LogRecord[], now: number): Fold => {
-    const expiredBefore = now + options.skew - options.retention
-    const since = first === 0 ? -Infinity : Math.min(records[0]?.at ?? Infinity, expiredBefore)
-    next = first
-    return createFold(boundsOf(since))
+  const startAt = (from: number, since: number): void => {
+    next = from
+    caughtUp = false
+    fold = createFold({ since, window: options.window, skew: options.skew })
+  }
+
+  /** The log's time up to which records may have expired. */
+  const expiredBefore = (now: number): number => now + options.skew - options.retention
+
+  const receiveProbe = (input: LogInput & { kind: 'log.records' }, now: number): void => {
+    stale = true
+    seek?.take(input)
+    const step = seek?.step()
+    if (step?.kind !== 'found') return
+    seek = undefined
+    startAt(step.from, input.first > 0 ? Math.max(step.since, expiredBefore(now)) : step.since)
   }
 
   const receive = (input: LogInput & { kind: 'log.records' }, now: number): PartitionReply[] => {
     const { records, first, end } = input
-    if (fold === undefined || next === undefined || next < first) fold = restart(first, records, now)
+    if (next === undefined) {
+      receiveProbe(input, now)
+      return []
+    }
+    if (next < first) startAt(first, expiredBefore(now))
     for (const record of records) {
-      if (next !== undefined && record.offset < next) continue
-      fold.apply(record)
+      if (record.offset < next) continue
+      fold?.apply(record)
       next = record.offset + 1
     }
-    caughtUp = (next ?? 0) >= end
+    caughtUp = next >= end
     if (!caughtUp) stale = true
     if (!caughtUp && records.length === 0) pausedUntil = now + logPause
     if (!caughtUp) return []
@@ -229,7 +255,7 @@
 
   const claim = (item: Claim, from: string, now: number): PartitionStep => {
     usedAt = now
-    const waiting: Waiting<Claim> = { item, from, since: now, tries: 0, appending: false }
+    const waiting: Waiting<Claim> = { item, from, since: now, noticedAt: now, tries: 0, appending: false }
     if (now < pausedUntil || claims.size >= longestQueue) return { effects: [], replies: [unavailable(waiting)] }
     const verdict = caughtUp ? fold?.verdictOn(item) : undefined
     if (verdict !== undefined) return { effects: [], replies: [{ kind: 'verdict', to: from, claim: item, verdict }] }
@@ -243,14 +269,21 @@
     if (now < pausedUntil || closes.size >= longestQueue) return { effects: [], replies: [] }
     if (caughtUp && fold?.isClosed(item)) return { effects: [], replies: [{ kind: 'closed', to: from, close: item }] }
     const id = attemptId(item)
-    if (!closes.has(id)) closes.set(id, { item, from, since: now, tries: 0, appending: false })
+    if (!closes.has(id)) closes.set(id, { item, from, since: now, noticedAt: now, tries: 0, appending: false })
     return { effects: work(now), replies: [] }
   }
 
+  const notices = (now: number): PartitionReply[] => {
+    const due = [...claims.values()].filter(waiting => now - waiting.noticedAt >= queuedNotice)
+    for (const waiting of due) waiting.noticedAt = now
+    return due.map(({ item, from }) => ({ kind: 'queued', to: from, claim: item }))
+  }
+
   const tick = (now: number): PartitionStep => {
     const replies: PartitionReply[] = []
     if (appending !== undefined && now - appending.at >= logPatience) replies.push(...failed(appending.token, now))
     if (reading !== undefined && now - reading.at >= logPatience) replies.push(...failed(reading.token, now))
+    replies.push(...notices(now))
     if (now - sweptAt >= foldSweepInterval) {
       sweptAt = now
       fold?.sweep()
--- a/src/claims/claimsPlacement.ts
+++ b/src/claims/claimsPlacement.ts
@@ -25,12 +25,12 @@
 /** Ranks instances for a partition by rendezvous hashing. */
 export interface Placement {
   readonly update: (instances: readonly ClaimsInstance[]) => void
-  /** The holder and its first stand-by. */
+  /** The holder, then its stand-bys. */
   readonly holders: (partition: number) => readonly string[]
   readonly find: (id: string) => ClaimsInstance | undefined
 }
 
-const ranked = 2
+const ranked = 3
 
 /**
  * Creates a placement that knows no instance yet.
--- a/src/claims/claimsTimes.ts
+++ b/src/claims/claimsTimes.ts
@@ -3,6 +3,9 @@
 /** Time in ms after which another holder is asked. */
 export const holderPatience = 500
 
+/** Time in ms after which a holder tells a claimant that its claim still waits. */
+export const queuedNotice = 200
+
 /** Time in ms after which a claim without a verdict is given up. */
 export const claimPatience = 3_000
 
--- a/src/claims/claimsTypes.ts
+++ b/src/claims/claimsTypes.ts
@@ -4,6 +4,7 @@
  * its idempotency key; each arrival of it at an instance is an attempt.
  */
 import type { Hash } from '../hash.js'
+import type { PartitionDump } from './claimsPartition.js'
 import type { LogEffect, LogInput } from '../ports/logPort.js'
 import type { PeerEffect, PeerInput, Tick } from '../ports/peerPort.js'
 import type { Random } from '../random.js'
@@ -21,6 +22,8 @@
 /** Why an attempt was not run. */
 export type NotRunReason =
   | 'logUnavailable'
+  /** No holder of the call's partition said in time what the log decided. */
+  | 'claimTimeout'
   | 'deadlinePassed'
   | 'abandoned'
   /** An earlier attempt of the call was given up, and this one came too early to take its place. */
@@ -128,3 +131,15 @@
   /** Replaces `clockSkew` in tests. */
   readonly skew?: number
 }
+
+/** State of the claims, without the bodies of answers. */
+export interface ClaimsDump {
+  readonly attempts: readonly { readonly request: number, readonly workspace: string, readonly key: string, readonly nonce: string, readonly phase: string }[]
+  readonly ended: number
+  readonly answers: number
+  readonly answerBytes: number
+  readonly pendingCloses: number
+  readonly partitions: readonly PartitionDump[]
+  /** Messages that did not match their schema. */
+  readonly malformed: number
+}
--- a/test/matrix/claimsCluster.ts
+++ b/test/matrix/claimsCluster.ts
@@ -20,7 +20,9 @@
 export const start = 1_700_000_000_000
 const window = 10_000
 const skew = 500
-const retention = 12_000
+const retention = 13_000
+/** Times in ms since the start between which the log is slow. */
+const slowLog = { from: 4_000, until: 4_900, by: 300 }
 const instanceIds = ['n1', 'n2', 'n3', 'n4']
 const deadlineAfter = 1_500
 const answerPatience = 1_000
@@ -218,6 +220,7 @@
     switch (message.kind) {
       case 'claims.claim': return 'forward'
       case 'claims.verdict': return 'verdict'
+      case 'claims.queued': return 'queued'
       case 'claims.close': return message.close.outcome === 'notRun' ? 'void' : 'close'
       case 'claims.closed': return 'closed'
       case 'claims.lookup': return 'lookup'
@@ -260,7 +263,8 @@
   const useLog = (instance: Instance, effect: LogEffect): void => {
     const { owner, token, stream } = effect
     const fault = step(stepOfLog(effect), instance.id)
-    const delay = 4 + random.below(8)
+    const since = time.now() - start
+    const delay = 4 + random.below(8) + (since >= slowLog.from && since < slowLog.until ? slowLog.by : 0)
     const { incarnation } = instance
     const answer = (input: LogInput, after: number): void => time.after(after, () => inside(instance, incarnation, () => feed(instance, input)))
     const effectAt = (after: number, answers: boolean, times = 1): void => time.after(after, () => {
--- a/test/matrix/claimsFaults.ts
+++ b/test/matrix/claimsFaults.ts
@@ -3,7 +3,7 @@
 
 /** Every message, operation of the log and local act of the protocol. */
 export const claimsSteps = [
-  'begin', 'forward', 'append', 'readBack', 'verdict', 'grant', 'dispatch', 'answer',
+  'begin', 'forward', 'append', 'readBack', 'queued', 'verdict', 'grant', 'dispatch', 'answer',
   'close', 'closeAppend', 'closed', 'void', 'lookup', 'found', 'expiry'
 ] as const
 
--- a/test/matrix/claimsScenario.ts
+++ b/test/matrix/claimsScenario.ts
@@ -33,7 +33,7 @@
   return `${stamp.slice(0, 8)}-${stamp.slice(8)}-7000-8000-${serial.toString(16).padStart(12, '0')}`
 }
 
-type CallName = 'plain' | 'local' | 'twice' | 'left' | 'leftLate' | 'fresh'
+type CallName = 'plain' | 'local' | 'twice' | 'left' | 'leftLate' | 'slow' | 'fresh'
 
 /** Keys whose partitions are held by the instance that each call needs. */
 const createKeys = (hash: Hash): Record<CallName, string> => {
@@ -52,6 +52,7 @@
     twice: keyHeldBy('n4', 1_200),
     left: keyHeldBy('n4', 1_300),
     leftLate: keyHeldBy('n1', 1_400),
+    slow: keyHeldBy('n3', 4_000),
     fresh: keyHeldBy('n3', freshAt)
   }
 }
@@ -70,6 +71,7 @@
   call(2_600, 'local', 'n3')
   call(2_700, 'plain', 'n3', { fingerprint: 'g' })
   call(3_500, 'plain', 'n1')
+  call(4_000, 'slow', 'n4')
   cluster.at(expiryAt, () => cluster.step('expiry', 'n1'))
   call(expiryAt, 'plain', 'n4')
   call(expiryAt + 100, 'plain', 'n1')
@@ -117,7 +119,7 @@
 
 /** Without a fault all calls run, repeats get the first answer, and expired keys are refused. */
 const requireAllServed = (cluster: Cluster, keys: Record<CallName, string>): void => {
-  for (const key of [keys.plain, keys.local, keys.twice, keys.left]) requireServed(cluster, key)
+  for (const key of [keys.plain, keys.local, keys.twice, keys.left, keys.slow]) requireServed(cluster, key)
   const [body] = runsOf(cluster, keys.plain)
   const expected = [body, body, 'fingerprintMismatch', body, 'unknown', 'unknown']
   const found = answersOf(cluster, keys.plain)
