Claims: one unknown record no longer hides its batch

Cause: a batch was checked as a whole, so that one record of an unknown kind, as a later version may write, made this version skip all claims beside it while the other version counts them: two readers of the same stream would disagree on who owns a call.

Change: each record of a batch is checked by itself.

--- a/src/claims/claimsFold.ts
+++ b/src/claims/claimsFold.ts
@@ -3,7 +3,7 @@
  * records reaches the same state: the first claim of a call owns it until its
  * claimant gives it up, and nothing else opens it again.
  */
-import { attemptId, batchSchema, callName } from './claimsMessages.js'
+import { attemptId, batchSchema, callName, entrySchema } from './claimsMessages.js'
 import type { Attempt, Claim, Close, Owner, Verdict } from './claimsMessages.js'
 import { keyTime } from './claimsKey.js'
 import type { LogRecord } from '../ports/logPort.js'
@@ -88,12 +88,15 @@
       skipped++
       return
     }
-    for (const record of batch.data.records) {
-      const time = keyTime(record.key)
-      if (time === undefined) skipped++
-      else if (record.kind === 'claim') applyClaim(record, time, at)
-      else applyClose(record, time)
-    }
+    for (const unread of batch.data.records) applyEntry(unread, at)
+  }
+
+  const applyEntry = (unread: unknown, at: number): void => {
+    const entry = entrySchema.safeParse(unread)
+    const time = entry.success ? keyTime(entry.data.key) : undefined
+    if (!entry.success || time === undefined) skipped++
+    else if (entry.data.kind === 'claim') applyClaim(entry.data, time, at)
+    else applyClose(entry.data, time)
   }
 
   const verdictOn = (claim: Claim): Verdict | undefined => {
--- /dev/null
+++ b/src/claims/claimsMachine.spec.ts
@@ -0,0 +1,247 @@
+import { decode, encode } from 'cbor-x'
+import { createClaims } from './claimsMachine.js'
+import { RetentionTooShort } from './claimsErrors.js'
+import { claimsMessageSchema } from './claimsMessages.js'
+import type { ClaimsMessage } from './claimsMessages.js'
+import { createPartition } from './claimsPartition.js'
+import { partitionOf, streamOf } from './claimsPlacement.js'
+import { queuedNotice } from './claimsTimes.js'
+import { clockSkew, keyWindow } from './claimsTypes.js'
+import type { BeginInput, ClaimsEffect, ClaimsInput, ClaimsInstance, ClaimsOptions, Outcome, Refusal } from './claimsTypes.js'
+import { loadHash } from '../hash.js'
+import type { Hash } from '../hash.js'
+import type { LogEffect } from '../ports/logPort.js'
+import { createRandom } from '../random.js'
+import { createFakeLog } from '../../test/fakes/fakeLog.js'
+import type { FakeLog, LogFault } from '../../test/fakes/fakeLog.js'
+import { createKey } from '../../test/fakes/idempotencyKey.js'
+
+const now = 1_700_000_000_000
+const retention = 2 * keyWindow
+let hash: Hash
+
+beforeAll(async () => {
+  hash = await loadHash()
+})
+
+const createBegin = (request: number, more: Partial<BeginInput> = {}): BeginInput =>
+  ({ kind: 'claims.begin', request, workspace: 'w', key: createKey(now, 1), fingerprint: 'f', deadline: now + 5_000, ...more })
+
+const createAnswer = (text: string): Outcome & { kind: 'ran' } =>
+  ({ kind: 'ran', answer: { status: 200, headers: {}, body: new TextEncoder().encode(text) } })
+
+const createInstance = (id: string, incarnation = '1'): ClaimsInstance => ({ id, incarnation, state: 'live' })
+
+/** One instance over a log that answers at once. */
+const createNode = (log: FakeLog, options: Partial<ClaimsOptions> = {}, others: readonly ClaimsInstance[] = []) => {
+  const self = createInstance('n1', options.incarnation)
+  const claims = createClaims({ self: 'n1', incarnation: '1', hash, random: createRandom(1), retention, ...options })
+  const give = (input: ClaimsInput, at = now, fault: LogFault = 'none'): ClaimsEffect[] =>
+    claims.handle(input, at).flatMap(effect => isLogEffect(effect) ? give(log.perform(effect, at, fault), at, fault) : [effect])
+  give({ kind: 'claims.members', instances: [self, ...others] })
+  return { give, claims }
+}
+
+const isLogEffect = (effect: ClaimsEffect): effect is LogEffect => effect.kind === 'log.append' || effect.kind === 'log.read'
+
+const refusalsIn = (effects: readonly ClaimsEffect[]): Refusal[] =>
+  effects.flatMap(effect => effect.kind === 'claims.refused' ? [effect.refusal] : [])
+
+const messagesIn = (effects: readonly ClaimsEffect[]): ClaimsMessage[] =>
+  effects.flatMap(effect => effect.kind === 'peer.send' ? [effect.message] : [])
+
+/** A key whose partition another instance holds. */
+const remoteKey = (holder: string): string => {
+  for (let serial = 1; ; serial++) {
+    const claim = createNode(createFakeLog(), {}, [createInstance(holder)]).give(createBegin(0, { key: createKey(now, serial) }))
+    if (claim.some(effect => effect.kind === 'peer.send' && effect.to === holder)) return createKey(now, serial)
+  }
+}
+
+describe('claims of one instance', () => {
+  it('grants a call once it has read its own claim back', () => {
+    const log = createFakeLog()
+    expect(createNode(log).give(createBegin(1))).toEqual([{ kind: 'claims.granted', request: 1 }])
+    expect(log.records(streamOf(partitionOf(hash, { workspace: 'w', key: createKey(now, 1) })))).toHaveLength(1)
+  })
+
+  it('grants although the acknowledgement of the append is lost', () => {
+    const { claims, give } = createNode(createFakeLog())
+    const log = createFakeLog()
+    const perform = (effects: readonly ClaimsEffect[]): ClaimsEffect[] => effects.flatMap(effect => isLogEffect(effect)
+      ? perform(claims.handle(log.perform(effect, now, effect.kind === 'log.append' ? 'lostAck' : 'none'), now))
+      : [effect])
+    expect(perform(claims.handle(createBegin(1), now))).toEqual([{ kind: 'claims.granted', request: 1 }])
+    expect(give({ kind: 'tick' })).toEqual([])
+  })
+
+  it('lets a grant be used once, again only if nothing was sent, and never late', () => {
+    const { give, claims } = createNode(createFakeLog())
+    expect(claims.mayDispatch(1, now)).toBe(false)
+    give(createBegin(1))
+    expect([claims.mayDispatch(1, now), claims.mayDispatch(1, now)]).toEqual([true, false])
+    give({ kind: 'claims.unsent', request: 1 })
+    expect(claims.mayDispatch(1, now + 5_000)).toBe(false)
+    expect(refusalsIn(give({ kind: 'tick' }, now + 5_000))).toEqual([{ kind: 'notRun', reason: 'deadlinePassed', scope: 'call' }])
+    expect(claims.mayDispatch(1, now)).toBe(false)
+  })
+
+  it('records that an attempt was given up, and lets the next one run', () => {
+    const { give } = createNode(createFakeLog())
+    give(createBegin(1))
+    expect(refusalsIn(give({ kind: 'claims.abandon', request: 1 }))).toMatchObject([{ kind: 'notRun', reason: 'abandoned', scope: 'call' }])
+    give({ kind: 'tick' }, now + 200)
+    expect(give(createBegin(2), now + 400)).toEqual([{ kind: 'claims.granted', request: 2 }])
+  })
+
+  it('answers repeats from memory, and other requests under the same key with a mismatch', () => {
+    const { give, claims } = createNode(createFakeLog())
+    give(createBegin(1))
+    claims.mayDispatch(1, now)
+    expect(refusalsIn(give(createBegin(2)))).toMatchObject([{ kind: 'inProgress' }])
+    const outcome = createAnswer('first')
+    give({ kind: 'claims.settle', request: 1, outcome })
+    expect(refusalsIn(give(createBegin(3)))).toEqual([outcome])
+    expect(refusalsIn(give(createBegin(4, { fingerprint: 'g' })))).toEqual([{ kind: 'fingerprintMismatch' }])
+  })
+
+  it('keeps answers within its bytes and shows no body in its dump', () => {
+    const { give, claims } = createNode(createFakeLog(), { answerBytes: 2_000 })
+    for (const serial of [1, 2]) {
+      give(createBegin(serial, { key: createKey(now, serial) }))
+      claims.mayDispatch(serial, now)
+      give({ kind: 'claims.settle', request: serial, outcome: createAnswer('secret'.repeat(200)) })
+    }
+    expect(refusalsIn(give(createBegin(3, { key: createKey(now, 1) })))).toEqual([{ kind: 'ran', answer: undefined }])
+    expect(claims.dump().answerBytes).toBeLessThanOrEqual(2_000)
+    expect(JSON.stringify(claims.dump())).not.toContain('secret')
+  })
+
+  it.each<[string, Partial<BeginInput>, Refusal]>([
+    ['a key of another kind', { key: 'booking-7' }, { kind: 'notRun', reason: 'keyMalformed', scope: 'call' }],
+    ['an old key', { key: createKey(now - keyWindow - 1) }, { kind: 'unknown', reason: 'keyExpired' }],
+    ['a key from ahead', { key: createKey(now + clockSkew + 70) }, { kind: 'notRun', reason: 'keyAhead', scope: 'attempt', retryAfter: 70 }],
+    ['a passed deadline', { deadline: now }, { kind: 'notRun', reason: 'deadlinePassed', scope: 'attempt' }]
+  ])('refuses %s without the log', (_, more, refusal) => {
+    expect(createNode(createFakeLog()).give(createBegin(1, more))).toEqual([{ kind: 'claims.refused', request: 1, refusal }])
+  })
+
+  it('refuses to start over a log that forgets too soon', () => {
+    expect(() => createNode(createFakeLog(), { retention: keyWindow + 4 * clockSkew })).toThrow(RetentionTooShort)
+  })
+})
+
+describe('claims while the log is down', () => {
+  it('refuses at once, says when to come back, and still answers what it knows', () => {
+    const { give, claims } = createNode(createFakeLog())
+    const outcome = createAnswer('first')
+    give(createBegin(1))
+    claims.mayDispatch(1, now)
+    give({ kind: 'claims.settle', request: 1, outcome })
+    const down = { key: createKey(now, 2) }
+    const first = refusalsIn(give(createBegin(2, down), now + 5, 'outage'))
+    expect(first).toMatchObject([{ kind: 'notRun', reason: 'logUnavailable', scope: 'attempt', retryAfter: expect.any(Number) }])
+    const second = claims.handle(createBegin(3, down), now + 6)
+    expect(second).toMatchObject([{ kind: 'claims.refused', refusal: { kind: 'notRun', reason: 'logUnavailable' } }])
+    expect(refusalsIn(give(createBegin(4), now + 7, 'outage'))).toEqual([outcome])
+  })
+})
+
+describe('claims after a restart of the claimant', () => {
+  const endFirstLife = (log: FakeLog, settles: boolean): void => {
+    const { give, claims } = createNode(log)
+    give(createBegin(1))
+    claims.mayDispatch(1, now)
+    if (settles) give({ kind: 'claims.settle', request: 1, outcome: createAnswer('first') })
+    for (let at = now; at < now + 2_000; at += 50) give({ kind: 'tick' }, at)
+  }
+
+  it('say that the call ran if that was recorded', () => {
+    const log = createFakeLog()
+    endFirstLife(log, true)
+    expect(refusalsIn(createNode(log, { incarnation: '2' }).give(createBegin(1), now + 3_000))).toEqual([{ kind: 'ran' }])
+  })
+
+  it('say that the outcome is unknown if it was not', () => {
+    const log = createFakeLog()
+    endFirstLife(log, false)
+    expect(refusalsIn(createNode(log, { incarnation: '2' }).give(createBegin(1), now + 3_000))).toEqual([{ kind: 'unknown', reason: 'answerLost' }])
+  })
+})
+
+describe('claims between instances', () => {
+  it('ignores a verdict on an attempt of another instance with an equal nonce and incarnation', () => {
+    const key = remoteKey('n2')
+    const { give } = createNode(createFakeLog(), {}, [createInstance('n2')])
+    const [message] = messagesIn(give(createBegin(1, { key })))
+    if (message?.kind !== 'claims.claim') throw new TypeError('no claim was sent')
+    const verdictFor = (claimant: string): ClaimsInput =>
+      ({ kind: 'peer.message', from: 'n2', message: { kind: 'claims.verdict', attempt: { ...message.claim, claimant }, verdict: { kind: 'won' } } as ClaimsMessage })
+    expect(give(verdictFor('n3'))).toEqual([])
+    expect(give(verdictFor('n1'))).toEqual([{ kind: 'claims.granted', request: 1 }])
+    expect(give(verdictFor('n1'))).toEqual([])
+  })
+
+  it('asks no second holder while the first says that the claim is queued', () => {
+    const key = remoteKey('n2')
+    const { give } = createNode(createFakeLog(), {}, [createInstance('n2')])
+    const [message] = messagesIn(give(createBegin(1, { key })))
+    if (message?.kind !== 'claims.claim') throw new TypeError('no claim was sent')
+    const queued: ClaimsInput = { kind: 'peer.message', from: 'n2', message: { kind: 'claims.queued', attempt: message.claim } as ClaimsMessage }
+    const sent: ClaimsMessage[] = []
+    for (let at = now + 50; at < now + 2_500; at += 50) {
+      sent.push(...messagesIn(give({ kind: 'tick' }, at)))
+      if (at % queuedNotice === 0) give(queued, at)
+    }
+    expect(sent).toEqual([])
+    expect(refusalsIn(give({ kind: 'tick' }, now + 3_000))).toMatchObject([{ kind: 'notRun', reason: 'claimTimeout' }])
+  })
+
+  it('gives up an attempt of its own that it does not know when asked about it', () => {
+    const { give } = createNode(createFakeLog(), {}, [createInstance('n2')])
+    const owner = { workspace: 'w', key: createKey(now, 1), claimant: 'n1', incarnation: '1', nonce: 'forgotten' }
+    const asker = { ...owner, claimant: 'n2', nonce: 'a' }
+    const effects = give({ kind: 'peer.message', from: 'n2', message: { kind: 'claims.lookup', owner, asker } as ClaimsMessage })
+    expect(messagesIn(effects)).toContainEqual({ kind: 'claims.found', asker, owner, finding: { kind: 'neverRun' } })
+  })
+
+  it('carries messages through CBOR and counts malformed ones', () => {
+    const owner = { workspace: 'w', key: createKey(now, 1), claimant: 'n1', incarnation: '1', nonce: 'a' }
+    const message: ClaimsMessage = { kind: 'claims.found', owner, asker: owner, finding: createAnswer('first') }
+    const parsed = claimsMessageSchema.parse(decode(encode(message)))
+    expect(parsed.kind === 'claims.found' && parsed.finding.kind === 'ran' && Buffer.from(parsed.finding.answer?.body ?? []).toString()).toBe('first')
+    const { give, claims } = createNode(createFakeLog())
+    expect(give({ kind: 'peer.message', from: 'n2', message: { kind: 'claims.verdict' } })).toEqual([])
+    expect(claims.dump().malformed).toBe(1)
+  })
+})
+
+describe('a partition that is taken over', () => {
+  it('reads what matters of a long stream', () => {
+    const log = createFakeLog()
+    const appends = 20_000
+    const perform = (effect: LogEffect, at: number) => log.perform(effect, at)
+    const oldest = now - 10 * keyWindow
+    for (let index = 0; index < appends; index++) {
+      perform({ kind: 'log.append', owner: 'claims', token: 0, stream: 's', payload: { kind: 'claims.batch', records: [] } }, oldest + index * 10 * keyWindow / appends)
+    }
+    let token = 0
+    const partition = createPartition({ stream: 's', window: keyWindow, skew: clockSkew, retention: 20 * keyWindow, nextToken: () => token++ })
+    const claim = { kind: 'claim' as const, workspace: 'w', key: createKey(now, 1), claimant: 'n1', incarnation: '1', nonce: 'a', fingerprint: 'f', deadline: now + 5_000 }
+    let steps = [partition.claim(claim, 'n1', now)]
+    let records = 0
+    const verdicts: string[] = []
+    while (steps.length > 0) {
+      steps = steps.flatMap(step => {
+        for (const reply of step.replies) if (reply.kind === 'verdict') verdicts.push(reply.verdict.kind)
+        return step.effects.map(effect => {
+          const input = perform(effect, now)
+          if (input.kind === 'log.records') records += input.records.length
+          return partition.log(input, now)
+        })
+      })
+    }
+    expect(verdicts).toEqual(['won'])
+    expect(records).toBeLessThan(appends / 5)
+  })
+})
--- a/src/claims/claimsMessages.ts
+++ b/src/claims/claimsMessages.ts
@@ -29,10 +29,16 @@
   outcome: z.enum(['ran', 'notRun', 'unknown'])
 })
 
-/** Payload of one append: the records of a short interval. */
+/** One record of a batch. */
+export const entrySchema = z.discriminatedUnion('kind', [claimSchema, closeSchema])
+
+/**
+ * Payload of one append: the records of a short interval. Each is checked by
+ * itself, so that one of an unknown kind takes no other with it.
+ */
 export const batchSchema = z.object({
   kind: z.literal('claims.batch'),
-  records: z.array(z.discriminatedUnion('kind', [claimSchema, closeSchema]))
+  records: z.array(z.unknown())
 })
 
 /** The attempt that owns a call; fingerprint and deadline are absent when only its end is known. */
@@ -90,8 +96,8 @@
 export type Claim = z.infer<typeof claimSchema>
 /** The end of an attempt as recorded. */
 export type Close = z.infer<typeof closeSchema>
-/** One append. */
-export type Batch = z.infer<typeof batchSchema>
+/** A claim or the end of an attempt. */
+export type Entry = z.infer<typeof entrySchema>
 /** The attempt that owns a call. */
 export type Owner = z.infer<typeof ownerSchema>
 /** What the log says of an attempt. */
--- a/src/claims/claimsPartition.ts
+++ b/src/claims/claimsPartition.ts
@@ -7,7 +7,7 @@
 import { createFold } from './claimsFold.js'
 import type { Fold } from './claimsFold.js'
 import { attemptId } from './claimsMessages.js'
-import type { Batch, Claim, Close, Verdict } from './claimsMessages.js'
+import type { Claim, Close, Entry, Verdict } from './claimsMessages.js'
 import { createSeek } from './claimsSeek.js'
 import type { Seek } from './claimsSeek.js'
 import { appendGap, appendTries, closeDelay, foldSweepInterval, logPatience, logPause, longestBatch, longestPage, longestQueue, partitionIdle, queuedNotice } from './claimsTimes.js'
@@ -110,7 +110,7 @@
     return step.from
   }
 
-  const batch = (): Batch['records'] => {
+  const batch = (): readonly Entry[] => {
     const due = [...claims.values(), ...closes.values()].filter(waiting => !waiting.appending).slice(0, longestBatch)
     for (const waiting of due) {
       waiting.appending = true
@@ -134,7 +134,7 @@
     if (!caughtUp || appending !== undefined || now < pausedUntil || now - appendedAt < appendGap || !hasUrgent(now)) return []
     appending = { token: nextToken(), at: now }
     appendedAt = now
-    const payload: Batch = { kind: 'claims.batch', records: batch() }
+    const payload = { kind: 'claims.batch', records: batch() }
     return [{ kind: 'log.append', owner: 'claims', token: appending.token, stream, payload }]
   }
 
--- a/test/matrix/claimsScenario.ts
+++ b/test/matrix/claimsScenario.ts
@@ -5,6 +5,7 @@
  */
 import { createPlacement, partitionOf } from '../../src/claims/claimsPlacement.js'
 import type { Hash } from '../../src/hash.js'
+import { createKey } from '../fakes/idempotencyKey.js'
 import { createCluster, start } from './claimsCluster.js'
 import type { Cluster, Told } from './claimsCluster.js'
 import { claimsApplicability, claimsSteps } from './claimsFaults.js'
@@ -27,12 +28,6 @@
   override readonly name = 'CallNotServed'
 }
 
-/** A UUID of version 7 with the given time. */
-export const createKey = (time: number, serial: number): string => {
-  const stamp = time.toString(16).padStart(12, '0')
-  return `${stamp.slice(0, 8)}-${stamp.slice(8)}-7000-8000-${serial.toString(16).padStart(12, '0')}`
-}
-
 type CallName = 'plain' | 'local' | 'twice' | 'left' | 'leftLate' | 'slow' | 'fresh'
 
 /** Keys whose partitions are held by the instance that each call needs. */
