Claims: attempts are named by one short hash

Change: an attempt is named by a hash of claimant, incarnation, counter and a random number in place of these fields in each message and record.

--- a/src/claims/claimsDb.ts
+++ b/src/claims/claimsDb.ts
@@ -3,15 +3,14 @@
  * ended, the answers kept for repeats, and ends that the log has not yet got.
  */
 import { LRUCache } from 'lru-cache'
-import { attemptId, attemptOf, callName } from './claimsMessages.js'
-import type { Answer, Attempt, Claim, Close, Owner } from './claimsMessages.js'
+import type { Answer, Claim, Close } from './claimsMessages.js'
 
 /** How far an attempt is. */
 export type Phase =
   /** The claim is with a holder; `tries` counts the holders asked. */
   | { readonly kind: 'claiming', readonly holder: string, readonly sentAt: number, readonly tries: number }
   /** Another attempt owns the call; its claimant is asked for the answer. */
-  | { readonly kind: 'asking', readonly owner: Owner, readonly recorded: 'held' | 'ran', readonly sentAt: number }
+  | { readonly kind: 'asking', readonly owner: Claim, readonly recorded: 'held' | 'ran', readonly sentAt: number }
   | { readonly kind: 'granted' }
   | { readonly kind: 'dispatched' }
 
@@ -27,7 +26,7 @@
 
 /** The end of a dispatched attempt of this instance. */
 export interface Ended {
-  readonly nonce: string
+  readonly attempt: string
   readonly fingerprint: string
   readonly keyTime: number
   readonly outcome: 'ran' | 'unknown'
@@ -45,10 +44,10 @@
 export interface ClaimsDb {
   readonly byRequest: Map<number, LocalAttempt>
   readonly byName: Map<string, LocalAttempt>
-  readonly byNonce: Map<string, LocalAttempt>
+  readonly byAttempt: Map<string, LocalAttempt>
   readonly ended: Map<string, Ended>
   readonly answers: LRUCache<string, Answer>
-  /** By nonce. */
+  /** By attempt. */
   readonly pendingCloses: Map<string, PendingClose>
 }
 
@@ -65,7 +64,7 @@
 export const createClaimsDb = (answerBytes: number): ClaimsDb => ({
   byRequest: new Map(),
   byName: new Map(),
-  byNonce: new Map(),
+  byAttempt: new Map(),
   ended: new Map(),
   answers: new LRUCache<string, Answer>({ maxSize: answerBytes, sizeCalculation: sizeOf }),
   pendingCloses: new Map()
@@ -80,11 +79,11 @@
 export const addAttempt = (db: ClaimsDb, attempt: LocalAttempt): void => {
   db.byRequest.set(attempt.request, attempt)
   db.byName.set(attempt.name, attempt)
-  db.byNonce.set(attempt.claim.nonce, attempt)
+  db.byAttempt.set(attempt.claim.attempt, attempt)
 }
 
 /**
- * Removes an attempt; its nonce can never be granted from then on.
+ * Removes an attempt; it can never be granted from then on.
  *
  * @param db - the state
  * @param attempt - the attempt
@@ -92,20 +91,7 @@
 export const removeAttempt = (db: ClaimsDb, attempt: LocalAttempt): void => {
   db.byRequest.delete(attempt.request)
   db.byName.delete(attempt.name)
-  db.byNonce.delete(attempt.claim.nonce)
-}
-
-/**
- * The attempt under way here that a message names, if any.
- *
- * @param db - the state
- * @param named - the message's attempt
- */
-export const findAttempt = (db: ClaimsDb, named: Attempt): LocalAttempt | undefined => {
-  const attempt = db.byNonce.get(named.nonce)
-  if (attempt === undefined) return undefined
-  const { claim, name } = attempt
-  return attemptId(claim) === attemptId(named) && name === callName(named) ? attempt : undefined
+  db.byAttempt.delete(attempt.claim.attempt)
 }
 
 /**
@@ -120,17 +106,14 @@
     db.ended.delete(name)
     db.answers.delete(name)
   }
-  for (const [nonce, pending] of db.pendingCloses) if (pending.keyTime < oldest) db.pendingCloses.delete(nonce)
+  for (const [attempt, pending] of db.pendingCloses) if (pending.keyTime < oldest) db.pendingCloses.delete(attempt)
 }
 
 /**
  * The end of an attempt, as the log records it.
  *
- * @param claim - what names the attempt
+ * @param claim - the attempt's claim
  * @param outcome - how it ended
  */
-export const closeOf = (claim: Attempt, outcome: Close['outcome']): Close => ({
-  kind: 'close',
-  ...attemptOf(claim),
-  outcome
-})
+export const closeOf = ({ workspace, key, attempt }: Claim, outcome: Close['outcome']): Close =>
+  ({ kind: 'close', workspace, key, attempt, outcome })
--- a/src/claims/claimsFold.ts
+++ b/src/claims/claimsFold.ts
@@ -3,8 +3,8 @@
  * records reaches the same state: the first claim of a call owns it until its
  * claimant gives it up, and nothing else opens it again.
  */
-import { attemptId, batchSchema, callName, entrySchema } from './claimsMessages.js'
-import type { Attempt, Claim, Close, Owner, Verdict } from './claimsMessages.js'
+import { batchSchema, callName, entrySchema } from './claimsMessages.js'
+import type { CallKey, Claim, Close, Owner, Verdict } from './claimsMessages.js'
 import { keyTime } from './claimsKey.js'
 import type { LogRecord } from '../ports/logPort.js'
 
@@ -14,7 +14,7 @@
 interface Call {
   readonly keyTime: number
   owner?: Owner
-  /** By attempt id; an attempt listed here can never own the call from then on. */
+  /** By attempt; one listed here can never own the call from then on. */
   readonly endings: Map<string, Ending>
 }
 
@@ -25,7 +25,7 @@
   /** What the records say of a claim; undefined if they do not decide it. */
   readonly verdictOn: (claim: Claim) => Verdict | undefined
   /** Whether the end of an attempt is recorded. */
-  readonly isClosed: (attempt: Attempt) => boolean
+  readonly isClosed: (close: Close) => boolean
   /** Forgets calls whose keys have expired. */
   readonly sweep: () => void
   readonly size: () => number
@@ -53,7 +53,7 @@
   let latest = -Infinity
   let skipped = 0
 
-  const callOf = (attempt: Attempt, time: number): Call => {
+  const callOf = (attempt: CallKey, time: number): Call => {
     const name = callName(attempt)
     const call = calls.get(name) ?? { keyTime: time, endings: new Map<string, Ending>() }
     calls.set(name, call)
@@ -62,22 +62,20 @@
 
   const applyClaim = (claim: Claim, time: number, at: number): void => {
     const call = callOf(claim, time)
-    const id = attemptId(claim)
-    if (call.endings.has(id)) return
-    if (call.owner !== undefined && attemptId(call.owner) === id) return
+    const { attempt } = claim
+    if (call.endings.has(attempt) || call.owner?.attempt === attempt) return
     if (call.owner === undefined && isTimely(time, at)) call.owner = claim
-    else call.endings.set(id, 'lost')
+    else call.endings.set(attempt, 'lost')
   }
 
   const isTimely = (time: number, at: number): boolean => at - time <= window && time - at <= skew
 
   const applyClose = (close: Close, time: number): void => {
     const call = callOf(close, time)
-    const id = attemptId(close)
-    if (call.endings.has(id)) return
-    call.endings.set(id, close.outcome)
-    const owns = call.owner !== undefined && attemptId(call.owner) === id
-    if (close.outcome === 'notRun' && owns) call.owner = undefined
+    const { attempt } = close
+    if (call.endings.has(attempt)) return
+    call.endings.set(attempt, close.outcome)
+    if (close.outcome === 'notRun' && call.owner?.attempt === attempt) call.owner = undefined
     if (close.outcome !== 'notRun') call.owner ??= close
   }
 
@@ -118,7 +116,7 @@
   return {
     apply,
     verdictOn,
-    isClosed: attempt => calls.get(callName(attempt))?.endings.has(attemptId(attempt)) ?? false,
+    isClosed: close => calls.get(callName(close))?.endings.has(close.attempt) ?? false,
     sweep,
     size: () => calls.size,
     skipped: () => skipped
@@ -127,11 +125,10 @@
 
 const verdictOnCall = (claim: Claim, call: Call | undefined): Verdict | undefined => {
   if (call === undefined) return undefined
-  const ending = call.endings.get(attemptId(claim))
+  const ending = call.endings.get(claim.attempt)
   const { owner } = call
   if (owner === undefined) return ending === undefined ? undefined : { kind: 'spent' }
-  const ownerId = attemptId(owner)
-  if (ownerId === attemptId(claim) && ending === undefined) return { kind: 'won' }
-  const state = call.endings.get(ownerId)
+  if (owner.attempt === claim.attempt && ending === undefined) return { kind: 'won' }
+  const state = call.endings.get(owner.attempt)
   return { kind: 'taken', owner, state: state === 'ran' || state === 'unknown' ? state : 'held' }
 }
--- a/src/claims/claimsLocal.ts
+++ b/src/claims/claimsLocal.ts
@@ -2,7 +2,7 @@
 import type { ClaimsDb } from './claimsDb.js'
 import { keyTime } from './claimsKey.js'
 import { callName } from './claimsMessages.js'
-import type { Attempt, Finding } from './claimsMessages.js'
+import type { Claim, Finding } from './claimsMessages.js'
 import type { BeginInput, Refusal } from './claimsTypes.js'
 
 /**
@@ -27,16 +27,16 @@
 /**
  * What became of an attempt of this incarnation. Every dispatched attempt is
  * under way or listed among the ended ones until its key has expired, so that
- * one which is neither has not been dispatched, and without its nonce never is.
+ * one which is neither has not been dispatched and never will be.
  *
  * @param db - the instance's attempts
- * @param attempt - an attempt of this incarnation, whose key has not expired
+ * @param claim - a claim of this incarnation, whose key has not expired
  */
-export const findingFromMemory = (db: ClaimsDb, attempt: Attempt): Finding => {
-  const name = callName(attempt)
+export const findingFromMemory = (db: ClaimsDb, claim: Claim): Finding => {
+  const name = callName(claim)
   const ended = db.ended.get(name)
-  if (db.byNonce.has(attempt.nonce)) return { kind: 'running' }
-  if (ended?.nonce !== attempt.nonce) return { kind: 'neverRun' }
+  if (db.byAttempt.has(claim.attempt)) return { kind: 'running' }
+  if (ended?.attempt !== claim.attempt) return { kind: 'neverRun' }
   return ended.outcome === 'ran' ? { kind: 'ran', answer: db.answers.get(name) } : { kind: 'unknown' }
 }
 
--- a/src/claims/claimsMachine.ts
+++ b/src/claims/claimsMachine.ts
@@ -2,15 +2,15 @@
  * At most once for calls that may not be repeated. An instance claims a call on
  * the log before it dispatches it: the claim goes to the holder of the call's
  * partition, which appends it, reads the stream back and answers what the log
- * decided. An instance that gives an attempt up drops its nonce first and then
+ * decided. An instance that gives an attempt up forgets it first and then
  * records that it has, until the log has it or the key has expired.
  */
-import { createClaimsDb, addAttempt, closeOf, findAttempt, removeAttempt, sweepClaimsDb } from './claimsDb.js'
+import { createClaimsDb, addAttempt, closeOf, removeAttempt, sweepClaimsDb } from './claimsDb.js'
 import type { LocalAttempt, Phase } from './claimsDb.js'
 import { createHolder } from './claimsHolder.js'
 import { keyTime } from './claimsKey.js'
-import { attemptId, attemptOf, callName, claimsMessageSchema } from './claimsMessages.js'
-import type { Attempt, Claim, ClaimsMessage, Finding, Owner, Verdict } from './claimsMessages.js'
+import { callName, claimsMessageSchema } from './claimsMessages.js'
+import type { Claim, ClaimsMessage, Finding, Owner, Verdict } from './claimsMessages.js'
 import { findingFromMemory, refusalByTime, refusalFromMemory } from './claimsLocal.js'
 import { createPlacement, partitionOf } from './claimsPlacement.js'
 import { createRecorder } from './claimsRecorder.js'
@@ -49,11 +49,11 @@
   const holder = createHolder({ window, skew, retention, hash })
   const logDownUntil = new Map<number, number>()
   let effects: ClaimsEffect[] = []
-  let nonces = 0
+  let attempts = 0
   let sweptAt = -Infinity
   let malformed = 0
 
-  const nextNonce = (): string => `${(nonces++).toString(36)}.${random.below(2 ** 30).toString(36)}`
+  const nextAttempt = (): string => hash.h64(`${self}|${incarnation}|${attempts++}|${random.below(2 ** 30)}`).toString(36)
 
   const retryAfter = (): number => retryBase + random.below(retryBase)
 
@@ -78,7 +78,7 @@
     const refusal = refusalAtOnce(input, now)
     if (refusal !== undefined) return refuse(input.request, refusal)
     const { request, workspace, key, fingerprint, deadline } = input
-    const claim: Claim = { kind: 'claim', workspace, key, claimant: self, incarnation, nonce: nextNonce(), fingerprint, deadline }
+    const claim: Claim = { kind: 'claim', workspace, key, attempt: nextAttempt(), claimant: self, incarnation, fingerprint, deadline }
     const attempt: LocalAttempt = { request, claim, name: callName(input), keyTime: keyTime(key) ?? now, begunAt: now, phase: { kind: 'granted' } }
     addAttempt(db, attempt)
     ask(attempt, 0, now)
@@ -104,7 +104,7 @@
     refuse(attempt.request, refusal)
   }
 
-  /** Drops the nonce, then records that it is dropped. */
+  /** Forgets the attempt, then records that it is given up. */
   const giveUp = (attempt: LocalAttempt, reason: NotRunReason, now: number, appended = true): void => {
     const scope = attempt.phase.kind === 'granted' ? 'call' : 'attempt'
     const comesBack = reason === 'logUnavailable' || reason === 'claimTimeout' || reason === 'superseded'
@@ -118,8 +118,8 @@
     removeAttempt(db, attempt)
     if (outcome.kind === 'ran') db.answers.set(attempt.name, outcome.answer)
     if (outcome.kind !== 'notRun') {
-      const { nonce, fingerprint } = attempt.claim
-      db.ended.set(attempt.name, { nonce, fingerprint, keyTime: attempt.keyTime, outcome: outcome.kind })
+      const { fingerprint } = attempt.claim
+      db.ended.set(attempt.name, { attempt: attempt.claim.attempt, fingerprint, keyTime: attempt.keyTime, outcome: outcome.kind })
     }
     record(closeOf(attempt.claim, outcome.kind), attempt.keyTime, now)
   }
@@ -144,8 +144,8 @@
   const isLate = ({ claim, keyTime: time }: LocalAttempt, now: number): boolean =>
     now >= claim.deadline || now - time > window
 
-  const applyVerdict = (named: Attempt, verdict: Verdict, now: number): void => {
-    const attempt = findAttempt(db, named)
+  const applyVerdict = (id: string, verdict: Verdict, now: number): void => {
+    const attempt = db.byAttempt.get(id)
     if (attempt?.phase.kind !== 'claiming') return
     if (isLate(attempt, now)) return giveUp(attempt, 'deadlinePassed', now)
     switch (verdict.kind) {
@@ -170,29 +170,30 @@
   }
 
   const applyTaken = (attempt: LocalAttempt, owner: Owner, state: 'held' | 'ran' | 'unknown', now: number): void => {
-    if (owner.fingerprint !== undefined && owner.fingerprint !== attempt.claim.fingerprint) return end(attempt, { kind: 'fingerprintMismatch' })
+    if (owner.kind === 'close') return end(attempt, state === 'ran' ? { kind: 'ran' } : { kind: 'unknown', reason: 'answerLost' })
+    if (owner.fingerprint !== attempt.claim.fingerprint) return end(attempt, { kind: 'fingerprintMismatch' })
     if (state === 'unknown') return end(attempt, { kind: 'unknown', reason: 'answerLost' })
     const claimant = placement.find(owner.claimant)
     const isGone = owner.claimant !== self && claimant?.incarnation !== owner.incarnation
     if (isGone && state === 'ran') return end(attempt, { kind: 'ran' })
     if (isGone) return end(attempt, { kind: 'unknown', reason: 'answerLost' })
     attempt.phase = { kind: 'asking', owner, recorded: state, sentAt: now }
-    send(owner.claimant, { kind: 'claims.lookup', owner: attemptOf(owner), asker: attemptOf(attempt.claim) }, now)
+    send(owner.claimant, { kind: 'claims.lookup', owner, asker: attempt.claim.attempt }, now)
   }
 
-  const findingOn = (owner: Attempt, now: number): Finding => {
+  const findingOn = (owner: Claim, now: number): Finding => {
     const time = keyTime(owner.key)
     const isOwn = owner.claimant === self && owner.incarnation === incarnation
     if (!isOwn || time === undefined || now - time > window) return { kind: 'unknown' }
     const finding = findingFromMemory(db, owner)
-    const isUnrecorded = finding.kind === 'neverRun' && !db.pendingCloses.has(owner.nonce)
+    const isUnrecorded = finding.kind === 'neverRun' && !db.pendingCloses.has(owner.attempt)
     if (isUnrecorded) record(closeOf(owner, 'notRun'), time, now)
     return finding
   }
 
-  const applyFinding = (asker: Attempt, owner: Attempt, finding: Finding): void => {
-    const attempt = findAttempt(db, asker)
-    if (attempt?.phase.kind !== 'asking' || attemptId(attempt.phase.owner) !== attemptId(owner)) return
+  const applyFinding = (asker: string, owner: string, finding: Finding): void => {
+    const attempt = db.byAttempt.get(asker)
+    if (attempt?.phase.kind !== 'asking' || attempt.phase.owner.attempt !== owner) return
     if (finding.kind === 'ran') return end(attempt, finding)
     if (attempt.phase.recorded === 'ran') return end(attempt, { kind: 'ran' })
     switch (finding.kind) {
@@ -205,7 +206,7 @@
 
   /** The claimant does not answer: only what the log says is left. */
   const resolveUnanswered = (attempt: LocalAttempt, { owner, recorded }: Phase & { kind: 'asking' }, now: number): void => {
-    const mayStillRun = owner.deadline !== undefined && now < owner.deadline
+    const mayStillRun = now < owner.deadline
     if (recorded === 'ran') return end(attempt, { kind: 'ran' })
     end(attempt, mayStillRun ? { kind: 'inProgress', retryAfter: retryAfter() } : { kind: 'unknown', reason: 'answerLost' })
   }
@@ -216,29 +217,26 @@
       case 'claims.close': return reply(holder.close(message.close, from, now), now)
       case 'claims.verdict': return applyVerdict(message.attempt, message.verdict, now)
       case 'claims.queued': return extend(message.attempt, from, now)
-      case 'claims.closed': return confirm(message.attempt)
+      case 'claims.closed':
+        db.pendingCloses.delete(message.attempt)
+        return
       case 'claims.lookup':
-        return send(from, { kind: 'claims.found', asker: message.asker, owner: message.owner, finding: findingOn(message.owner, now) }, now)
-      case 'claims.found': return applyFinding(message.asker, message.owner, message.finding)
+        return send(from, { kind: 'claims.found', asker: message.asker, attempt: message.owner.attempt, finding: findingOn(message.owner, now) }, now)
+      case 'claims.found': return applyFinding(message.asker, message.attempt, message.finding)
       default: return assertNever(message)
     }
   }
 
-  const extend = (queued: Attempt, from: string, now: number): void => {
-    const attempt = findAttempt(db, queued)
+  const extend = (id: string, from: string, now: number): void => {
+    const attempt = db.byAttempt.get(id)
     if (attempt?.phase.kind === 'claiming' && attempt.phase.holder === from) attempt.phase = { ...attempt.phase, sentAt: now }
   }
 
-  const confirm = (closed: Attempt): void => {
-    const pending = db.pendingCloses.get(closed.nonce)
-    if (pending !== undefined && attemptId(pending.close) === attemptId(closed)) db.pendingCloses.delete(closed.nonce)
-  }
-
   const messageOf = (reply: PartitionReply): ClaimsMessage => {
     switch (reply.kind) {
-      case 'closed': return { kind: 'claims.closed', attempt: attemptOf(reply.close) }
-      case 'queued': return { kind: 'claims.queued', attempt: attemptOf(reply.claim) }
-      case 'verdict': return { kind: 'claims.verdict', attempt: attemptOf(reply.claim), verdict: reply.verdict }
+      case 'closed': return { kind: 'claims.closed', attempt: reply.close.attempt }
+      case 'queued': return { kind: 'claims.queued', attempt: reply.claim.attempt }
+      case 'verdict': return { kind: 'claims.verdict', attempt: reply.claim.attempt, verdict: reply.verdict }
       default: return assertNever(reply)
     }
   }
@@ -316,7 +314,7 @@
   }
 
   const dump = (): ClaimsDump => ({
-    attempts: [...db.byRequest.values()].map(({ request, claim, phase }) => ({ request, workspace: claim.workspace, key: claim.key, nonce: claim.nonce, phase: phase.kind })),
+    attempts: [...db.byRequest.values()].map(({ request, claim, phase }) => ({ request, workspace: claim.workspace, key: claim.key, attempt: claim.attempt, phase: phase.kind })),
     ended: db.ended.size,
     answers: db.answers.size,
     answerBytes: db.answers.calculatedSize,
--- a/src/claims/claimsMessages.ts
+++ b/src/claims/claimsMessages.ts
@@ -1,28 +1,27 @@
 /** Schemas of the claims' log records and of their messages between instances. */
 import { z } from 'zod'
 
-/** Identifies one attempt of a call across the fleet. */
+/** Names a call, and one attempt of it across the fleet. */
 const attemptFields = {
   workspace: z.string(),
   key: z.string(),
-  claimant: z.string(),
-  incarnation: z.string(),
-  /** Given by the claimant; never used twice in one incarnation. */
-  nonce: z.string()
+  attempt: z.string()
 }
 
-const attemptSchema = z.object(attemptFields)
-
-/** An attempt's request for the sole right to dispatch. */
-const claimSchema = z.object({
-  kind: z.literal('claim'),
+/** What a claim says of its claimant and its request. */
+const claimFields = {
   ...attemptFields,
+  claimant: z.string(),
+  incarnation: z.string(),
   fingerprint: z.string(),
   /** Absolute, in ms. */
   deadline: z.number()
-})
+}
 
-/** The end of an attempt; `notRun` gives its nonce up for ever. */
+/** An attempt's request for the sole right to dispatch. */
+const claimSchema = z.object({ kind: z.literal('claim'), ...claimFields })
+
+/** The end of an attempt; `notRun` gives it up for ever. */
 const closeSchema = z.object({
   kind: z.literal('close'),
   ...attemptFields,
@@ -41,18 +40,18 @@
   records: z.array(z.unknown())
 })
 
-/** The attempt that owns a call; fingerprint and deadline are absent when only its end is known. */
-const ownerSchema = z.object({
-  ...attemptFields,
-  fingerprint: z.string().optional(),
-  deadline: z.number().optional()
-})
+/** The attempt that owns a call. */
+const ownerSchema = z.discriminatedUnion('kind', [
+  claimSchema,
+  /** Only its end is known. */
+  closeSchema
+])
 
 /** What the log says of an attempt. */
 const verdictSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('won') }),
   z.object({ kind: z.literal('taken'), owner: ownerSchema, state: z.enum(['held', 'ran', 'unknown']) }),
-  /** The nonce is spent, and the call is open to another attempt. */
+  /** The attempt is spent, and the call is open to another attempt. */
   z.object({ kind: z.literal('spent') }),
   /** The claim was appended outside the key's window. */
   z.object({ kind: z.literal('expired') }),
@@ -81,17 +80,16 @@
 /** Messages of claims between instances. */
 export const claimsMessageSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('claims.claim'), claim: claimSchema }),
-  z.object({ kind: z.literal('claims.verdict'), attempt: attemptSchema, verdict: verdictSchema }),
+  z.object({ kind: z.literal('claims.verdict'), attempt: z.string(), verdict: verdictSchema }),
   /** The claim waits for the log; the holder is at work. */
-  z.object({ kind: z.literal('claims.queued'), attempt: attemptSchema }),
+  z.object({ kind: z.literal('claims.queued'), attempt: z.string() }),
   z.object({ kind: z.literal('claims.close'), close: closeSchema }),
-  z.object({ kind: z.literal('claims.closed'), attempt: attemptSchema }),
-  z.object({ kind: z.literal('claims.lookup'), owner: attemptSchema, asker: attemptSchema }),
-  z.object({ kind: z.literal('claims.found'), owner: attemptSchema, asker: attemptSchema, finding: findingSchema })
+  z.object({ kind: z.literal('claims.closed'), attempt: z.string() }),
+  /** Asks a claimant what became of its attempt. */
+  z.object({ kind: z.literal('claims.lookup'), owner: claimSchema, asker: z.string() }),
+  z.object({ kind: z.literal('claims.found'), attempt: z.string(), asker: z.string(), finding: findingSchema })
 ])
 
-/** Identity of one attempt. */
-export type Attempt = z.infer<typeof attemptSchema>
 /** A claim as recorded. */
 export type Claim = z.infer<typeof claimSchema>
 /** The end of an attempt as recorded. */
@@ -109,24 +107,12 @@
 /** Any message of claims. */
 export type ClaimsMessage = z.infer<typeof claimsMessageSchema>
 
-/**
- * A string that is equal for equal attempts only.
- *
- * @param attempt - the attempt
- */
-export const attemptId = ({ claimant, incarnation, nonce }: Attempt): string => JSON.stringify([claimant, incarnation, nonce])
-
-/**
- * The identity of a claim, of its end or of an owner.
- *
- * @param record - what names the attempt
- */
-export const attemptOf = ({ workspace, key, claimant, incarnation, nonce }: Attempt): Attempt =>
-  ({ workspace, key, claimant, incarnation, nonce })
+/** What names a call: the same key in two workspaces names two calls. */
+export type CallKey = Pick<Claim, 'workspace' | 'key'>
 
 /**
  * A string that is equal for attempts of the same call only.
  *
  * @param call - workspace and key
  */
-export const callName = ({ workspace, key }: Pick<Attempt, 'workspace' | 'key'>): string => `${key} ${workspace}`
+export const callName = ({ workspace, key }: CallKey): string => `${key} ${workspace}`
--- a/src/claims/claimsPartition.ts
+++ b/src/claims/claimsPartition.ts
@@ -6,7 +6,6 @@
  */
 import { createFold } from './claimsFold.js'
 import type { Fold } from './claimsFold.js'
-import { attemptId } from './claimsMessages.js'
 import type { Claim, Close, Entry, Verdict } from './claimsMessages.js'
 import { createSeek } from './claimsSeek.js'
 import type { Seek } from './claimsSeek.js'
@@ -259,8 +258,7 @@
     if (now < pausedUntil || claims.size >= longestQueue) return { effects: [], replies: [unavailable(waiting)] }
     const verdict = caughtUp ? fold?.verdictOn(item) : undefined
     if (verdict !== undefined) return { effects: [], replies: [{ kind: 'verdict', to: from, claim: item, verdict }] }
-    const id = attemptId(item)
-    if (!claims.has(id)) claims.set(id, waiting)
+    if (!claims.has(item.attempt)) claims.set(item.attempt, waiting)
     return { effects: work(now), replies: [] }
   }
 
@@ -268,8 +266,7 @@
     usedAt = now
     if (now < pausedUntil || closes.size >= longestQueue) return { effects: [], replies: [] }
     if (caughtUp && fold?.isClosed(item)) return { effects: [], replies: [{ kind: 'closed', to: from, close: item }] }
-    const id = attemptId(item)
-    if (!closes.has(id)) closes.set(id, { item, from, since: now, noticedAt: now, tries: 0, appending: false })
+    if (!closes.has(item.attempt)) closes.set(item.attempt, { item, from, since: now, noticedAt: now, tries: 0, appending: false })
     return { effects: work(now), replies: [] }
   }
 
--- a/src/claims/claimsPlacement.ts
+++ b/src/claims/claimsPlacement.ts
@@ -1,7 +1,7 @@
 /** Which partition a call belongs to, and which instances hold a partition. */
 import type { Hash } from '../hash.js'
 import { callName } from './claimsMessages.js'
-import type { Attempt } from './claimsMessages.js'
+import type { CallKey } from './claimsMessages.js'
 import { partitionCount } from './claimsTypes.js'
 import type { ClaimsInstance } from './claimsTypes.js'
 
@@ -11,7 +11,7 @@
  * @param hash - equal on every instance
  * @param call - workspace and key
  */
-export const partitionOf = (hash: Hash, call: Pick<Attempt, 'workspace' | 'key'>): number =>
+export const partitionOf = (hash: Hash, call: CallKey): number =>
   hash.h32(callName(call)) % partitionCount
 
 /**
--- a/src/claims/claimsRecorder.ts
+++ b/src/claims/claimsRecorder.ts
@@ -29,7 +29,7 @@
 
   const record = (close: Close, keyTime: number, now: number): void => {
     const pending: PendingClose = { close, keyTime, sentAt: now, tries: 0 }
-    db.pendingCloses.set(close.nonce, pending)
+    db.pendingCloses.set(close.attempt, pending)
     attempt(pending, now)
   }
 
--- a/src/claims/claimsTypes.ts
+++ b/src/claims/claimsTypes.ts
@@ -134,7 +134,7 @@
 
 /** State of the claims, without the bodies of answers. */
 export interface ClaimsDump {
-  readonly attempts: readonly { readonly request: number, readonly workspace: string, readonly key: string, readonly nonce: string, readonly phase: string }[]
+  readonly attempts: readonly { readonly request: number, readonly workspace: string, readonly key: string, readonly attempt: string, readonly phase: string }[]
   readonly ended: number
   readonly answers: number
   readonly answerBytes: number
