--- a/src/claims/claimsPlacement.ts
+++ b/src/claims/claimsPlacement.ts
@@ -22,7 +22,7 @@
  */
 export const streamOf = (partition: number): string => `claims.${partitionCount}.${partition}`
 
-/** Ranks instances for a partition by rendezvous hashing. */
+/** Assigns partitions to instances by rendezvous hashing with bounded load. */
 export interface Placement {
   readonly update: (instances: readonly ClaimsInstance[]) => void
   /** The holder, then its stand-bys. */
@@ -30,7 +30,14 @@
   readonly find: (id: string) => ClaimsInstance | undefined
 }
 
-const ranked = 3
+const standbys = 2
+
+interface Candidate {
+  readonly id: string
+  /** One for each partition. */
+  readonly weights: Uint32Array
+  load: number
+}
 
 /**
  * Creates a placement that knows no instance yet.
@@ -39,26 +46,57 @@
  */
 export const createPlacement = (hash: Hash): Placement => {
   let known = new Map<string, ClaimsInstance>()
-  const cache = new Map<number, readonly string[]>()
+  let weights = new Map<string, Uint32Array>()
+  let assigned: readonly (readonly string[])[] | undefined
 
   const update = (instances: readonly ClaimsInstance[]): void => {
     known = new Map(instances.map(instance => [instance.id, instance]))
-    cache.clear()
+    assigned = undefined
   }
 
-  const rank = (partition: number): readonly string[] =>
-    [...known.values()]
-      .filter(instance => instance.state === 'live')
-      .map(({ id }) => ({ id, weight: hash.h32(`${partition}|${id}`) }))
-      .sort((left, right) => right.weight - left.weight || (left.id < right.id ? -1 : 1))
-      .slice(0, ranked)
-      .map(({ id }) => id)
+  const weigh = (id: string): Uint32Array =>
+    weights.get(id) ?? Uint32Array.from({ length: partitionCount }, (_, partition) => hash.h32(`${partition}|${id}`))
+
+  const assign = (): readonly (readonly string[])[] => {
+    const live = [...known.values()].filter(instance => instance.state === 'live')
+    const candidates = live.map(({ id }): Candidate => ({ id, weights: weigh(id), load: 0 }))
+    weights = new Map(candidates.map(candidate => [candidate.id, candidate.weights]))
+    const most = Math.ceil(partitionCount / candidates.length)
+    return Array.from({ length: partitionCount }, (_, partition) => {
+      const holder = heaviest(candidates, partition, candidate => candidate.load < most)
+      if (holder === undefined) return []
+      holder.load++
+      return [holder.id, ...standbysFor(candidates, partition, holder)]
+    })
+  }
 
   const holders = (partition: number): readonly string[] => {
-    const list = cache.get(partition) ?? rank(partition)
-    cache.set(partition, list)
-    return list
+    assigned ??= assign()
+    return assigned[partition]
   }
 
   return { update, holders, find: id => known.get(id) }
 }
+
+const heaviest = (candidates: readonly Candidate[], partition: number, admits: (candidate: Candidate) => boolean): Candidate | undefined => {
+  let best: Candidate | undefined
+  for (const candidate of candidates) {
+    if (admits(candidate) && (best === undefined || isHeavier(candidate, best, partition))) best = candidate
+  }
+  return best
+}
+
+const isHeavier = (left: Candidate, right: Candidate, partition: number): boolean => {
+  const difference = left.weights[partition] - right.weights[partition]
+  return difference === 0 ? left.id < right.id : difference > 0
+}
+
+const standbysFor = (candidates: readonly Candidate[], partition: number, holder: Candidate): string[] => {
+  const chosen = [holder]
+  while (chosen.length <= standbys) {
+    const next = heaviest(candidates, partition, candidate => !chosen.includes(candidate))
+    if (next === undefined) break
+    chosen.push(next)
+  }
+  return chosen.slice(1).map(candidate => candidate.id)
+}
