--- a/src/claims/claimsTimes.ts
+++ b/src/claims/claimsTimes.ts
@@ -34,7 +34,7 @@
 export const defaultAnswerBytes = 4_194_304
 
 /** Least time between two appends of a partition, in ms. */
-export const appendGap = 100
+export const appendGap = 200
 
 /** Longest time in ms for which the end of a call waits for claims to share an append with. */
 export const closeDelay = 1_000
--- a/src/claims/claimsTypes.ts
+++ b/src/claims/claimsTypes.ts
@@ -11,7 +11,7 @@
 import type { Answer, ClaimsMessage } from './claimsMessages.js'
 
 /** Streams that the claims are spread over; equal on every instance, or the same key would be claimed on two streams. */
-export const partitionCount = 32
+export const partitionCount = 64
 
 /** Age in ms at which a key is no longer accepted, by the log's own time; equal on every instance. */
 export const keyWindow = 300_000
