--- /dev/null
+++ b/src/routing/routingMachine.ts
@@ -0,0 +1,209 @@
+/**
+ * Chooses workers. Placement by rendezvous gives every instance the same answer
+ * with no knowledge; cache knowledge, load reports, own requests in flight and
+ * learned speeds refine it.
+ */
+import type { Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import type { Endpoint } from '../endpoints/endpointsTypes.js'
+import type { CandidateSet } from './candidates.js'
+import { createCandidates, servedVersion } from './candidates.js'
+import { createLevelWidths } from './levelWidths.js'
+import { createPlacedBelief } from './placedBelief.js'
+import type { Placement } from './placement.js'
+import { firstWidth, place } from './placement.js'
+import { orderLength } from './rendezvous.js'
+import type { Choice, ChoiceReason, Flight, NoEndpoint, Question, Routing, RoutingOptions, ScoredEndpoint } from './routingTypes.js'
+import type { Score } from './score.js'
+import { scoreOf } from './score.js'
+import { createServiceChooser } from './serviceChoice.js'
+import type { WorkerModel } from './workerModel.js'
+import { createWorkerModel, defaultPrefillCost, learnSpeeds, loadOf, modelSummary, noteEnded, noteFirstToken, noteReport, noteStarted, restartModel } from './workerModel.js'
+
+/** Fleets up to this size are scored in full. */
+const scoreAllUpTo = 24
+/** Placed workers scored in a larger fleet, and others drawn at random. */
+const scoredPlaced = 16
+const scoredAtRandom = 4
+/** Scores this close to the best are as good: a fraction, and at least this many ms. */
+const equalFraction = 0.03
+const equalTime = 2
+
+const byScore = (left: Score, right: Score): number => left.score - right.score
+
+/**
+ * Creates the routing of one instance.
+ *
+ * @param options - hash, random numbers, cache knowledge and the objective
+ * @returns routing with nothing learned
+ */
+export const createRouting = (options: RoutingOptions): Routing => {
+  const { random, cache, objective } = options
+  const candidates = createCandidates(options.hash)
+  const widths = createLevelWidths(orderLength)
+  const services = createServiceChooser(random, options.dataCentre)
+  const belief = createPlacedBelief()
+  const models = new Map<string, WorkerModel>()
+  let meanTime = 0
+  let meanTokens = 0
+
+  const meanCost = (): number => meanTokens === 0 ? defaultPrefillCost : meanTime / meanTokens
+
+  const modelOf = (endpoint: string, incarnation: string): WorkerModel => {
+    const known = models.get(endpoint) ?? createWorkerModel(endpoint, incarnation)
+    models.set(endpoint, known)
+    if (known.incarnation !== incarnation) restartModel(known, incarnation)
+    return known
+  }
+
+  const admitted = (question: Question, endpoint: Endpoint): boolean =>
+    !question.exclude.includes(endpoint.id) && (question.allowed?.includes(endpoint.id) ?? true)
+
+  const scored = (question: Question, set: CandidateSet, placement: Placement, index: number, now: number): Score => {
+    const endpoint = set.workers[index]
+    const model = modelOf(endpoint.id, endpoint.incarnation)
+    noteReport(model, endpoint.report)
+    const match = cache.matched(endpoint.id, endpoint.incarnation, question.chain, now)
+    return scoreOf({ question, endpoint, index, model, match, depth: placement.depthOf(index), belief, meanCost: meanCost(), objective, now })
+  }
+
+  const considered = (question: Question, set: CandidateSet, placement: Placement): Iterable<number> => {
+    if (set.workers.length <= scoreAllUpTo) return set.workers.keys()
+    const chosen = new Set<number>()
+    for (const level of [...placement.levels].reverse()) {
+      for (const index of level.subarray(0, scoredPlaced)) chosen.add(index)
+    }
+    for (const blocks of question.chain.levels) {
+      for (const holder of cache.holders(question.chain.blocks[blocks - 1]).slice(-scoredPlaced)) {
+        const index = set.indexOf.get(holder)
+        if (index !== undefined) chosen.add(index)
+      }
+    }
+    for (let draw = 0; draw < scoredAtRandom; draw++) chosen.add(random.below(set.workers.length))
+    return chosen
+  }
+
+  const scores = (question: Question, set: CandidateSet, placement: Placement, now: number): Score[] => {
+    const open = (indexes: Iterable<number>): number[] => [...indexes].filter(index => admitted(question, set.workers[index]))
+    const first = open(considered(question, set, placement))
+    const indexes = first.length > 0 ? first : open(set.workers.keys())
+    return indexes.map(index => scored(question, set, placement, index, now))
+  }
+
+  const pick = (all: readonly Score[], now: number): Score => {
+    const best = all.reduce((left, right) => byScore(left, right) <= 0 ? left : right)
+    const bound = best.score + Math.max(equalTime, equalFraction * best.score)
+    const equals = all.filter(score => score.score <= bound)
+    if (equals.length === 1) return best
+    const left = equals[random.below(equals.length)]
+    const right = equals[random.below(equals.length)]
+    return loadOf(left.model, now).requests <= loadOf(right.model, now).requests ? left : right
+  }
+
+  const reasonOf = (score: Score, question: Question, alone: boolean): ChoiceReason => {
+    if (alone) return 'alone'
+    if (score.match.blocks > 0) return 'cached'
+    return score.depth >= question.chain.levels.length - 1 ? 'placed' : 'spilled'
+  }
+
+  const missing = (question: Question, set: CandidateSet): NoEndpoint => set.workers.length > 0
+    ? { kind: 'noEndpoint', reason: 'allExcluded' }
+    : { kind: 'noEndpoint', reason: 'notHeld', model: question.model, weightVersion: question.weightVersion }
+
+  const choose = (question: Question, endpoints: readonly Endpoint[], now: number): Result<Choice, NoEndpoint> => {
+    const set = candidates.of(question, endpoints)
+    const placement = place(set, question.chain, widths)
+    const all = scores(question, set, placement, now)
+    if (all.length === 0) return err(missing(question, set))
+    const chosen = pick(all, now)
+    return ok({
+      endpoint: chosen.endpoint.id,
+      incarnation: chosen.endpoint.incarnation,
+      weightVersion: servedVersion(question, chosen.endpoint) ?? '',
+      expectedWait: chosen.expectedWait,
+      expectedCachedTokens: chosen.cachedTokens,
+      level: chosen.depth,
+      reason: reasonOf(chosen, question, all.length === 1),
+      match: chosen.match
+    })
+  }
+
+  const noteLevels = (question: Question, choice: Choice, now: number): void => {
+    const { levels, blocks } = question.chain
+    for (let level = 0; level < levels.length && level <= choice.level; level++) {
+      widths.note(blocks[levels[level] - 1], firstWidth(level, levels.length), level === choice.level, now)
+    }
+  }
+
+  const started = (question: Question, choice: Choice, now: number): Flight => {
+    const model = modelOf(choice.endpoint, choice.incarnation)
+    const uncachedTokens = Math.max(0, question.promptTokens - choice.expectedCachedTokens)
+    const tokensAhead = loadOf(model, now).tokens + uncachedTokens
+    noteStarted(model, uncachedTokens)
+    noteLevels(question, choice, now)
+    return { question, choice, startedAt: now, tokensAhead, uncachedTokens, firstTokenAt: undefined, ended: false }
+  }
+
+  const current = (flight: Flight): WorkerModel | undefined => {
+    const model = models.get(flight.choice.endpoint)
+    return model?.incarnation === flight.choice.incarnation ? model : undefined
+  }
+
+  const firstToken = (flight: Flight, now: number): void => {
+    const model = current(flight)
+    if (flight.ended || flight.firstTokenAt !== undefined || model === undefined) return
+    noteFirstToken(model, flight, now)
+    cache.learned(flight.choice.endpoint, flight.choice.incarnation, flight.question.chain, undefined, now)
+  }
+
+  const learnMean = (flight: Flight, tokens: number): void => {
+    if (flight.firstTokenAt === undefined || tokens <= 0) return
+    meanTime = 0.99 * meanTime + flight.firstTokenAt - flight.startedAt
+    meanTokens = 0.99 * meanTokens + flight.tokensAhead - flight.uncachedTokens + tokens
+  }
+
+  const finished: Routing['finished'] = (flight, usage, now) => {
+    const model = current(flight)
+    if (flight.ended || model === undefined) return
+    noteEnded(model, flight)
+    learnSpeeds(model, flight, usage, now)
+    learnMean(flight, usage.promptTokens - usage.cachedTokens)
+    const { choice: { endpoint, incarnation, match, level }, question: { chain } } = flight
+    belief.observe(chain, level, usage.cachedTokens)
+    cache.learned(endpoint, incarnation, chain, usage.cachedTokens, now, match)
+  }
+
+  const failed = (flight: Flight): void => {
+    const model = current(flight)
+    if (!flight.ended && model !== undefined) noteEnded(model, flight)
+  }
+
+  const explain = (question: Question, endpoints: readonly Endpoint[], now: number): readonly ScoredEndpoint[] => {
+    const set = candidates.of(question, endpoints)
+    const placement = place(set, question.chain, widths)
+    return scores(question, set, placement, now).sort(byScore).map(score => ({
+      endpoint: score.endpoint.id,
+      incarnation: score.endpoint.incarnation,
+      wait: score.wait,
+      cachedTokens: score.cachedTokens,
+      certain: score.match.certain,
+      prefillCost: score.cost,
+      expectedWait: score.expectedWait,
+      level: score.depth,
+      score: score.score
+    }))
+  }
+
+  return {
+    choose,
+    chooseService: (question, endpoints) => services.choose(question, endpoints),
+    started,
+    firstToken,
+    finished,
+    failed,
+    serviceStarted: services.started,
+    serviceEnded: services.ended,
+    explain,
+    dump: () => ({ workers: [...models.values()].map(model => modelSummary(model, meanCost())), services: services.dump(), widths: widths.dump(), beliefs: belief.dump() })
+  }
+}
--- /dev/null
+++ b/src/routing/score.ts
@@ -0,0 +1,75 @@
+/**
+ * Scores workers for a request: the expected time to the first token, plus a
+ * weight on the tokens to recompute, plus a weight on tokens placed outside the
+ * workers of their level. Where a worker's cache is unknown, its placement
+ * stands in for what it holds, so that an instance without knowledge scores by
+ * placement alone.
+ */
+import type { Match } from '../cache/cacheTypes.js'
+import type { Endpoint } from '../endpoints/endpointsTypes.js'
+import type { PrefixChain } from '../prefix/prefixTypes.js'
+import type { PlacedBelief } from './placedBelief.js'
+import type { Objective, Question } from './routingTypes.js'
+import type { WorkerModel } from './workerModel.js'
+import { expectedQueue, firstTokenOverhead, prefillCost } from './workerModel.js'
+
+/** One scored worker. */
+export interface Score {
+  readonly index: number
+  readonly endpoint: Endpoint
+  readonly model: WorkerModel
+  readonly match: Match
+  readonly depth: number
+  readonly wait: number
+  readonly cost: number
+  readonly cachedTokens: number
+  readonly uncachedTokens: number
+  readonly expectedWait: number
+  readonly score: number
+}
+
+/** What a score is made of. */
+export interface ScoreParts {
+  readonly question: Question
+  readonly endpoint: Endpoint
+  readonly index: number
+  readonly model: WorkerModel
+  readonly match: Match
+  readonly depth: number
+  readonly belief: PlacedBelief
+  readonly meanCost: number
+  readonly objective: Objective
+  readonly now: number
+}
+
+/** Age at which uncertain evidence counts half, in ms. */
+const evidenceHalfLife = 20_000
+
+const tokensOf = (chain: PrefixChain, blocks: number): number => blocks === 0 ? 0 : chain.tokenEnds[blocks - 1]
+
+const tokensOfDepth = (chain: PrefixChain, depth: number): number => depth === 0 ? 0 : tokensOf(chain, chain.levels[depth - 1])
+
+const expectedCached = ({ question: { chain }, match, depth, belief }: ScoreParts): number => {
+  if (match.certain) return tokensOf(chain, match.blocks)
+  const placed = belief.tokens(chain, depth)
+  const evident = tokensOf(chain, match.blocks) * 0.5 ** (match.age / evidenceHalfLife)
+  return Math.max(placed, evident)
+}
+
+/**
+ * Scores one worker.
+ *
+ * @param parts - the request, the worker and what is known of both
+ * @returns the score; the lowest is best
+ */
+export const scoreOf = (parts: ScoreParts): Score => {
+  const { question, endpoint, index, model, match, depth, meanCost, objective, now } = parts
+  const cost = prefillCost(model, meanCost)
+  const wait = expectedQueue(model, endpoint, cost, now)
+  const cachedTokens = Math.min(question.promptTokens, expectedCached(parts))
+  const uncachedTokens = question.promptTokens - cachedTokens
+  const unplacedTokens = Math.max(0, question.chain.tokens - tokensOfDepth(question.chain, depth))
+  const expectedWait = wait + firstTokenOverhead + uncachedTokens * cost
+  const extra = objective.recomputation * uncachedTokens + objective.placement * unplacedTokens
+  return { index, endpoint, model, match, depth, wait, cost, cachedTokens, uncachedTokens, expectedWait, score: expectedWait + extra * meanCost }
+}
