Add the policy bench and price recomputation by congestion

Cause: the decisions need measuring against baselines; a first look showed queues estimated badly. In routing, a worker's cost per token is a low quantile of its answers, learned at the first token; lateness of the oldest pending request counts as wait; recomputed tokens are priced by mean wait over mean work.

--- /dev/null
+++ b/bench/policy/deployments.ts
@@ -0,0 +1,65 @@
+/** The two deployments: fleets of unequal workers and the shape of their workspaces. */
+import { latencyObjective, worthObjective } from '../../src/routing/routingTypes.js'
+import type { Deployment, WorkerSpeed, WorkspaceShape } from './benchTypes.js'
+
+const speed = (prefillRate: number, tokenTime: number, slots: number, cacheTokens: number): WorkerSpeed =>
+  ({ prefillRate, tokenTime, slots, cacheTokens })
+
+const shares = [0.3, 0.22, 0.16, 0.1, 0.08, 0.06, 0.05, 0.03]
+
+const workspaces = (prefix: string, [guidanceTokens, branchTokens, itemTokens]: readonly [number, number, number]): WorkspaceShape[] =>
+  shares.map((share, index) => ({
+    name: `${prefix}${index}`,
+    share,
+    branches: Math.max(4, Math.round(share * 200)),
+    items: Math.max(40, Math.round(share * 3000)),
+    guidanceTokens,
+    branchTokens,
+    itemTokens
+  }))
+
+/** Six workers; the tail of the time to first token goes first. */
+export const harrowgate: Deployment = {
+  name: 'harrowgate',
+  dataCentres: ['nm-derby', 'nm-leicester', 'nm-nottingham'],
+  workers: [speed(12, 14, 32, 120_000), speed(8, 18, 24, 100_000), speed(8, 20, 24, 100_000), speed(5, 26, 16, 80_000), speed(3, 36, 12, 60_000), speed(2, 45, 8, 50_000)],
+  entries: 7,
+  entriesPerWorkspace: 3,
+  workspaces: workspaces('agency', [2000, 1000, 800]),
+  utilisation: 0.75,
+  objective: latencyObjective,
+  worthExponent: 0,
+  firstMeasure: 'ttftP99'
+}
+
+/** Thirteen workers; worth served goes first, then recomputation. */
+export const wspolnyTor: Deployment = {
+  name: 'wspolnyTor',
+  dataCentres: ['waw-a', 'waw-b', 'waw-c'],
+  workers: [
+    speed(9, 18, 24, 90_000), speed(9, 18, 24, 90_000), speed(7, 20, 20, 80_000), speed(7, 20, 20, 80_000), speed(6, 24, 16, 70_000),
+    speed(5, 24, 16, 70_000), speed(5, 28, 16, 60_000), speed(4, 28, 12, 60_000), speed(4, 32, 12, 50_000), speed(3, 36, 8, 50_000),
+    speed(3, 36, 8, 40_000), speed(2, 45, 8, 40_000), speed(2, 45, 6, 40_000)
+  ],
+  entries: 7,
+  entriesPerWorkspace: 3,
+  workspaces: workspaces('member', [1500, 700, 1200]),
+  utilisation: 0.55,
+  objective: worthObjective,
+  worthExponent: 0.3,
+  firstMeasure: 'worthServed'
+}
+
+/** Mean tokens of an answer over the mix of calls. */
+const meanCompletion = 70
+const hitRateAtCapacity = 0.65
+
+/** Requests per second that the fleet serves when prompts hit as they should. */
+export const capacityOf = ({ workers, utilisation, workspaces: [shape] }: Deployment): number => {
+  const prompt = shape.guidanceTokens + shape.branchTokens + shape.itemTokens + 60
+  return workers.reduce((sum, worker) => {
+    const decode = worker.slots / (meanCompletion * worker.tokenTime * 1.8)
+    const prefill = worker.prefillRate / (prompt * (1 - hitRateAtCapacity))
+    return sum + 1000 * utilisation * Math.min(decode, prefill)
+  }, 0)
+}
--- /dev/null
+++ b/bench/policy/fakeWorker.ts
@@ -0,0 +1,211 @@
+/**
+ * A worker of stated speed: a queue by priority, prefill one prompt at a time,
+ * decoding in a batch, and a prefix cache with least-recently-used eviction.
+ */
+import type { CacheEvent } from '../../src/ports/endpointPort.js'
+import type { PrefixChain } from '../../src/prefix/prefixTypes.js'
+import type { Usage } from '../../src/routing/routingTypes.js'
+import type { VirtualTime } from '../../test/fakes/virtualTime.js'
+import type { WorkerSpeed } from './benchTypes.js'
+
+/** One request at a worker. */
+export interface Job {
+  readonly chain: PrefixChain
+  readonly completionTokens: number
+  readonly priority: number
+  readonly onFirstToken: () => void
+  readonly onFinished: (usage: Usage) => void
+  readonly onFailed: () => void
+  phase: 'waiting' | 'prefill' | 'decode' | 'ended'
+  cachedTokens: number
+  incarnation: number
+}
+
+/** A worker's state as a report gives it. */
+export interface FakeReport {
+  readonly running: number
+  readonly waiting: number
+  readonly waitingTokens: number
+}
+
+/** A worker under test. */
+export interface FakeWorker {
+  readonly id: string
+  readonly dataCentre: string
+  readonly speed: WorkerSpeed
+  readonly incarnation: () => string
+  readonly up: () => boolean
+  readonly submit: (job: Job) => boolean
+  readonly cancel: (job: Job) => void
+  readonly crash: () => void
+  readonly restart: () => void
+  readonly report: () => FakeReport
+  /** Tokens of a prompt that the cache holds now. */
+  readonly cachedTokens: (chain: PrefixChain) => number
+  /** Exact time until a new prompt's prefill would start, in ms. */
+  readonly exactWait: (priority: number) => number
+  readonly listing: () => readonly CacheEvent[]
+  /** Takes the events since the last call. */
+  readonly takeEvents: () => readonly CacheEvent[]
+}
+
+const prefillOverhead = 8
+/** Slowing of prefill by a full decoding batch. */
+const batchDrag = 0.3
+
+/** Creates an idle worker with an empty cache. */
+export const createFakeWorker = (id: string, dataCentre: string, speed: WorkerSpeed, time: VirtualTime): FakeWorker => {
+  const cache = new Map<string, number>()
+  const waiting: Job[] = []
+  let events: CacheEvent[] = []
+  let held = 0
+  let running = 0
+  let prefilling: { job: Job, until: number } | undefined
+  let life = 1
+  let alive = true
+
+  const cachedBlocks = (chain: PrefixChain): number => {
+    let count = 0
+    while (count < chain.blocks.length && cache.has(chain.blocks[count])) count++
+    return count
+  }
+
+  const tokensTo = (chain: PrefixChain, blocks: number): number => blocks === 0 ? 0 : chain.tokenEnds[blocks - 1]
+
+  const evict = (): void => {
+    for (const [block, tokens] of cache) {
+      if (held <= speed.cacheTokens) return
+      cache.delete(block)
+      held -= tokens
+      events.push({ kind: 'removed', block })
+    }
+  }
+
+  const store = (chain: PrefixChain): void => {
+    for (let index = chain.blocks.length - 1; index >= 0; index--) {
+      const block = chain.blocks[index]
+      const known = cache.get(block)
+      const tokens = known ?? tokensTo(chain, index + 1) - tokensTo(chain, index)
+      if (known === undefined) {
+        held += tokens
+        events.push({ kind: 'stored', block })
+      } else cache.delete(block)
+      cache.set(block, tokens)
+    }
+    evict()
+  }
+
+  const prefillTime = (uncached: number): number =>
+    prefillOverhead + uncached / speed.prefillRate * (1 + batchDrag * running / speed.slots)
+
+  const finish = (job: Job): void => {
+    if (job.phase !== 'decode' || job.incarnation !== life) return
+    job.phase = 'ended'
+    running--
+    job.onFinished({ promptTokens: job.chain.tokens, cachedTokens: job.cachedTokens, completionTokens: job.completionTokens })
+    next()
+  }
+
+  const decode = (job: Job): void => {
+    if (prefilling?.job !== job || job.incarnation !== life) return
+    prefilling = undefined
+    store(job.chain)
+    if (job.phase === 'prefill') {
+      job.phase = 'decode'
+      job.onFirstToken()
+      const perToken = speed.tokenTime * (1 + running / speed.slots)
+      time.after(job.completionTokens * perToken, () => finish(job))
+    }
+    next()
+  }
+
+  const next = (): void => {
+    if (!alive || prefilling !== undefined || running >= speed.slots) return
+    const job = waiting.shift()
+    if (job === undefined) return
+    running++
+    job.phase = 'prefill'
+    job.cachedTokens = tokensTo(job.chain, cachedBlocks(job.chain))
+    const duration = prefillTime(job.chain.tokens - job.cachedTokens)
+    prefilling = { job, until: time.now() + duration }
+    time.after(duration, () => decode(job))
+  }
+
+  const submit = (job: Job): boolean => {
+    if (!alive) return false
+    job.incarnation = life
+    job.phase = 'waiting'
+    const place = waiting.findIndex(other => other.priority < job.priority)
+    waiting.splice(place < 0 ? waiting.length : place, 0, job)
+    next()
+    return true
+  }
+
+  const cancel = (job: Job): void => {
+    if (job.incarnation !== life) return
+    const place = waiting.indexOf(job)
+    if (place >= 0) waiting.splice(place, 1)
+    if (job.phase === 'decode' || job.phase === 'prefill') running--
+    job.phase = 'ended'
+    next()
+  }
+
+  const jobs = new Set<Job>()
+
+  const crash = (): void => {
+    alive = false
+    life++
+    const lost = [...jobs].filter(job => job.phase !== 'ended')
+    jobs.clear()
+    waiting.length = 0
+    running = 0
+    prefilling = undefined
+    cache.clear()
+    held = 0
+    events = []
+    for (const job of lost) {
+      job.phase = 'ended'
+      job.onFailed()
+    }
+  }
+
+  const exactWait = (priority: number): number => {
+    const now = time.now()
+    const ahead = waiting.filter(job => job.priority >= priority)
+    const queued = ahead.reduce((sum, job) => sum + prefillTime(job.chain.tokens - tokensTo(job.chain, cachedBlocks(job.chain))), 0)
+    const over = Math.max(0, running + ahead.length + 1 - speed.slots)
+    const meanService = speed.tokenTime * 2 * 80
+    return Math.max(0, (prefilling?.until ?? now) - now) + queued + over * meanService / speed.slots
+  }
+
+  return {
+    id,
+    dataCentre,
+    speed,
+    incarnation: () => `${id}.${life}`,
+    up: () => alive,
+    submit: job => {
+      jobs.add(job)
+      if (jobs.size > 4 * speed.slots) for (const old of jobs) if (old.phase === 'ended') jobs.delete(old)
+      return submit(job)
+    },
+    cancel,
+    crash,
+    restart: () => {
+      alive = true
+    },
+    report: () => ({
+      running,
+      waiting: waiting.length,
+      waitingTokens: waiting.reduce((sum, job) => sum + job.chain.tokens, 0)
+    }),
+    cachedTokens: chain => tokensTo(chain, cachedBlocks(chain)),
+    exactWait,
+    listing: () => [...cache.keys()].map(block => ({ kind: 'stored', block })),
+    takeEvents: () => {
+      const taken = events
+      events = []
+      return taken
+    }
+  }
+}
--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -112,11 +112,11 @@
     state.retries.firstAttempt()
     fairness.note(question.workspace, Math.max(1, question.tokens), now)
     const priority = state.overShare ? question.priority - 1 : question.priority
-    return { workspace: question.workspace, priority, tokens: question.tokens, admittedAt: now, expectedWait: question.expectedWait, ended: false }
+    return { workspace: question.workspace, priority, tokens: question.tokens, admittedAt: now, expectedWait: question.expectedWait, deadline: question.deadline, ended: false }
   }
 
   const firstToken = (admission: Admission, now: number): void =>
-    waitFactor.observe(admission.expectedWait, now - admission.admittedAt)
+    waitFactor.observe(admission.expectedWait, now - admission.admittedAt, admission.deadline - admission.admittedAt)
 
   const finished = (admission: Admission, usedTokens: number | undefined, now: number): void => {
     if (admission.ended) return
--- a/src/limits/limitsTypes.ts
+++ b/src/limits/limitsTypes.ts
@@ -36,6 +36,7 @@
   readonly tokens: number
   readonly admittedAt: number
   readonly expectedWait: number
+  readonly deadline: number
   ended: boolean
 }
 
--- a/src/routing/routingMachine.ts
+++ b/src/routing/routingMachine.ts
@@ -8,6 +8,7 @@
 import type { Endpoint } from '../endpoints/endpointsTypes.js'
 import type { CandidateSet } from './candidates.js'
 import { createCandidates, servedVersion } from './candidates.js'
+import { createCongestion } from './congestion.js'
 import { createLevelWidths } from './levelWidths.js'
 import { createPlacedBelief } from './placedBelief.js'
 import type { Placement } from './placement.js'
@@ -18,7 +19,7 @@
 import { scoreOf } from './score.js'
 import { createServiceChooser } from './serviceChoice.js'
 import type { WorkerModel } from './workerModel.js'
-import { createWorkerModel, defaultPrefillCost, learnSpeeds, loadOf, modelSummary, noteEnded, noteFirstToken, noteReport, noteStarted, restartModel } from './workerModel.js'
+import { createWorkerModel, defaultPrefillCost, learnSpeeds, loadOf, meanPrefillCost, modelSummary, noteEnded, noteFirstToken, noteReport, noteStarted, restartModel } from './workerModel.js'
 
 /** Fleets up to this size are scored in full. */
 const scoreAllUpTo = 24
@@ -43,11 +44,9 @@
   const widths = createLevelWidths(orderLength)
   const services = createServiceChooser(random, options.dataCentre)
   const belief = createPlacedBelief()
+  const congestion = createCongestion()
   const models = new Map<string, WorkerModel>()
-  let meanTime = 0
-  let meanTokens = 0
-
-  const meanCost = (): number => meanTokens === 0 ? defaultPrefillCost : meanTime / meanTokens
+  let meanCost = defaultPrefillCost
 
   const modelOf = (endpoint: string, incarnation: string): WorkerModel => {
     const known = models.get(endpoint) ?? createWorkerModel(endpoint, incarnation)
@@ -64,7 +63,7 @@
     const model = modelOf(endpoint.id, endpoint.incarnation)
     noteReport(model, endpoint.report)
     const match = cache.matched(endpoint.id, endpoint.incarnation, question.chain, now)
-    return scoreOf({ question, endpoint, index, model, match, depth: placement.depthOf(index), belief, meanCost: meanCost(), objective, now })
+    return scoreOf({ question, endpoint, index, model, match, depth: placement.depthOf(index), belief, meanCost, objective, congestion: congestion.value(), now })
   }
 
   const considered = (question: Question, set: CandidateSet, placement: Placement): Iterable<number> => {
@@ -116,6 +115,7 @@
     const all = scores(question, set, placement, now)
     if (all.length === 0) return err(missing(question, set))
     const chosen = pick(all, now)
+    congestion.observe(chosen.wait, chosen.uncachedTokens * chosen.cost)
     return ok({
       endpoint: chosen.endpoint.id,
       incarnation: chosen.endpoint.incarnation,
@@ -139,9 +139,10 @@
     const model = modelOf(choice.endpoint, choice.incarnation)
     const uncachedTokens = Math.max(0, question.promptTokens - choice.expectedCachedTokens)
     const tokensAhead = loadOf(model, now).tokens + uncachedTokens
-    noteStarted(model, uncachedTokens)
+    const flight: Flight = { question, choice, startedAt: now, tokensAhead, uncachedTokens, firstTokenAt: undefined, ended: false }
+    noteStarted(model, flight)
     noteLevels(question, choice, now)
-    return { question, choice, startedAt: now, tokensAhead, uncachedTokens, firstTokenAt: undefined, ended: false }
+    return flight
   }
 
   const current = (flight: Flight): WorkerModel | undefined => {
@@ -156,18 +157,12 @@
     cache.learned(flight.choice.endpoint, flight.choice.incarnation, flight.question.chain, undefined, now)
   }
 
-  const learnMean = (flight: Flight, tokens: number): void => {
-    if (flight.firstTokenAt === undefined || tokens <= 0) return
-    meanTime = 0.99 * meanTime + flight.firstTokenAt - flight.startedAt
-    meanTokens = 0.99 * meanTokens + flight.tokensAhead - flight.uncachedTokens + tokens
-  }
-
   const finished: Routing['finished'] = (flight, usage, now) => {
     const model = current(flight)
     if (flight.ended || model === undefined) return
     noteEnded(model, flight)
     learnSpeeds(model, flight, usage, now)
-    learnMean(flight, usage.promptTokens - usage.cachedTokens)
+    meanCost = meanPrefillCost(models.values(), defaultPrefillCost)
     const { choice: { endpoint, incarnation, match, level }, question: { chain } } = flight
     belief.observe(chain, level, usage.cachedTokens)
     cache.learned(endpoint, incarnation, chain, usage.cachedTokens, now, match)
@@ -204,6 +199,6 @@
     serviceStarted: services.started,
     serviceEnded: services.ended,
     explain,
-    dump: () => ({ workers: [...models.values()].map(model => modelSummary(model, meanCost())), services: services.dump(), widths: widths.dump(), beliefs: belief.dump() })
+    dump: () => ({ workers: [...models.values()].map(model => modelSummary(model, meanCost)), services: services.dump(), widths: widths.dump(), beliefs: belief.dump() })
   }
 }
--- a/src/routing/routingTypes.ts
+++ b/src/routing/routingTypes.ts
@@ -132,7 +132,7 @@
   readonly pendingTokens: number
   readonly prefillCost: number
   readonly tokenTime: number
-  readonly slots: number
+  readonly serviceTime: number
 }
 
 /** The routing of one instance. */
--- a/src/routing/score.ts
+++ b/src/routing/score.ts
@@ -39,6 +39,8 @@
   readonly belief: PlacedBelief
   readonly meanCost: number
   readonly objective: Objective
+  /** What a recomputed token costs those who wait behind it, in multiples of its own cost. */
+  readonly congestion: number
   readonly now: number
 }
 
@@ -63,13 +65,13 @@
  * @returns the score; the lowest is best
  */
 export const scoreOf = (parts: ScoreParts): Score => {
-  const { question, endpoint, index, model, match, depth, meanCost, objective, now } = parts
+  const { question, endpoint, index, model, match, depth, meanCost, objective, congestion, now } = parts
   const cost = prefillCost(model, meanCost)
   const wait = expectedQueue(model, endpoint, cost, now)
   const cachedTokens = Math.min(question.promptTokens, expectedCached(parts))
   const uncachedTokens = question.promptTokens - cachedTokens
   const unplacedTokens = Math.max(0, question.chain.tokens - tokensOfDepth(question.chain, depth))
   const expectedWait = wait + firstTokenOverhead + uncachedTokens * cost
-  const extra = objective.recomputation * uncachedTokens + objective.placement * unplacedTokens
+  const extra = (objective.recomputation + congestion) * uncachedTokens + objective.placement * (1 + congestion) * unplacedTokens
   return { index, endpoint, model, match, depth, wait, cost, cachedTokens, uncachedTokens, expectedWait, score: expectedWait + extra * meanCost }
 }
--- a/src/routing/workerModel.ts
+++ b/src/routing/workerModel.ts
@@ -14,21 +14,22 @@
   /** Own requests dispatched and not ended. */
   inFlight: number
   /** Own requests that have had no first token yet, and their uncached tokens. */
-  pending: number
+  readonly pending: Set<Flight>
   pendingTokens: number
   /** The report last taken in, and the own share of its figures. */
   report: LoadReport | undefined
   ownAtReport: number
-  ownTokensAtReport: number
-  /** Sums, fading, of time to first token and of the tokens computed in it. */
-  prefillTime: number
-  prefillTokens: number
+  ownPendingAtReport: number
+  /** Mean uncached tokens of own requests here; 0 until known. */
+  meanUncached: number
+  /** A low quantile of the time to first token per token computed in it, in ms; 0 until known. */
+  tokenCost: number
+  /** Answers that `tokenCost` is drawn from, up to `fullEvidence`. */
+  costSamples: number
   /** Mean time per generated token, in ms; 0 until known. */
   tokenTime: number
   /** Mean time that a request holds a slot, in ms; 0 until known. */
   serviceTime: number
-  /** Requests served at once while others waited; undefined until seen. */
-  seenSlots: number | undefined
 }
 
 /** Time per uncached token of a worker of which nothing is known, in ms. */
@@ -38,8 +39,13 @@
 const defaultServiceTime = 2000
 /** Weight of the newest answer in means. */
 const learningRate = 0.1
-/** Tokens of evidence below which the fleet's mean still counts. */
-const priorTokens = 4000
+/** Answers after which the fleet's mean counts no more. */
+const fullEvidence = 10
+/** Waits that nobody told of make answers look slow; the worker's own speed shows in the quick ones. */
+const costQuantile = 0.3
+const costStep = 0.1
+/** Answers with fewer tokens to compute say little of speed. */
+const tellingTokens = 100
 /** Time in which half of a report's foreign load has become unknowable, in ms. */
 const reportHalfLife = 1500
 /** Time over which a worker that came back empty is given its full share, in ms. */
@@ -51,26 +57,25 @@
   endpoint,
   incarnation,
   inFlight: 0,
-  pending: 0,
+  pending: new Set(),
   pendingTokens: 0,
   report: undefined,
   ownAtReport: 0,
-  ownTokensAtReport: 0,
-  prefillTime: 0,
-  prefillTokens: 0,
+  ownPendingAtReport: 0,
+  meanUncached: 0,
+  tokenCost: 0,
+  costSamples: 0,
   tokenTime: 0,
-  serviceTime: 0,
-  seenSlots: undefined
+  serviceTime: 0
 })
 
 /** Drops what belonged to an earlier incarnation. */
 export const restartModel = (model: WorkerModel, incarnation: string): void => {
   model.incarnation = incarnation
   model.inFlight = 0
-  model.pending = 0
+  model.pending.clear()
   model.pendingTokens = 0
   model.report = undefined
-  model.seenSlots = undefined
 }
 
 /** Takes in the newest report of a worker, with the own load at its arrival. */
@@ -78,19 +83,29 @@
   if (report === undefined || report === model.report || report.incarnation !== model.incarnation) return
   model.report = report
   model.ownAtReport = model.inFlight
-  model.ownTokensAtReport = model.pendingTokens
-  if (report.waiting > 0) model.seenSlots = report.running
+  model.ownPendingAtReport = model.pending.size
 }
 
 /** The worker's time per uncached token, in ms; the fleet's mean stands in until it is known. */
 export const prefillCost = (model: WorkerModel, meanCost: number): number =>
-  (model.prefillTime + priorTokens * meanCost) / (model.prefillTokens + priorTokens)
+  (model.costSamples * model.tokenCost + (fullEvidence - model.costSamples) * meanCost) / fullEvidence
+
+/** The mean time per uncached token of the workers whose speed is known, in ms. */
+export const meanPrefillCost = (models: Iterable<WorkerModel>, unknown: number): number => {
+  let sum = 0
+  let count = 0
+  for (const model of models) {
+    if (model.costSamples === 0) continue
+    sum += model.tokenCost
+    count++
+  }
+  return count === 0 ? unknown : sum / count
+}
 
-const slotsOf = (model: WorkerModel, endpoint: Endpoint, now: number): number => {
-  const seen = model.seenSlots === undefined ? endpoint.slots : Math.min(endpoint.slots, Math.max(1, model.seenSlots))
+const slotsOf = (endpoint: Endpoint, now: number): number => {
   const age = now - endpoint.since
   const ramp = age >= rampTime || endpoint.since <= 0 ? 1 : Math.max(rampFloor, age / rampTime)
-  return Math.max(1, seen * ramp)
+  return Math.max(1, endpoint.slots * ramp)
 }
 
 /** Load on a worker as far as it is known: own requests at once, those of others by an aged report. */
@@ -99,42 +114,62 @@
   readonly tokens: number
 }
 
+/** Uncached tokens of others' waiting requests; a report counts whole prompts, of which much may be cached. */
+const otherTokens = (model: WorkerModel, report: LoadReport): number => {
+  const waiting = Math.max(0, report.waiting - model.ownPendingAtReport)
+  if (waiting === 0) return 0
+  const reported = report.waitingTokens / report.waiting
+  return waiting * (model.meanUncached === 0 ? reported : Math.min(reported, model.meanUncached))
+}
+
 /** The load that a worker has now. */
 export const loadOf = (model: WorkerModel, now: number): WorkerLoad => {
   const { report } = model
   if (report === undefined) return { requests: model.inFlight, tokens: model.pendingTokens }
   const trust = 0.5 ** (Math.max(0, now - report.at) / reportHalfLife)
   const others = Math.max(0, report.running + report.waiting - model.ownAtReport)
-  const otherTokens = Math.max(0, report.waitingTokens - model.ownTokensAtReport)
-  return { requests: model.inFlight + others, tokens: model.pendingTokens + otherTokens * trust }
+  return { requests: model.inFlight + others, tokens: model.pendingTokens + otherTokens(model, report) * trust }
+}
+
+/** How far the worker is behind what was expected of it, in ms: its oldest request without a first token tells. */
+const overdue = (model: WorkerModel, now: number): number => {
+  for (const flight of model.pending) return Math.max(0, now - flight.startedAt - flight.choice.expectedWait)
+  return 0
 }
 
 /** Expected time until a worker starts on a new prompt, in ms. */
 export const expectedQueue = (model: WorkerModel, endpoint: Endpoint, cost: number, now: number): number => {
   const load = loadOf(model, now)
-  const slots = slotsOf(model, endpoint, now)
+  const slots = slotsOf(endpoint, now)
   const over = Math.max(0, load.requests + 1 - slots)
   const service = model.serviceTime === 0 ? defaultServiceTime : model.serviceTime
-  return load.tokens * cost + over * service / slots
+  return load.tokens * cost + over * service / slots + overdue(model, now)
 }
 
 /** Counts a dispatched request. */
-export const noteStarted = (model: WorkerModel, uncachedTokens: number): void => {
+export const noteStarted = (model: WorkerModel, flight: Flight): void => {
   model.inFlight++
-  model.pending++
-  model.pendingTokens += uncachedTokens
+  model.pending.add(flight)
+  model.pendingTokens += flight.uncachedTokens
 }
 
 const endPending = (model: WorkerModel, flight: Flight): void => {
-  if (flight.firstTokenAt !== undefined) return
-  model.pending = Math.max(0, model.pending - 1)
-  model.pendingTokens = model.pending === 0 ? 0 : Math.max(0, model.pendingTokens - flight.uncachedTokens)
+  if (!model.pending.delete(flight)) return
+  model.pendingTokens = model.pending.size === 0 ? 0 : Math.max(0, model.pendingTokens - flight.uncachedTokens)
+}
+
+const learnCost = (model: WorkerModel, sample: number): void => {
+  if (model.costSamples === 0) model.tokenCost = sample
+  model.tokenCost *= Math.exp(costStep * (sample > model.tokenCost ? costQuantile : costQuantile - 1))
+  model.costSamples = Math.min(fullEvidence, model.costSamples + 1)
 }
 
-/** Counts the first token of a request. */
+/** Counts the first token of a request, and learns the worker's speed from it. */
 export const noteFirstToken = (model: WorkerModel, flight: Flight, now: number): void => {
   endPending(model, flight)
   flight.firstTokenAt = now
+  if (flight.tokensAhead < tellingTokens) return
+  learnCost(model, Math.max(0, now - flight.startedAt - firstTokenOverhead) / flight.tokensAhead)
 }
 
 /** Counts the end of a request. */
@@ -150,11 +185,7 @@
 export const learnSpeeds = (model: WorkerModel, flight: Flight, usage: Usage, now: number): void => {
   const firstTokenAt = flight.firstTokenAt ?? now
   const uncached = Math.max(0, usage.promptTokens - usage.cachedTokens)
-  const tokens = Math.max(0, flight.tokensAhead - flight.uncachedTokens) + uncached
-  if (tokens > 0) {
-    model.prefillTime = model.prefillTime * (1 - learningRate) + Math.max(0, firstTokenAt - flight.startedAt - firstTokenOverhead)
-    model.prefillTokens = model.prefillTokens * (1 - learningRate) + tokens
-  }
+  model.meanUncached = blend(model.meanUncached, uncached)
   if (usage.completionTokens > 1) model.tokenTime = blend(model.tokenTime, (now - firstTokenAt) / (usage.completionTokens - 1))
   model.serviceTime = blend(model.serviceTime, now - flight.startedAt)
 }
@@ -167,5 +198,5 @@
   pendingTokens: model.pendingTokens,
   prefillCost: prefillCost(model, meanCost),
   tokenTime: model.tokenTime,
-  slots: model.seenSlots ?? 0
+  serviceTime: model.serviceTime
 })
