--- /dev/null
+++ b/bench/policy/report.ts
@@ -0,0 +1,97 @@
+/** Tables of a bench as Markdown. */
+import type { Deployment } from './benchTypes.js'
+import type { Figures } from './metrics.js'
+import type { Results } from './results.js'
+import { baselineNames, ownName } from './results.js'
+import type { Verdict } from './verdicts.js'
+
+interface Column {
+  readonly title: string
+  readonly figure: keyof Figures
+  readonly digits: number
+}
+
+const columns: readonly Column[] = [
+  { title: 'hit rate', figure: 'hitRate', digits: 3 },
+  { title: 'p50 ms', figure: 'ttftP50', digits: 0 },
+  { title: 'p95 ms', figure: 'ttftP95', digits: 0 },
+  { title: 'p99 ms', figure: 'ttftP99', digits: 0 },
+  { title: 'recomputed ktok', figure: 'recomputed', digits: 0 },
+  { title: 'worth served', figure: 'worthServed', digits: 3 },
+  { title: 'on time', figure: 'onTime', digits: 3 },
+  { title: 'retries', figure: 'retries', digits: 3 },
+  { title: 'fairness', figure: 'fairness', digits: 3 },
+  { title: 'refused: deadline', figure: 'refusedDeadline', digits: 0 },
+  { title: 'fair share', figure: 'refusedFairShare', digits: 0 },
+  { title: 'other', figure: 'refusedOther', digits: 0 }
+]
+
+const line = (cells: readonly string[]): string => `| ${cells.join(' | ')} |`
+
+const head = (titles: readonly string[]): string[] => [line(titles), line(titles.map(() => '---'))]
+
+const cell = (results: Results, deployment: string, workload: string, policy: string, { figure, digits }: Column): string => {
+  const { mean, spread } = results.spread(deployment, workload, policy, figure)
+  return spread === 0 ? mean.toFixed(digits) : `${mean.toFixed(digits)} ± ${spread.toFixed(digits)}`
+}
+
+/** One workload's table. */
+export const workloadTable = (results: Results, deployment: string, workload: string): string => [
+  ...head(['policy', ...columns.map(column => column.title)]),
+  ...results.policies
+    .filter(policy => results.of(deployment, workload, policy).length > 0)
+    .map(policy => line([policy, ...columns.map(column => cell(results, deployment, workload, policy, column))]))
+].join('\n')
+
+const ratio = (results: Results, deployment: string, workload: string, baseline: string, figure: keyof Figures): string => {
+  const other = results.mean(deployment, workload, baseline, figure)
+  return other === 0 ? '-' : (results.mean(deployment, workload, ownName, figure) / other).toFixed(2)
+}
+
+/** The own policy's figures as ratios against each baseline. */
+export const ratioTable = (results: Results, deployment: string, figure: keyof Figures): string => [
+  ...head(['workload', ...baselineNames]),
+  ...results.workloads(deployment).map(workload =>
+    line([workload, ...baselineNames.map(baseline => ratio(results, deployment, workload, baseline, figure))]))
+].join('\n')
+
+/** The verdicts. */
+export const verdictTable = (verdicts: readonly Verdict[]): string => [
+  ...head(['bound', 'measured', '']),
+  ...verdicts.map(({ bound, measured, met }) => line([bound, measured, met ? 'met' : 'RED']))
+].join('\n')
+
+/** What cache events cost and bring, by variant. */
+export const knowledgeTable = (results: Results, deployment: string): string => [
+  ...head(['policy', 'hit rate', 'events delivered', 'bytes per entry']),
+  ...[ownName, 'levelEvents', 'answersOnly', 'stateless'].map(policy => line([
+    policy,
+    results.mean(deployment, 'nested', policy, 'hitRate').toFixed(3),
+    results.mean(deployment, 'nested', policy, 'eventsDelivered').toFixed(0),
+    results.mean(deployment, 'nested', policy, 'knowledgeBytes').toFixed(0)
+  ]))
+].join('\n')
+
+/** A deployment's page. */
+export const page = (results: Results, deployment: Deployment, verdicts: readonly Verdict[], seeds: number, command: string): string => [
+  `# Policy measurements: ${deployment.name}`,
+  `Written by \`${command}\`; ${seeds} seeds, mean ± half the distance between largest and smallest. Trials in virtual time, not of the built binary.`,
+  'Time to first token runs from the caller\'s first arrival; a call that gets none counts with the time at which its caller gives up, three times its target. Recomputed tokens are those that some worker had computed before. Worth served is the worth of calls answered within their target over all worth offered. Fairness is Jain\'s index over the workspaces\' parts answered on time.',
+  '## Bounds',
+  verdictTable(verdicts),
+  '## Own figure over each baseline\'s: p99 of time to first token',
+  ratioTable(results, deployment.name, 'ttftP99'),
+  '## Own figure over each baseline\'s: worth served',
+  ratioTable(results, deployment.name, 'worthServed'),
+  '## Own figure over each baseline\'s: recomputed tokens',
+  ratioTable(results, deployment.name, 'recomputed'),
+  '## Own figure over each baseline\'s: hit rate',
+  ratioTable(results, deployment.name, 'hitRate'),
+  '## Knowledge of caches (nested)',
+  knowledgeTable(results, deployment.name),
+  ...results.workloads(deployment.name).flatMap(workload => [
+    `## ${workload}`,
+    `![${workload}](${deployment.name}-${workload}.svg)`,
+    workloadTable(results, deployment.name, workload)
+  ])
+].join('\n\n') + '\n'
--- a/src/routing/workerModel.ts
+++ b/src/routing/workerModel.ts
@@ -133,8 +133,8 @@
 
 /** How far the worker is behind what was expected of it, in ms: its oldest request without a first token tells. */
 const overdue = (model: WorkerModel, now: number): number => {
-  for (const flight of model.pending) return Math.max(0, now - flight.startedAt - flight.choice.expectedWait)
-  return 0
+  const oldest = model.pending.values().next().value
+  return oldest === undefined ? 0 : Math.max(0, now - oldest.startedAt - oldest.choice.expectedWait)
 }
 
 /** Expected time until a worker starts on a new prompt, in ms. */
