Let expected waits and admission follow priorities

Cause: at twice the capacity nearly all was refused, urgent work too: waits were taken over the whole queue, and large workspaces were refused for being large as soon as queues were a quarter of the deadline. Change: routing counts what is ahead of a priority only; limits tell the priority before the choice (priorityOf), and enforce fair shares from half the deadline on. Goodput counts by the admitted attempt.

--- a/bench/policy/metrics.ts
+++ b/bench/policy/metrics.ts
@@ -12,7 +12,7 @@
   readonly recomputed: number
   /** Worth of calls answered within their target, as a part of all worth offered. */
   readonly worthServed: number
-  /** Calls answered within their target, per second. */
+  /** Calls answered within their target of the attempt that was admitted, per second. */
   readonly goodput: number
   /** Part of the calls answered within their target. */
   readonly onTime: number
@@ -54,6 +54,9 @@
 
 const inTime = (outcome: Outcome): boolean => outcome.finished && outcome.ttft !== undefined && outcome.ttft <= outcome.call.target
 
+const admittedInTime = ({ finished, admittedTtft, call }: Outcome): boolean =>
+  finished && admittedTtft !== undefined && admittedTtft <= call.target
+
 const hitRate = (outcomes: readonly Outcome[]): number => {
   const finished = outcomes.filter(outcome => outcome.finished)
   return part(sum(finished.map(outcome => outcome.cachedTokens)), sum(finished.map(outcome => outcome.promptTokens)))
@@ -110,7 +113,7 @@
     ttftP99: quantile(times, 0.99),
     recomputed: sum(outcomes.map(outcome => outcome.recomputedTokens)) / 1000,
     worthServed: part(sum(good.map(({ call }) => call.worth)), sum(outcomes.map(({ call }) => call.worth))),
-    goodput: good.length / (workload.duration - workload.measureFrom) * 1000,
+    goodput: outcomes.filter(admittedInTime).length / (workload.duration - workload.measureFrom) * 1000,
     onTime: part(good.length, outcomes.length),
     admittedP95: quantile(admitted.map(({ admittedTtft, call }) => Math.min(patience, (admittedTtft ?? Infinity) / call.target)), 0.95),
     retries: part(sum(outcomes.map(outcome => outcome.retries)), sum(outcomes.map(outcome => outcome.firstAttempts))),
--- a/bench/policy/wasabireel.ts
+++ b/bench/policy/wasabireel.ts
@@ -80,7 +80,8 @@
   const limits = limitsOf(context)
 
   const choose: EntryPolicy['choose'] = (question, endpoints, now) => {
-    const asked = questionOf(question)
+    const { workspace, priority } = question.call
+    const asked = { ...questionOf(question), priority: admits ? limits.priorityOf(workspace, priority, now) : priority }
     const choice = routing.choose(asked, knowledge ? endpoints : endpoints.map(withoutReport), now)
     if (choice.isErr()) return refused('noEndpoint', 500 + random.below(500))
     const { expectedWait, endpoint } = choice.value
--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -22,15 +22,17 @@
 /** Workspaces without demand for this long, in ms, are forgotten. */
 const idleTimeout = 30_000
 /** Part of the time to the deadline that a workspace over its fair part may wait. */
-const overShareHeadroom = 0.35
+const overShareHeadroom = 0.5
 /** Part of the time to the deadline that ordinary work may wait. */
 const ordinaryHeadroom = 0.9
 const lowPriorityHeadroom = 0.5
 /** Pressure, as expected wait over time to the deadline, from which fairness is enforced. */
-const pressureFloor = 0.25
+const pressureFloor = 0.5
 const pressureRate = 0.05
 /** Work over the fair part that is tolerated. */
 const fairTolerance = 1.15
+/** Priority that a workspace over its fair part loses. */
+const demotion = 2
 const shortestRetryAfter = 100
 const worthRate = 0.01
 
@@ -87,6 +89,12 @@
     return overShare ? Math.min(overShareHeadroom, byPriority * byWorth) : byPriority * byWorth
   }
 
+  const overShare = (workspace: string, now: number): boolean =>
+    pressure > pressureFloor && fairness.ratio(workspace, now) > fairTolerance
+
+  const priorityOf = (workspace: string, priority: number, now: number): number =>
+    overShare(workspace, now) ? priority - demotion : priority
+
   const admit = (question: AdmissionQuestion, now: number): Result<Admission, Refusal> => {
     const state = stateOf(question.workspace, now)
     noteDemand(state, question, now)
@@ -96,8 +104,8 @@
     const expected = question.expectedWait * waitFactor.value()
     pressure += pressureRate * (Math.min(2, expected / Math.max(1, left)) - pressure)
     meanWorth += worthRate * (question.worth - meanWorth)
+    state.overShare = overShare(question.workspace, now)
     if (expected > left) return refuse(state, 'deadline', expected - left)
-    state.overShare = pressure > pressureFloor && fairness.ratio(question.workspace, now) > fairTolerance
     if (expected > left * headroom(question, state.overShare)) {
       return refuse(state, state.overShare ? 'fairShare' : 'deadline', expected)
     }
@@ -111,7 +119,7 @@
     state.tokens.take(question.tokens)
     state.retries.firstAttempt()
     fairness.note(question.workspace, Math.max(1, question.tokens), now)
-    const priority = state.overShare ? question.priority - 1 : question.priority
+    const priority = state.overShare ? question.priority - demotion : question.priority
     return { workspace: question.workspace, priority, tokens: question.tokens, admittedAt: now, expectedWait: question.expectedWait, deadline: question.deadline, ended: false }
   }
 
@@ -178,6 +186,7 @@
 
   return {
     handle,
+    priorityOf,
     admit,
     firstToken,
     finished,
--- a/src/limits/limitsTypes.ts
+++ b/src/limits/limitsTypes.ts
@@ -101,6 +101,8 @@
 /** The limits of one instance. */
 export interface Limits {
   readonly handle: (input: LimitsInput, now: number) => readonly LimitsEffect[]
+  /** The priority that a request would get now; routing's expected wait depends on it. */
+  readonly priorityOf: (workspace: string, priority: number, now: number) => number
   readonly admit: (question: AdmissionQuestion, now: number) => Result<Admission, Refusal>
   /** Compares the time to the first token with what was expected. */
   readonly firstToken: (admission: Admission, now: number) => void
--- a/src/routing/workerModel.ts
+++ b/src/routing/workerModel.ts
@@ -20,6 +20,8 @@
   report: LoadReport | undefined
   ownAtReport: number
   ownPendingAtReport: number
+  /** Own uncached tokens by priority, fading. */
+  readonly tokensByPriority: Map<number, number>
   /** Mean uncached tokens of own requests here; 0 until known. */
   meanUncached: number
   /** A low quantile of the time to first token per token computed in it, in ms; 0 until known. */
@@ -39,6 +41,8 @@
 const defaultServiceTime = 2000
 /** Weight of the newest answer in means. */
 const learningRate = 0.1
+/** Part of the mix of priorities that each further request leaves. */
+const priorityFade = 0.97
 /** Answers after which the fleet's mean counts no more. */
 const fullEvidence = 10
 /** Waits that nobody told of make answers look slow; the worker's own speed shows in the quick ones. */
@@ -62,6 +66,7 @@
   report: undefined,
   ownAtReport: 0,
   ownPendingAtReport: 0,
+  tokensByPriority: new Map(),
   meanUncached: 0,
   tokenCost: 0,
   costSamples: 0,
@@ -131,19 +136,40 @@
   return { requests: model.inFlight + others, tokens: model.pendingTokens + otherTokens(model, report) * trust }
 }
 
-/** How far the worker is behind what was expected of it, in ms: its oldest request without a first token tells. */
-const overdue = (model: WorkerModel, now: number): number => {
-  const oldest = model.pending.values().next().value
-  return oldest === undefined ? 0 : Math.max(0, now - oldest.startedAt - oldest.choice.expectedWait)
+/** The part of a worker's load that a request of this priority has to wait for; the own requests show the mix of all. */
+const partAhead = (model: WorkerModel, priority: number): number => {
+  let ahead = 0
+  let all = 0
+  for (const [level, tokens] of model.tokensByPriority) {
+    all += tokens
+    if (level >= priority) ahead += tokens
+  }
+  return all === 0 ? 1 : ahead / all
+}
+
+const ownTokensAhead = (model: WorkerModel, priority: number): number => {
+  let tokens = 0
+  for (const flight of model.pending) if (flight.question.priority >= priority) tokens += flight.uncachedTokens
+  return tokens
+}
+
+/** How far the worker is behind what was expected of it, in ms: its oldest request of this priority without a first token tells. */
+const overdue = (model: WorkerModel, priority: number, now: number): number => {
+  for (const { question, startedAt, choice } of model.pending) {
+    if (question.priority >= priority) return Math.max(0, now - startedAt - choice.expectedWait)
+  }
+  return 0
 }
 
 /** Expected time until a worker starts on a new prompt, in ms. */
-export const expectedQueue = (model: WorkerModel, endpoint: Endpoint, cost: number, now: number): number => {
+export const expectedQueue = (model: WorkerModel, endpoint: Endpoint, cost: number, priority: number, now: number): number => {
   const load = loadOf(model, now)
   const slots = slotsOf(endpoint, now)
-  const over = Math.max(0, load.requests + 1 - slots)
+  const part = partAhead(model, priority)
+  const over = Math.max(0, load.requests + 1 - slots) * part
   const service = model.serviceTime === 0 ? defaultServiceTime : model.serviceTime
-  return load.tokens * cost + over * service / slots + overdue(model, now)
+  const tokens = ownTokensAhead(model, priority) + (load.tokens - model.pendingTokens) * part
+  return tokens * cost + over * service / slots + overdue(model, priority, now)
 }
 
 /** Counts a dispatched request. */
@@ -151,6 +177,9 @@
   model.inFlight++
   model.pending.add(flight)
   model.pendingTokens += flight.uncachedTokens
+  const { priority } = flight.question
+  for (const [level, tokens] of model.tokensByPriority) model.tokensByPriority.set(level, tokens * priorityFade)
+  model.tokensByPriority.set(priority, (model.tokensByPriority.get(priority) ?? 0) + flight.uncachedTokens)
 }
 
 const endPending = (model: WorkerModel, flight: Flight): void => {
