--- a/bench/policy/benchTypes.ts
+++ b/bench/policy/benchTypes.ts
@@ -93,7 +93,7 @@
 
 /** What an entry does with a call. */
 export type Decision =
-  | { readonly kind: 'dispatch', readonly endpoint: string, readonly priority: number, readonly attempt: Attempt }
+  | { readonly kind: 'dispatch', readonly endpoint: string, readonly expectedWait?: number, readonly priority: number, readonly attempt: Attempt }
   | { readonly kind: 'refuse', readonly reason: string, readonly retryAfter: number }
 
 /** What an entry's policy is asked. */
--- a/src/limits/fairness.ts
+++ b/src/limits/fairness.ts
@@ -1,8 +1,7 @@
 /**
  * Fairness between workspaces when there is not enough for all. Each
  * workspace's recent work is compared with its weighted part of all recent
- * work; one that is over it is admitted only while the queue is short, and goes
- * behind the others at the engine.
+ * work; one that is over it is admitted only while the queue is short.
  */
 
 /** Recent work by workspace. */
--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -24,15 +24,13 @@
 /** Part of the time to the deadline that a workspace over its fair part may wait. */
 const overShareHeadroom = 0.5
 /** Part of the time to the deadline that ordinary work may wait. */
-const ordinaryHeadroom = 0.9
+const ordinaryHeadroom = 1
 const lowPriorityHeadroom = 0.5
 /** Pressure, as expected wait over time to the deadline, from which fairness is enforced. */
-const pressureFloor = 0.5
+const pressureFloor = 0.7
 const pressureRate = 0.05
 /** Work over the fair part that is tolerated. */
 const fairTolerance = 1.15
-/** Priority that a workspace over its fair part loses. */
-const demotion = 2
 const shortestRetryAfter = 100
 const worthRate = 0.01
 
@@ -92,9 +90,6 @@
   const overShare = (workspace: string, now: number): boolean =>
     pressure > pressureFloor && fairness.ratio(workspace, now) > fairTolerance
 
-  const priorityOf = (workspace: string, priority: number, now: number): number =>
-    overShare(workspace, now) ? priority - demotion : priority
-
   const admit = (question: AdmissionQuestion, now: number): Result<Admission, Refusal> => {
     const state = stateOf(question.workspace, now)
     noteDemand(state, question, now)
@@ -119,8 +114,7 @@
     state.tokens.take(question.tokens)
     state.retries.firstAttempt()
     fairness.note(question.workspace, Math.max(1, question.tokens), now)
-    const priority = state.overShare ? question.priority - demotion : question.priority
-    return { workspace: question.workspace, priority, tokens: question.tokens, admittedAt: now, expectedWait: question.expectedWait, deadline: question.deadline, ended: false }
+    return { workspace: question.workspace, tokens: question.tokens, admittedAt: now, expectedWait: question.expectedWait, deadline: question.deadline, ended: false }
   }
 
   const firstToken = (admission: Admission, now: number): void =>
@@ -186,7 +180,6 @@
 
   return {
     handle,
-    priorityOf,
     admit,
     firstToken,
     finished,
--- a/src/limits/limitsTypes.ts
+++ b/src/limits/limitsTypes.ts
@@ -31,8 +31,6 @@
 /** A request that was let in; it must be given to `finished` once. */
 export interface Admission {
   readonly workspace: string
-  /** Priority for the engine; lower than asked for while the workspace is over its fair share. */
-  readonly priority: number
   readonly tokens: number
   readonly admittedAt: number
   readonly expectedWait: number
@@ -101,8 +99,6 @@
 /** The limits of one instance. */
 export interface Limits {
   readonly handle: (input: LimitsInput, now: number) => readonly LimitsEffect[]
-  /** The priority that a request would get now; routing's expected wait depends on it. */
-  readonly priorityOf: (workspace: string, priority: number, now: number) => number
   readonly admit: (question: AdmissionQuestion, now: number) => Result<Admission, Refusal>
   /** Compares the time to the first token with what was expected. */
   readonly firstToken: (admission: Admission, now: number) => void
--- a/src/routing/score.ts
+++ b/src/routing/score.ts
@@ -67,7 +67,7 @@
 export const scoreOf = (parts: ScoreParts): Score => {
   const { question, endpoint, index, model, match, depth, meanCost, objective, congestion, now } = parts
   const cost = prefillCost(model, meanCost)
-  const wait = expectedQueue(model, endpoint, cost, question.priority, now)
+  const wait = expectedQueue(model, endpoint, cost, question.priority, congestion / (1 + congestion), now)
   const cachedTokens = Math.min(question.promptTokens, expectedCached(parts))
   const uncachedTokens = question.promptTokens - cachedTokens
   const unplacedTokens = Math.max(0, question.chain.tokens - tokensOfDepth(question.chain, depth))
--- a/src/routing/workerModel.ts
+++ b/src/routing/workerModel.ts
@@ -43,6 +43,8 @@
 const learningRate = 0.1
 /** Part of the mix of priorities that each further request leaves. */
 const priorityFade = 0.97
+/** Largest part of a worker's work that is taken to overtake a waiting request. */
+const maxOvertaking = 0.8
 /** Answers after which the fleet's mean counts no more. */
 const fullEvidence = 10
 /** Waits that nobody told of make answers look slow; the worker's own speed shows in the quick ones. */
@@ -136,15 +138,23 @@
   return { requests: model.inFlight + others, tokens: model.pendingTokens + otherTokens(model, report) * trust }
 }
 
-/** The part of a worker's load that a request of this priority has to wait for; the own requests show the mix of all. */
-const partAhead = (model: WorkerModel, priority: number): number => {
+/** Parts of a worker's work by priority, seen from one: what is ahead of it, and what will overtake it. */
+interface PriorityMix {
+  readonly ahead: number
+  readonly overtaking: number
+}
+
+/** The mix of priorities of the own requests, which stands for that of all. */
+const mixOf = (model: WorkerModel, priority: number): PriorityMix => {
   let ahead = 0
+  let overtaking = 0
   let all = 0
   for (const [level, tokens] of model.tokensByPriority) {
     all += tokens
     if (level >= priority) ahead += tokens
+    if (level > priority) overtaking += tokens
   }
-  return all === 0 ? 1 : ahead / all
+  return all === 0 ? { ahead: 1, overtaking: 0 } : { ahead: ahead / all, overtaking: overtaking / all }
 }
 
 const ownTokensAhead = (model: WorkerModel, priority: number): number => {
@@ -161,15 +171,20 @@
   return 0
 }
 
-/** Expected time until a worker starts on a new prompt, in ms. */
-export const expectedQueue = (model: WorkerModel, endpoint: Endpoint, cost: number, priority: number, now: number): number => {
+/**
+ * Expected time until a worker starts on a new prompt, in ms. Work of a higher
+ * priority that arrives meanwhile goes first: its part of a busy worker's time
+ * stretches the wait.
+ */
+export const expectedQueue = (model: WorkerModel, endpoint: Endpoint, cost: number, priority: number, utilisation: number, now: number): number => {
   const load = loadOf(model, now)
   const slots = slotsOf(endpoint, now)
-  const part = partAhead(model, priority)
-  const over = Math.max(0, load.requests + 1 - slots) * part
+  const mix = mixOf(model, priority)
+  const over = Math.max(0, load.requests + 1 - slots) * mix.ahead
   const service = model.serviceTime === 0 ? defaultServiceTime : model.serviceTime
-  const tokens = ownTokensAhead(model, priority) + (load.tokens - model.pendingTokens) * part
-  return tokens * cost + over * service / slots + overdue(model, priority, now)
+  const tokens = ownTokensAhead(model, priority) + (load.tokens - model.pendingTokens) * mix.ahead
+  const wait = tokens * cost + over * service / slots + overdue(model, priority, now)
+  return wait / (1 - Math.min(maxOvertaking, mix.overtaking * utilisation))
 }
 
 /** Counts a dispatched request. */
