Compare workspaces with their usual part of the work

Change: a workspace is entitled to its usual part, at least an equal one; over it, the wait it may have shrinks with the excess.

--- a/bench/policy/deployments.ts
+++ b/bench/policy/deployments.ts
@@ -46,7 +46,7 @@
   workspaces: workspaces('member', [1500, 700, 1200]),
   utilisation: 0.55,
   objective: worthObjective,
-  worthExponent: 0.3,
+  worthExponent: 1,
   firstMeasure: 'worthServed'
 }
 
--- a/src/limits/fairness.ts
+++ b/src/limits/fairness.ts
@@ -1,24 +1,28 @@
 /**
- * Fairness between workspaces when there is not enough for all. Each
- * workspace's recent work is compared with its weighted part of all recent
- * work; one that is over it is admitted only while the queue is short.
+ * Fairness between workspaces when there is not enough for all. A workspace is
+ * entitled to its usual part of the work, and to an equal part at least; its
+ * recent part is compared with that. One that is over it is admitted only while
+ * the queue is short, so that it takes nothing from the others.
  */
 
-/** Recent work by workspace. */
+/** Recent and usual work by workspace. */
 export interface Fairness {
   readonly note: (workspace: string, work: number, now: number) => void
-  /** Work of a workspace over its fair part; 1 is exactly fair. */
+  /** Recent work of a workspace over what it is entitled to; 1 is exactly fair. */
   readonly ratio: (workspace: string, now: number) => number
 }
 
 interface Account {
-  work: number
+  recent: number
+  usual: number
   at: number
 }
 
-/** Time in which half of the work is forgotten, in ms. */
-const halfLife = 2000
-const forgottenBelow = 1e-3
+/** Time in which half of the recent work is forgotten, in ms. */
+const recentHalfLife = 2000
+/** Time in which half of the usual work is forgotten, in ms. */
+const usualHalfLife = 120_000
+const forgottenBelow = 1
 
 /**
  * Creates an empty record.
@@ -29,30 +33,43 @@
 export const createFairness = (weightOf: (workspace: string) => number): Fairness => {
   const accounts = new Map<string, Account>()
 
-  const workOf = (account: Account, now: number): number => account.work * 0.5 ** ((now - account.at) / halfLife)
+  const fade = (account: Account, now: number): void => {
+    const passed = now - account.at
+    account.recent *= 0.5 ** (passed / recentHalfLife)
+    account.usual *= 0.5 ** (passed / usualHalfLife)
+    account.at = now
+  }
 
   const note = (workspace: string, work: number, now: number): void => {
-    const account = accounts.get(workspace) ?? { work: 0, at: now }
-    accounts.set(workspace, { work: workOf(account, now) + work, at: now })
+    const account = accounts.get(workspace) ?? { recent: 0, usual: 0, at: now }
+    accounts.set(workspace, account)
+    fade(account, now)
+    account.recent += work
+    account.usual += work
   }
 
-  /** The level at which capacity equal to all recent work would cut the greediest, by water-filling. */
-  const fairPart = (workspace: string, now: number): number => {
-    const active: { weight: number, work: number }[] = []
+  const fadeAll = (now: number): void => {
     for (const [id, account] of accounts) {
-      const work = workOf(account, now)
-      if (work < forgottenBelow) accounts.delete(id)
-      else active.push({ weight: weightOf(id), work })
+      fade(account, now)
+      if (account.usual < forgottenBelow) accounts.delete(id)
     }
-    const total = active.reduce((sum, one) => sum + one.work, 0)
-    const weights = active.reduce((sum, one) => sum + one.weight, 0)
-    return weights === 0 ? Infinity : total * weightOf(workspace) / weights
   }
 
   const ratio = (workspace: string, now: number): number => {
+    fadeAll(now)
     const account = accounts.get(workspace)
     if (account === undefined || accounts.size < 2) return 0
-    return workOf(account, now) / fairPart(workspace, now)
+    let recent = 0
+    let usual = 0
+    for (const other of accounts.values()) {
+      recent += other.recent
+      usual += other.usual
+    }
+    const equal = usual / accounts.size
+    let entitlements = 0
+    for (const [id, other] of accounts) entitlements += weightOf(id) * Math.max(equal, other.usual)
+    const entitled = weightOf(workspace) * Math.max(equal, account.usual) / entitlements
+    return recent === 0 ? 0 : account.recent / recent / entitled
   }
 
   return { note, ratio }
--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -21,16 +21,14 @@
 const noticeInterval = 500
 /** Workspaces without demand for this long, in ms, are forgotten. */
 const idleTimeout = 30_000
-/** Part of the time to the deadline that a workspace over its fair part may wait. */
-const overShareHeadroom = 0.5
-/** Part of the time to the deadline that ordinary work may wait. */
-const ordinaryHeadroom = 1
+/** Part of the time to the deadline that a workspace at its fair part may wait once another is over its own. */
+const overShareHeadroom = 0.6
 const lowPriorityHeadroom = 0.5
 /** Pressure, as expected wait over time to the deadline, from which fairness is enforced. */
-const pressureFloor = 0.7
+const pressureFloor = 0.6
 const pressureRate = 0.05
 /** Work over the fair part that is tolerated. */
-const fairTolerance = 1.15
+const fairTolerance = 1.3
 const shortestRetryAfter = 100
 const worthRate = 0.01
 
@@ -81,14 +79,18 @@
     return undefined
   }
 
-  const headroom = (question: AdmissionQuestion, overShare: boolean): number => {
-    const byPriority = question.priority > 0 ? 1 : question.priority < 0 ? lowPriorityHeadroom : ordinaryHeadroom
+  const headroom = (question: AdmissionQuestion): number => {
+    const byPriority = question.priority < 0 ? lowPriorityHeadroom : 1
     const byWorth = Math.min(1, (question.worth / meanWorth) ** options.worthExponent)
-    return overShare ? Math.min(overShareHeadroom, byPriority * byWorth) : byPriority * byWorth
+    return byPriority * byWorth
   }
 
-  const overShare = (workspace: string, now: number): boolean =>
-    pressure > pressureFloor && fairness.ratio(workspace, now) > fairTolerance
+  /** Part of the time to the deadline that a workspace may wait by its fair part: 1, or less the more it is over. */
+  const fairHeadroom = (workspace: string, now: number): number => {
+    if (pressure <= pressureFloor) return 1
+    const ratio = fairness.ratio(workspace, now)
+    return ratio <= fairTolerance ? 1 : overShareHeadroom / ratio
+  }
 
   const admit = (question: AdmissionQuestion, now: number): Result<Admission, Refusal> => {
     const state = stateOf(question.workspace, now)
@@ -99,9 +101,10 @@
     const expected = question.expectedWait * waitFactor.value()
     pressure += pressureRate * (Math.min(2, expected / Math.max(1, left)) - pressure)
     meanWorth += worthRate * (question.worth - meanWorth)
-    state.overShare = overShare(question.workspace, now)
+    const fair = fairHeadroom(question.workspace, now)
+    state.overShare = fair < 1
     if (expected > left) return refuse(state, 'deadline', expected - left)
-    if (expected > left * headroom(question, state.overShare)) {
+    if (expected > left * Math.min(fair, headroom(question))) {
       return refuse(state, state.overShare ? 'fairShare' : 'deadline', expected)
     }
     return ok(letIn(state, question, now))
--- a/src/limits/waitFactor.ts
+++ b/src/limits/waitFactor.ts
@@ -10,10 +10,10 @@
   readonly observe: (expected: number, actual: number, left: number) => void
 }
 
-const quantile = 0.7
+const quantile = 0.9
 const step = 0.02
 const smallest = 0.7
-const largest = 1.5
+const largest = 3
 /** Part of the time to the deadline below which an expected time says nothing of long queues. */
 const tellingPart = 0.3
 
