Fill in the usual load of others as a report ages

Cause: a report's foreign load faded to nothing with its age, so that waits were taken too short between reports. Change: it fades to the mean of earlier reports, with a half-life of 500 ms.

--- a/src/routing/workerModel.ts
+++ b/src/routing/workerModel.ts
@@ -22,6 +22,8 @@
   ownPendingAtReport: number
   /** Own uncached tokens by priority, fading. */
   readonly tokensByPriority: Map<number, number>
+  /** Mean uncached tokens of others' waiting requests, over reports. */
+  usualForeign: number
   /** Mean uncached tokens of own requests here; 0 until known. */
   meanUncached: number
   /** A low quantile of the time to first token per token computed in it, in ms; 0 until known. */
@@ -41,6 +43,8 @@
 const defaultServiceTime = 2000
 /** Weight of the newest answer in means. */
 const learningRate = 0.1
+/** Weight of the newest report in the usual load of others. */
+const usualRate = 0.2
 /** Part of the mix of priorities that each further request leaves. */
 const priorityFade = 0.97
 /** Largest part of a worker's work that is taken to overtake a waiting request. */
@@ -53,7 +57,7 @@
 /** Answers with fewer tokens to compute say little of speed. */
 const tellingTokens = 100
 /** Time in which half of a report's foreign load has become unknowable, in ms. */
-const reportHalfLife = 1500
+const reportHalfLife = 500
 /** Time over which a worker that came back empty is given its full share, in ms. */
 const rampTime = 4000
 const rampFloor = 0.25
@@ -69,6 +73,7 @@
   ownAtReport: 0,
   ownPendingAtReport: 0,
   tokensByPriority: new Map(),
+  usualForeign: 0,
   meanUncached: 0,
   tokenCost: 0,
   costSamples: 0,
@@ -91,6 +96,7 @@
   model.report = report
   model.ownAtReport = model.inFlight
   model.ownPendingAtReport = model.pending.size
+  model.usualForeign += usualRate * (otherTokens(model, report) - model.usualForeign)
 }
 
 /** The worker's time per uncached token, in ms; the fleet's mean stands in until it is known. */
@@ -135,7 +141,8 @@
   if (report === undefined) return { requests: model.inFlight, tokens: model.pendingTokens }
   const trust = 0.5 ** (Math.max(0, now - report.at) / reportHalfLife)
   const others = Math.max(0, report.running + report.waiting - model.ownAtReport)
-  return { requests: model.inFlight + others, tokens: model.pendingTokens + otherTokens(model, report) * trust }
+  const foreign = otherTokens(model, report) * trust + model.usualForeign * (1 - trust)
+  return { requests: model.inFlight + others, tokens: model.pendingTokens + foreign }
 }
 
 /** Parts of a worker's work by priority, seen from one: what is ahead of it, and what will overtake it. */
