Add the endpoint registry, caller addresses and drain

Cause: the path needs a list of workers and services to route to, and callers need the instances to use. Change: createEndpoints (owner per endpoint probes for all, facts broadcast by the owner, load reports passed to followers, digests for lost announcements, incarnation lineage with confirmation, circuit with panic rule), addressList (weighted rendezvous, spread over data centres, order per caller), createDrain. Ruled out: every instance probing every endpoint (320 x 600 probes).

--- /dev/null
+++ b/src/addresses/rendezvous.ts
@@ -0,0 +1,90 @@
+/**
+ * Rendezvous hashing: each key ranks all candidates by a hash of the pair, so
+ * that losing a candidate moves only the keys that it held. The weighted form
+ * gives each candidate a share of keys in proportion to its weight.
+ */
+import type { Hash } from '../hash.js'
+
+const hashRange = 2 ** 32
+
+/** Something that keys are placed on. */
+export interface Candidate {
+  readonly id: string
+  readonly weight: number
+}
+
+/** Finalizer of MurmurHash3 (Appleby, 2011): every input bit affects every output bit. */
+const mix = (value: number): number => {
+  let mixed = value ^ (value >>> 16)
+  mixed = Math.imul(mixed, 0x85ebca6b)
+  mixed ^= mixed >>> 13
+  mixed = Math.imul(mixed, 0xc2b2ae35)
+  return (mixed ^ (mixed >>> 16)) >>> 0
+}
+
+/**
+ * Scores a key on a candidate from the hashes of both.
+ *
+ * @param key - 32-bit hash of the key
+ * @param candidate - 32-bit hash of the candidate's id
+ * @param weight - share of keys relative to the others, above 0
+ * @returns the score; the highest wins
+ */
+export const rendezvousScore = (key: number, candidate: number, weight = 1): number => {
+  const unit = (mix(mix(key) ^ candidate) + 0.5) / hashRange
+  return weight / -Math.log(unit)
+}
+
+/** Where keys are placed, with the hashes of ids remembered. */
+export interface Placement {
+  /** The best candidate for a key, or undefined if there is none. */
+  readonly owner: (key: string, ids: readonly string[]) => string | undefined
+  /** All candidates for a key, best first. */
+  readonly rank: <C extends Candidate>(key: string, candidates: readonly C[]) => readonly C[]
+  /** A number from 0 up to but excluding 1 that depends on the key alone. */
+  readonly unit: (key: string) => number
+}
+
+const rememberedIds = 10_000
+
+/**
+ * Creates a placement that remembers the hashes of the ids it has seen.
+ *
+ * @param hash - equal on every instance
+ */
+export const createPlacement = (hash: Hash): Placement => {
+  const hashes = new Map<string, number>()
+
+  const hashOf = (id: string): number => {
+    const known = hashes.get(id)
+    if (known !== undefined) return known
+    if (hashes.size >= rememberedIds) hashes.clear()
+    const value = hash.h32(id)
+    hashes.set(id, value)
+    return value
+  }
+
+  const owner = (key: string, ids: readonly string[]): string | undefined => {
+    const keyHash = mix(hashOf(key))
+    let best: string | undefined
+    let bestScore = -1
+    for (const id of ids) {
+      const score = mix(keyHash ^ hashOf(id))
+      if (score < bestScore) continue
+      if (score === bestScore && best !== undefined && best < id) continue
+      best = id
+      bestScore = score
+    }
+    return best
+  }
+
+  const rank = <C extends Candidate>(key: string, candidates: readonly C[]): readonly C[] => {
+    const keyHash = hash.h32(key)
+    return candidates
+      .map(candidate => ({ candidate, score: rendezvousScore(keyHash, hashOf(candidate.id), candidate.weight) }))
+      .sort((left, right) => right.score - left.score || (left.candidate.id < right.candidate.id ? -1 : 1))
+      .map(({ candidate }) => candidate)
+  }
+
+  return { owner, rank, unit: key => mix(hash.h32(key)) / hashRange }
+}
--- a/src/endpoints/endpointsTypes.ts
+++ b/src/endpoints/endpointsTypes.ts
@@ -45,3 +45,22 @@
   /** When this incarnation was first seen, in ms; a fresh one has an empty cache. */
   readonly since: number
 }
+
+/** An endpoint that the settings name; its state is learned later. */
+export interface KnownEndpoint {
+  readonly id: string
+  readonly kind: 'worker' | 'service'
+  readonly address: Address
+  readonly dataCentre: string
+  /** Whether it refuses orders with an old fencing number. */
+  readonly fenced: boolean
+  readonly slots: number
+  /** Expected until its first report says what it holds. */
+  readonly models: readonly LoadedModel[]
+}
+
+/** How a dispatch to an endpoint went. */
+export type DispatchOutcome = 'refused' | 'cut' | 'timeout' | 'answered'
+
+/** Why the registry changed. */
+export type EndpointChange = 'added' | 'incarnation' | 'models' | 'state' | 'gone'
--- /dev/null
+++ b/src/endpoints/lineage.ts
@@ -0,0 +1,62 @@
+/**
+ * The succession of incarnations of one endpoint. An incarnation that was
+ * superseded never returns, however late its reports arrive.
+ */
+
+/** What is known of an endpoint's incarnations. */
+export interface Lineage {
+  /** Empty until the endpoint has answered someone. */
+  readonly incarnation: string
+  /** Counts the changes of incarnation that were observed. */
+  readonly generation: number
+  /** Incarnations that ended, newest last. */
+  readonly past: readonly string[]
+}
+
+/** How another incarnation stands to the known one. */
+export type Succession = 'same' | 'older' | 'newer' | 'unclear'
+
+/** Ended incarnations that are remembered per endpoint. */
+const rememberedPast = 32
+
+/**
+ * Judges a lineage that another instance tells.
+ *
+ * @param known - what is known here
+ * @param told - what the other instance knows
+ * @returns how the told incarnation stands to the known one
+ */
+export const judge = (known: Lineage, told: Lineage): Succession => {
+  if (told.incarnation === known.incarnation) return 'same'
+  if (told.incarnation === '' || known.past.includes(told.incarnation)) return 'older'
+  if (known.incarnation === '' || told.past.includes(known.incarnation)) return 'newer'
+  if (told.generation === known.generation) return 'unclear'
+  return told.generation > known.generation ? 'newer' : 'older'
+}
+
+/**
+ * Joins what two instances know of the past.
+ *
+ * @param current - the incarnation that stays
+ * @param pasts - ended incarnations, newest last
+ * @returns the joined past without the current incarnation
+ */
+export const joinPast = (current: string, ...pasts: ReadonlyArray<readonly string[]>): readonly string[] => {
+  const joined = new Set(pasts.flat())
+  joined.delete(current)
+  joined.delete('')
+  return [...joined].slice(-rememberedPast)
+}
+
+/**
+ * Continues a lineage with a new incarnation.
+ *
+ * @param known - what is known here
+ * @param incarnation - the incarnation that follows
+ * @returns the lineage after the change
+ */
+export const succeed = (known: Lineage, incarnation: string): Lineage => ({
+  incarnation,
+  generation: known.generation + 1,
+  past: joinPast(incarnation, known.past, [known.incarnation])
+})
--- /dev/null
+++ b/src/endpoints/observations.ts
@@ -0,0 +1,262 @@
+/** Turns reports, evidence, list rows and facts of others into changes of the registry. */
+import type { EndpointInput } from '../ports/endpointPort.js'
+import type { Member } from '../ports/membershipPort.js'
+import { countEvidence, countProbe } from './circuit.js'
+import type { EndpointEvidence, EndpointsContext } from './endpointsContext.js'
+import { knownFromMember } from './endpointsDb.js'
+import type { EndpointRecord } from './endpointsDb.js'
+import type { EndpointFact } from './endpointsMessages.js'
+import type { LoadedModel } from './endpointsTypes.js'
+import { joinPast, judge, succeed } from './lineage.js'
+import type { Lineage } from './lineage.js'
+
+/** A worker's own report. */
+export type EndpointReport = Extract<EndpointInput, { kind: 'endpoint.report' }>
+
+/** Milliseconds between the two reports that confirm a change of incarnation. */
+const confirmDelay = 100
+
+/** How long an own answered probe outweighs what others say, in ms. */
+const directTrust = 5_000
+
+/** Changes of the registry. */
+export interface Observations {
+  readonly report: (report: EndpointReport, now: number) => void
+  readonly unreachable: (record: EndpointRecord, now: number) => void
+  /** The owner says that it cannot reach the endpoint. */
+  readonly hint: (record: EndpointRecord, now: number) => void
+  readonly evidence: (evidence: EndpointEvidence, now: number) => void
+  readonly drain: (record: EndpointRecord) => void
+  readonly row: (member: Member, kind: 'worker' | 'service', now: number) => boolean
+  /** Merges a fact; answers whether this instance knows better. */
+  readonly fact: (fact: EndpointFact, now: number) => boolean
+  readonly retire: (record: EndpointRecord, now: number) => void
+}
+
+const modelKey = ({ model, adapter, weightVersion }: LoadedModel): string => `${model}\u0000${adapter ?? ''}\u0000${weightVersion}`
+
+const sameModels = (left: readonly LoadedModel[], right: readonly LoadedModel[]): boolean => {
+  if (left === right) return true
+  if (left.length !== right.length) return false
+  const keys = new Set(left.map(modelKey))
+  return right.every(model => keys.has(modelKey(model)))
+}
+
+/**
+ * Creates the functions that change the registry.
+ *
+ * @param context - what the parts of the feature share
+ */
+export const createObservations = (context: EndpointsContext): Observations => {
+  const { db, random, changed, announce, probeSoon } = context
+
+  const stamp = (record: EndpointRecord, now: number): void => {
+    record.observed = Math.max(now, record.observed + 1)
+  }
+
+  /** The first incarnation may have served for long; one that follows another has an empty cache. */
+  const adopt = (record: EndpointRecord, lineage: Lineage, leaving: boolean, now: number): void => {
+    const first = record.lineage.incarnation === '' || record.observed === 0
+    record.lineage = lineage
+    record.doubt = undefined
+    record.leaving = leaving
+    record.since = first ? 0 : now
+    db.putReport(record, undefined)
+    changed(record, 'incarnation')
+  }
+
+  const setModels = (record: EndpointRecord, models: readonly LoadedModel[]): boolean => {
+    if (sameModels(record.models, models)) return false
+    record.models = models
+    changed(record, 'models')
+    return true
+  }
+
+  const setLeaving = (record: EndpointRecord): boolean => {
+    if (record.leaving) return false
+    record.leaving = true
+    changed(record, 'state')
+    return true
+  }
+
+  const setGone = (record: EndpointRecord, gone: boolean, now: number): boolean => {
+    if (record.gone === gone) return false
+    record.gone = gone
+    record.goneAt = now
+    changed(record, gone ? 'gone' : 'state')
+    return true
+  }
+
+  const doubt = (record: EndpointRecord, incarnation: string, now: number): void => {
+    record.doubt = { incarnation, confirmAt: now + confirmDelay }
+    record.nextProbeAt = now + confirmDelay
+    changed(record, 'state')
+    probeSoon(record, now + confirmDelay)
+  }
+
+  /** Answers whether the report speaks for the current incarnation, possibly after adopting it. */
+  const settleIncarnation = (record: EndpointRecord, report: EndpointReport, now: number): boolean => {
+    const { incarnation } = report
+    if (record.lineage.incarnation === incarnation) {
+      if (record.doubt !== undefined) changed(record, 'state')
+      record.doubt = undefined
+      return true
+    }
+    if (record.lineage.past.includes(incarnation)) return false
+    const confirmed = record.doubt?.incarnation === incarnation && now >= record.doubt.confirmAt
+    if (record.observed > 0 && !confirmed) {
+      if (record.doubt?.incarnation !== incarnation) doubt(record, incarnation, now)
+      return false
+    }
+    adopt(record, succeed(record.lineage, incarnation), report.leaving, now)
+    return true
+  }
+
+  const applyReport = (record: EndpointRecord, report: EndpointReport, now: number): void => {
+    const { incarnation, running, waiting, waitingTokens } = report
+    const before = record.lineage
+    if (!settleIncarnation(record, report, now)) return
+    const wasOpen = record.circuit.open
+    countProbe(record.circuit, now)
+    if (wasOpen !== record.circuit.open) changed(record, 'state')
+    record.unreachableSince = undefined
+    record.heardAt = now
+    record.reachedAt = now
+    const succeeded = before !== record.lineage
+    const moved = setModels(record, report.models)
+    const returned = setGone(record, false, now)
+    const left = report.leaving && setLeaving(record)
+    if (moved || returned || succeeded || record.observed === 0) stamp(record, now)
+    if (moved || returned || succeeded || left) announce(record)
+    db.putReport(record, { at: now, incarnation, running, waiting, waitingTokens })
+  }
+
+  const count = (record: EndpointRecord, outcome: Parameters<typeof countEvidence>[1], now: number): void => {
+    const wasOpen = record.circuit.open
+    countEvidence(record.circuit, outcome, now, random)
+    if (wasOpen !== record.circuit.open) changed(record, 'state')
+    if (record.circuit.open) probeSoon(record, record.circuit.retryAt)
+  }
+
+  const unreachable = (record: EndpointRecord, now: number): void => {
+    record.unreachableSince ??= now
+    count(record, 'unreachable', now)
+    if (!record.circuit.open) probeSoon(record, now)
+  }
+
+  const evidence = ({ endpoint, outcome, incarnation }: EndpointEvidence, now: number): void => {
+    const record = db.get(endpoint)
+    if (record === undefined) return
+    record.usedAt = now
+    count(record, outcome, now)
+    if (outcome !== 'answered' && !record.circuit.open) probeSoon(record, now)
+    if (incarnation === undefined || incarnation === record.lineage.incarnation) return
+    if (record.lineage.past.includes(incarnation)) return
+    if (record.lineage.incarnation !== '') return probeSoon(record, now)
+    adopt(record, succeed(record.lineage, incarnation), record.leaving, now)
+    announce(record)
+  }
+
+  const drain = (record: EndpointRecord): void => {
+    if (setLeaving(record)) announce(record)
+  }
+
+  const row = (member: Member, kind: 'worker' | 'service', now: number): boolean => {
+    const isNew = db.get(member.id) === undefined
+    const record = db.add(knownFromMember(member, kind), now)
+    record.listed = true
+    if (record.lineage.past.includes(member.incarnation)) return false
+    const { address } = record.known
+    if (address.host !== member.address.host || address.port !== member.address.port) {
+      record.known = { ...record.known, address: member.address, dataCentre: member.dataCentre }
+      changed(record, 'state')
+    }
+    if (record.lineage.incarnation !== member.incarnation) {
+      if (record.observed === 0) adopt(record, { ...record.lineage, incarnation: member.incarnation }, record.leaving, now)
+      else probeSoon(record, now)
+    }
+    const known = record.lineage.incarnation === member.incarnation
+    if (known && member.state === 'leaving' && setLeaving(record)) announce(record)
+    if (isNew) changed(record, 'added')
+    return isNew
+  }
+
+  const mergeSame = (record: EndpointRecord, fact: EndpointFact, now: number): boolean => {
+    const { lineage } = record
+    record.lineage = {
+      ...lineage,
+      generation: Math.max(lineage.generation, fact.generation),
+      past: joinPast(lineage.incarnation, fact.past, lineage.past)
+    }
+    let news = fact.leaving && setLeaving(record)
+    if (fact.observed > record.observed) {
+      record.observed = fact.observed
+      if (setModels(record, fact.models)) news = true
+      if (setGone(record, fact.gone, now)) news = true
+    }
+    if (news) announce(record)
+    return (record.leaving && !fact.leaving) || record.observed > fact.observed
+  }
+
+  const mergeNewer = (record: EndpointRecord, fact: EndpointFact, now: number): boolean => {
+    const past = joinPast(fact.incarnation, record.lineage.past, [record.lineage.incarnation], fact.past)
+    adopt(record, { incarnation: fact.incarnation, generation: fact.generation, past }, fact.leaving, now)
+    record.known = { ...record.known, address: fact.address, dataCentre: fact.dataCentre }
+    record.observed = Math.max(record.observed, fact.observed)
+    setModels(record, fact.models)
+    setGone(record, fact.gone, now)
+    announce(record)
+    return false
+  }
+
+  const addFromFact = (fact: EndpointFact, now: number): void => {
+    if (fact.gone) return
+    const { id, kind, address, dataCentre, fenced, slots, models, incarnation, generation, past, leaving, observed } = fact
+    const record = db.add({ id, kind, address, dataCentre, fenced, slots, models }, now)
+    record.lineage = { incarnation, generation, past }
+    record.leaving = leaving
+    record.observed = observed
+    changed(record, 'added')
+    announce(record)
+  }
+
+  const fact = (told: EndpointFact, now: number): boolean => {
+    const record = db.get(told.id)
+    if (record === undefined) {
+      addFromFact(told, now)
+      return false
+    }
+    const succession = judge(record.lineage, told)
+    if (succession === 'same') return mergeSame(record, told, now)
+    if (succession === 'newer') return mergeNewer(record, told, now)
+    if (succession === 'unclear') probeSoon(record, now)
+    return succession === 'older'
+  }
+
+  const retire = (record: EndpointRecord, now: number): void => {
+    if (!setGone(record, true, now)) return
+    stamp(record, now)
+    announce(record)
+  }
+
+  return {
+    report: (report, now) => {
+      const record = db.get(report.endpoint)
+      if (record === undefined) return
+      record.probedAt = undefined
+      applyReport(record, report, now)
+    },
+    unreachable: (record, now) => {
+      record.probedAt = undefined
+      unreachable(record, now)
+    },
+    hint: (record, now) => {
+      if (now - record.reachedAt >= directTrust) unreachable(record, now)
+    },
+    evidence,
+    drain,
+    row,
+    fact,
+    retire
+  }
+}
