--- /dev/null
+++ b/src/settings/settingsDefaults.ts
@@ -0,0 +1,18 @@
+/** The default of every setting that has one, in one place. */
+
+/** Defaults by section and key. */
+export const settingsDefaults = {
+  instance: { size: 1, incarnation: '', log_level: 'info' },
+  caller: { host: '127.0.0.1', port: 0, body_limit: 4_194_304, header_limit: 16_384, receive_timeout: 15_000, write_buffer: 262_144 },
+  operator: { host: '127.0.0.1', port: 0 },
+  peer: { host: '127.0.0.1', port: 0, seeds: '', frame_limit: 4_194_304 },
+  platform: { log_url: '', membership_url: '', log_timeout: 2_000, list_interval: 2_000, list_lag: 5_000 },
+  routing: { objective: 0.5, block_bytes: 1_024, expected_tokens: 128, default_deadline: 10_000 },
+  limits: { retry_share: 0.1, in_flight: 4_096 },
+  claims: { partitions: 32, batch_interval: 30, key_window: 86_400_000, answer_bytes: 8_388_608 },
+  addresses: { per_workspace: 3, time_to_live: 5_000 },
+  streams: { resume_grace: 2_000, resume_window: 60_000 },
+  orders: { loads_at_once: 2 },
+  tls: { ca: '', cert: '', key: '' },
+  endpoint: { fenced: false, slots: 16, models: '' }
+} as const
--- /dev/null
+++ b/src/settings/settingsSchema.ts
@@ -0,0 +1,168 @@
+/**
+ * The schema of the settings file. Each key carries its unit and meaning, from
+ * which `docs/SETTINGS.md` is generated.
+ */
+import { z } from 'zod'
+import { settingsDefaults as defaults } from './settingsDefaults.js'
+
+const decimal = /^-?\d+(\.\d+)?$/
+
+/** Meaning and unit of a key, shown in the settings page and in errors. */
+export interface SettingMeaning {
+  readonly unit: string
+  readonly allowed: string
+  readonly description: string
+}
+
+const number = (unit: string, min: number, max: number, description: string) =>
+  z.string()
+    .regex(decimal)
+    .transform(Number)
+    .pipe(z.number().min(min).max(max))
+    .meta({ unit, allowed: `a number from ${min} to ${max}`, description })
+
+const whole = (unit: string, min: number, max: number, description: string) =>
+  z.string()
+    .regex(/^\d+$/)
+    .transform(Number)
+    .pipe(z.number().int().min(min).max(max))
+    .meta({ unit, allowed: `a whole number from ${min} to ${max}`, description })
+
+const text = (allowed: string, pattern: RegExp, description: string) =>
+  z.string().regex(pattern).meta({ unit: 'text', allowed, description })
+
+const flag = (description: string) =>
+  z.enum(['true', 'false'])
+    .transform(value => value === 'true')
+    .meta({ unit: 'truth value', allowed: 'true or false', description })
+
+const name = (description: string) => text('letters, digits and -', /^[a-z0-9][a-z0-9-]{0,62}$/, description)
+const host = (description: string) => text('an IPv4 or IPv6 address', /^(\d{1,3}(\.\d{1,3}){3}|[0-9a-f:]*:[0-9a-f:]+)$/i, description)
+const port = (description: string) => whole('TCP port', 0, 65_535, description)
+const url = (description: string) => text('an http:// or https:// address, or empty', /^(https?:\/\/[^\s/]+(:\d+)?)?$/, description)
+const file = (description: string) => text('a file name, or empty', /^.*$/, description)
+
+const optional = <Schema extends z.ZodType>(schema: Schema, value: string | number | boolean) =>
+  schema.prefault(String(value) as never)
+
+const seedPattern = /^[a-z0-9-]+@[^\s@,]+:\d+$/
+
+const seeds = z.string()
+  .transform(list => list.split(',').map(part => part.trim()).filter(part => part !== ''))
+  .pipe(z.array(z.string().regex(seedPattern)))
+  .transform(parts => parts.map(part => {
+    const [id, address] = part.split('@')
+    const colon = address.lastIndexOf(':')
+    return { id, host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
+  }))
+  .meta({ unit: 'list', allowed: 'id@host:port, separated by commas', description: 'Instances to ask first, before the membership list answers.' })
+
+const modelPattern = /^[a-z0-9.-]+(\+[a-z0-9.-]+)?@[a-z0-9.-]+$/
+
+const models = z.string()
+  .transform(list => list.split(',').map(part => part.trim()).filter(part => part !== ''))
+  .pipe(z.array(z.string().regex(modelPattern)))
+  .transform(parts => parts.map(part => {
+    const [names, weightVersion] = part.split('@')
+    const [model, adapter] = names.split('+')
+    return adapter === undefined ? { model, weightVersion } : { model, adapter, weightVersion }
+  }))
+  .meta({ unit: 'list', allowed: 'model@version or model+adapter@version, separated by commas', description: 'What the worker is expected to hold until it reports.' })
+
+const endpointShape = {
+  host: host('Address of the endpoint.'),
+  port: port('Port of the endpoint.'),
+  data_centre: name('Data centre of the endpoint.'),
+  slots: optional(whole('requests', 1, 4_096, 'Requests that the endpoint serves at once.'), defaults.endpoint.slots)
+}
+
+/** Keys of a `[worker.NAME]` section. */
+export const workerSection = z.strictObject({
+  ...endpointShape,
+  fenced: optional(flag('Whether the engine refuses orders with an old fencing number.'), defaults.endpoint.fenced),
+  models: optional(models, defaults.endpoint.models)
+})
+
+/** Keys of a `[service.NAME]` section. */
+export const serviceSection = z.strictObject({
+  ...endpointShape,
+  service: name('The service that rules and callers name.')
+})
+
+/** All fixed sections. */
+export const fixedSections = {
+  instance: z.strictObject({
+    id: name('Name of this instance, unique in the fleet.'),
+    data_centre: name('Data centre of this instance.'),
+    size: optional(number('relative size', 0.1, 100, 'Size of the machine; 1 is ordinary.'), defaults.instance.size),
+    incarnation: optional(text('letters, digits and -, or empty', /^[a-z0-9-]*$/, 'Name of this start; empty lets the process make one.'), defaults.instance.incarnation),
+    log_level: optional(z.enum(['debug', 'info', 'warn', 'error']).meta({ unit: 'level', allowed: 'debug, info, warn or error', description: 'Least severe log lines written.' }), defaults.instance.log_level)
+  }),
+  caller: z.strictObject({
+    host: optional(host('Address that callers connect to.'), defaults.caller.host),
+    port: optional(port('Port for callers; 0 takes a free one.'), defaults.caller.port),
+    body_limit: optional(whole('bytes', 1_024, 67_108_864, 'Largest request body.'), defaults.caller.body_limit),
+    header_limit: optional(whole('bytes', 1_024, 131_072, 'Largest request header.'), defaults.caller.header_limit),
+    receive_timeout: optional(whole('ms', 100, 600_000, 'Longest time for a whole request to arrive.'), defaults.caller.receive_timeout),
+    write_buffer: optional(whole('bytes', 1_024, 16_777_216, 'Bytes kept for a slow caller before its stream is paused.'), defaults.caller.write_buffer)
+  }).prefault({}),
+  operator: z.strictObject({
+    host: optional(host('Address that operators connect to.'), defaults.operator.host),
+    port: optional(port('Port for operators; 0 takes a free one.'), defaults.operator.port)
+  }).prefault({}),
+  peer: z.strictObject({
+    host: optional(host('Address that other instances connect to.'), defaults.peer.host),
+    port: optional(port('Port for other instances; 0 takes a free one.'), defaults.peer.port),
+    seeds: optional(seeds, defaults.peer.seeds),
+    frame_limit: optional(whole('bytes', 1_024, 67_108_864, 'Largest frame accepted from another instance.'), defaults.peer.frame_limit)
+  }).prefault({}),
+  platform: z.strictObject({
+    log_url: optional(url('Address of the log service.'), defaults.platform.log_url),
+    membership_url: optional(url('Address of the membership list.'), defaults.platform.membership_url),
+    log_timeout: optional(whole('ms', 50, 60_000, 'Longest wait for one answer of the log.'), defaults.platform.log_timeout),
+    list_interval: optional(whole('ms', 100, 600_000, 'Time between readings of the membership list.'), defaults.platform.list_interval),
+    list_lag: optional(whole('ms', 0, 600_000, 'Longest lag of the membership list.'), defaults.platform.list_lag)
+  }).prefault({}),
+  routing: z.strictObject({
+    objective: optional(number('share', 0, 1, '0 weighs the time to first token alone, 1 weighs recomputation most.'), defaults.routing.objective),
+    block_bytes: optional(whole('bytes', 64, 65_536, 'Prompt bytes per prefix block; the engines use the same.'), defaults.routing.block_bytes),
+    expected_tokens: optional(whole('tokens', 1, 100_000, 'Generated tokens assumed when a request names no maximum.'), defaults.routing.expected_tokens),
+    default_deadline: optional(whole('ms', 1, 600_000, 'Time to the first token when no rule names one.'), defaults.routing.default_deadline)
+  }).prefault({}),
+  limits: z.strictObject({
+    retry_share: optional(number('share of first attempts', 0, 1, 'Retries allowed per first attempt.'), defaults.limits.retry_share),
+    in_flight: optional(whole('requests', 1, 1_000_000, 'Requests that this instance holds at once.'), defaults.limits.in_flight)
+  }).prefault({}),
+  claims: z.strictObject({
+    partitions: optional(whole('partitions', 1, 1_024, 'Claim streams on the log; equal on all instances.'), defaults.claims.partitions),
+    batch_interval: optional(whole('ms', 1, 1_000, 'Longest wait before claims are appended together.'), defaults.claims.batch_interval),
+    key_window: optional(whole('ms', 1_000, 2_592_000_000, 'Age at which an idempotency key is refused; shorter than the retention of the log.'), defaults.claims.key_window),
+    answer_bytes: optional(whole('bytes', 0, 67_108_864, 'Memory for answers to calls that may be repeated by callers.'), defaults.claims.answer_bytes)
+  }).prefault({}),
+  addresses: z.strictObject({
+    per_workspace: optional(whole('instances', 1, 64, 'Instances given to each workspace.'), defaults.addresses.per_workspace),
+    time_to_live: optional(whole('ms', 100, 3_600_000, 'Time for which callers may keep the answer.'), defaults.addresses.time_to_live)
+  }).prefault({}),
+  streams: z.strictObject({
+    resume_grace: optional(whole('ms', 0, 60_000, 'Time that generation goes on after its caller is cut off.'), defaults.streams.resume_grace),
+    resume_window: optional(whole('ms', 0, 3_600_000, 'Age at which a resume token is refused.'), defaults.streams.resume_window)
+  }).prefault({}),
+  orders: z.strictObject({
+    loads_at_once: optional(whole('loads', 1, 1_000, 'Weight loads that the store bears at once.'), defaults.orders.loads_at_once)
+  }).prefault({}),
+  tls: z.strictObject({
+    ca: optional(file('Certificate authority for callers, operators, peers and endpoints; empty leaves TLS off.'), defaults.tls.ca),
+    cert: optional(file('Certificate of this instance.'), defaults.tls.cert),
+    key: optional(file('Private key of this instance.'), defaults.tls.key)
+  }).prefault({})
+} as const
+
+/** The whole settings file. */
+export const settingsSchema = z.strictObject({
+  ...fixedSections,
+  worker: z.record(z.string(), workerSection).prefault({}),
+  service: z.record(z.string(), serviceSection).prefault({})
+})
+
+/** Checked settings of one instance. */
+export type Settings = z.infer<typeof settingsSchema>
