--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -69,6 +69,11 @@
   }))
   .meta({ unit: 'list', allowed: 'model@version or model+adapter@version, separated by commas', description: 'What the worker is expected to hold until it reports.' })
 
+const keys = z.string()
+  .transform(list => list.split(',').map(part => part.trim()).filter(part => part !== ''))
+  .pipe(z.array(z.string().regex(/^[\x21-\x7e]{16,}$/)))
+  .meta({ unit: 'list', allowed: 'secrets of 16 characters or more, separated by commas', description: 'Keys of resume tokens, equal on all instances: the first signs, all verify. Empty turns resuming elsewhere off.' })
+
 const endpointShape = {
   host: host('Address of the endpoint.'),
   port: port('Port of the endpoint.'),
@@ -145,7 +150,8 @@
   }).prefault({}),
   streams: z.strictObject({
     resume_grace: optional(whole('ms', 0, 60_000, 'Time that generation goes on after its caller is cut off.'), defaults.streams.resume_grace),
-    resume_window: optional(whole('ms', 0, 3_600_000, 'Age at which a resume token is refused.'), defaults.streams.resume_window)
+    resume_window: optional(whole('ms', 0, 3_600_000, 'Age at which a resume token is refused.'), defaults.streams.resume_window),
+    resume_keys: optional(keys, defaults.streams.resume_keys)
   }).prefault({}),
   orders: z.strictObject({
     loads_at_once: optional(whole('loads', 1, 1_000, 'Weight loads that the store bears at once.'), defaults.orders.loads_at_once)
