--- /dev/null
+++ b/src/adapters/peerFrames.spec.ts
@@ -0,0 +1,28 @@
+import fc from 'fast-check'
+import { createFrameReader, encodeFrame } from './peerFrames.js'
+
+describe('peer frames', () => {
+  it('gives back whole values however the bytes are cut', () => {
+    fc.assert(fc.property(fc.array(fc.record({ kind: fc.string(), n: fc.nat() }), { maxLength: 5 }), fc.integer({ min: 1, max: 9 }), (values, step) => {
+      const bytes = Buffer.concat(values.map(encodeFrame))
+      const reader = createFrameReader(4096)
+      const read: unknown[] = []
+      for (let at = 0; at < bytes.length; at += step) read.push(...reader.push(bytes.subarray(at, at + step))._unsafeUnwrap())
+      expect(read).toEqual(values)
+    }), { seed: 11, numRuns: 100 })
+  })
+
+  it('refuses a frame over the limit before it arrives', () => {
+    const reader = createFrameReader(8)
+    expect(reader.push(Buffer.from([0, 0, 1, 0]))._unsafeUnwrapErr()).toEqual({ kind: 'frameTooLarge', size: 256, limit: 8 })
+  })
+
+  it('refuses payloads that are not CBOR', () => {
+    expect(createFrameReader(64).push(Buffer.from([0, 0, 0, 2, 0xff, 0xff]))._unsafeUnwrapErr()).toEqual({ kind: 'notCbor' })
+  })
+
+  it('waits for the rest of a truncated frame', () => {
+    const frame = encodeFrame({ kind: 'a' })
+    expect(createFrameReader(64).push(frame.subarray(0, frame.length - 1))._unsafeUnwrap()).toEqual([])
+  })
+})
--- /dev/null
+++ b/src/ports/operatorPort.ts
@@ -0,0 +1,22 @@
+/** Operators, as the core sees them: whole requests in, whole answers out. */
+
+/** What operators send. */
+export interface OperatorInput {
+  readonly kind: 'operator.request'
+  readonly request: number
+  readonly method: string
+  /** Path with query, as received. */
+  readonly path: string
+  /** Header names in lower case. */
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Uint8Array
+}
+
+/** What operators get. */
+export interface OperatorEffect {
+  readonly kind: 'operator.answer'
+  readonly request: number
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: string
+}
