Stand-ins and outbound adapters, thin

Cause: the whole path needs something to talk to, and adapters that perform the endpoint, log and membership effects. Change: src/standins (engine, service, log, membership, weights, kv) and src/adapters (endpointHttp, logHttp, membershipHttp) on one HTTP client whose exchange is one attempt and knows whether it was begun on a connection. Ruled out: fetch and the retrying agent of undici, because neither tells whether a byte has left.

--- /dev/null
+++ b/src/adapters/membershipHttp.ts
@@ -0,0 +1,66 @@
+/** The membership list over HTTP and JSON. */
+import { z } from 'zod'
+import type { MembershipEffect, MembershipInput } from '../ports/membershipPort.js'
+import { addressOf } from './baseUrl.js'
+import { createHttpClient, jsonRequest } from './httpExchange.js'
+import type { HttpClientOptions } from './httpExchange.js'
+
+/** Settings of the adapter. */
+export interface MembershipHttpOptions extends HttpClientOptions {
+  /** Where the list serves, as `http://host:port`. */
+  readonly baseUrl: string
+  readonly emit: (input: MembershipInput) => void
+  /** Longest wait for an answer, in ms. */
+  readonly timeout?: number
+}
+
+/** Performs effects on the list. */
+export interface MembershipHttp {
+  readonly perform: (effect: MembershipEffect) => void
+  readonly close: () => Promise<void>
+}
+
+const defaultTimeout = 3_000 // ms
+
+const memberSchema = z.object({
+  id: z.string(),
+  kind: z.enum(['entry', 'worker', 'service']),
+  incarnation: z.string(),
+  address: z.object({ host: z.string(), port: z.number().int() }),
+  dataCentre: z.string(),
+  state: z.enum(['live', 'leaving']),
+  size: z.number().positive()
+})
+
+const listSchema = z.object({ members: z.array(memberSchema) })
+
+/**
+ * Creates the adapter. A failed announcement is not reported: the next fetch
+ * shows what the list holds.
+ *
+ * @param options - address, timeouts in ms and where inputs go
+ * @returns the adapter
+ */
+export const createMembershipHttp = (options: MembershipHttpOptions): MembershipHttp => {
+  const client = createHttpClient(options)
+  const address = addressOf(options.baseUrl)
+  const timeout = options.timeout ?? defaultTimeout
+
+  const fetchList = async (): Promise<void> => {
+    const result = await client.json(address, jsonRequest('GET', '/members'), timeout)
+    const list = listSchema.safeParse(result.isOk() && result.value.status === 200 ? result.value.body : undefined)
+    options.emit(list.success ? { kind: 'membership.list', members: list.data.members } : { kind: 'membership.failed' })
+  }
+
+  const perform = (effect: MembershipEffect): void => {
+    switch (effect.kind) {
+      case 'membership.fetch':
+        fetchList()
+        return
+      case 'membership.announce':
+        client.json(address, jsonRequest('PUT', `/members/${encodeURIComponent(effect.member.id)}`, effect.member), timeout)
+    }
+  }
+
+  return { perform, close: client.close }
+}
--- /dev/null
+++ b/src/standins/engine/engineTypes.ts
@@ -0,0 +1,59 @@
+/** What the parts of the engine stand-in share. */
+import type { LoadedModel } from '../../endpoints/endpointsTypes.js'
+import type { EndpointOrder } from '../../ports/endpointPort.js'
+import type { StandInOptions } from '../standInServer.js'
+
+/** Settings of the engine. */
+export interface EngineOptions extends StandInOptions {
+  readonly id?: string
+  readonly models?: readonly LoadedModel[]
+  /** Requests served at once. */
+  readonly slots?: number
+  readonly prefillTokensPerSecond?: number
+  /** Time between tokens of one stream, in ms. */
+  readonly decodeTime?: number
+  /** Blocks that the prefix cache holds. */
+  readonly cacheBlocks?: number
+  /** Bytes of prompt text in one block. */
+  readonly blockBytes?: number
+  /** Time between batches of cache events, in ms. */
+  readonly eventInterval?: number
+  /** Time between load reports, in ms; a probe gets the last one. */
+  readonly reportInterval?: number
+  /** How long a stream without a reader goes on, in ms. */
+  readonly resumeWindow?: number
+  /** Whether orders with an old fencing number are refused. */
+  readonly fenced?: boolean
+  /** Time to load weights when no store is set, in ms. */
+  readonly loadTime?: number
+  readonly weightsUrl?: string
+  readonly kvUrl?: string
+}
+
+/** A request that the engine took up. */
+export interface Served {
+  readonly kind: 'request'
+  readonly id: string
+  readonly workspace: string
+  readonly salt: string
+  readonly model: string
+  readonly weightVersion: string
+  readonly at: number
+  readonly promptTokens: number
+  readonly from: number
+  cachedTokens: number
+  generated: number
+  outcome: 'open' | 'finished' | 'cancelled' | 'lost'
+}
+
+/** An order that arrived. */
+export interface Ordered {
+  readonly kind: 'order'
+  readonly order: EndpointOrder
+  readonly fence: number
+  readonly at: number
+  readonly result: 'done' | 'staleFence' | 'failed'
+}
+
+/** An entry of the engine's own record. */
+export type EngineEntry = Served | Ordered
