Specs of the stand-ins and outbound adapters; faults of streams and events

Cause: the adapters' promises (one attempt is one request, sent is false only when nothing left, broken answers are typed failures) had no proof. Cache events are numbered by batch, as the cache feature reads them; a gap loses whole batches. Prompt levels hash as role and content.

--- a/src/adapters/httpExchange.ts
+++ b/src/adapters/httpExchange.ts
@@ -3,7 +3,7 @@
  * attempt: nothing here sends a request a second time, and a failure tells
  * whether any byte of the request can have left.
  */
-import { Agent } from 'undici'
+import { Agent, errors } from 'undici'
 import type { Dispatcher } from 'undici'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -86,7 +86,7 @@
 const failureOf = (error: Error, sent: boolean): ExchangeFailure => {
   const code = codeOf(error)
   if (timeoutCodes.has(code)) return 'timeout'
-  if (garbledCodes.has(code) || code.startsWith('HPE_')) return 'garbled'
+  if (garbledCodes.has(code) || error instanceof errors.HTTPParserError) return 'garbled'
   return sent ? 'cut' : 'refused'
 }
 
--- /dev/null
+++ b/src/adapters/platformHttp.spec.ts
@@ -0,0 +1,132 @@
+import type { LogEffect, LogInput } from '../ports/logPort.js'
+import type { Member, MembershipInput } from '../ports/membershipPort.js'
+import { createLog } from '../standins/log.js'
+import type { LogOptions } from '../standins/log.js'
+import { createMembership } from '../standins/membership.js'
+import type { Fault } from '../standins/faults.js'
+import { createInputCollector } from '../../test/fakes/inputCollector.js'
+import { createLogHttp } from './logHttp.js'
+import { createMembershipHttp } from './membershipHttp.js'
+
+const closers: Array<() => Promise<void>> = []
+
+afterEach(async () => {
+  for (const close of closers.splice(0)) await close()
+})
+
+const startLog = async (options: LogOptions = {}, timeout = 1_000) => {
+  const log = createLog(options)
+  const { port } = await log.listen()
+  const collector = createInputCollector<LogInput>()
+  const adapter = createLogHttp({ baseUrl: `http://127.0.0.1:${port}`, emit: collector.emit, timeout })
+  closers.push(adapter.close, log.close)
+  let token = 0
+  const answer = async (effect: LogEffect): Promise<LogInput> => {
+    adapter.perform(effect)
+    await collector.until(() => collector.inputs.some(input => input.token === effect.token))
+    return collector.inputs.find(input => input.token === effect.token) as LogInput
+  }
+  const append = (payload: unknown): Promise<LogInput> => answer({ kind: 'log.append', owner: 'claims', token: ++token, stream: 'claims/7', payload })
+  const read = (from: number, limit = 100): Promise<LogInput> => answer({ kind: 'log.read', owner: 'claims', token: ++token, stream: 'claims/7', from, limit })
+  return { log, append, read }
+}
+
+describe('log', () => {
+  test('appends get offsets, and reads get them back', async () => {
+    const { append, read } = await startLog()
+    expect(await append({ a: 1 })).toEqual({ kind: 'log.appended', owner: 'claims', token: 1, stream: 'claims/7', offset: 0 })
+    expect(await append(['b'])).toMatchObject({ offset: 1 })
+    expect(await read(0)).toMatchObject({ kind: 'log.records', first: 0, end: 2, records: [{ offset: 0, payload: { a: 1 } }, { offset: 1, payload: ['b'] }] })
+    expect(await read(0, 1)).toMatchObject({ end: 2, records: [{ offset: 0 }] })
+    expect(await read(9)).toMatchObject({ end: 2, records: [] })
+  })
+
+  test('retention by count and by age moves the first offset', async () => {
+    let now = 1_000
+    const { append, read } = await startLog({ keepRecords: 2, keepFor: 500, now: () => now })
+    for (const payload of [1, 2, 3]) await append(payload)
+    expect(await read(0)).toMatchObject({ first: 1, end: 3, records: [{ offset: 1 }, { offset: 2 }] })
+    now += 501
+    expect(await read(0)).toMatchObject({ first: 3, end: 3, records: [] })
+  })
+
+  test('appends beyond the rate are refused without effect', async () => {
+    const { log, append } = await startLog({ appendsPerSecond: 2, now: () => 1_000 })
+    await append(1)
+    await append(2)
+    expect(await append(3)).toMatchObject({ kind: 'log.failed', failure: 'unavailable' })
+    expect(log.record.map(({ payload }) => payload)).toEqual([1, 2])
+  })
+
+  test.each<[Fault, string, number]>([
+    [{ kind: 'outage', ms: 60_000 }, 'lost', 0],
+    [{ kind: 'cutBefore', times: 1 }, 'lost', 0],
+    [{ kind: 'cutAfter', times: 1, events: 0 }, 'lost', 1],
+    [{ kind: 'garbled', times: 1 }, 'lost', 1],
+    [{ kind: 'slow', ms: 60_000, times: 1 }, 'timeout', 0]
+  ])('%j fails an append as %s, which the log holds %d times', async (fault, failure, held) => {
+    const { log, append } = await startLog({}, 100)
+    log.fail(fault)
+    expect(await append('x')).toMatchObject({ kind: 'log.failed', failure })
+    expect(log.record.length).toBe(held)
+  })
+
+  test('a log that does not listen is unavailable', async () => {
+    const { log, read } = await startLog()
+    await log.close()
+    expect(await read(0)).toMatchObject({ kind: 'log.failed', failure: 'unavailable' })
+  })
+})
+
+describe('membership', () => {
+  const member = (change: Partial<Member> = {}): Member => ({
+    id: 'nm-derby-e1',
+    kind: 'entry',
+    incarnation: 'i1',
+    address: { host: '127.0.0.1', port: 7001 },
+    dataCentre: 'nm-derby',
+    state: 'live',
+    size: 1,
+    ...change
+  })
+
+  const start = async () => {
+    let now = 0
+    const list = createMembership({ lag: 100, now: () => now })
+    const { port } = await list.listen()
+    const collector = createInputCollector<MembershipInput>()
+    const adapter = createMembershipHttp({ baseUrl: `http://127.0.0.1:${port}`, emit: collector.emit })
+    closers.push(adapter.close, list.close)
+    const fetched = async (): Promise<MembershipInput | undefined> => {
+      const count = collector.inputs.length
+      adapter.perform({ kind: 'membership.fetch' })
+      await collector.until(() => collector.inputs.length > count)
+      return collector.inputs.at(-1)
+    }
+    const announced = async (change: Partial<Member> = {}): Promise<void> => {
+      const count = list.record.length
+      adapter.perform({ kind: 'membership.announce', member: member(change) })
+      while (list.record.length === count) await new Promise(resolve => setTimeout(resolve, 1))
+    }
+    return { list, fetched, announced, pass: (ms: number) => { now += ms } }
+  }
+
+  test('announcements show after the lag, the latest of each member', async () => {
+    const { fetched, announced, pass } = await start()
+    await announced()
+    expect(await fetched()).toEqual({ kind: 'membership.list', members: [] })
+    pass(100)
+    await announced({ state: 'leaving' })
+    expect(await fetched()).toEqual({ kind: 'membership.list', members: [member()] })
+    pass(100)
+    expect(await fetched()).toEqual({ kind: 'membership.list', members: [member({ state: 'leaving' })] })
+  })
+
+  test('an outage and a garbled list are failures', async () => {
+    const { list, fetched } = await start()
+    list.fail({ kind: 'garbled', times: 1 })
+    expect(await fetched()).toEqual({ kind: 'membership.failed' })
+    list.fail({ kind: 'outage', ms: 10 })
+    expect(await fetched()).toEqual({ kind: 'membership.failed' })
+  })
+})
--- a/src/standins/engine/engine.ts
+++ b/src/standins/engine/engine.ts
@@ -60,7 +60,7 @@
   let report = batch.load()
 
   const server = createStandInServer(options, record, fault => {
-    if (fault.kind === 'gap') cache.lose(fault.events)
+    if (fault.kind === 'gap') cache.lose(fault.batches)
     if (fault.kind !== 'crash') return
     restarts++
     batch.clear()
@@ -147,7 +147,7 @@
     }
     const slow = server.faults.take('slow')
     if (slow === undefined) return enqueue(call)
-    setTimeout(() => enqueue(call), slow.ms)
+    server.after(slow.ms, () => enqueue(call))
   }
 
   const resume = (call: Call): void => {
--- a/src/standins/engine/engineCache.ts
+++ b/src/standins/engine/engineCache.ts
@@ -20,8 +20,8 @@
   readonly store: (blocks: readonly string[], salt: string) => void
   /** Ends the batch that is being gathered. */
   readonly flush: () => void
-  /** Forgets the oldest changes not yet published. */
-  readonly lose: (events: number) => void
+  /** Loses the next batches. */
+  readonly lose: (batches: number) => void
   /** The batch numbered `from`, or what comes closest; undefined when there is none yet. */
   readonly since: (from: number | undefined) => EventBatch | undefined
   readonly last: () => number
@@ -63,12 +63,11 @@
 
   const flush = (): void => {
     if (gathering.length === 0) return
-    const events = gathering.slice(lost)
-    lost = Math.max(0, lost - gathering.length)
+    const events = gathering
     gathering = []
     seq++
-    if (events.length > 0) batches.push({ seq, full: false, events })
-    batches = batches.slice(-keptBatches)
+    if (lost > 0) lost--
+    else batches = [...batches, { seq, full: false, events }].slice(-keptBatches)
   }
 
   const listing = (): EventBatch => ({ seq, full: true, events: [...blocks.keys()].map(block => ({ kind: 'stored', block })) })
@@ -76,7 +75,7 @@
   const since = (from: number | undefined): EventBatch | undefined => {
     if (from === undefined || from > seq + 1) return listing()
     if (from === seq + 1) return undefined
-    return batches.find(batch => batch.seq >= from) ?? listing()
+    return batches.find(batch => batch.seq >= from)
   }
 
   const clear = (): void => {
@@ -86,5 +85,5 @@
     seq = 0
   }
 
-  return { held, store, flush, lose: events => { lost += events }, since, last: () => seq, clear }
+  return { held, store, flush, lose: count => { lost += count }, since, last: () => seq, clear }
 }
--- a/src/standins/engine/engineSample.ts
+++ b/src/standins/engine/engineSample.ts
@@ -6,12 +6,16 @@
 import { z } from 'zod'
 import type { Hash } from '../../hash.js'
 
+const maxGenerated = 100_000 // tokens
+const defaultGenerated = 32 // tokens
+
 const bodySchema = z.object({
   model: z.string(),
   stream: z.literal(true),
   messages: z.array(z.object({ role: z.string(), content: z.string() })).min(1).optional(),
   prompt: z.string().optional(),
-  max_tokens: z.number().int().positive().max(100_000).default(32),
+  max_tokens: z.number().int().positive().max(maxGenerated).nullish(),
+  max_completion_tokens: z.number().int().positive().max(maxGenerated).nullish(),
   seed: z.number().int().default(0),
   continue_final_message: z.boolean().default(false),
   x_continue_tokens: z.number().int().nonnegative().default(0)
@@ -72,10 +76,11 @@
   const parsed = bodySchema.safeParse(json)
   if (!parsed.success) return { complaint: parsed.error.message }
   const body = parsed.data
-  const texts = body.messages?.map(message => message.content) ?? (body.prompt === undefined ? undefined : [body.prompt])
+  const texts = body.messages?.map(({ role, content }) => `${role}\n${content}`) ?? (body.prompt === undefined ? undefined : [body.prompt])
   if (texts === undefined) return { complaint: 'neither messages nor prompt' }
   const key = JSON.stringify([originalTexts(body, texts), body.seed, body.model, weightVersion])
-  return { sample: { chat: body.messages !== undefined, model: body.model, texts, key, from: body.x_continue_tokens, maxTokens: body.max_tokens } }
+  const maxTokens = body.max_completion_tokens ?? body.max_tokens ?? defaultGenerated
+  return { sample: { chat: body.messages !== undefined, model: body.model, texts, key, from: body.x_continue_tokens, maxTokens } }
 }
 
 /**
--- a/src/standins/faults.ts
+++ b/src/standins/faults.ts
@@ -21,8 +21,8 @@
   z.object({ kind: z.literal('freeze'), ms: z.number().nonnegative() }),
   /** Cache events stop, the rest goes on. */
   z.object({ kind: z.literal('freezeEvents'), ms: z.number().nonnegative() }),
-  /** That many cache events are lost. */
-  z.object({ kind: z.literal('gap'), events: z.number().int().positive().default(1) }),
+  /** That many batches of cache events are lost. */
+  z.object({ kind: z.literal('gap'), batches: z.number().int().positive().default(1) }),
   /** All connections are cut and all state is lost; a new incarnation goes on. */
   z.object({ kind: z.literal('crash') })
 ])
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -58,14 +58,14 @@
 
   const serve = (call: Call): void => {
     const life = restarts
-    setTimeout(() => {
+    server.after(runTime, () => {
       if (call.response.destroyed || life !== restarts) return
       answerWithFaults(server, call, () => {
         const { n, key, requestId = '' } = run(call)
         const echoed = server.faults.take('crossed') === undefined ? requestId : `${requestId}-crossed`
         return { status: 200, body: { ran: true, key, n }, headers: { 'x-request-id': echoed, 'x-incarnation': incarnation() } }
       })
-    }, runTime)
+    })
   }
 
   server.on('GET', '/health', ({ response }) => sendJson(response, 200, { incarnation: incarnation() }))
--- a/src/standins/standInServer.ts
+++ b/src/standins/standInServer.ts
@@ -41,6 +41,8 @@
 export interface StandInServer {
   readonly faults: FaultQueue
   readonly now: () => number
+  /** Runs an action later, unless the server is closed first. */
+  readonly after: (ms: number, action: () => void) => void
   readonly on: (method: HTTPMethod | HTTPMethod[], path: string, handler: (call: Call) => void) => void
   readonly listen: () => Promise<Address>
   readonly close: () => Promise<void>
@@ -104,6 +106,7 @@
 ): StandInServer => {
   const faults = createFaultQueue()
   const sockets = new Set<Socket>()
+  const timers = new Set<NodeJS.Timeout>()
   const router = findMyWay({
     defaultRoute: (_, response) => sendJson(response, 404, { error: { type: 'not_found', message: 'no such path' } })
   })
@@ -112,6 +115,14 @@
     for (const socket of sockets) socket.destroy()
   }
 
+  const after = (ms: number, action: () => void): void => {
+    const timer = setTimeout(() => {
+      timers.delete(timer)
+      action()
+    }, ms)
+    timers.add(timer)
+  }
+
   const fail = (fault: Fault): void => {
     faults.add(fault, now())
     if (fault.kind === 'outage' || fault.kind === 'crash') cutAll()
@@ -165,10 +176,11 @@
 
   const close = (): Promise<void> => new Promise(resolve => {
     server.close(() => resolve())
+    for (const timer of timers) clearTimeout(timer)
     cutAll()
   })
 
-  return { faults, now, on, listen, close, fail }
+  return { faults, now, after, on, listen, close, fail }
 }
 
 /**
@@ -197,5 +209,5 @@
   }
   const slow = server.faults.take('slow')
   if (slow === undefined) return answer()
-  setTimeout(answer, slow.ms)
+  server.after(slow.ms, answer)
 }
