--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,5 +1,5 @@
 // Bundles the program and injects the bundle into a copy of Node, which makes dist/wasabireel one file.
-import { chmodSync, copyFileSync, existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { chmodSync, copyFileSync, existsSync, mkdirSync, readFileSync, renameSync, writeFileSync } from 'node:fs'
 import { execFileSync } from 'node:child_process'
 import { build } from 'esbuild'
 import { inject } from 'postject'
@@ -41,6 +41,8 @@
   disableExperimentalSEAWarning: true
 }))
 execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'pipe' })
-copyFileSync(process.execPath, 'dist/wasabireel')
-chmodSync('dist/wasabireel', 0o755)
-await inject('dist/wasabireel', 'NODE_SEA_BLOB', readFileSync('dist/wasabireel.blob'), { sentinelFuse: fuse })
+copyFileSync(process.execPath, 'dist/wasabireel.new')
+chmodSync('dist/wasabireel.new', 0o755)
+await inject('dist/wasabireel.new', 'NODE_SEA_BLOB', readFileSync('dist/wasabireel.blob'), { sentinelFuse: fuse })
+// A running binary keeps its old file.
+renameSync('dist/wasabireel.new', 'dist/wasabireel')
--- a/src/adapters/httpServer.ts
+++ b/src/adapters/httpServer.ts
@@ -16,6 +16,7 @@
   readonly path: string
   readonly headers: Readonly<Record<string, string>>
   readonly body: Uint8Array
+  readonly remote: string
 }
 
 /** What the server reports. */
@@ -99,7 +100,7 @@
     message.on('end', () => {
       if (size > options.bodyLimit) return refuse(response, { kind: 'body_too_large', limit: options.bodyLimit })
       if (responses.get(request) !== response) return
-      events.arrived({ request, method: message.method ?? 'GET', path: message.url ?? '/', headers: headersOf(message), body: Buffer.concat(parts) })
+      events.arrived({ request, method: message.method ?? 'GET', path: message.url ?? '/', headers: headersOf(message), body: Buffer.concat(parts), remote: message.socket.remoteAddress ?? '' })
     })
     message.on('error', () => { /* The response's close event reports the caller as gone. */ })
   }
--- /dev/null
+++ b/src/admin/adminErrors.ts
@@ -0,0 +1,56 @@
+/** How the administration API words its errors. */
+import { assertNever } from '../errors.js'
+import type { AdminError } from './adminTypes.js'
+
+const statuses: { readonly [Kind in AdminError['kind']]: number } = {
+  unauthorised: 401,
+  forbidden: 403,
+  unknown_path: 404,
+  malformed_request: 400,
+  rules_invalid: 422,
+  publish_refused: 409,
+  no_configuration: 404,
+  not_ready: 503
+}
+
+const refusedStatus = { conflict: 409, invalid: 422, forbidden: 403, unavailable: 503 } as const
+
+/**
+ * Words an error for a person.
+ *
+ * @param error - the error
+ * @returns one sentence
+ */
+export const describeAdminError = (error: AdminError): string => {
+  switch (error.kind) {
+    case 'unauthorised': return 'the operator key is missing or not in force'
+    case 'forbidden': return `this needs the role "${error.required}"`
+    case 'unknown_path': return `nothing is served at ${error.path}`
+    case 'malformed_request': return `${error.place}: ${error.reason}`
+    case 'rules_invalid': return `the rules have ${error.errors.length} errors`
+    case 'publish_refused': return `the publish was refused: ${error.result.kind}`
+    case 'no_configuration': return 'no configuration has been accepted yet'
+    case 'not_ready': return 'this instance does not serve yet'
+    default: return assertNever(error)
+  }
+}
+
+/**
+ * The status of an error.
+ *
+ * @param error - the error
+ * @returns an HTTP status
+ */
+export const adminStatus = (error: AdminError): number =>
+  error.kind === 'publish_refused' ? refusedStatus[error.result.kind] : statuses[error.kind]
+
+/**
+ * The JSON body of an error.
+ *
+ * @param error - the error
+ * @returns `type`, `message` and what else the error carries
+ */
+export const adminErrorBody = (error: AdminError): unknown => {
+  const { kind, ...details } = error
+  return { error: { type: kind, message: describeAdminError(error), ...details } }
+}
--- /dev/null
+++ b/src/admin/adminMachine.ts
@@ -0,0 +1,89 @@
+/**
+ * The administration API of one instance. Operators ask any instance; what has
+ * to hold everywhere goes through the configuration.
+ */
+import createRouter from 'find-my-way'
+import type { HTTPMethod } from 'find-my-way'
+import { err, ok, type Result } from 'neverthrow'
+import type { ConfigEffect } from '../config/configTypes.js'
+import type { OperatorEffect, OperatorInput } from '../ports/operatorPort.js'
+import { keyHash } from '../requests/requestsMachine.js'
+import type { Operator } from '../rules/rulesTypes.js'
+import { adminErrorBody, adminStatus } from './adminErrors.js'
+import { adminOperations, type AdminNode, type AdminOperation } from './adminOperations.js'
+import type { AdminError, RequiredRole } from './adminTypes.js'
+
+/** What the API reacts to. */
+export type AdminInput = OperatorInput | Extract<ConfigEffect, { kind: 'config.published' }>
+
+/** The administration API. */
+export interface Admin {
+  readonly handle: (input: AdminInput, now: number) => readonly unknown[]
+}
+
+const roleRank = { none: 0, read: 1, publish: 2, fleet: 3 } as const
+const jsonHeaders = { 'content-type': 'application/json' }
+
+const createRoutes = (operations: readonly AdminOperation[]) => {
+  const router = createRouter()
+  for (const operation of operations) {
+    router.on(operation.method, operation.path, () => { /* Found routes are read from the store. */ }, operation)
+  }
+  return router
+}
+
+const answer = (request: number, status: number, body: unknown): OperatorEffect =>
+  ({ kind: 'operator.answer', request, status, headers: jsonHeaders, body: JSON.stringify(body) })
+
+const refuse = (request: number, error: AdminError): OperatorEffect =>
+  answer(request, adminStatus(error), adminErrorBody(error))
+
+const isAllowed = (operator: Operator | undefined, required: RequiredRole): boolean =>
+  required === 'none' || (operator !== undefined && roleRank[operator.role] >= roleRank[required])
+
+/**
+ * Creates the API.
+ *
+ * @param node - the instance
+ * @returns the API
+ */
+export const createAdmin = (node: AdminNode): Admin => {
+  const routes = createRoutes(adminOperations)
+
+  const operatorOf = (input: OperatorInput, now: number): Operator | undefined => {
+    const hash = keyHash(input.headers.authorization)
+    return hash === undefined ? undefined : node.config.current()?.ruleset.operatorOfKey(hash, now)
+  }
+
+  /** Without a configuration no key is known; the first publish is then open to whoever reaches the operator port. */
+  const authorise = (input: OperatorInput, required: RequiredRole, now: number): Result<Operator | undefined, AdminError> => {
+    if (required === 'none' || node.config.current() === undefined) return ok(undefined)
+    const operator = operatorOf(input, now)
+    if (operator === undefined) return err({ kind: 'unauthorised' })
+    return isAllowed(operator, required) ? ok(operator) : err({ kind: 'forbidden', required })
+  }
+
+  const operate = (input: OperatorInput, now: number): readonly unknown[] => {
+    const [path, search = ''] = input.path.split('?')
+    const route = routes.find(input.method as HTTPMethod, path)
+    if (route === null) return [refuse(input.request, { kind: 'unknown_path', path })]
+    const operation = route.store as AdminOperation
+    const operator = authorise(input, operation.role, now)
+    if (operator.isErr()) return [refuse(input.request, operator.error)]
+    const effects: unknown[] = []
+    const call = { request: input.request, operator: operator.value, params: route.params, query: Object.fromEntries(new URLSearchParams(search)), body: input.body }
+    operation.run(node, call, effect => effects.push(effect), now).match(
+      result => { if (result.kind === 'json') effects.push(answer(input.request, result.status, result.body)) },
+      error => { effects.push(refuse(input.request, error)) }
+    )
+    return effects
+  }
+
+  const published = ({ request, result }: Extract<AdminInput, { kind: 'config.published' }>): readonly unknown[] =>
+    result.kind === 'accepted' ? [answer(request, 200, result)] : [refuse(request, { kind: 'publish_refused', result })]
+
+  const handle = (input: AdminInput, now: number): readonly unknown[] =>
+    input.kind === 'config.published' ? published(input) : operate(input, now)
+
+  return { handle }
+}
--- a/src/claims/claimsMessages.ts
+++ b/src/claims/claimsMessages.ts
@@ -60,7 +60,7 @@
 const answerSchema = z.object({
   status: z.number(),
   headers: z.record(z.string(), z.string()),
-  body: z.instanceof(Uint8Array)
+  body: z.custom<Uint8Array>(value => value instanceof Uint8Array)
 })
 
 /** What the claimant knows of its own attempt. */
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,10 +1,17 @@
 /** The command line: one program whose subcommands run an instance or ask one. */
 import { Command } from 'commander'
 import { version } from '../version.js'
+import { addEntryCommands } from './entryCommand.js'
+import { complain, exitCodeHelp, exitCodes } from './output.js'
 
 const program = new Command('wasabireel')
   .description('Routes language-model traffic whose prompts share long prefixes.')
   .version(version)
+  .addHelpText('after', exitCodeHelp)
 
+addEntryCommands(program)
 program.action(() => program.help())
-program.parse()
+program.parseAsync().catch((error: unknown) => {
+  complain(error instanceof Error ? error.message : String(error))
+  process.exitCode = exitCodes.unreachable
+})
--- a/src/endpoints/observations.ts
+++ b/src/endpoints/observations.ts
@@ -66,7 +66,7 @@
   }
 
   const setModels = (record: EndpointRecord, models: readonly LoadedModel[]): boolean => {
-    if (sameModels(record.models, models)) return false
+    if (record.known.kind === 'service' || sameModels(record.models, models)) return false
     record.models = models
     changed(record, 'models')
     return true
--- /dev/null
+++ b/src/node/nodeMachine.ts
@@ -0,0 +1,230 @@
+/**
+ * The core of one instance: a deterministic machine that joins all features.
+ * One input goes in, with the present time; effects for the adapters come out.
+ */
+import { createDrain, type DrainEffect } from '../addresses/drain.js'
+import { createPlacement } from '../addresses/rendezvous.js'
+import { createAdmin } from '../admin/adminMachine.js'
+import type { AdminRequest } from '../admin/adminOperations.js'
+import { createCache } from '../cache/cacheMachine.js'
+import { cacheDefaults } from '../cache/cacheTypes.js'
+import { createClaims } from '../claims/claimsMachine.js'
+import type { ClaimsEffect, ClaimsInput } from '../claims/claimsTypes.js'
+import { createConfig } from '../config/configMachine.js'
+import type { ConfigEffect, ConfigInput } from '../config/configTypes.js'
+import type { EndpointsEffect, EndpointsInput } from '../endpoints/endpointsContext.js'
+import { createEndpoints } from '../endpoints/endpointsMachine.js'
+import type { Hash } from '../hash.js'
+import { createLimits } from '../limits/limitsMachine.js'
+import { limitsDefaults } from '../limits/limitsTypes.js'
+import { createMembership } from '../membership/membershipMachine.js'
+import type { MembershipFeatureEffect } from '../membership/membershipTypes.js'
+import type { Metrics } from '../metrics/metrics.js'
+import { createPrefix } from '../prefix/prefix.js'
+import type { Random } from '../random.js'
+import { createRequestsDb } from '../requests/requestsDb.js'
+import type { RequestsContext, RequestsEffect } from '../requests/requestsContext.js'
+import { createRequests, type RequestsInput } from '../requests/requestsMachine.js'
+import { latencyObjective, worthObjective, type Objective } from '../routing/routingTypes.js'
+import { createRouting } from '../routing/routingMachine.js'
+import type { Settings } from '../settings/settingsSchema.js'
+import { createDirectory } from './directory.js'
+import type { NodeEffect, NodeInput } from './nodeTypes.js'
+import { createRegistry, type Feature } from './registry.js'
+import { endpointsByService, knownEndpoints, seedMembers, selfMember, type SelfAddress } from './settingsViews.js'
+
+/** What the node is made of. */
+export interface NodeOptions {
+  readonly settings: Settings
+  readonly self: SelfAddress
+  readonly hash: Hash
+  readonly random: Random
+  readonly metrics: Metrics
+  /** When this process started, in ms. */
+  readonly startedAt: number
+}
+
+/** What features say to each other. */
+type InternalEffect =
+  | ConfigEffect
+  | Extract<ClaimsEffect, { kind: `claims.${string}` }>
+  | Extract<EndpointsEffect, { kind: `endpoints.${string}` }>
+  | Extract<MembershipFeatureEffect, { kind: 'membership.changed' | 'membership.superseded' }>
+  | Extract<RequestsEffect, { kind: `requests.${string}` }>
+  | { readonly kind: 'admin.ask', readonly input: AdminRequest }
+
+type AnyEffect = NodeEffect | InternalEffect
+
+type InternalInput =
+  | ConfigInput
+  | Extract<ClaimsInput, { kind: `claims.${string}` }>
+  | Extract<ClaimsEffect, { kind: `claims.${string}` }>
+  | Extract<EndpointsInput, { kind: `endpoints.${string}` | 'membership.changed' }>
+  | Extract<ConfigEffect, { kind: 'config.published' }>
+
+type AnyInput = NodeInput | InternalInput
+
+/** The core of one instance. */
+export interface Node {
+  readonly handle: (input: NodeInput, now: number) => readonly NodeEffect[]
+  readonly dump: () => Readonly<Record<string, unknown>>
+}
+
+const objectiveOf = (share: number): Objective => ({
+  recomputation: latencyObjective.recomputation + share * (worthObjective.recomputation - latencyObjective.recomputation),
+  placement: latencyObjective.placement + share * (worthObjective.placement - latencyObjective.placement)
+})
+
+const startsWith = (prefix: string) => (input: AnyInput): boolean => input.kind.startsWith(prefix)
+const ownedBy = (input: AnyInput, owner: string): boolean => 'owner' in input && input.owner === owner
+const isTick = (input: AnyInput): boolean => input.kind === 'tick'
+const isPeerOf = (input: AnyInput, feature: string): boolean =>
+  input.kind === 'peer.lost' || (input.kind === 'peer.message' && input.message.kind.startsWith(`${feature}.`))
+
+/** Inputs that a feature with peers, a log or both takes. */
+const shared = (input: AnyInput, feature: string): boolean => isTick(input) || isPeerOf(input, feature) || ownedBy(input, feature)
+
+const requestKinds = new Set(['claims.granted', 'claims.refused', 'endpoint.head', 'endpoint.chunk', 'endpoint.end', 'endpoint.answer', 'endpoint.failed'])
+const endpointsKinds = new Set(['endpoint.report', 'endpoint.unreachable', 'endpoints.evidence', 'endpoints.drain', 'membership.list', 'membership.failed', 'membership.changed'])
+const claimsKinds = new Set(['claims.begin', 'claims.settle', 'claims.unsent', 'claims.abandon', 'claims.members'])
+
+/**
+ * Creates the core of one instance.
+ *
+ * @param options - settings, own address, sources of hashes and chance
+ * @returns the core, which serves as soon as it has a configuration
+ */
+export const createNode = (options: NodeOptions): Node => {
+  const { settings, hash, random, metrics, startedAt } = options
+  const self = selfMember(settings, options.self)
+  const placement = createPlacement(hash)
+  const retention = settings.platform.log_retention
+  const membership = createMembership({ self, seeds: seedMembers(settings), random, hash, startedAt })
+  const endpoints = createEndpoints({ self: self.id, known: knownEndpoints(settings), random, hash })
+  const config = createConfig({ self: self.id, hash, random, retention })
+  const claims = createClaims({ self: self.id, incarnation: self.incarnation, hash, random, retention, answerBytes: settings.claims.answer_bytes })
+  const cache = createCache({ ...cacheDefaults, random, endpointOf: endpoints.get, workers: () => endpoints.list().filter(({ kind }) => kind === 'worker') })
+  const routing = createRouting({ hash, random, cache, objective: objectiveOf(settings.routing.objective), dataCentre: self.dataCentre })
+  const drain = createDrain({ timeToLive: settings.addresses.time_to_live, membershipLag: settings.platform.list_lag })
+  const directory = createDirectory({ placement, membership, config, settings })
+  const limits = createLimits({
+    ...limitsDefaults,
+    self: self.id,
+    incarnation: self.incarnation,
+    random,
+    hash,
+    retryFraction: settings.limits.retry_share,
+    entriesOf: workspace => directory.entriesOf(workspace).map(({ id }) => id)
+  })
+  const services = endpointsByService(settings)
+  const registry = createRegistry<AnyInput, AnyEffect>()
+  const collected: RequestsEffect[] = []
+  const context: RequestsContext = {
+    options: {
+      idPrefix: `${self.id}-${self.incarnation}`,
+      expectedTokens: settings.routing.expected_tokens,
+      resumeGrace: settings.streams.resume_grace,
+      resumeWindow: settings.streams.resume_window,
+      resumeKeys: () => settings.streams.resume_keys,
+      inFlight: settings.limits.in_flight
+    },
+    db: createRequestsDb(),
+    random,
+    prefix: createPrefix(hash, { blockBytes: settings.routing.block_bytes }),
+    routing,
+    limits,
+    metrics,
+    endpoints: endpoints.list,
+    endpoint: endpoints.get,
+    serviceEndpoints: service => services.get(service) ?? [],
+    ruleset: now => config.ready(now) ? config.current()?.ruleset : undefined,
+    mayDispatch: claims.mayDispatch,
+    emit: effect => { collected.push(effect) }
+  }
+  const requests = createRequests(context, directory)
+  const admin = createAdmin({ settings, membership, config, endpoints, limits, routing, claims, drain, metrics, requests, dump: () => dump() })
+
+  const register = (feature: Feature<AnyInput, AnyEffect>): void => registry.register(feature)
+
+  register({ name: 'membership', takes: input => shared(input, 'membership') || input.kind === 'membership.list' || input.kind === 'membership.failed', handle: (input, now) => membership.handle(input as never, now), dump: membership.dump })
+  register({ name: 'endpoints', takes: input => shared(input, 'endpoints') || endpointsKinds.has(input.kind), handle: (input, now) => endpoints.handle(input as never, now), dump: endpoints.dump })
+  register({ name: 'config', takes: input => shared(input, 'config') || (startsWith('config.')(input) && input.kind !== 'config.published'), handle: (input, now) => config.handle(input as never, now), dump: config.dump })
+  register({ name: 'claims', takes: input => shared(input, 'claims') || claimsKinds.has(input.kind), handle: (input, now) => claims.handle(input as never, now), dump: claims.dump })
+  register({ name: 'cache', takes: input => isTick(input) || input.kind === 'endpoint.events' || input.kind === 'endpoint.unreachable', handle: (input, now) => cache.handle(input as never, now), dump: cache.dump })
+  register({ name: 'limits', takes: input => shared(input, 'limits'), handle: (input, now) => limits.handle(input as never, now), dump: limits.dump })
+  register({
+    name: 'requests',
+    takes: input => isTick(input) || startsWith('caller.')(input) || requestKinds.has(input.kind),
+    handle: (input, now) => {
+      requests.handle(input as RequestsInput, now)
+      return collected.splice(0)
+    },
+    dump: () => ({ running: requests.running(), attempts: context.db.attempts.size, routing: routing.dump() })
+  })
+  register({ name: 'admin', takes: input => input.kind === 'operator.request' || input.kind === 'config.published', handle: (input, now) => admin.handle(input as never, now) as readonly AnyEffect[], dump: () => ({ drain: drain.dump() }) })
+
+  const drained = (effects: readonly DrainEffect[], now: number): readonly AnyEffect[] =>
+    effects.flatMap((effect): readonly AnyEffect[] => effect.kind === 'drain.announce'
+      ? [...membership.leave(now), { kind: 'node.changed', change: { kind: 'drainStarted' } }]
+      : [effect])
+
+  const drainStep = (input: AnyInput, now: number): readonly AnyEffect[] => {
+    if (input.kind === 'drain.start') return drained(drain.handle({ kind: 'drain.start' }, now), now)
+    if (input.kind !== 'tick') return []
+    metrics.inFlight.set(requests.running())
+    return [
+      ...drained(drain.handle({ kind: 'drain.running', running: requests.running() }, now), now),
+      ...drained(drain.handle({ kind: 'tick' }, now), now)
+    ]
+  }
+
+  /** Turns what one feature says into inputs of others and effects for adapters. */
+  const route = (effect: AnyEffect, queue: AnyInput[], out: NodeEffect[]): void => {
+    switch (effect.kind) {
+      case 'admin.ask':
+      case 'requests.evidence':
+      case 'requests.claims':
+        queue.push(effect.input)
+        return
+      case 'claims.granted':
+      case 'claims.refused':
+      case 'config.published':
+        queue.push(effect)
+        return
+      case 'config.changed':
+        metrics.configVersion.set(effect.version)
+        out.push({ kind: 'node.changed', change: { kind: 'configInForce', version: effect.version, publisher: effect.publisher } })
+        return
+      case 'endpoints.changed':
+        out.push({ kind: 'node.changed', change: { kind: 'endpointChanged', endpoint: effect.endpoint, reason: effect.reason } })
+        return
+      case 'membership.changed': {
+        const known = membership.members()
+        queue.push(effect, { kind: 'config.peers', peers: known.map(({ id }) => id) })
+        queue.push({ kind: 'claims.members', instances: known.map(({ id, incarnation, state }) => ({ id, incarnation, state })) })
+        out.push({ kind: 'node.peers', members: known }, { kind: 'node.changed', change: { kind: 'membersChanged', alive: effect.members.length } })
+        return
+      }
+      case 'membership.superseded':
+        out.push({ kind: 'node.changed', change: { kind: 'superseded', by: effect.by } })
+        queue.push({ kind: 'drain.start' })
+        return
+      default:
+        out.push(effect)
+    }
+  }
+
+  const handle = (input: NodeInput, now: number): readonly NodeEffect[] => {
+    const out: NodeEffect[] = []
+    const queue: AnyInput[] = [input]
+    for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
+      for (const effect of registry.handle(next, now)) route(effect, queue, out)
+      for (const effect of drainStep(next, now)) route(effect, queue, out)
+    }
+    return out
+  }
+
+  const dump = (): Readonly<Record<string, unknown>> => ({ instance: membership.self(), ...registry.dump() })
+
+  return { handle, dump }
+}
--- a/src/ports/callerPort.ts
+++ b/src/ports/callerPort.ts
@@ -11,6 +11,8 @@
     /** Header names in lower case. */
     readonly headers: Readonly<Record<string, string>>
     readonly body: Uint8Array
+    /** IP address of the caller. */
+    readonly remote: string
   }
   | { readonly kind: 'caller.gone', readonly request: number }
   /** The caller reads slower than the answer comes. */
--- a/src/ports/membershipPort.ts
+++ b/src/ports/membershipPort.ts
@@ -6,7 +6,10 @@
   readonly id: string
   readonly kind: 'entry' | 'worker' | 'service'
   readonly incarnation: string
+  /** Where callers, or dispatches, connect. */
   readonly address: Address
+  /** Where other instances connect; set for entries. */
+  readonly peer?: Address
   readonly dataCentre: string
   readonly state: 'live' | 'leaving'
   /** Relative size of the machine; 1 is ordinary. */
--- /dev/null
+++ b/src/processes/entry.ts
@@ -0,0 +1,205 @@
+/**
+ * One entry instance: ties the core to its sockets. All inputs pass through one
+ * function on one thread, and each carries the time at which it arrived.
+ */
+import { randomBytes } from 'node:crypto'
+import { createEndpointHttp } from '../adapters/endpointHttp.js'
+import { createLogHttp } from '../adapters/logHttp.js'
+import { createMembershipHttp } from '../adapters/membershipHttp.js'
+import { createHttpServer, type HttpServer } from '../adapters/httpServer.js'
+import { loadCredentials, type Credentials } from '../adapters/credentials.js'
+import { createPeerTcp, type PeerNetwork } from '../adapters/peerTcp.js'
+import { assertNever } from '../errors.js'
+import { loadHash } from '../hash.js'
+import { createLogger, type Logger } from '../logger.js'
+import { createMetrics, type Metrics } from '../metrics/metrics.js'
+import { createNode } from '../node/nodeMachine.js'
+import type { NodeEffect, NodeInput } from '../node/nodeTypes.js'
+import { tickInterval } from '../ports/peerPort.js'
+import { createRandom } from '../random.js'
+import type { Settings } from '../settings/settingsSchema.js'
+
+/** A running instance. */
+export interface EntryProcess {
+  readonly callerPort: number
+  readonly operatorPort: number
+  readonly peerPort: number
+  /** Ends once the instance has drained. */
+  readonly ended: Promise<void>
+  /** Leaves without cutting a request. */
+  readonly drain: () => void
+  /** Reads certificates again. */
+  readonly reload: () => void
+}
+
+const operatorReceiveTimeout = 15_000
+const operatorBodyLimit = 16 * 1024 * 1024
+const incarnationBytes = 6
+
+interface Faces {
+  readonly callers: HttpServer
+  readonly operators: HttpServer
+  readonly peers: PeerNetwork
+}
+
+const createFaces = (settings: Settings, incarnation: string, metrics: Metrics, credentials: Credentials | undefined, receive: (input: NodeInput) => void): Faces => {
+  const { caller, operator, peer, instance } = settings
+  const callers = createHttpServer({
+    host: caller.host,
+    port: caller.port,
+    bodyLimit: caller.body_limit,
+    headerLimit: caller.header_limit,
+    receiveTimeout: caller.receive_timeout,
+    writeBuffer: caller.write_buffer,
+    credentials
+  }, {
+    arrived: request => receive({ kind: 'caller.request', ...request }),
+    gone: request => receive({ kind: 'caller.gone', request }),
+    blocked: request => receive({ kind: 'caller.blocked', request }),
+    ready: request => receive({ kind: 'caller.ready', request }),
+    refused: error => metrics.requests.inc({ workspace: 'none', outcome: 'not_run', error: error.kind })
+  })
+  const operators: HttpServer = createHttpServer({
+    host: operator.host,
+    port: operator.port,
+    bodyLimit: operatorBodyLimit,
+    headerLimit: caller.header_limit,
+    receiveTimeout: operatorReceiveTimeout,
+    writeBuffer: caller.write_buffer,
+    credentials
+  }, {
+    arrived: request => {
+      if (request.method === 'GET' && request.path === '/metrics') answerMetrics(operators, metrics, request.request)
+      else receive({ kind: 'operator.request', ...request })
+    },
+    gone: () => { /* Operators' answers are whole; nothing is to be cancelled. */ },
+    blocked: () => { /* Operators' answers are whole. */ },
+    ready: () => { /* Operators' answers are whole. */ },
+    refused: () => { /* The answer says why. */ }
+  })
+  const peers = createPeerTcp({ id: instance.id, incarnation, host: peer.host, port: peer.port, frameLimit: peer.frame_limit, credentials }, {
+    emit: receive,
+    garbled: problem => metrics.garbledFrames.inc({ problem }),
+    sent: bytes => metrics.peerBytes.inc({ direction: 'sent' }, bytes),
+    received: bytes => metrics.peerBytes.inc({ direction: 'received' }, bytes)
+  })
+  return { callers, operators, peers }
+}
+
+const answerMetrics = async (operators: HttpServer, metrics: Metrics, request: number): Promise<void> => {
+  const body = await metrics.registry.metrics()
+  operators.perform({ kind: 'caller.answer', request, status: 200, headers: { 'content-type': metrics.registry.contentType }, body })
+}
+
+const logChange = (logger: Logger, effect: Extract<NodeEffect, { kind: 'node.changed' }>): void => {
+  const { kind, ...details } = effect.change
+  logger.info(details, kind)
+}
+
+/**
+ * Starts an instance.
+ *
+ * @param settings - checked settings
+ * @returns the running instance, once its ports are open
+ */
+export const startEntry = async (settings: Settings): Promise<EntryProcess> => {
+  const incarnation = settings.instance.incarnation || `${Date.now().toString(36)}-${randomBytes(incarnationBytes).toString('hex')}`
+  const logger = createLogger(settings.instance.id, settings.instance.log_level)
+  const metrics = createMetrics({ processMetrics: true })
+  const hash = await loadHash()
+  const { tls, platform } = settings
+  const credentials = tls.ca === '' ? undefined : loadCredentials(tls)
+  const material = credentials === undefined ? {} : { tls: credentials.server }
+
+  const waiting: NodeInput[] = []
+  let receive = (input: NodeInput): void => { waiting.push(input) }
+  const arrived = (input: NodeInput): void => receive(input)
+  const faces = createFaces(settings, incarnation, metrics, credentials, arrived)
+  const peerPort = await faces.peers.listen()
+  const operatorPort = await faces.operators.listen()
+  const callerPort = await faces.callers.listen()
+
+  const endpoints = createEndpointHttp({ ...material, emit: arrived, kindOf: id => settings.service[id] === undefined ? 'worker' : 'service' })
+  const log = platform.log_url === '' ? undefined : createLogHttp({ ...material, baseUrl: platform.log_url, emit: arrived })
+  const list = platform.membership_url === '' ? undefined : createMembershipHttp({ ...material, baseUrl: platform.membership_url, emit: arrived })
+  const startedAt = Date.now()
+  const node = createNode({ settings, self: { incarnation, callerPort, peerPort }, hash, random: createRandom(randomBytes(4).readInt32BE()), metrics, startedAt })
+
+  let end: () => void = () => { /* Replaced at once. */ }
+  const ended = new Promise<void>(resolve => { end = resolve })
+
+  const exit = async (): Promise<void> => {
+    clearInterval(timer)
+    faces.operators.closeListener()
+    faces.peers.close()
+    await Promise.all([endpoints.close(), log?.close(), list?.close()])
+    faces.callers.destroy()
+    faces.operators.destroy()
+    logger.info({}, 'ended')
+    end()
+  }
+
+  const perform = (effect: NodeEffect): void => {
+    switch (effect.kind) {
+      case 'caller.answer':
+      case 'caller.open':
+      case 'caller.write':
+      case 'caller.end':
+      case 'caller.abort': return faces.callers.perform(effect)
+      case 'operator.answer': return faces.operators.perform({ ...effect, kind: 'caller.answer' })
+      case 'peer.send': return faces.peers.perform(effect)
+      case 'node.peers': return faces.peers.setAddresses(new Map(effect.members.flatMap(({ id, peer }) => peer === undefined ? [] : [[id, peer]])))
+      case 'node.changed': return logChange(logger, effect)
+      case 'log.append':
+      case 'log.read': {
+        const { owner, token, stream } = effect
+        if (log === undefined) queueMicrotask(() => arrived({ kind: 'log.failed', owner, token, stream, failure: 'unavailable' }))
+        else log.perform(effect)
+        return
+      }
+      case 'membership.fetch':
+      case 'membership.announce': {
+        if (list === undefined) queueMicrotask(() => arrived({ kind: 'membership.failed' }))
+        else list.perform(effect)
+        return
+      }
+      case 'drain.announce': return
+      case 'drain.closeListener': return faces.callers.closeListener()
+      case 'drain.exit': {
+        exit()
+        return
+      }
+      default: return performEndpoint(effect)
+    }
+  }
+
+  const performEndpoint = (effect: Parameters<typeof endpoints.perform>[0]): void => {
+    switch (effect.kind) {
+      case 'endpoint.dispatch':
+      case 'endpoint.cancel':
+      case 'endpoint.pause':
+      case 'endpoint.resume':
+      case 'endpoint.probe':
+      case 'endpoint.follow':
+      case 'endpoint.unfollow':
+      case 'endpoint.order': return endpoints.perform(effect)
+      default: assertNever(effect)
+    }
+  }
+
+  receive = input => {
+    if (input.kind === 'log.failed') metrics.logFailures.inc({ stream: input.stream.split('/')[0] })
+    for (const effect of node.handle(input, Date.now())) perform(effect)
+  }
+  for (const input of waiting.splice(0)) receive(input)
+  const timer = setInterval(() => receive({ kind: 'tick' }), tickInterval)
+  logger.info({ incarnation, callerPort, operatorPort, peerPort }, 'started')
+  return {
+    callerPort,
+    operatorPort,
+    peerPort,
+    ended,
+    drain: () => receive({ kind: 'drain.start' }),
+    reload: () => logger.info({ reloaded: credentials?.reload() ?? false }, 'credentials')
+  }
+}
--- /dev/null
+++ b/src/requests/modelAttempts.ts
@@ -0,0 +1,215 @@
+/** Dispatches model requests to workers, and decides what follows a failed attempt. */
+import { signStream, streamFingerprint } from '../streams/resumeToken.js'
+import type { Choice } from '../routing/routingTypes.js'
+import type { EndpointRequest } from '../ports/endpointPort.js'
+import { continuationOf } from './continuation.js'
+import type { RequestsContext } from './requestsContext.js'
+import { comeBack, fail } from './requestOutcomes.js'
+import type { ModelAttempt, ModelRequest } from './requestsTypes.js'
+
+/** Attempts to bring a started stream to its end; beyond it the caller is told. */
+const recoveryLimit = 4
+
+/** Why an attempt ended without a whole answer. */
+export type AttemptFault = 'unsent' | 'cut' | 'timeout' | 'garbled' | 'crossed' | 'gap' | 'wrongVersion' | 'busy'
+
+interface Target {
+  readonly endpoint: string
+  readonly engineRequest: string
+  readonly incarnation: string
+  readonly weightVersion: string
+  readonly base: number
+}
+
+const salt = (request: ModelRequest, weightVersion: string): string =>
+  [request.workspace, request.question.model, request.question.adapter ?? '', weightVersion].join('/')
+
+const stemOf = (context: RequestsContext, request: ModelRequest, target: Target): string => {
+  const [key] = context.options.resumeKeys()
+  if (key === undefined || !request.call.stream) return ''
+  const { endpoint, engineRequest, incarnation, weightVersion } = target
+  return signStream(key, { workspace: request.workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint: streamFingerprint(request.fingerprint), arrived: request.arrived })
+}
+
+const engineRequestOf = (request: ModelRequest, target: Target, resumeFrom: number | undefined): EndpointRequest => ({
+  kind: 'model',
+  id: target.engineRequest,
+  path: request.call.path,
+  body: continuationOf(request.call, request.relay),
+  identity: {
+    workspace: request.workspace,
+    model: request.question.model,
+    adapter: request.question.adapter,
+    weightVersion: target.weightVersion,
+    incarnation: target.incarnation
+  },
+  cacheSalt: salt(request, target.weightVersion),
+  priority: request.question.priority,
+  ...(resumeFrom === undefined ? {} : { resumeFrom })
+})
+
+const send = (context: RequestsContext, request: ModelRequest, target: Target, cause: string, choice: Choice | undefined, resumeFrom: number | undefined, now: number): boolean => {
+  const endpoint = context.endpoint(target.endpoint)
+  if (endpoint === undefined) return false
+  const attempt: ModelAttempt = {
+    kind: 'model',
+    attempt: context.db.nextAttempt(),
+    request: request.request,
+    ...target,
+    flight: choice === undefined ? undefined : context.routing.started(request.question, choice, now),
+    stem: stemOf(context, request, target),
+    headSeen: false
+  }
+  context.db.attempts.set(attempt.attempt, attempt)
+  request.attempt = attempt
+  context.metrics.attempts.inc({ cause })
+  context.emit({ kind: 'endpoint.dispatch', attempt: attempt.attempt, endpoint: endpoint.id, address: endpoint.address, request: engineRequestOf(request, target, resumeFrom) })
+  if (request.blocked) context.emit({ kind: 'endpoint.pause', attempt: attempt.attempt })
+  return true
+}
+
+/**
+ * Dispatches to a chosen worker, from the prompt on or, once a stream has
+ * begun, from the prompt and the tokens already relayed.
+ *
+ * @param context - the node
+ * @param request - the request
+ * @param choice - the worker
+ * @param cause - counted with the attempt
+ * @param now - present time in ms
+ */
+export const dispatch = (context: RequestsContext, request: ModelRequest, choice: Choice, cause: string, now: number): void => {
+  const { endpoint, incarnation, weightVersion } = choice
+  const engineRequest = `${context.options.idPrefix}-${context.db.nextAttempt()}`
+  if (request.publicId === '') request.publicId = engineRequest
+  request.weightVersion = weightVersion
+  send(context, request, { endpoint, engineRequest, incarnation, weightVersion, base: request.relay.next }, cause, choice, undefined, now)
+}
+
+/**
+ * Takes up a stream at the engine that runs it.
+ *
+ * @param context - the node
+ * @param request - the request
+ * @param target - the stream, and the position in the caller's stream of its event 0
+ * @param now - present time in ms
+ * @returns false if the engine is not known here
+ */
+export const resume = (context: RequestsContext, request: ModelRequest, target: Target, now: number): boolean => {
+  if (request.publicId === '') request.publicId = target.engineRequest
+  request.weightVersion = target.weightVersion
+  return send(context, request, target, 'resume', undefined, request.relay.next - target.base, now)
+}
+
+/**
+ * Forgets an attempt.
+ *
+ * @param context - the node
+ * @param request - its request
+ * @param cancel - whether the engine may still be at work
+ */
+export const dropAttempt = (context: RequestsContext, request: ModelRequest, cancel: boolean): void => {
+  const { attempt } = request
+  if (attempt === undefined) return
+  if (cancel) context.emit({ kind: 'endpoint.cancel', attempt: attempt.attempt })
+  if (attempt.flight !== undefined && !attempt.flight.ended) context.routing.failed(attempt.flight)
+  context.db.attempts.delete(attempt.attempt)
+  request.attempt = undefined
+}
+
+/**
+ * Ends a request and lets go of all that it held.
+ *
+ * @param context - the node
+ * @param request - the request
+ * @param now - present time in ms
+ */
+export const finish = (context: RequestsContext, request: ModelRequest, now: number): void => {
+  const { usage, tokens } = request.relay
+  dropAttempt(context, request, false)
+  context.db.requests.delete(request.request)
+  request.release(usage?.promptTokens ?? request.question.promptTokens, usage?.completionTokens ?? tokens, now)
+}
+
+const giveUp = (context: RequestsContext, request: ModelRequest, ran: boolean, now: number): void => {
+  const outcome = ran ? 'unknown' : 'not_run'
+  if (request.relay.next > 0) fail(context, request, { kind: 'stream_interrupted', outcome: 'unknown' })
+  else if (request.tried.length === 0) fail(context, request, { kind: 'no_endpoint', retryAfter: comeBack(context) })
+  else fail(context, request, { kind: 'endpoint_failed', outcome, retryAfter: comeBack(context) })
+  finish(context, request, now)
+}
+
+const sameEngineAgain = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, now: number): boolean => {
+  const endpoint = context.endpoint(attempt.endpoint)
+  if (endpoint?.incarnation !== attempt.incarnation) return false
+  if (endpoint.state === 'gone') return false
+  const { engineRequest, incarnation, weightVersion, base } = attempt
+  return resume(context, request, { endpoint: endpoint.id, engineRequest, incarnation, weightVersion, base }, now)
+}
+
+const canContinue = (request: ModelRequest): boolean => {
+  const delta = request.relay.choice.delta as { tool_calls?: unknown } | undefined
+  return delta?.tool_calls === undefined
+}
+
+/** The worker may have begun: only the same weights may go on, and only with text that can be handed over. */
+const continueElsewhere = (context: RequestsContext, request: ModelRequest, now: number): boolean => {
+  if (!canContinue(request)) return false
+  const question = { ...request.question, weightVersion: request.weightVersion, exclude: request.tried }
+  return context.routing.choose(question, context.endpoints(), now).match(
+    choice => {
+      dispatch(context, request, choice, 'continue', now)
+      return true
+    },
+    () => false
+  )
+}
+
+const retryElsewhere = (context: RequestsContext, request: ModelRequest, now: number): boolean => {
+  if (now >= request.deadline) return false
+  const question = { ...request.question, exclude: request.tried }
+  const choice = context.routing.choose(question, context.endpoints(), now)
+  if (choice.isErr()) return false
+  const { workspace, deadline } = request
+  const allowed = context.limits.retry({ workspace, deadline, retried: request.tried.length > 1, expectedWait: choice.value.expectedWait }, now)
+  if (allowed.isErr()) return false
+  dispatch(context, request, choice.value, 'retry', now)
+  return true
+}
+
+const evidenceOf = (fault: AttemptFault): 'refused' | 'cut' | 'timeout' | undefined => {
+  switch (fault) {
+    case 'unsent': return 'refused'
+    case 'cut':
+    case 'garbled': return 'cut'
+    case 'timeout': return 'timeout'
+    default: return undefined
+  }
+}
+
+/**
+ * Recovers from a failed attempt: at the same engine if the stream had begun
+ * there, else elsewhere, else the caller gets a typed error at once.
+ *
+ * @param context - the node
+ * @param request - the request
+ * @param fault - what ended the attempt
+ * @param now - present time in ms
+ */
+export const recover = (context: RequestsContext, request: ModelRequest, fault: AttemptFault, now: number): void => {
+  const { attempt } = request
+  if (attempt === undefined) return
+  const evidence = evidenceOf(fault)
+  if (evidence !== undefined) context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint: attempt.endpoint, outcome: evidence } })
+  dropAttempt(context, request, fault === 'crossed' || fault === 'gap' || fault === 'wrongVersion' || fault === 'garbled')
+  context.metrics.streamFaults.inc({ fault })
+  if (request.goneAt !== undefined) return finish(context, request, now)
+  const begun = request.relay.next > 0
+  request.recoveries++
+  if (request.recoveries > recoveryLimit) return giveUp(context, request, true, now)
+  const resumable = attempt.headSeen && (fault === 'cut' || fault === 'gap')
+  if (resumable && sameEngineAgain(context, request, attempt, now)) return
+  request.tried.push(attempt.endpoint)
+  if (begun ? continueElsewhere(context, request, now) : retryElsewhere(context, request, now)) return
+  giveUp(context, request, fault !== 'unsent', now)
+}
--- /dev/null
+++ b/src/requests/requestsMachine.ts
@@ -0,0 +1,235 @@
+/**
+ * Carries every caller's request from arrival to outcome. It joins the rules,
+ * the choice of endpoint, limits, claims and streams; each step reacts to one
+ * input and answers with effects.
+ */
+import { createHash } from 'node:crypto'
+import { err, ok, type Result } from 'neverthrow'
+import { assertNever } from '../errors.js'
+import type { ClaimsEffect } from '../claims/claimsTypes.js'
+import type { CallerInput } from '../ports/callerPort.js'
+import type { EndpointInput } from '../ports/endpointPort.js'
+import type { Tick } from '../ports/peerPort.js'
+import type { RuleDecision, RuleQuery } from '../rules/rulesTypes.js'
+import { dropAttempt, finish, recover } from './modelAttempts.js'
+import { beginModel, type Admittee } from './modelBegin.js'
+import { onChunk, onEnd, onHead } from './modelStream.js'
+import type { RequestsContext } from './requestsContext.js'
+import type { CallerError } from './requestsErrors.js'
+import { comeBack, fail, refuse } from './requestOutcomes.js'
+import { parseRequest, type Operation } from './requestsParser.js'
+import type { ActiveRequest, ModelAttempt, ModelCall, ModelRequest, ServiceCall } from './requestsTypes.js'
+import { beginService, dispatchService, expireService, onClaimRefused, onServiceAnswer, onServiceFailure } from './serviceRequests.js'
+
+type Arrival = Extract<CallerInput, { kind: 'caller.request' }>
+type AttemptInput = Extract<EndpointInput, { attempt: number }>
+type ClaimAnswer = Extract<ClaimsEffect, { kind: 'claims.granted' | 'claims.refused' }>
+
+/** What request handling reacts to. */
+export type RequestsInput = CallerInput | AttemptInput | ClaimAnswer | Tick
+
+/** Statuses with which a worker says that another may do better. */
+const elsewhereStatuses = new Set([408, 409, 425, 429, 500, 502, 503, 504])
+
+/** Answers operations that need no endpoint. */
+export interface Directory {
+  readonly addresses: (workspace: string, caller: string, now: number) => unknown
+  readonly models: (workspace: string, now: number) => unknown
+}
+
+/** The handling of requests. */
+export interface Requests {
+  readonly handle: (input: RequestsInput, now: number) => void
+  /** Requests that are not finished. */
+  readonly running: () => number
+}
+
+const sha256 = (...parts: readonly (string | Uint8Array)[]): string => {
+  const hash = createHash('sha256')
+  for (const part of parts) hash.update(part).update('\n')
+  return hash.digest('hex')
+}
+
+/**
+ * The hash under which rules keep a caller's key.
+ *
+ * @param authorization - the header's value
+ * @returns lower-case hexadecimal, or undefined without a bearer key
+ */
+export const keyHash = (authorization: string | undefined): string | undefined => {
+  const key = /^Bearer ([\x21-\x7e]+)$/i.exec(authorization ?? '')?.[1]
+  return key === undefined ? undefined : createHash('sha256').update(key).digest('hex')
+}
+
+const queryOf = (workspace: string, call: ModelCall | ServiceCall): RuleQuery => call.kind === 'model'
+  ? { workspace, model: call.model, adapter: call.adapter }
+  : { workspace, service: call.service, method: call.method, path: call.path.split('?')[0] }
+
+const refusalOf = (decision: RuleDecision, call: ModelCall | ServiceCall): CallerError => {
+  if (call.kind === 'service') return { kind: 'forbidden', reason: 'the rules deny this call' }
+  if (decision.refusal === 'unknownModel' || decision.refusal === 'unknownAdapter') return { kind: 'unknown_model', model: call.model }
+  return { kind: 'forbidden', reason: 'the rules deny this model' }
+}
+
+const jsonHeaders = { 'content-type': 'application/json' }
+
+/**
+ * Creates the handling of requests; its effects leave through the context.
+ *
+ * @param context - the node
+ * @param directory - answers to operations that need no endpoint
+ * @returns the handler
+ */
+export const createRequests = (context: RequestsContext, directory: Directory): Requests => {
+  const { db } = context
+
+  const authorise = (arrival: Arrival, now: number): Result<{ readonly workspace: string }, CallerError> => {
+    const ruleset = context.ruleset(now)
+    if (ruleset === undefined) return err({ kind: 'not_ready', retryAfter: comeBack(context) })
+    const hash = keyHash(arrival.headers.authorization)
+    const workspace = hash === undefined ? undefined : ruleset.workspaceOfKey(hash, now)
+    return workspace === undefined ? err({ kind: 'unauthorised' }) : ok({ workspace })
+  }
+
+  const deadlineOf = (arrival: Arrival, decision: RuleDecision, now: number): number => {
+    const asked = Number(arrival.headers['x-deadline-ms'])
+    return now + (asked > 0 ? Math.min(asked, decision.deadline) : decision.deadline)
+  }
+
+  const beginCall = (arrival: Arrival, call: ModelCall | ServiceCall, workspace: string, now: number): void => {
+    const decision = context.ruleset(now)?.decide(queryOf(workspace, call))
+    if (decision === undefined) return refuse(context, arrival.request, workspace, { kind: 'not_ready', retryAfter: comeBack(context) })
+    if (!decision.allowed) return refuse(context, arrival.request, workspace, refusalOf(decision, call))
+    const admittee: Admittee = {
+      request: arrival.request,
+      workspace,
+      fingerprint: sha256(arrival.method, arrival.path, arrival.body),
+      arrived: now,
+      deadline: deadlineOf(arrival, decision, now),
+      decision,
+      lastEventId: arrival.headers['last-event-id']
+    }
+    if (call.kind === 'model') beginModel(context, admittee, call, now)
+    else beginService(context, admittee, call, now)
+  }
+
+  const operate = (arrival: Arrival, operation: Operation, now: number): void => {
+    const { request } = arrival
+    if (operation.kind === 'addresses') {
+      const body = JSON.stringify(directory.addresses(operation.workspace, arrival.remote, now))
+      return context.emit({ kind: 'caller.answer', request, status: 200, headers: jsonHeaders, body })
+    }
+    const authorised = authorise(arrival, now)
+    if (authorised.isErr()) return refuse(context, request, undefined, authorised.error)
+    const { workspace } = authorised.value
+    if (operation.kind === 'models') {
+      return context.emit({ kind: 'caller.answer', request, status: 200, headers: jsonHeaders, body: JSON.stringify(directory.models(workspace, now)) })
+    }
+    if (db.requests.size >= context.options.inFlight) return refuse(context, request, workspace, { kind: 'overloaded', retryAfter: comeBack(context) })
+    beginCall(arrival, operation.call, workspace, now)
+  }
+
+  const arrive = (arrival: Arrival, now: number): void =>
+    parseRequest(arrival).match(
+      operation => operate(arrival, operation, now),
+      error => refuse(context, arrival.request, undefined, error)
+    )
+
+  const abandon = (active: ActiveRequest, now: number): void => {
+    active.goneAt = now
+    if (active.kind === 'service') {
+      if (active.attempt === undefined && !active.decision.repeatable) context.emit({ kind: 'requests.claims', input: { kind: 'claims.abandon', request: active.request } })
+      return
+    }
+    if (active.blocked && active.attempt !== undefined) context.emit({ kind: 'endpoint.resume', attempt: active.attempt.attempt })
+    if (active.call.stream && active.opened) return
+    dropAttempt(context, active, true)
+    finish(context, active, now)
+  }
+
+  const hold = (active: ActiveRequest, blocked: boolean): void => {
+    if (active.kind !== 'model') return
+    active.blocked = blocked
+    if (active.attempt === undefined) return
+    context.emit({ kind: blocked ? 'endpoint.pause' : 'endpoint.resume', attempt: active.attempt.attempt })
+  }
+
+  const onModelAnswer = (request: ModelRequest, status: number, body: Uint8Array, now: number): void => {
+    if (elsewhereStatuses.has(status) || status < 400) return recover(context, request, status === 409 ? 'wrongVersion' : 'busy', now)
+    if (request.opened) {
+      fail(context, request, { kind: 'stream_interrupted', outcome: 'unknown' })
+    } else {
+      context.metrics.requests.inc({ workspace: context.metrics.workspaceLabel(request.workspace), outcome: 'not_run', error: 'refused_by_engine' })
+      context.emit({ kind: 'caller.answer', request: request.request, status, headers: jsonHeaders, body })
+    }
+    dropAttempt(context, request, false)
+    finish(context, request, now)
+  }
+
+  const onModelInput = (request: ModelRequest, attempt: ModelAttempt, input: AttemptInput, now: number): void => {
+    switch (input.kind) {
+      case 'endpoint.head': return onHead(context, request, attempt, input, now)
+      case 'endpoint.chunk': return attempt.headSeen ? onChunk(context, request, attempt, input, now) : recover(context, request, 'garbled', now)
+      case 'endpoint.end': return onEnd(context, request, attempt, now)
+      case 'endpoint.answer': return onModelAnswer(request, input.status, input.body, now)
+      case 'endpoint.failed': return recover(context, request, input.sent ? (input.failure === 'refused' ? 'cut' : input.failure) : 'unsent', now)
+      default: return assertNever(input)
+    }
+  }
+
+  const onAttempt = (input: AttemptInput, now: number): void => {
+    const attempt = db.attempts.get(input.attempt)
+    const request = db.ofAttempt(input.attempt)
+    if (request === undefined || attempt === undefined) return
+    if (request.kind === 'model') {
+      if (attempt.kind === 'model') onModelInput(request, attempt, input, now)
+      return
+    }
+    if (input.kind === 'endpoint.answer') return onServiceAnswer(context, request, input, now)
+    if (input.kind === 'endpoint.failed') return onServiceFailure(context, request, input, now)
+  }
+
+  const onClaim = (input: ClaimAnswer, now: number): void => {
+    const request = db.requests.get(input.request)
+    if (request?.kind !== 'service') return
+    if (input.kind === 'claims.granted') return dispatchService(context, request, now)
+    onClaimRefused(context, request, input.refusal, now)
+  }
+
+  const expire = (active: ActiveRequest, now: number): void => {
+    if (active.kind === 'service') {
+      if (now >= active.deadline) expireService(context, active, now)
+      return
+    }
+    const orphaned = active.goneAt !== undefined && now - active.goneAt >= context.options.resumeGrace
+    const late = active.firstTokenAt === undefined && now >= active.deadline
+    if (!orphaned && !late) return
+    if (active.goneAt === undefined) fail(context, active, { kind: 'deadline_exceeded', outcome: 'unknown', retryAfter: comeBack(context) })
+    dropAttempt(context, active, true)
+    finish(context, active, now)
+  }
+
+  const tick = (now: number): void => {
+    for (const active of db.requests.values()) expire(active, now)
+  }
+
+  const withRequest = (request: number, act: (active: ActiveRequest) => void): void => {
+    const active = db.requests.get(request)
+    if (active !== undefined) act(active)
+  }
+
+  const handle = (input: RequestsInput, now: number): void => {
+    switch (input.kind) {
+      case 'caller.request': return arrive(input, now)
+      case 'caller.gone': return withRequest(input.request, active => abandon(active, now))
+      case 'caller.blocked': return withRequest(input.request, active => hold(active, true))
+      case 'caller.ready': return withRequest(input.request, active => hold(active, false))
+      case 'claims.granted':
+      case 'claims.refused': return onClaim(input, now)
+      case 'tick': return tick(now)
+      default: return onAttempt(input, now)
+    }
+  }
+
+  return { handle, running: () => db.requests.size }
+}
--- /dev/null
+++ b/src/requests/serviceRequests.ts
@@ -0,0 +1,240 @@
+/**
+ * Calls to plain services. One that may be repeated goes elsewhere when an
+ * endpoint fails; one that may not is dispatched only under a claim, and never
+ * again once a byte of it may have left.
+ */
+import type { Refusal } from '../claims/claimsTypes.js'
+import { assertNever } from '../errors.js'
+import type { EndpointInput } from '../ports/endpointPort.js'
+import { allowedEndpoints, type Admittee } from './modelBegin.js'
+import { comeBack, countAnswered, refuse } from './requestOutcomes.js'
+import type { RequestsContext } from './requestsContext.js'
+import type { CallerError, Outcome } from './requestsErrors.js'
+import type { ServiceCall, ServiceRequest } from './requestsTypes.js'
+
+type Answer = Extract<EndpointInput, { kind: 'endpoint.answer' }>
+type Failure = Extract<EndpointInput, { kind: 'endpoint.failed' }>
+
+/** How long an endpoint's answer to a claimed call is awaited after the caller's deadline, in ms. */
+export const lateAnswerWait = 60_000
+
+const hopHeaders = new Set(['connection', 'content-length', 'transfer-encoding', 'keep-alive', 'x-request-id'])
+
+const passedHeaders = (headers: Readonly<Record<string, string>>): Record<string, string> =>
+  Object.fromEntries(Object.entries(headers).filter(([name]) => !hopHeaders.has(name)))
+
+const settle = (context: RequestsContext, request: ServiceRequest, outcome: Extract<Parameters<RequestsContext['emit']>[0], { kind: 'requests.claims' }>['input']): void => {
+  if (!request.decision.repeatable) context.emit({ kind: 'requests.claims', input: outcome })
+}
+
+const finish = (context: RequestsContext, request: ServiceRequest, now: number): void => {
+  if (request.attempt !== undefined) {
+    context.routing.serviceEnded(request.attempt.endpoint)
+    context.db.attempts.delete(request.attempt.attempt)
+    request.attempt = undefined
+  }
+  context.db.requests.delete(request.request)
+  request.release(0, 0, now)
+}
+
+const answerError = (context: RequestsContext, request: ServiceRequest, error: CallerError): void => {
+  if (!request.answered && request.goneAt === undefined) refuse(context, request.request, request.workspace, error)
+  request.answered = true
+}
+
+/** Ends a call that reached no endpoint. */
+const endUnsent = (context: RequestsContext, request: ServiceRequest, error: CallerError, now: number): void => {
+  settle(context, request, { kind: 'claims.settle', request: request.request, outcome: { kind: 'notRun' } })
+  answerError(context, request, error)
+  finish(context, request, now)
+}
+
+/**
+ * Sends a call to an endpoint, if one is left and there is still time.
+ *
+ * @param context - the node
+ * @param request - the call; one that may not be repeated must hold a grant
+ * @param now - present time in ms
+ */
+export const dispatchService = (context: RequestsContext, request: ServiceRequest, now: number): void => {
+  const outcome: Outcome = request.sent ? 'unknown' : 'not_run'
+  if (now >= request.deadline) return endUnsent(context, request, { kind: 'deadline_exceeded', outcome, retryAfter: comeBack(context) }, now)
+  const { call, decision, tried } = request
+  const served = context.serviceEndpoints(call.service)
+  const ruled = allowedEndpoints(context, decision)
+  const allowed = ruled === undefined ? served : served.filter(id => ruled.includes(id))
+  const choice = context.routing.chooseService({ service: call.service, exclude: tried, allowed }, context.endpoints())
+  const endpoint = choice.isOk() ? context.endpoint(choice.value.endpoint) : undefined
+  if (endpoint === undefined) return endUnsent(context, request, { kind: 'no_endpoint', retryAfter: comeBack(context) }, now)
+  if (!decision.repeatable && !context.mayDispatch(request.request, now)) return
+  send(context, request, endpoint)
+}
+
+const send = (context: RequestsContext, request: ServiceRequest, endpoint: { readonly id: string, readonly address: { readonly host: string, readonly port: number } }): void => {
+  const { call } = request
+  const attempt = context.db.nextAttempt()
+  const key: Record<string, string> = call.idempotencyKey === undefined ? {} : { 'idempotency-key': call.idempotencyKey }
+  request.attempt = { kind: 'service', attempt, request: request.request, endpoint: endpoint.id }
+  context.db.attempts.set(attempt, request.attempt)
+  context.routing.serviceStarted(endpoint.id)
+  context.metrics.attempts.inc({ cause: request.tried.length === 0 ? 'first' : 'retry' })
+  context.emit({
+    kind: 'endpoint.dispatch',
+    attempt,
+    endpoint: endpoint.id,
+    address: endpoint.address,
+    request: { kind: 'service', id: `${context.options.idPrefix}-${attempt}`, method: call.method, path: call.path, headers: { ...call.headers, ...key, 'x-workspace': request.workspace }, body: call.body }
+  })
+}
+
+/**
+ * Begins a service call.
+ *
+ * @param context - the node
+ * @param admittee - the request, with the rules' answer
+ * @param call - what it asks for
+ * @param now - present time in ms
+ */
+export const beginService = (context: RequestsContext, admittee: Admittee, call: ServiceCall, now: number): void => {
+  const { request, workspace, decision, deadline, fingerprint } = admittee
+  if (context.serviceEndpoints(call.service).length === 0) return refuse(context, request, workspace, { kind: 'unknown_service', service: call.service })
+  if (!decision.repeatable && call.idempotencyKey === undefined) return refuse(context, request, workspace, { kind: 'idempotency_key_missing' })
+  const admitted = context.limits.admit({ workspace, limit: decision.limit, priority: decision.priority, worth: decision.worth, deadline, expectedWait: 0, tokens: 0 }, now)
+  if (admitted.isErr()) return refuse(context, request, workspace, { kind: 'limit_exceeded', limit: admitted.error.reason, retryAfter: admitted.error.retryAfter })
+  const { lastEventId: _token, ...accepted } = admittee
+  const active: ServiceRequest = {
+    ...accepted,
+    kind: 'service',
+    call,
+    release: (_prompt, _completion, at) => context.limits.finished(admitted.value, undefined, at),
+    attempt: undefined,
+    sent: false,
+    answered: false,
+    tried: [],
+    goneAt: undefined
+  }
+  context.db.requests.set(request, active)
+  if (decision.repeatable || call.idempotencyKey === undefined) return dispatchService(context, active, now)
+  context.emit({ kind: 'requests.claims', input: { kind: 'claims.begin', request, workspace, key: call.idempotencyKey, fingerprint, deadline } })
+}
+
+/**
+ * Passes an endpoint's whole answer on.
+ *
+ * @param context - the node
+ * @param request - the call
+ * @param answer - what the endpoint said
+ * @param now - present time in ms
+ */
+export const onServiceAnswer = (context: RequestsContext, request: ServiceRequest, answer: Answer, now: number): void => {
+  const { status, body } = answer
+  const headers = passedHeaders(answer.headers)
+  settle(context, request, { kind: 'claims.settle', request: request.request, outcome: { kind: 'ran', answer: { status, headers, body } } })
+  if (!request.answered && request.goneAt === undefined) {
+    countAnswered(context, request.workspace)
+    context.emit({ kind: 'caller.answer', request: request.request, status, headers, body })
+  }
+  finish(context, request, now)
+}
+
+const evidence = (context: RequestsContext, endpoint: string, failure: Failure['failure']): void => {
+  const outcome = failure === 'garbled' ? 'cut' : failure
+  context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint, outcome } })
+}
+
+const endUnknown = (context: RequestsContext, request: ServiceRequest, now: number): void => {
+  settle(context, request, { kind: 'claims.settle', request: request.request, outcome: { kind: 'unknown' } })
+  answerError(context, request, { kind: 'endpoint_failed', outcome: 'unknown', retryAfter: comeBack(context) })
+  finish(context, request, now)
+}
+
+/**
+ * Decides what follows a failed attempt.
+ *
+ * @param context - the node
+ * @param request - the call
+ * @param failure - how the attempt failed, and whether a byte of it left
+ * @param now - present time in ms
+ */
+export const onServiceFailure = (context: RequestsContext, request: ServiceRequest, failure: Failure, now: number): void => {
+  const { attempt, decision } = request
+  if (attempt === undefined) return
+  evidence(context, attempt.endpoint, failure.failure)
+  request.sent ||= failure.sent
+  request.tried.push(attempt.endpoint)
+  context.routing.serviceEnded(attempt.endpoint)
+  context.db.attempts.delete(attempt.attempt)
+  request.attempt = undefined
+  if (request.answered || request.goneAt !== undefined) return failure.sent ? endUnknown(context, request, now) : endUnsent(context, request, { kind: 'no_endpoint', retryAfter: comeBack(context) }, now)
+  if (!decision.repeatable) return failure.sent ? endUnknown(context, request, now) : repeatUnsent(context, request, now)
+  const retry = context.limits.retry({ workspace: request.workspace, retried: request.tried.length > 1, deadline: request.deadline, expectedWait: 0 }, now)
+  if (retry.isErr()) return endUnknown(context, request, now)
+  dispatchService(context, request, now)
+}
+
+const repeatUnsent = (context: RequestsContext, request: ServiceRequest, now: number): void => {
+  context.emit({ kind: 'requests.claims', input: { kind: 'claims.unsent', request: request.request } })
+  dispatchService(context, request, now)
+}
+
+const refusalError = (refusal: Exclude<Refusal, { kind: 'ran' }>): CallerError => {
+  switch (refusal.kind) {
+    case 'notRun': return notRunError(refusal)
+    case 'unknown': return { kind: 'outcome_unknown' }
+    case 'inProgress': return { kind: 'in_progress', retryAfter: refusal.retryAfter }
+    case 'fingerprintMismatch': return { kind: 'idempotency_key_reused' }
+    default: return assertNever(refusal)
+  }
+}
+
+const notRunError = ({ reason, retryAfter = 1_000 }: Extract<Refusal, { kind: 'notRun' }>): CallerError => {
+  switch (reason) {
+    case 'logUnavailable': return { kind: 'log_unavailable', retryAfter }
+    case 'deadlinePassed': return { kind: 'deadline_exceeded', outcome: 'not_run', retryAfter }
+    case 'abandoned':
+    case 'superseded':
+    case 'overloaded': return { kind: 'overloaded', retryAfter }
+    case 'keyMalformed': return { kind: 'idempotency_key_invalid', reason: 'it is not a UUID of version 7' }
+    case 'keyAhead': return { kind: 'idempotency_key_invalid', reason: 'its time lies ahead' }
+    default: return assertNever(reason)
+  }
+}
+
+/**
+ * Ends a call that got no grant.
+ *
+ * @param context - the node
+ * @param request - the call
+ * @param refusal - why
+ * @param now - present time in ms
+ */
+export const onClaimRefused = (context: RequestsContext, request: ServiceRequest, refusal: Refusal, now: number): void => {
+  if (refusal.kind !== 'ran') answerError(context, request, refusalError(refusal))
+  else if (refusal.answer === undefined) answerError(context, request, { kind: 'already_ran' })
+  else {
+    countAnswered(context, request.workspace)
+    context.emit({ kind: 'caller.answer', request: request.request, ...refusal.answer, headers: { ...refusal.answer.headers, 'idempotent-replayed': 'true' } })
+  }
+  finish(context, request, now)
+}
+
+/**
+ * Ends a call whose caller has waited long enough.
+ *
+ * @param context - the node
+ * @param request - the call
+ * @param now - present time in ms
+ */
+export const expireService = (context: RequestsContext, request: ServiceRequest, now: number): void => {
+  const { attempt, decision } = request
+  if (attempt === undefined) return
+  if (decision.repeatable) {
+    context.emit({ kind: 'endpoint.cancel', attempt: attempt.attempt })
+    answerError(context, request, { kind: 'deadline_exceeded', outcome: 'unknown', retryAfter: comeBack(context) })
+    return finish(context, request, now)
+  }
+  answerError(context, request, { kind: 'deadline_exceeded', outcome: 'unknown', retryAfter: comeBack(context) })
+  if (now - request.deadline < lateAnswerWait) return
+  context.emit({ kind: 'endpoint.cancel', attempt: attempt.attempt })
+  endUnknown(context, request, now)
+}
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -125,6 +125,7 @@
     log_url: optional(url('Address of the log service.'), defaults.platform.log_url),
     membership_url: optional(url('Address of the membership list.'), defaults.platform.membership_url),
     log_timeout: optional(whole('ms', 50, 60_000, 'Longest wait for one answer of the log.'), defaults.platform.log_timeout),
+    log_retention: optional(whole('ms', 400_000, 31_536_000_000, 'Least time for which the log keeps a record.'), defaults.platform.log_retention),
     list_interval: optional(whole('ms', 100, 600_000, 'Time between readings of the membership list.'), defaults.platform.list_interval),
     list_lag: optional(whole('ms', 0, 600_000, 'Longest lag of the membership list.'), defaults.platform.list_lag)
   }).prefault({}),
@@ -139,9 +140,6 @@
     in_flight: optional(whole('requests', 1, 1_000_000, 'Requests that this instance holds at once.'), defaults.limits.in_flight)
   }).prefault({}),
   claims: z.strictObject({
-    partitions: optional(whole('partitions', 1, 1_024, 'Claim streams on the log; equal on all instances.'), defaults.claims.partitions),
-    batch_interval: optional(whole('ms', 1, 1_000, 'Longest wait before claims are appended together.'), defaults.claims.batch_interval),
-    key_window: optional(whole('ms', 1_000, 2_592_000_000, 'Age at which an idempotency key is refused; shorter than the retention of the log.'), defaults.claims.key_window),
     answer_bytes: optional(whole('bytes', 0, 67_108_864, 'Memory for answers to calls that may be repeated by callers.'), defaults.claims.answer_bytes)
   }).prefault({}),
   addresses: z.strictObject({
--- a/src/streams/resumeToken.ts
+++ b/src/streams/resumeToken.ts
@@ -11,9 +11,31 @@
 
 const signatureBytes = 16
 
+type Values = [string, string, string, string, string, string, number]
+
+/** The values alone, since a token travels with every event. */
+const valuesOf = (identity: StreamIdentity): Values =>
+  [identity.workspace, identity.endpoint, identity.engineRequest, identity.incarnation, identity.weightVersion, identity.fingerprint, identity.arrived]
+
+const identityOf = (values: unknown): StreamIdentity | undefined => {
+  if (!Array.isArray(values)) return undefined
+  const [workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived] = values
+  return streamIdentitySchema.safeParse({ workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived }).data
+}
+
 const sign = (key: string, payload: string): Buffer =>
   createHmac('sha256', key).update(payload).digest().subarray(0, signatureBytes)
 
+const fingerprintDigits = 20
+
+/**
+ * Shortens a request's fingerprint for use in tokens.
+ *
+ * @param fingerprint - hexadecimal hash of the request
+ * @returns its first 80 bits
+ */
+export const streamFingerprint = (fingerprint: string): string => fingerprint.slice(0, fingerprintDigits)
+
 /**
  * Signs a stream's identity.
  *
@@ -22,7 +44,7 @@
  * @returns the part that all tokens of the stream share
  */
 export const signStream = (key: string, identity: StreamIdentity): string => {
-  const payload = Buffer.from(JSON.stringify(identity)).toString('base64url')
+  const payload = Buffer.from(JSON.stringify(valuesOf(identity))).toString('base64url')
   return `${payload}.${sign(key, payload).toString('base64url')}`
 }
 
@@ -37,7 +59,7 @@
 
 const parseIdentity = (payload: string): StreamIdentity | undefined => {
   try {
-    return streamIdentitySchema.safeParse(JSON.parse(Buffer.from(payload, 'base64url').toString('utf8'))).data
+    return identityOf(JSON.parse(Buffer.from(payload, 'base64url').toString('utf8')))
   } catch {
     return undefined
   }
--- a/src/streams/streamRelay.ts
+++ b/src/streams/streamRelay.ts
@@ -3,29 +3,29 @@
  * follows the one before it, and keeps the text so far, so that the stream can
  * continue elsewhere or be answered as a whole.
  */
+import { mergeDelta } from './deltaMerge.js'
 import { streamEventSchema, type Relayed, type StreamEvent, type Usage } from './streamsTypes.js'
 
 /** The state of one stream. */
 export interface StreamRelay {
   /** Position of the next event to forward. */
   next: number
-  /** False when events before the first one forwarded here are not known. */
-  whole: boolean
   text: string
   /** Events that carried text. */
   tokens: number
+  /** The first choice, with all deltas merged. */
+  readonly choice: Record<string, unknown>
   finishReason: string | undefined
   usage: Usage | undefined
 }
 
 /**
- * Starts a relay.
+ * Starts a relay at the stream's first event.
  *
- * @param next - position of the first event expected
  * @returns the relay
  */
-export const createRelay = (next = 0): StreamRelay =>
-  ({ next, whole: next === 0, text: '', tokens: 0, finishReason: undefined, usage: undefined })
+export const createRelay = (): StreamRelay =>
+  ({ next: 0, text: '', tokens: 0, choice: {}, finishReason: undefined, usage: undefined })
 
 const parseEvent = (data: string): StreamEvent | undefined => {
   try {
@@ -36,10 +36,8 @@
   }
 }
 
-const textOf = (event: StreamEvent): string => {
-  const choice = event.choices?.[0]
-  return choice?.delta?.content ?? choice?.text ?? ''
-}
+const textOf = (choice: NonNullable<StreamEvent['choices']>[number] | undefined): string =>
+  choice?.delta?.content ?? choice?.text ?? ''
 
 const usageOf = (event: StreamEvent): Usage | undefined => {
   const usage = event.usage
@@ -52,11 +50,13 @@
 }
 
 const record = (relay: StreamRelay, event: StreamEvent): void => {
-  const text = textOf(event)
+  const choice = event.choices?.[0]
+  const text = textOf(choice)
+  if (choice !== undefined) mergeDelta(relay.choice, choice)
   relay.next++
   relay.text += text
   if (text !== '') relay.tokens++
-  relay.finishReason = event.choices?.[0]?.finish_reason ?? relay.finishReason
+  relay.finishReason = choice?.finish_reason ?? relay.finishReason
   relay.usage = usageOf(event) ?? relay.usage
 }
 
