--- a/src/adapters/membershipHttp.ts
+++ b/src/adapters/membershipHttp.ts
@@ -22,11 +22,14 @@
 
 const defaultTimeout = 3_000 // ms
 
+const addressSchema = z.object({ host: z.string(), port: z.number().int() })
+
 const memberSchema = z.object({
   id: z.string(),
   kind: z.enum(['entry', 'worker', 'service']),
   incarnation: z.string(),
-  address: z.object({ host: z.string(), port: z.number().int() }),
+  address: addressSchema,
+  peer: addressSchema.optional(),
   dataCentre: z.string(),
   state: z.enum(['live', 'leaving']),
   size: z.number().positive()
