--- a/src/claims/claimsMachine.ts
+++ b/src/claims/claimsMachine.ts
@@ -5,21 +5,21 @@
  * decided. An instance that gives an attempt up drops its nonce first and then
  * records that it has, until the log has it or the key has expired.
  */
-import { createClaimsDb, addAttempt, closeOf, removeAttempt, sweepClaimsDb } from './claimsDb.js'
+import { createClaimsDb, addAttempt, closeOf, findAttempt, removeAttempt, sweepClaimsDb } from './claimsDb.js'
 import type { LocalAttempt, Phase } from './claimsDb.js'
 import { createHolder } from './claimsHolder.js'
 import { keyTime } from './claimsKey.js'
-import { callName, claimsMessageSchema } from './claimsMessages.js'
+import { attemptId, attemptOf, callName, claimsMessageSchema } from './claimsMessages.js'
 import type { Attempt, Claim, ClaimsMessage, Finding, Owner, Verdict } from './claimsMessages.js'
-import { findingFromMemory, refusalFromMemory } from './claimsLocal.js'
+import { findingFromMemory, refusalByTime, refusalFromMemory } from './claimsLocal.js'
 import { createPlacement, partitionOf } from './claimsPlacement.js'
 import { createRecorder } from './claimsRecorder.js'
 import { RetentionTooShort } from './claimsErrors.js'
 import { claimPatience, defaultAnswerBytes, dispatchLimit, holderPatience, logDownFor, lookupPatience, mostAttempts, retryBase, sweepInterval } from './claimsTimes.js'
 import { clockSkew, keyWindow } from './claimsTypes.js'
-import type { BeginInput, ClaimsEffect, ClaimsInput, ClaimsOptions, NotRunReason, Outcome, Refusal } from './claimsTypes.js'
+import type { BeginInput, ClaimsDump, ClaimsEffect, ClaimsInput, ClaimsOptions, NotRunReason, Outcome, Refusal } from './claimsTypes.js'
 import { assertNever } from '../errors.js'
-import type { PartitionDump } from './claimsPartition.js'
+import type { PartitionReply } from './claimsPartition.js'
 
 /** The claims of one instance. */
 export interface Claims {
@@ -33,18 +33,6 @@
   readonly dump: () => ClaimsDump
 }
 
-/** State of the claims, without the bodies of answers. */
-export interface ClaimsDump {
-  readonly attempts: readonly { readonly request: number, readonly workspace: string, readonly key: string, readonly nonce: string, readonly phase: string }[]
-  readonly ended: number
-  readonly answers: number
-  readonly answerBytes: number
-  readonly pendingCloses: number
-  readonly partitions: readonly PartitionDump[]
-  /** Messages that did not match their schema. */
-  readonly malformed: number
-}
-
 /**
  * Creates the claims of an instance.
  *
@@ -54,7 +42,7 @@
  */
 export const createClaims = (options: ClaimsOptions): Claims => {
   const { self, incarnation, hash, random, window = keyWindow, skew = clockSkew, retention } = options
-  const leastRetention = window + 2 * skew
+  const leastRetention = window + 4 * skew
   if (retention <= leastRetention) throw new RetentionTooShort(retention, leastRetention)
   const db = createClaimsDb(options.answerBytes ?? defaultAnswerBytes)
   const placement = createPlacement(hash)
@@ -80,11 +68,11 @@
 
   const holderFor = (partition: number, tries: number): string => {
     const holders = placement.holders(partition)
-    return holders[tries] ?? self
+    return holders[tries % holders.length] ?? self
   }
 
   const { record, repeat } = createRecorder(db, (close, tries, now) =>
-    send(holderFor(partitionOf(hash, close), tries % 3), { kind: 'claims.close', close }, now))
+    send(holderFor(partitionOf(hash, close), tries), { kind: 'claims.close', close }, now))
 
   const begin = (input: BeginInput, now: number): void => {
     const refusal = refusalAtOnce(input, now)
@@ -97,13 +85,8 @@
   }
 
   const refusalAtOnce = (input: BeginInput, now: number): Refusal | undefined => {
-    const time = keyTime(input.key)
-    if (time === undefined) return { kind: 'notRun', reason: 'keyMalformed', scope: 'call' }
-    const known = refusalFromMemory(db, input, retryAfter())
+    const known = refusalFromMemory(db, input, retryAfter()) ?? refusalByTime(input, { window, skew }, now)
     if (known !== undefined) return known
-    if (now - time > window) return { kind: 'unknown', reason: 'keyExpired' }
-    if (time - now > skew) return { kind: 'notRun', reason: 'keyAhead', scope: 'attempt', retryAfter: time - now - skew }
-    if (now >= input.deadline) return { kind: 'notRun', reason: 'deadlinePassed', scope: 'attempt' }
     if (db.byRequest.size >= mostAttempts) return { kind: 'notRun', reason: 'overloaded', scope: 'attempt', retryAfter: retryAfter() }
     const until = logDownUntil.get(partitionOf(hash, input)) ?? -Infinity
     if (now < until) return { kind: 'notRun', reason: 'logUnavailable', scope: 'attempt', retryAfter: until - now + retryAfter() }
@@ -124,7 +107,7 @@
   /** Drops the nonce, then records that it is dropped. */
   const giveUp = (attempt: LocalAttempt, reason: NotRunReason, now: number, appended = true): void => {
     const scope = attempt.phase.kind === 'granted' ? 'call' : 'attempt'
-    const comesBack = reason === 'logUnavailable' || reason === 'superseded'
+    const comesBack = reason === 'logUnavailable' || reason === 'claimTimeout' || reason === 'superseded'
     end(attempt, { kind: 'notRun', reason, scope, ...comesBack && { retryAfter: retryAfter() } })
     if (appended) record(closeOf(attempt.claim, 'notRun'), attempt.keyTime, now)
   }
@@ -161,8 +144,8 @@
   const isLate = ({ claim, keyTime: time }: LocalAttempt, now: number): boolean =>
     now >= claim.deadline || now - time > window
 
-  const applyVerdict = (nonce: string, verdict: Verdict, now: number): void => {
-    const attempt = db.byNonce.get(nonce)
+  const applyVerdict = (named: Attempt, verdict: Verdict, now: number): void => {
+    const attempt = findAttempt(db, named)
     if (attempt?.phase.kind !== 'claiming') return
     if (isLate(attempt, now)) return giveUp(attempt, 'deadlinePassed', now)
     switch (verdict.kind) {
@@ -194,8 +177,7 @@
     if (isGone && state === 'ran') return end(attempt, { kind: 'ran' })
     if (isGone) return end(attempt, { kind: 'unknown', reason: 'answerLost' })
     attempt.phase = { kind: 'asking', owner, recorded: state, sentAt: now }
-    const asked = { workspace: owner.workspace, key: owner.key, claimant: owner.claimant, incarnation: owner.incarnation, nonce: owner.nonce }
-    send(owner.claimant, { kind: 'claims.lookup', owner: asked, asker: attempt.claim.nonce }, now)
+    send(owner.claimant, { kind: 'claims.lookup', owner: attemptOf(owner), asker: attemptOf(attempt.claim) }, now)
   }
 
   const findingOn = (owner: Attempt, now: number): Finding => {
@@ -204,13 +186,13 @@
     if (!isOwn || time === undefined || now - time > window) return { kind: 'unknown' }
     const finding = findingFromMemory(db, owner)
     const isUnrecorded = finding.kind === 'neverRun' && !db.pendingCloses.has(owner.nonce)
-    if (isUnrecorded) record({ kind: 'close', ...owner, outcome: 'notRun' }, time, now)
+    if (isUnrecorded) record(closeOf(owner, 'notRun'), time, now)
     return finding
   }
 
-  const applyFinding = (asker: string, nonce: string, finding: Finding): void => {
-    const attempt = db.byNonce.get(asker)
-    if (attempt?.phase.kind !== 'asking' || attempt.phase.owner.nonce !== nonce) return
+  const applyFinding = (asker: Attempt, owner: Attempt, finding: Finding): void => {
+    const attempt = findAttempt(db, asker)
+    if (attempt?.phase.kind !== 'asking' || attemptId(attempt.phase.owner) !== attemptId(owner)) return
     if (finding.kind === 'ran') return end(attempt, finding)
     if (attempt.phase.recorded === 'ran') return end(attempt, { kind: 'ran' })
     switch (finding.kind) {
@@ -232,25 +214,38 @@
     switch (message.kind) {
       case 'claims.claim': return reply(holder.claim(message.claim, from, now), now)
       case 'claims.close': return reply(holder.close(message.close, from, now), now)
-      case 'claims.verdict':
-        if (message.incarnation === incarnation) applyVerdict(message.nonce, message.verdict, now)
-        return
-      case 'claims.closed':
-        if (message.incarnation === incarnation) db.pendingCloses.delete(message.nonce)
-        return
+      case 'claims.verdict': return applyVerdict(message.attempt, message.verdict, now)
+      case 'claims.queued': return extend(message.attempt, from, now)
+      case 'claims.closed': return confirm(message.attempt)
       case 'claims.lookup':
-        return send(from, { kind: 'claims.found', asker: message.asker, nonce: message.owner.nonce, finding: findingOn(message.owner, now) }, now)
-      case 'claims.found': return applyFinding(message.asker, message.nonce, message.finding)
+        return send(from, { kind: 'claims.found', asker: message.asker, owner: message.owner, finding: findingOn(message.owner, now) }, now)
+      case 'claims.found': return applyFinding(message.asker, message.owner, message.finding)
       default: return assertNever(message)
     }
   }
 
+  const extend = (queued: Attempt, from: string, now: number): void => {
+    const attempt = findAttempt(db, queued)
+    if (attempt?.phase.kind === 'claiming' && attempt.phase.holder === from) attempt.phase = { ...attempt.phase, sentAt: now }
+  }
+
+  const confirm = (closed: Attempt): void => {
+    const pending = db.pendingCloses.get(closed.nonce)
+    if (pending !== undefined && attemptId(pending.close) === attemptId(closed)) db.pendingCloses.delete(closed.nonce)
+  }
+
+  const messageOf = (reply: PartitionReply): ClaimsMessage => {
+    switch (reply.kind) {
+      case 'closed': return { kind: 'claims.closed', attempt: attemptOf(reply.close) }
+      case 'queued': return { kind: 'claims.queued', attempt: attemptOf(reply.claim) }
+      case 'verdict': return { kind: 'claims.verdict', attempt: attemptOf(reply.claim), verdict: reply.verdict }
+      default: return assertNever(reply)
+    }
+  }
+
   const reply = (step: ReturnType<typeof holder.tick>, now: number): void => {
     effects.push(...step.effects)
-    for (const each of step.replies) {
-      if (each.kind === 'closed') send(each.to, { kind: 'claims.closed', nonce: each.close.nonce, incarnation: each.close.incarnation }, now)
-      else send(each.to, { kind: 'claims.verdict', nonce: each.claim.nonce, incarnation: each.claim.incarnation, verdict: each.verdict }, now)
-    }
+    for (const each of step.replies) send(each.to, messageOf(each), now)
   }
 
   const lose = (peer: string, now: number): void => {
@@ -266,7 +261,7 @@
     switch (phase.kind) {
       case 'claiming':
         if (isLate(attempt, now)) return giveUp(attempt, 'deadlinePassed', now)
-        if (now - attempt.begunAt >= claimPatience) return giveUp(attempt, 'logUnavailable', now)
+        if (now - attempt.begunAt >= claimPatience) return giveUp(attempt, 'claimTimeout', now)
         if (now - phase.sentAt >= holderPatience) ask(attempt, phase.tries + 1, now)
         return
       case 'asking':
@@ -321,8 +316,7 @@
   }
 
   const dump = (): ClaimsDump => ({
-    attempts: [...db.byRequest.values()].map(({ request, claim, phase }) =>
-      ({ request, workspace: claim.workspace, key: claim.key, nonce: claim.nonce, phase: phase.kind })),
+    attempts: [...db.byRequest.values()].map(({ request, claim, phase }) => ({ request, workspace: claim.workspace, key: claim.key, nonce: claim.nonce, phase: phase.kind })),
     ended: db.ended.size,
     answers: db.answers.size,
     answerBytes: db.answers.calculatedSize,
