--- a/src/membership/membershipDb.ts
+++ b/src/membership/membershipDb.ts
@@ -199,8 +199,8 @@
     merge,
     setStatus,
     setLeaving,
-    setAddress: (record, { address, dataCentre }) => {
-      record.member = { ...record.member, address, dataCentre }
+    setAddress: (record, { address, peer, dataCentre }) => {
+      record.member = { ...record.member, address, peer, dataCentre }
       outdate()
     },
     peers: () => current().peers,
--- a/src/membership/membershipMessages.ts
+++ b/src/membership/membershipMessages.ts
@@ -7,6 +7,8 @@
   /** Empty for a seed that has not been heard of yet. */
   incarnation: z.string(),
   address: z.object({ host: z.string(), port: z.number() }),
+  /** Where other instances connect. */
+  peer: z.object({ host: z.string(), port: z.number() }).optional(),
   dataCentre: z.string(),
   state: z.enum(['live', 'leaving']),
   size: z.number()
--- a/src/requests/requestsParser.ts
+++ b/src/requests/requestsParser.ts
@@ -34,11 +34,10 @@
   return err(malformed(`body.${issue.path.join('.')}`, issue.message))
 }
 
-const textOf = (message: ChatBody['messages'][number]): string => {
-  const { content } = message
-  if (content === undefined || content === null) return message.role
-  const text = typeof content === 'string' ? content : content.map(part => part.text ?? '').join('')
-  return `${message.role}\n${text}`
+/** The text that an engine's cache sees of one message. */
+const textOf = ({ content }: ChatBody['messages'][number]): string => {
+  if (content === undefined || content === null) return ''
+  return typeof content === 'string' ? content : content.map(part => part.text ?? '').join('')
 }
 
 const modelCall = (path: ModelCall['path'], body: { model: string, adapter?: string, stream?: boolean | null, max_tokens?: number | null, max_completion_tokens?: number | null }, prompt: readonly string[]): Operation => {
--- a/src/requests/serviceRequests.ts
+++ b/src/requests/serviceRequests.ts
@@ -189,6 +189,7 @@
 
 const notRunError = ({ reason, retryAfter = 1_000 }: Extract<Refusal, { kind: 'notRun' }>): CallerError => {
   switch (reason) {
+    case 'claimTimeout':
     case 'logUnavailable': return { kind: 'log_unavailable', retryAfter }
     case 'deadlinePassed': return { kind: 'deadline_exceeded', outcome: 'not_run', retryAfter }
     case 'abandoned':
