--- a/src/standins/engine/engineTypes.ts
+++ b/src/standins/engine/engineTypes.ts
@@ -1,7 +1,9 @@
 /** What the parts of the engine stand-in share. */
 import type { LoadedModel } from '../../endpoints/endpointsTypes.js'
 import type { EndpointOrder } from '../../ports/endpointPort.js'
-import type { StandInOptions } from '../standInServer.js'
+import type { StandInOptions, StandInServer } from '../standInServer.js'
+import type { Batch } from './engineBatch.js'
+import type { EngineCache } from './engineCache.js'
 
 /** Settings of the engine. */
 export interface EngineOptions extends StandInOptions {
@@ -57,3 +59,15 @@
 
 /** An entry of the engine's own record. */
 export type EngineEntry = Served | Ordered
+
+/** What the parts of one engine share. */
+export interface EngineContext {
+  readonly id: string
+  readonly server: StandInServer
+  readonly cache: EngineCache
+  readonly batch: Batch
+  /** Changed in place by orders. */
+  readonly models: LoadedModel[]
+  readonly incarnation: () => string
+  readonly note: (entry: EngineEntry) => void
+}
