Engine stand-in takes its blocks from src/prefix

Cause: router and engine each had a chain of their own, and twice they differed (role hashed or not, size of a block), so that cache events matched no prompt. The bench starts its streams over the length of a request, so that they do not come in waves. Conclusion: one chain.

--- a/bench/path.ts
+++ b/bench/path.ts
@@ -62,7 +62,7 @@
   const began = performance.now()
   const until = began + time
   const stream = async (caller: Caller): Promise<void> => {
-    await sleep(Math.random() * decodeTime)
+    await sleep(Math.random() * tokensPerRequest * decodeTime)
     while (performance.now() < until) {
       const messages = promptLevels.map((content, level) => ({ role: level === 2 ? 'user' : 'system', content }))
       const result = await caller.generate('/v1/chat/completions', { model: 'drafter', messages, max_tokens: tokensPerRequest })
@@ -134,7 +134,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'wasabireel-bench-'))
   const [log, list] = await Promise.all([startStandIn('log', ['log']), startStandIn('membership', ['membership'])])
   const engines = await Promise.all(Array.from({ length: engineCount }, (_, index) => startStandIn(`w${index}`, [
-    'engine', '--id', `w${index}`, '--slots', '256', '--decode-time', String(decodeTime), '--prefill-tokens-per-second', '1000000', '--block-bytes', '1024'
+    'engine', '--id', `w${index}`, '--slots', '256', '--decode-time', String(decodeTime), '--prefill-tokens-per-second', '1000000'
   ])))
   const instance = await startRouter(folder, engines, log, list)
   const direct = engines.map(({ origin }) => createCaller({ workspace, key, seeds: [origin], direct: true, attempts: 1 }))
--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -48,7 +48,7 @@
 
 const host = '127.0.0.1'
 const startTimeout = 20_000 // ms
-const cacheBlocks = 150
+const cacheBlocks = 300
 const standIns = 'dist/standins.cjs'
 const binary = 'dist/wasabireel'
 
--- a/demo/workload.ts
+++ b/demo/workload.ts
@@ -43,8 +43,8 @@
 const leafUnits = 3
 const repeatedAnswerShare = 0.25 // of bookings are sent a second time with the same key
 
-const fill = (title: string, role: string, units: number): string => {
-  const length = units * bytesPerUnit - role.length - 1
+const fill = (title: string, units: number): string => {
+  const length = units * bytesPerUnit
   return `${title} `.repeat(Math.ceil(length / (title.length + 1))).slice(0, length)
 }
 
@@ -54,12 +54,12 @@
 }
 
 const promptOf = (kind: PromptKind, branch: number, leaf: number): readonly Message[] => [
-  { role: 'system', content: fill(`${kind.root} [${kind.workspace}]`, 'system', rootUnits) },
-  { role: 'system', content: fill(`${kind.root} Branch ${branch}.`, 'system', branchUnits) },
-  { role: 'user', content: fill(`Case ${leaf} of branch ${branch} in ${kind.workspace}.`, 'user', leafUnits) }
+  { role: 'system', content: fill(`${kind.root} [${kind.workspace}]`, rootUnits) },
+  { role: 'system', content: fill(`${kind.root} Branch ${branch}.`, branchUnits) },
+  { role: 'user', content: fill(`Case ${leaf} of branch ${branch} in ${kind.workspace}.`, leafUnits) }
 ]
 
-const textsOf = (messages: readonly Message[]): readonly string[] => messages.map(({ role, content }) => `${role}\n${content}`)
+const textsOf = (messages: readonly Message[]): readonly string[] => messages.map(({ content }) => content)
 
 /**
  * Creates the callers of a deployment.
--- a/src/adapters/platformHttp.spec.ts
+++ b/src/adapters/platformHttp.spec.ts
@@ -84,6 +84,7 @@
     kind: 'entry',
     incarnation: 'i1',
     address: { host: '127.0.0.1', port: 7001 },
+    peer: { host: '127.0.0.1', port: 7201 },
     dataCentre: 'nm-derby',
     state: 'live',
     size: 1,
--- a/src/standins/engine/engineBatch.spec.ts
+++ b/src/standins/engine/engineBatch.spec.ts
@@ -23,7 +23,7 @@
     served: { kind: 'request', id, workspace: 'north', salt, model: 'drafter', weightVersion: '1', at: 0, promptTokens, from: 0, cachedTokens: 0, generated: 0, outcome: 'open' },
     sample: { chat: true, model: 'drafter', texts: [], key: id, from: 0, maxTokens },
     token: tokensOf(hash, id),
-    blocks,
+    chain: { blocks, words: new Uint32Array(2 * blocks.length), levels: [blocks.length], tokens: promptTokens, tokenEnds: blocks.map((_, index) => promptTokens * (index + 1) / blocks.length) },
     priority,
     events: [],
     state: 'waiting',
--- a/src/standins/engine/engineBatch.ts
+++ b/src/standins/engine/engineBatch.ts
@@ -2,6 +2,7 @@
  * Continuous batching in a simple form: requests wait by priority for a slot,
  * share the speed of prefill in that order, and then decode side by side.
  */
+import type { PrefixChain } from '../../prefix/prefixTypes.js'
 import type { EngineCache } from './engineCache.js'
 import type { Sample } from './engineSample.js'
 import type { Served } from './engineTypes.js'
@@ -11,7 +12,7 @@
   readonly served: Served
   readonly sample: Sample
   readonly token: (position: number) => string
-  readonly blocks: readonly string[]
+  readonly chain: PrefixChain
   readonly priority: number
   readonly events: string[]
   state: 'waiting' | 'prefill' | 'decode' | 'over'
@@ -89,8 +90,8 @@
     if (waiting.length === 0) return
     waiting.sort((left, right) => right.priority - left.priority)
     for (const job of waiting.splice(0, Math.max(0, slots - running.length))) {
-      const held = cache.held(job.blocks, job.served.salt)
-      job.served.cachedTokens = Math.floor(job.served.promptTokens * held / Math.max(1, job.blocks.length))
+      const held = cache.held(job.chain.blocks, job.served.salt)
+      job.served.cachedTokens = held === 0 ? 0 : job.chain.tokenEnds[held - 1]
       job.prefillLeft = job.served.promptTokens - job.served.cachedTokens
       job.state = 'prefill'
       running.push(job)
@@ -105,7 +106,7 @@
       job.prefillLeft -= share
       budget -= share
       if (job.prefillLeft > 0) return
-      cache.store(job.blocks, job.served.salt)
+      cache.store(job.chain.blocks, job.served.salt)
       job.state = 'decode'
       job.nextTokenAt = now
     }
--- a/src/standins/engine/engineRequests.ts
+++ b/src/standins/engine/engineRequests.ts
@@ -1,11 +1,11 @@
 /** The engine's model requests: admission, streams, resume and cancel. */
 import type { LoadedModel } from '../../endpoints/endpointsTypes.js'
 import type { Hash } from '../../hash.js'
+import { createPrefix } from '../../prefix/prefix.js'
 import { parseJson, sendJson } from '../standInServer.js'
 import type { Call } from '../standInServer.js'
 import type { Job } from './engineBatch.js'
-import { chainOf } from './engineChain.js'
-import { countTokens, readSample, tokensOf } from './engineSample.js'
+import { readSample, tokensOf } from './engineSample.js'
 import type { Sample } from './engineSample.js'
 import { createReader } from './engineStream.js'
 import type { Reader } from './engineStream.js'
@@ -46,6 +46,7 @@
  */
 export const createEngineRequests = (context: EngineContext, hash: Hash, blockBytes: number): EngineRequests => {
   const { server, batch, models } = context
+  const prefix = createPrefix(hash, { blockBytes })
   const readers = new Map<Job, Set<Reader>>()
   let requests = 0
   let stepping: NodeJS.Timeout | undefined
@@ -94,6 +95,7 @@
   const createJob = (call: Call, loaded: LoadedModel, sample: Sample): Job => {
     const { weightVersion, model, adapter } = loaded
     const workspace = headerOf(call, 'x-workspace')
+    const chain = prefix.chain({ workspace, model, adapter, weightVersion }, sample.texts)
     const served: Served = {
       kind: 'request',
       id: headerOf(call, 'x-request-id') || `${context.id}-${++requests}`,
@@ -102,7 +104,7 @@
       model: sample.model,
       weightVersion,
       at: server.now(),
-      promptTokens: countTokens(sample.texts),
+      promptTokens: chain.tokens,
       from: sample.from,
       cachedTokens: 0,
       generated: 0,
@@ -112,7 +114,7 @@
       served,
       sample,
       token: tokensOf(hash, sample.key),
-      blocks: chainOf(hash, { workspace, model, adapter, weightVersion }, sample.texts, blockBytes),
+      chain,
       priority: Number(headerOf(call, 'x-priority')) || 0,
       events: [],
       state: 'waiting',
--- a/src/standins/engine/engineSample.ts
+++ b/src/standins/engine/engineSample.ts
@@ -5,6 +5,7 @@
  */
 import { z } from 'zod'
 import type { Hash } from '../../hash.js'
+import { bytesPerToken } from '../../prefix/prefixTypes.js'
 
 const maxGenerated = 100_000 // tokens
 const defaultGenerated = 32 // tokens
@@ -41,7 +42,6 @@
   'able', 'bay', 'calm', 'door', 'east', 'fair', 'gate', 'hall', 'inn', 'jam', 'key', 'lane', 'mill', 'near', 'oak', 'park',
   'quay', 'road', 'sun', 'tree', 'unit', 'view', 'west', 'yard', 'zone', 'arch', 'barn', 'cove', 'dale', 'edge', 'farm', 'glen'
 ]
-const bytesPerToken = 4
 const trailingWord = / [a-z]+$/
 
 /**
@@ -76,7 +76,7 @@
   const parsed = bodySchema.safeParse(json)
   if (!parsed.success) return { complaint: parsed.error.message }
   const body = parsed.data
-  const texts = body.messages?.map(({ role, content }) => `${role}\n${content}`) ?? (body.prompt === undefined ? undefined : [body.prompt])
+  const texts = body.messages?.map(({ content }) => content) ?? (body.prompt === undefined ? undefined : [body.prompt])
   if (texts === undefined) return { complaint: 'neither messages nor prompt' }
   const key = JSON.stringify([originalTexts(body, texts), body.seed, body.model, weightVersion])
   const maxTokens = body.max_completion_tokens ?? body.max_tokens ?? defaultGenerated
