The request path under the fault matrix, on whole instances in virtual time

Cause: the promises meet in the joint behaviour of instances, which features tested alone do not show. Ruled out: a simulator of the network; delays are numbers.

--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -18,7 +18,7 @@
 export interface Prober {
   /** Starts the probe of the next peer in a shuffled round. */
   readonly next: (now: number) => void
-  /** Probes one peer out of turn; `suspected` false never leads to suspicion. */
+  /** Probes one peer out of turn, unless a probe of it is under way; `suspected` false never leads to suspicion. */
   readonly probe: (target: string, now: number, suspected?: boolean) => void
   readonly answered: (seq: number) => void
   /** Acts on probes whose time is up. */
@@ -63,6 +63,7 @@
   }
 
   const probe = (target: string, now: number, suspected = true): void => {
+    for (const pending of outstanding.values()) if (pending.target === target) return
     seq++
     outstanding.set(seq, { target, sentAt: now, suspected, indirect: false })
     actions.ping(target, seq)
--- a/src/requests/modelBegin.ts
+++ b/src/requests/modelBegin.ts
@@ -120,7 +120,7 @@
     .mapErr(reason => noEndpoint(context, reason))
     .andThen(choice => admit(context, admittee, question, choice, now).map(admission => {
       const release: Release = (promptTokens, completionTokens, at) => context.limits.finished(admission, promptTokens + completionTokens, at)
-      const request = record(context, admittee, call, { ...question, priority: admission.priority }, release, undefined)
+      const request = record(context, admittee, call, question, release, undefined)
       return dispatch(context, request, choice, 'first', now)
     }))
 
--- /dev/null
+++ b/test/fakes/fakeFleet.ts
@@ -0,0 +1,365 @@
+/**
+ * A few whole instances of the real core with fake engines, services, log,
+ * membership list and callers, all in one virtual time. A fault hook is asked
+ * at every step; a transcript can be kept.
+ */
+import type { Hash } from '../../src/hash.js'
+import { createMetrics } from '../../src/metrics/metrics.js'
+import { createNode, type Node } from '../../src/node/nodeMachine.js'
+import type { NodeEffect, NodeInput } from '../../src/node/nodeTypes.js'
+import type { EndpointEffect } from '../../src/ports/endpointPort.js'
+import type { Member } from '../../src/ports/membershipPort.js'
+import { tickInterval } from '../../src/ports/peerPort.js'
+import { createRandom } from '../../src/random.js'
+import { readSettings } from '../../src/settings/settingsReader.js'
+import type { Settings } from '../../src/settings/settingsSchema.js'
+import { createExchange, type Conversation, type Exchange, type Heard } from './fakeCaller.js'
+import { createFakeEngine, type FakeEngine, type PartFate } from './fakeEngine.js'
+import { createFakeLog, type FakeLog, type LogFault } from './fakeLog.js'
+import { createFakeService, type FakeService, type ServiceFate } from './fakeService.js'
+import { createVirtualTime, type VirtualTime } from './virtualTime.js'
+
+/** Decisions of a test at each step; the defaults do no harm. */
+export interface FleetHooks {
+  /** Before an instance handles an input: may crash or freeze it. */
+  readonly onInput: (node: string, input: NodeInput) => void
+  /** Before an effect of an instance is carried out. */
+  readonly onEffect: (node: string, effect: NodeEffect) => void
+  readonly enginePart: (engine: string, part: 'head' | 'chunk' | 'end') => PartFate
+  readonly serviceFate: (service: string) => ServiceFate
+  readonly logFault: (node: string, effect: Extract<NodeEffect, { kind: `log.${string}` }>) => LogFault | { readonly late: number }
+  readonly peerFate: (from: string, to: string) => 'deliver' | 'drop' | 'twice' | { readonly late: number }
+  readonly listFault: () => 'none' | 'outage'
+  readonly onHeard: (conversation: Conversation, heard: Heard) => void
+  /** May change what the adapters would hand to an instance. */
+  readonly tamper: (node: string, input: NodeInput) => NodeInput
+  readonly note: (line: string) => void
+}
+
+/** One instance's process. */
+export interface FleetNode {
+  readonly id: string
+  node: Node | undefined
+  starts: number
+  frozenUntil: number
+  /** Whether its listener accepts callers. */
+  listening: boolean
+  exited: boolean
+}
+
+/** The fleet. */
+export interface FakeFleet {
+  readonly time: VirtualTime
+  readonly log: FakeLog
+  readonly nodes: ReadonlyMap<string, FleetNode>
+  readonly engines: ReadonlyMap<string, FakeEngine>
+  readonly services: ReadonlyMap<string, FakeService>
+  /** Entries of the membership list as the platform holds it. */
+  readonly list: Map<string, Member>
+  readonly feed: (node: string, input: NodeInput) => void
+  readonly crash: (node: string) => void
+  readonly start: (node: string) => void
+  readonly freeze: (node: string, ms: number) => void
+  /** Begins a conversation at an instance. */
+  readonly call: (conversation: Conversation, node: string) => void
+  /** Breaks the connection of a conversation. */
+  readonly hangUp: (conversation: Conversation) => void
+  readonly publish: (node: string, base: number, text: string, publisher: string) => void
+  readonly published: readonly { readonly publisher: string, readonly body: string }[]
+}
+
+const delay = 2
+const callerTries = 8
+const defaultComeBack = 300
+
+/** Hooks that do no harm. */
+export const harmless: FleetHooks = {
+  onInput: () => {},
+  onEffect: () => {},
+  enginePart: () => 'deliver',
+  serviceFate: () => 'run',
+  logFault: () => 'none',
+  peerFate: () => 'deliver',
+  listFault: () => 'none',
+  onHeard: () => {},
+  tamper: (_node, input) => input,
+  note: () => {}
+}
+
+/** What the fleet is made of. */
+export interface FleetPlan {
+  readonly hash: Hash
+  readonly seed: number
+  readonly hooks: FleetHooks
+  readonly nodes: readonly { readonly id: string, readonly dataCentre: string }[]
+  readonly engines: readonly { readonly id: string, readonly dataCentre: string, readonly models: string }[]
+  readonly services: readonly { readonly id: string, readonly dataCentre: string, readonly service: string }[]
+  readonly startAt: number
+}
+
+const settingsOf = (plan: FleetPlan, node: { readonly id: string, readonly dataCentre: string }): Settings => {
+  const seeds = plan.nodes.map(({ id }, index) => `${id}@127.0.0.1:${9000 + index}`).join(',')
+  const workers = plan.engines.map(({ id, dataCentre, models }, index) => `[worker.${id}]\nhost = 127.0.0.1\nport = ${8000 + index}\ndata_centre = ${dataCentre}\nmodels = ${models}\n`)
+  const services = plan.services.map(({ id, dataCentre, service }, index) => `[service.${id}]\nhost = 127.0.0.1\nport = ${8500 + index}\ndata_centre = ${dataCentre}\nservice = ${service}\n`)
+  const text = `[instance]\nid = ${node.id}\ndata_centre = ${node.dataCentre}\n[peer]\nseeds = ${seeds}\n[streams]\nresume_keys = 0123456789abcdef\n${workers.join('')}${services.join('')}`
+  return readSettings('fleet', text)._unsafeUnwrap()
+}
+
+/**
+ * Creates a fleet whose instances run.
+ *
+ * @param plan - members, hooks and seed
+ */
+export const createFakeFleet = (plan: FleetPlan): FakeFleet => {
+  const { hooks, hash } = plan
+  const time = createVirtualTime(plan.startAt)
+  const log = createFakeLog()
+  const engines = new Map(plan.engines.map(({ id, models }) => [id, createFakeEngine(id, time, models.split(',').map(model => model.split('@')[1]))]))
+  const services = new Map(plan.services.map(({ id }) => [id, createFakeService(id, time)]))
+  const nodes = new Map<string, FleetNode>(plan.nodes.map(({ id }) => [id, { id, node: undefined, starts: 0, frozenUntil: 0, listening: false, exited: false }]))
+  const list = new Map<string, Member>()
+  const exchanges = new Map<string, { readonly conversation: Conversation, readonly exchange: Exchange, readonly node: string }>()
+  const attempts = new Map<string, { readonly endpoint: string, readonly engineRequest: string, open: boolean }>()
+  const published: { publisher: string, body: string }[] = []
+  let requests = 0
+
+  const note = (line: string): void => hooks.note(`${String(time.now() - plan.startAt).padStart(6)} ${line}`)
+
+  const settings = new Map(plan.nodes.map(node => [node.id, settingsOf(plan, node)]))
+
+  /** Delivers to a process unless it has ended since; a frozen one gets it on waking. */
+  const deliver = (to: string, input: NodeInput, after = delay): void => {
+    const target = nodes.get(to)
+    if (target === undefined) return
+    const { starts } = target
+    time.after(after, () => {
+      if (target.node === undefined || target.starts !== starts) return
+      if (time.now() < target.frozenUntil) deliver(to, input, target.frozenUntil - time.now())
+      else feed(to, input)
+    })
+  }
+
+  const feed = (id: string, input: NodeInput): void => {
+    hooks.onInput(id, input)
+    const target = nodes.get(id)
+    if (target?.node === undefined) return
+    if (time.now() < target.frozenUntil) return deliver(id, input, target.frozenUntil - time.now())
+    const { starts } = target
+    for (const effect of target.node.handle(hooks.tamper(id, input), time.now())) {
+      hooks.onEffect(id, effect)
+      if (target.node === undefined || target.starts !== starts) return
+      perform(id, effect)
+    }
+  }
+
+  const attemptName = (node: string, attempt: number): string => `${node}/${nodes.get(node)?.starts ?? 0}/${attempt}`
+
+  const dispatch = (node: string, effect: Extract<EndpointEffect, { kind: 'endpoint.dispatch' }>): void => {
+    const { endpoint, attempt, request } = effect
+    const name = attemptName(node, attempt)
+    const state = { endpoint, engineRequest: request.id, open: true }
+    attempts.set(name, state)
+    note(`${node} -> ${endpoint}: ${request.kind === 'model' ? `${request.resumeFrom === undefined ? 'generate' : `resume from ${request.resumeFrom}`}` : `${request.method} ${request.path}`}`)
+    const back = (input: NodeInput): void => {
+      if (state.open) deliver(node, input)
+    }
+    time.after(delay, () => {
+      const engine = engines.get(endpoint)
+      if (engine !== undefined) return engine.dispatch(effect, { deliver: back, part: part => hooks.enginePart(endpoint, part) })
+      services.get(endpoint)?.dispatch(effect, back, hooks.serviceFate(endpoint))
+    })
+  }
+
+  const probe = (node: string, endpoint: string): void => {
+    const engine = engines.get(endpoint)
+    const service = services.get(endpoint)
+    const alive = engine?.isAlive() ?? service?.isAlive() ?? false
+    if (!alive) return deliver(node, { kind: 'endpoint.unreachable', endpoint })
+    const models = [...(engine?.versions ?? [])].map(weightVersion => ({ model: 'drafter', weightVersion }))
+    const incarnation = engine?.incarnation() ?? service?.incarnation() ?? ''
+    deliver(node, { kind: 'endpoint.report', endpoint, incarnation, models, running: 0, waiting: 0, waitingTokens: 0, leaving: engine?.leaving ?? service?.leaving ?? false })
+  }
+
+  const performLog = (node: string, effect: Extract<NodeEffect, { kind: `log.${string}` }>): void => {
+    const fault = hooks.logFault(node, effect)
+    const late = typeof fault === 'object' ? fault.late : 0
+    time.after(delay, () => deliver(node, log.perform(effect, time.now(), typeof fault === 'object' ? 'none' : fault), delay + late))
+  }
+
+  const performPeer = (node: string, effect: Extract<NodeEffect, { kind: 'peer.send' }>): void => {
+    const fate = hooks.peerFate(node, effect.to)
+    if (fate === 'drop') return
+    if (nodes.get(effect.to)?.node === undefined) return deliver(node, { kind: 'peer.lost', from: effect.to })
+    const input: NodeInput = { kind: 'peer.message', from: node, message: structuredClone(effect.message) }
+    deliver(effect.to, input, typeof fate === 'object' ? fate.late : delay)
+    if (fate === 'twice') deliver(effect.to, structuredClone(input), 2 * delay)
+  }
+
+  const performList = (node: string, effect: Extract<NodeEffect, { kind: 'membership.fetch' | 'membership.announce' }>): void => {
+    if (hooks.listFault() === 'outage') return deliver(node, { kind: 'membership.failed' })
+    if (effect.kind === 'membership.announce') list.set(effect.member.id, effect.member)
+    else deliver(node, { kind: 'membership.list', members: [...list.values()] })
+  }
+
+  const hear = (name: string, effect: Extract<NodeEffect, { kind: `caller.${string}` }>): void => {
+    const open = exchanges.get(name)
+    if (open === undefined) return
+    const heard = open.exchange.take(effect)
+    if (heard === undefined) return
+    exchanges.delete(name)
+    finishExchange(open.conversation, heard)
+  }
+
+  const perform = (node: string, effect: NodeEffect): void => {
+    switch (effect.kind) {
+      case 'caller.answer':
+      case 'caller.open':
+      case 'caller.write':
+      case 'caller.end':
+      case 'caller.abort': return hear(`${node}/${effect.request}`, effect)
+      case 'operator.answer':
+        published.push({ publisher: node, body: effect.body })
+        return note(`${node} -> operator: ${effect.status} ${effect.body.slice(0, 120)}`)
+      case 'endpoint.dispatch': return dispatch(node, effect)
+      case 'endpoint.cancel': {
+        const state = attempts.get(attemptName(node, effect.attempt))
+        if (state === undefined) return
+        state.open = false
+        engines.get(state.endpoint)?.cancel(state.engineRequest)
+        return
+      }
+      case 'endpoint.probe': return probe(node, effect.endpoint)
+      case 'log.append':
+      case 'log.read': return performLog(node, effect)
+      case 'peer.send': return performPeer(node, effect)
+      case 'membership.fetch':
+      case 'membership.announce': return performList(node, effect)
+      case 'drain.closeListener': {
+        const target = nodes.get(node)
+        if (target !== undefined) target.listening = false
+        return note(`${node} closes its listener`)
+      }
+      case 'drain.exit': {
+        const target = nodes.get(node)
+        if (target !== undefined) target.exited = true
+        note(`${node} exits`)
+        return stop(node)
+      }
+      case 'node.changed':
+        if (effect.change.kind === 'configInForce') note(`${node}: version ${effect.change.version} of ${effect.change.publisher} in force`)
+        if (effect.change.kind === 'drainStarted') note(`${node}: leaving`)
+        break
+      default:
+        break
+    }
+  }
+
+  /** All connections of an instance break. */
+  const stop = (id: string): void => {
+    const target = nodes.get(id)
+    if (target?.node === undefined) return
+    target.node = undefined
+    target.listening = false
+    for (const [name, state] of attempts) if (name.startsWith(`${id}/`)) state.open = false
+    for (const [name, { conversation, node }] of [...exchanges]) {
+      if (node !== id) continue
+      exchanges.delete(name)
+      time.after(delay, () => finishExchange(conversation, { kind: 'cut' }))
+    }
+  }
+
+  const crash = (id: string): void => {
+    if (nodes.get(id)?.node !== undefined) note(`${id} crashes`)
+    stop(id)
+  }
+
+  const tick = (id: string, starts: number): void => {
+    const target = nodes.get(id)
+    if (target?.node === undefined || target.starts !== starts) return
+    if (time.now() >= target.frozenUntil) feed(id, { kind: 'tick' })
+    time.after(tickInterval, () => tick(id, starts))
+  }
+
+  const start = (id: string): void => {
+    const target = nodes.get(id)
+    const own = settings.get(id)
+    if (target === undefined || own === undefined || target.node !== undefined || target.exited) return
+    target.starts++
+    const index = plan.nodes.findIndex(node => node.id === id)
+    const incarnation = `${id}-start-${target.starts}`
+    const random = createRandom(plan.seed * 1000 + index * 31 + target.starts)
+    target.node = createNode({ settings: own, self: { incarnation, callerPort: 7000 + index, peerPort: 9000 + index }, hash, random, metrics: createMetrics({ processMetrics: false }), startedAt: time.now() })
+    target.listening = true
+    target.frozenUntil = 0
+    if (target.starts > 1) note(`${id} starts again`)
+    const { starts } = target
+    time.after(index + 1, () => tick(id, starts))
+  }
+
+  const freeze = (id: string, ms: number): void => {
+    const target = nodes.get(id)
+    if (target === undefined) return
+    note(`${id} freezes for ${ms} ms`)
+    target.frozenUntil = Math.max(target.frozenUntil, time.now() + ms)
+  }
+
+  const call = (conversation: Conversation, id: string): void => {
+    conversation.tries++
+    const target = nodes.get(id)
+    note(`${conversation.name} -> ${id}: POST ${conversation.path}${conversation.lastEventId === undefined ? '' : ' with its last event id'}`)
+    if (target?.node === undefined || !target.listening) return time.after(delay, () => finishExchange(conversation, { kind: 'cut' }))
+    const request = ++requests
+    const exchange = createExchange(conversation, request)
+    exchanges.set(`${id}/${request}`, { conversation, exchange, node: id })
+    deliver(id, exchange.input)
+  }
+
+  const hangUp = (conversation: Conversation): void => {
+    for (const [name, open] of [...exchanges]) {
+      if (open.conversation !== conversation) continue
+      exchanges.delete(name)
+      deliver(open.node, { kind: 'caller.gone', request: Number(name.split('/')[1]) })
+      finishExchange(conversation, { kind: 'cut' })
+    }
+  }
+
+  /** A caller takes the next address; a stream goes on from its last event. */
+  const nextNode = (conversation: Conversation): string => {
+    const ids = [...nodes.keys()]
+    return ids[conversation.tries % ids.length]
+  }
+
+  const retryable = (heard: Heard): number | undefined => {
+    if (heard.kind === 'cut') return defaultComeBack
+    if (heard.kind === 'whole') return undefined
+    return heard.type === 'stream_interrupted' ? defaultComeBack : heard.retryAfter
+  }
+
+  const finishExchange = (conversation: Conversation, heard: Heard): void => {
+    conversation.heard.push(heard)
+    hooks.onHeard(conversation, heard)
+    if (heard.kind === 'error') startOver(conversation)
+    note(`${conversation.name} hears ${heard.kind === 'error' ? `${heard.type} (${heard.outcome})` : heard.kind}`)
+    const wait = retryable(heard)
+    if (wait === undefined || conversation.tries >= callerTries) {
+      conversation.result = heard
+      return
+    }
+    time.after(wait, () => call(conversation, nextNode(conversation)))
+  }
+
+  /** A client library that is told of an error forgets what it had of the stream. */
+  const startOver = (conversation: Conversation): void => {
+    conversation.text = ''
+    conversation.lastEventId = undefined
+  }
+
+  const publish = (node: string, base: number, text: string, publisher: string): void => {
+    const body = JSON.stringify({ base, text, publisher, publishId: `${publisher}-${base}` })
+    note(`${publisher} -> ${node}: publishes on version ${base}`)
+    deliver(node, { kind: 'operator.request', request: ++requests, method: 'POST', path: '/v1/rules', headers: { authorization: 'Bearer demo-operator-fleet' }, body: Buffer.from(body) })
+  }
+
+  for (const id of nodes.keys()) start(id)
+  return { time, log, nodes, engines, services, list, feed, crash, start, freeze, call, hangUp, publish, published }
+}
--- a/test/matrix/scenarios.ts
+++ b/test/matrix/scenarios.ts
@@ -1,6 +1,7 @@
 /** The scenarios of the fault matrix; each protocol adds its own line. */
 import type { Hash } from '../../src/hash.js'
 import { createClaimsScenario } from './claimsScenario.js'
+import { createRequestScenario } from './requestScenario.js'
 import type { Scenario } from './matrixTypes.js'
 
 /** Builds a scenario; the hash functions load asynchronously, before any run. */
@@ -8,7 +9,8 @@
 
 /** Every protocol under test. */
 export const scenarioFactories: readonly ScenarioFactory[] = [
-  createClaimsScenario
+  createClaimsScenario,
+  createRequestScenario
 ]
 
 /**
