Streams: recovery after the finish reason, after a stall, and true outcomes

Cause: the matrix showed four faults of the request path. A stream cut after its finish reason was continued and got a token too many; one whose end marker was lost never ended; a refusal said not_run although an earlier attempt had been sent; a worker's 404 to a resumed stream reached the caller unread. Change: a finished text is complete whatever follows; silence in a begun stream counts as a cut after 3 s; whether any byte left is kept with the request; a resumed attempt that is refused goes on elsewhere. After a gap the connection is closed without cancelling the engine's work, which is taken up again. Ruled out: cancelling and generating again after a gap, which recomputes.

--- a/src/adapters/endpointHttp.ts
+++ b/src/adapters/endpointHttp.ts
@@ -114,12 +114,16 @@
     running.exchange = client.start(address, httpRequest(request), listener)
   }
 
-  const cancel = (attempt: number): void => {
+  const detach = (attempt: number): Attempt | undefined => {
     const running = attempts.get(attempt)
-    if (running === undefined) return
     attempts.delete(attempt)
-    running.exchange?.abort()
-    if (running.request.kind !== 'model') return
+    running?.exchange?.abort()
+    return running
+  }
+
+  const cancel = (attempt: number): void => {
+    const running = detach(attempt)
+    if (running?.request.kind !== 'model') return
     client.json(running.address, jsonRequest('POST', '/v1/cancel', { request_id: running.request.id }), cancelTimeout)
   }
 
@@ -146,6 +150,9 @@
     switch (effect.kind) {
       case 'endpoint.dispatch': return dispatch(effect)
       case 'endpoint.cancel': return cancel(effect.attempt)
+      case 'endpoint.detach':
+        detach(effect.attempt)
+        return
       case 'endpoint.pause': return attempts.get(effect.attempt)?.exchange?.pause()
       case 'endpoint.resume': return attempts.get(effect.attempt)?.exchange?.resume()
       case 'endpoint.probe':
--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -125,6 +125,7 @@
       expectedTokens: settings.routing.expected_tokens,
       resumeGrace: settings.streams.resume_grace,
       resumeWindow: settings.streams.resume_window,
+      stallTimeout: settings.streams.stall_timeout,
       resumeKeys: () => settings.streams.resume_keys,
       inFlight: settings.limits.in_flight
     },
--- a/src/ports/endpointPort.ts
+++ b/src/ports/endpointPort.ts
@@ -55,7 +55,10 @@
 /** What the core asks of endpoints. */
 export type EndpointEffect =
   | { readonly kind: 'endpoint.dispatch', readonly attempt: number, readonly endpoint: string, readonly address: Address, readonly request: EndpointRequest }
+  /** Ends an attempt and the engine's work on it. */
   | { readonly kind: 'endpoint.cancel', readonly attempt: number }
+  /** Ends an attempt, but not the engine's work, which may be taken up again. */
+  | { readonly kind: 'endpoint.detach', readonly attempt: number }
   | { readonly kind: 'endpoint.pause', readonly attempt: number }
   | { readonly kind: 'endpoint.resume', readonly attempt: number }
   | { readonly kind: 'endpoint.probe', readonly endpoint: string, readonly address: Address }
--- a/src/processes/entry.ts
+++ b/src/processes/entry.ts
@@ -177,6 +177,7 @@
     switch (effect.kind) {
       case 'endpoint.dispatch':
       case 'endpoint.cancel':
+      case 'endpoint.detach':
       case 'endpoint.pause':
       case 'endpoint.resume':
       case 'endpoint.probe':
--- a/src/requests/modelAttempts.ts
+++ b/src/requests/modelAttempts.ts
@@ -4,6 +4,7 @@
 import type { EndpointRequest } from '../ports/endpointPort.js'
 import { continuationOf } from './continuation.js'
 import type { RequestsContext } from './requestsContext.js'
+import { complete, dropAttempt, finish, type Leftover } from './modelCompletion.js'
 import { comeBack, fail } from './requestOutcomes.js'
 import type { ModelAttempt, ModelRequest } from './requestsTypes.js'
 
@@ -11,7 +12,7 @@
 const recoveryLimit = 4
 
 /** Why an attempt ended without a whole answer. */
-export type AttemptFault = 'unsent' | 'cut' | 'timeout' | 'garbled' | 'crossed' | 'gap' | 'wrongVersion' | 'busy'
+export type AttemptFault = 'unsent' | 'cut' | 'timeout' | 'garbled' | 'crossed' | 'gap' | 'wrongVersion' | 'busy' | 'lost' | 'stalled'
 
 interface Target {
   readonly endpoint: string
@@ -58,6 +59,7 @@
     ...target,
     flight: choice === undefined ? undefined : context.routing.started(request.question, choice, now),
     stem: stemOf(context, request, target),
+    startedAt: now,
     headSeen: false
   }
   context.db.attempts.set(attempt.attempt, attempt)
@@ -101,38 +103,8 @@
   return send(context, request, target, 'resume', undefined, request.relay.next - target.base, now)
 }
 
-/**
- * Forgets an attempt.
- *
- * @param context - the node
- * @param request - its request
- * @param cancel - whether the engine may still be at work
- */
-export const dropAttempt = (context: RequestsContext, request: ModelRequest, cancel: boolean): void => {
-  const { attempt } = request
-  if (attempt === undefined) return
-  if (cancel) context.emit({ kind: 'endpoint.cancel', attempt: attempt.attempt })
-  if (attempt.flight !== undefined && !attempt.flight.ended) context.routing.failed(attempt.flight)
-  context.db.attempts.delete(attempt.attempt)
-  request.attempt = undefined
-}
-
-/**
- * Ends a request and lets go of all that it held.
- *
- * @param context - the node
- * @param request - the request
- * @param now - present time in ms
- */
-export const finish = (context: RequestsContext, request: ModelRequest, now: number): void => {
-  const { usage, tokens } = request.relay
-  dropAttempt(context, request, false)
-  context.db.requests.delete(request.request)
-  request.release(usage?.promptTokens ?? request.question.promptTokens, usage?.completionTokens ?? tokens, now)
-}
-
-const giveUp = (context: RequestsContext, request: ModelRequest, ran: boolean, now: number): void => {
-  const outcome = ran ? 'unknown' : 'not_run'
+const giveUp = (context: RequestsContext, request: ModelRequest, now: number): void => {
+  const outcome = request.sent ? 'unknown' : 'not_run'
   if (request.relay.next > 0) fail(context, request, { kind: 'stream_interrupted', outcome: 'unknown' })
   else if (request.tried.length === 0) fail(context, request, { kind: 'no_endpoint', retryAfter: comeBack(context) })
   else fail(context, request, { kind: 'endpoint_failed', outcome, retryAfter: comeBack(context) })
@@ -187,6 +159,18 @@
   }
 }
 
+/** What to do with the engine's work: after a gap the same stream is taken up again. */
+const leftoverOf = (fault: AttemptFault): Leftover => {
+  switch (fault) {
+    case 'gap': return 'detach'
+    case 'crossed':
+    case 'wrongVersion':
+    case 'garbled':
+    case 'stalled': return 'cancel'
+    default: return 'none'
+  }
+}
+
 /**
  * Recovers from a failed attempt: at the same engine if the stream had begun
  * there, else elsewhere, else the caller gets a typed error at once.
@@ -199,17 +183,19 @@
 export const recover = (context: RequestsContext, request: ModelRequest, fault: AttemptFault, now: number): void => {
   const { attempt } = request
   if (attempt === undefined) return
+  if (request.relay.finishReason !== undefined) return complete(context, request, attempt, now)
+  request.sent ||= fault !== 'unsent'
   const evidence = evidenceOf(fault)
   if (evidence !== undefined) context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint: attempt.endpoint, outcome: evidence } })
-  dropAttempt(context, request, fault === 'crossed' || fault === 'gap' || fault === 'wrongVersion' || fault === 'garbled')
+  dropAttempt(context, request, leftoverOf(fault))
   context.metrics.streamFaults.inc({ fault })
   if (request.goneAt !== undefined) return finish(context, request, now)
   const begun = request.relay.next > 0
   request.recoveries++
-  if (request.recoveries > recoveryLimit) return giveUp(context, request, true, now)
+  if (request.recoveries > recoveryLimit) return giveUp(context, request, now)
   const resumable = attempt.headSeen && (fault === 'cut' || fault === 'gap')
   if (resumable && sameEngineAgain(context, request, attempt, now)) return
   request.tried.push(attempt.endpoint)
   if (begun ? continueElsewhere(context, request, now) : retryElsewhere(context, request, now)) return
-  giveUp(context, request, fault !== 'unsent', now)
+  giveUp(context, request, now)
 }
--- a/src/requests/modelBegin.ts
+++ b/src/requests/modelBegin.ts
@@ -103,6 +103,7 @@
     publicId: '',
     attempt: undefined,
     weightVersion: undefined,
+    sent: point !== undefined,
     recoveries: 0,
     opened: false,
     blocked: false,
--- /dev/null
+++ b/src/requests/modelCompletion.ts
@@ -0,0 +1,97 @@
+/** Ends model requests: forgets attempts, answers the caller, settles what was held. */
+import { wholeAnswer } from '../streams/wholeAnswer.js'
+import { countAnswered } from './requestOutcomes.js'
+import type { RequestsContext } from './requestsContext.js'
+import type { ModelAttempt, ModelRequest } from './requestsTypes.js'
+
+const streamHeaders = { 'content-type': 'text/event-stream', 'cache-control': 'no-store' }
+
+/** What becomes of the engine's work when an attempt is forgotten. */
+export type Leftover = 'none' | 'cancel' | 'detach'
+
+/**
+ * Forgets an attempt.
+ *
+ * @param context - the node
+ * @param request - its request
+ * @param leftover - whether the engine's work is over, to be cancelled, or to be taken up again
+ */
+export const dropAttempt = (context: RequestsContext, request: ModelRequest, leftover: Leftover): void => {
+  const { attempt } = request
+  if (attempt === undefined) return
+  if (leftover !== 'none') context.emit({ kind: `endpoint.${leftover}`, attempt: attempt.attempt })
+  if (attempt.flight !== undefined && !attempt.flight.ended) context.routing.failed(attempt.flight)
+  context.db.attempts.delete(attempt.attempt)
+  request.attempt = undefined
+}
+
+/**
+ * Ends a request and lets go of all that it held.
+ *
+ * @param context - the node
+ * @param request - the request
+ * @param now - present time in ms
+ */
+export const finish = (context: RequestsContext, request: ModelRequest, now: number): void => {
+  const { usage, tokens } = request.relay
+  dropAttempt(context, request, 'none')
+  context.db.requests.delete(request.request)
+  request.release(usage?.promptTokens ?? request.question.promptTokens, usage?.completionTokens ?? tokens, now)
+}
+
+/**
+ * Opens the caller's stream, once.
+ *
+ * @param context - the node
+ * @param request - the request
+ */
+export const openStream = (context: RequestsContext, request: ModelRequest): void => {
+  if (request.opened || !request.call.stream) return
+  request.opened = true
+  context.emit({ kind: 'caller.open', request: request.request, status: 200, headers: streamHeaders })
+}
+
+const countTokens = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt): void => {
+  const usage = request.relay.usage
+  if (usage === undefined) return
+  const labels = { workspace: context.metrics.workspaceLabel(request.workspace) }
+  const expected = attempt.flight?.choice.expectedCachedTokens ?? 0
+  context.metrics.promptTokens.inc(labels, usage.promptTokens)
+  context.metrics.cachedTokens.inc(labels, usage.cachedTokens)
+  context.metrics.recomputedTokens.inc(labels, Math.max(0, expected - usage.cachedTokens))
+  context.metrics.generatedTokens.inc(labels, usage.completionTokens)
+}
+
+const settleFlight = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, now: number): void => {
+  if (attempt.flight === undefined) return
+  const { usage, tokens } = request.relay
+  const fallback = { promptTokens: request.question.promptTokens, cachedTokens: 0, completionTokens: tokens }
+  context.routing.finished(attempt.flight, usage ?? fallback, now)
+}
+
+const answer = (context: RequestsContext, request: ModelRequest): void => {
+  countAnswered(context, request.workspace)
+  if (request.call.stream) {
+    openStream(context, request)
+    context.emit({ kind: 'caller.write', request: request.request, data: 'data: [DONE]\n\n' })
+    context.emit({ kind: 'caller.end', request: request.request })
+    return
+  }
+  const frame = { id: request.publicId, path: request.call.path, model: request.call.model, arrived: request.arrived }
+  context.emit({ kind: 'caller.answer', request: request.request, status: 200, headers: { 'content-type': 'application/json' }, body: wholeAnswer(frame, request.relay) })
+}
+
+/**
+ * Ends a request whose answer is whole.
+ *
+ * @param context - the node
+ * @param request - the request
+ * @param attempt - the attempt that ended it
+ * @param now - present time in ms
+ */
+export const complete = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, now: number): void => {
+  settleFlight(context, request, attempt, now)
+  countTokens(context, request, attempt)
+  if (request.goneAt === undefined) answer(context, request)
+  finish(context, request, now)
+}
--- a/src/requests/modelStream.ts
+++ b/src/requests/modelStream.ts
@@ -3,16 +3,14 @@
 import { resumeToken } from '../streams/resumeToken.js'
 import { relayEvent } from '../streams/streamRelay.js'
 import type { StreamEvent } from '../streams/streamsTypes.js'
-import { wholeAnswer } from '../streams/wholeAnswer.js'
-import { finish, recover } from './modelAttempts.js'
-import { countAnswered } from './requestOutcomes.js'
+import { recover } from './modelAttempts.js'
+import { complete, openStream } from './modelCompletion.js'
 import type { RequestsContext } from './requestsContext.js'
 import type { ModelAttempt, ModelRequest } from './requestsTypes.js'
 
 type Input<Kind extends EndpointInput['kind']> = Extract<EndpointInput, { kind: Kind }>
 
 const msPerSecond = 1000
-const streamHeaders = { 'content-type': 'text/event-stream', 'cache-control': 'no-store' }
 
 /**
  * Checks who answers before anything of the answer is used.
@@ -30,12 +28,6 @@
   attempt.headSeen = true
 }
 
-const open = (context: RequestsContext, request: ModelRequest): void => {
-  if (request.opened || !request.call.stream) return
-  request.opened = true
-  context.emit({ kind: 'caller.open', request: request.request, status: 200, headers: streamHeaders })
-}
-
 const observeToken = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, now: number): void => {
   if (request.firstTokenAt === undefined) {
     request.firstTokenAt = now
@@ -56,7 +48,7 @@
 
 const forward = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, event: StreamEvent, position: number): void => {
   if (!request.call.stream || request.goneAt !== undefined || position < request.forwardFrom) return
-  open(context, request)
+  openStream(context, request)
   const id = attempt.stem === '' ? '' : `id: ${resumeToken(attempt.stem, position - attempt.base)}\n`
   context.emit({ kind: 'caller.write', request: request.request, data: `${id}data: ${eventText(request, event)}\n\n` })
 }
@@ -94,24 +86,6 @@
   }
 }
 
-const countTokens = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt): void => {
-  const usage = request.relay.usage
-  if (usage === undefined) return
-  const labels = { workspace: context.metrics.workspaceLabel(request.workspace) }
-  const expected = attempt.flight?.choice.expectedCachedTokens ?? 0
-  context.metrics.promptTokens.inc(labels, usage.promptTokens)
-  context.metrics.cachedTokens.inc(labels, usage.cachedTokens)
-  context.metrics.recomputedTokens.inc(labels, Math.max(0, expected - usage.cachedTokens))
-  context.metrics.generatedTokens.inc(labels, usage.completionTokens)
-}
-
-const settleFlight = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, now: number): void => {
-  if (attempt.flight === undefined) return
-  const { usage, tokens } = request.relay
-  const fallback = { promptTokens: request.question.promptTokens, cachedTokens: 0, completionTokens: tokens }
-  context.routing.finished(attempt.flight, usage ?? fallback, now)
-}
-
 /**
  * Ends the caller's answer when the worker's stream has ended.
  *
@@ -122,20 +96,5 @@
  */
 export const onEnd = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, now: number): void => {
   if (request.relay.finishReason === undefined) return recover(context, request, 'cut', now)
-  settleFlight(context, request, attempt, now)
-  countTokens(context, request, attempt)
-  if (request.goneAt === undefined) answer(context, request)
-  finish(context, request, now)
-}
-
-const answer = (context: RequestsContext, request: ModelRequest): void => {
-  countAnswered(context, request.workspace)
-  if (request.call.stream) {
-    open(context, request)
-    context.emit({ kind: 'caller.write', request: request.request, data: 'data: [DONE]\n\n' })
-    context.emit({ kind: 'caller.end', request: request.request })
-    return
-  }
-  const frame = { id: request.publicId, path: request.call.path, model: request.call.model, arrived: request.arrived }
-  context.emit({ kind: 'caller.answer', request: request.request, status: 200, headers: { 'content-type': 'application/json' }, body: wholeAnswer(frame, request.relay) })
+  complete(context, request, attempt, now)
 }
--- a/src/requests/requestsContext.ts
+++ b/src/requests/requestsContext.ts
@@ -26,6 +26,8 @@
   readonly expectedTokens: number
   readonly resumeGrace: number
   readonly resumeWindow: number
+  /** Silence in a begun stream after which its worker is given up. */
+  readonly stallTimeout: number
   /** The first signs, all verify. */
   readonly resumeKeys: () => readonly string[]
   readonly inFlight: number
--- a/src/requests/requestsMachine.ts
+++ b/src/requests/requestsMachine.ts
@@ -11,7 +11,8 @@
 import type { EndpointInput } from '../ports/endpointPort.js'
 import type { Tick } from '../ports/peerPort.js'
 import type { RuleDecision, RuleQuery } from '../rules/rulesTypes.js'
-import { dropAttempt, finish, recover } from './modelAttempts.js'
+import { recover } from './modelAttempts.js'
+import { dropAttempt, finish } from './modelCompletion.js'
 import { beginModel, type Admittee } from './modelBegin.js'
 import { onChunk, onEnd, onHead } from './modelStream.js'
 import type { RequestsContext } from './requestsContext.js'
@@ -29,7 +30,7 @@
 export type RequestsInput = CallerInput | AttemptInput | ClaimAnswer | Tick
 
 /** Statuses with which a worker says that another may do better. */
-const elsewhereStatuses = new Set([408, 409, 425, 429, 500, 502, 503, 504])
+const elsewhereStatuses = new Set([404, 408, 409, 425, 429, 500, 502, 503, 504])
 
 /** Answers operations that need no endpoint. */
 export interface Directory {
@@ -143,7 +144,7 @@
     }
     if (active.blocked && active.attempt !== undefined) context.emit({ kind: 'endpoint.resume', attempt: active.attempt.attempt })
     if (active.call.stream && active.opened) return
-    dropAttempt(context, active, true)
+    dropAttempt(context, active, 'cancel')
     finish(context, active, now)
   }
 
@@ -154,7 +155,8 @@
     context.emit({ kind: blocked ? 'endpoint.pause' : 'endpoint.resume', attempt: active.attempt.attempt })
   }
 
-  const onModelAnswer = (request: ModelRequest, status: number, body: Uint8Array, now: number): void => {
+  const onModelAnswer = (request: ModelRequest, attempt: ModelAttempt, status: number, body: Uint8Array, now: number): void => {
+    if (attempt.flight === undefined) return recover(context, request, 'lost', now)
     if (elsewhereStatuses.has(status) || status < 400) return recover(context, request, status === 409 ? 'wrongVersion' : 'busy', now)
     if (request.opened) {
       fail(context, request, { kind: 'stream_interrupted', outcome: 'unknown' })
@@ -162,7 +164,7 @@
       context.metrics.requests.inc({ workspace: context.metrics.workspaceLabel(request.workspace), outcome: 'not_run', error: 'refused_by_engine' })
       context.emit({ kind: 'caller.answer', request: request.request, status, headers: jsonHeaders, body })
     }
-    dropAttempt(context, request, false)
+    dropAttempt(context, request, 'none')
     finish(context, request, now)
   }
 
@@ -171,7 +173,7 @@
       case 'endpoint.head': return onHead(context, request, attempt, input, now)
       case 'endpoint.chunk': return attempt.headSeen ? onChunk(context, request, attempt, input, now) : recover(context, request, 'garbled', now)
       case 'endpoint.end': return onEnd(context, request, attempt, now)
-      case 'endpoint.answer': return onModelAnswer(request, input.status, input.body, now)
+      case 'endpoint.answer': return onModelAnswer(request, attempt, input.status, input.body, now)
       case 'endpoint.failed': return recover(context, request, input.sent ? (input.failure === 'refused' ? 'cut' : input.failure) : 'unsent', now)
       default: return assertNever(input)
     }
@@ -203,12 +205,17 @@
     }
     const orphaned = active.goneAt !== undefined && now - active.goneAt >= context.options.resumeGrace
     const late = active.firstTokenAt === undefined && now >= active.deadline
-    if (!orphaned && !late) return
+    if (!late && !orphaned) return expireStalled(active, now)
     if (active.goneAt === undefined) fail(context, active, { kind: 'deadline_exceeded', outcome: 'unknown', retryAfter: comeBack(context) })
-    dropAttempt(context, active, true)
+    dropAttempt(context, active, 'cancel')
     finish(context, active, now)
   }
 
+  const expireStalled = (active: ModelRequest, now: number): void => {
+    if (active.lastTokenAt === undefined || active.blocked || active.attempt === undefined) return
+    if (now - Math.max(active.lastTokenAt, active.attempt.startedAt) >= context.options.stallTimeout) recover(context, active, 'stalled', now)
+  }
+
   const tick = (now: number): void => {
     for (const active of db.requests.values()) expire(active, now)
   }
--- a/src/requests/requestsTypes.ts
+++ b/src/requests/requestsTypes.ts
@@ -89,6 +89,8 @@
   readonly flight?: Flight
   /** What all resume tokens of this attempt share; empty if resuming is off. */
   readonly stem: string
+  /** In ms. */
+  readonly startedAt: number
   headSeen: boolean
 }
 
@@ -105,6 +107,8 @@
   publicId: string
   attempt: ModelAttempt | undefined
   weightVersion: string | undefined
+  /** Whether some byte of some attempt left, so that a worker may have run it. */
+  sent: boolean
   /** Recoveries of the stream so far. */
   recoveries: number
   opened: boolean
--- a/src/settings/settingsDefaults.ts
+++ b/src/settings/settingsDefaults.ts
@@ -11,7 +11,7 @@
   limits: { retry_share: 0.1, in_flight: 4_096 },
   claims: { answer_bytes: 8_388_608 },
   addresses: { per_workspace: 3, time_to_live: 5_000 },
-  streams: { resume_grace: 2_000, resume_window: 60_000, resume_keys: '' },
+  streams: { resume_grace: 2_000, resume_window: 60_000, stall_timeout: 3_000, resume_keys: '' },
   orders: { loads_at_once: 2 },
   tls: { ca: '', cert: '', key: '' },
   endpoint: { fenced: false, slots: 16, models: '' }
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -149,6 +149,7 @@
   streams: z.strictObject({
     resume_grace: optional(whole('ms', 0, 60_000, 'Time that generation goes on after its caller is cut off.'), defaults.streams.resume_grace),
     resume_window: optional(whole('ms', 0, 3_600_000, 'Age at which a resume token is refused.'), defaults.streams.resume_window),
+    stall_timeout: optional(whole('ms', 100, 600_000, 'Silence in a begun stream after which its worker is given up.'), defaults.streams.stall_timeout),
     resume_keys: optional(keys, defaults.streams.resume_keys)
   }).prefault({}),
   orders: z.strictObject({
--- a/test/fakes/fakeFleet.ts
+++ b/test/fakes/fakeFleet.ts
@@ -30,7 +30,7 @@
   readonly logFault: (node: string, effect: Extract<NodeEffect, { kind: `log.${string}` }>) => LogFault | { readonly late: number }
   readonly peerFate: (from: string, to: string) => 'deliver' | 'drop' | 'twice' | { readonly late: number }
   readonly listFault: () => 'none' | 'outage'
-  readonly onHeard: (conversation: Conversation, heard: Heard) => void
+  readonly onHeard: (conversation: Conversation, heard: Heard, node: string) => void
   /** May change what the adapters would hand to an instance. */
   readonly tamper: (node: string, input: NodeInput) => NodeInput
   readonly note: (line: string) => void
@@ -101,7 +101,7 @@
   const seeds = plan.nodes.map(({ id }, index) => `${id}@127.0.0.1:${9000 + index}`).join(',')
   const workers = plan.engines.map(({ id, dataCentre, models }, index) => `[worker.${id}]\nhost = 127.0.0.1\nport = ${8000 + index}\ndata_centre = ${dataCentre}\nmodels = ${models}\n`)
   const services = plan.services.map(({ id, dataCentre, service }, index) => `[service.${id}]\nhost = 127.0.0.1\nport = ${8500 + index}\ndata_centre = ${dataCentre}\nservice = ${service}\n`)
-  const text = `[instance]\nid = ${node.id}\ndata_centre = ${node.dataCentre}\n[peer]\nseeds = ${seeds}\n[streams]\nresume_keys = 0123456789abcdef\n${workers.join('')}${services.join('')}`
+  const text = `[instance]\nid = ${node.id}\ndata_centre = ${node.dataCentre}\n[peer]\nseeds = ${seeds}\n[streams]\nresume_keys = 0123456789abcdef\n[addresses]\ntime_to_live = 1000\n[platform]\nlist_lag = 1500\n${workers.join('')}${services.join('')}`
   return readSettings('fleet', text)._unsafeUnwrap()
 }
 
@@ -207,7 +207,7 @@
     const heard = open.exchange.take(effect)
     if (heard === undefined) return
     exchanges.delete(name)
-    finishExchange(open.conversation, heard)
+    finishExchange(open.conversation, heard, open.node)
   }
 
   const perform = (node: string, effect: NodeEffect): void => {
@@ -221,11 +221,12 @@
         published.push({ publisher: node, body: effect.body })
         return note(`${node} -> operator: ${effect.status} ${effect.body.slice(0, 120)}`)
       case 'endpoint.dispatch': return dispatch(node, effect)
+      case 'endpoint.detach':
       case 'endpoint.cancel': {
         const state = attempts.get(attemptName(node, effect.attempt))
         if (state === undefined) return
         state.open = false
-        engines.get(state.endpoint)?.cancel(state.engineRequest)
+        if (effect.kind === 'endpoint.cancel') engines.get(state.endpoint)?.cancel(state.engineRequest)
         return
       }
       case 'endpoint.probe': return probe(node, effect.endpoint)
@@ -264,7 +265,7 @@
     for (const [name, { conversation, node }] of [...exchanges]) {
       if (node !== id) continue
       exchanges.delete(name)
-      time.after(delay, () => finishExchange(conversation, { kind: 'cut' }))
+      time.after(delay, () => finishExchange(conversation, { kind: 'cut' }, node))
     }
   }
 
@@ -307,7 +308,7 @@
     conversation.tries++
     const target = nodes.get(id)
     note(`${conversation.name} -> ${id}: POST ${conversation.path}${conversation.lastEventId === undefined ? '' : ' with its last event id'}`)
-    if (target?.node === undefined || !target.listening) return time.after(delay, () => finishExchange(conversation, { kind: 'cut' }))
+    if (target?.node === undefined || !target.listening) return time.after(delay, () => finishExchange(conversation, { kind: 'cut' }, id))
     const request = ++requests
     const exchange = createExchange(conversation, request)
     exchanges.set(`${id}/${request}`, { conversation, exchange, node: id })
@@ -319,7 +320,7 @@
       if (open.conversation !== conversation) continue
       exchanges.delete(name)
       deliver(open.node, { kind: 'caller.gone', request: Number(name.split('/')[1]) })
-      finishExchange(conversation, { kind: 'cut' })
+      finishExchange(conversation, { kind: 'cut' }, open.node)
     }
   }
 
@@ -335,9 +336,9 @@
     return heard.type === 'stream_interrupted' ? defaultComeBack : heard.retryAfter
   }
 
-  const finishExchange = (conversation: Conversation, heard: Heard): void => {
+  const finishExchange = (conversation: Conversation, heard: Heard, node: string): void => {
     conversation.heard.push(heard)
-    hooks.onHeard(conversation, heard)
+    hooks.onHeard(conversation, heard, node)
     if (heard.kind === 'error') startOver(conversation)
     note(`${conversation.name} hears ${heard.kind === 'error' ? `${heard.type} (${heard.outcome})` : heard.kind}`)
     const wait = retryable(heard)
--- a/test/matrix/requestFaults.ts
+++ b/test/matrix/requestFaults.ts
@@ -89,12 +89,14 @@
   return undefined
 }
 
+const usualTempo = { prefill: 30, token: 10 }
+const slowTempo = { prefill: longFreeze, token: 60 }
+
 const slowEngine: Action = ({ world, at }) => {
   const tempo = world.fleet.engines.get(at)?.tempo
   if (tempo === undefined) return undefined
-  const usual = { ...tempo }
-  Object.assign(tempo, { prefill: longFreeze, token: 60 })
-  after(world, longFreeze, () => Object.assign(tempo, usual))
+  Object.assign(tempo, slowTempo)
+  after(world, longFreeze, () => Object.assign(tempo, usualTempo))
   return undefined
 }
 
@@ -228,6 +230,8 @@
 const occurrences = 3
 /** Outages and losses last for a few operations, so that retries meet them too. */
 const lasting: Readonly<Partial<Record<Fault, number>>> = { outage: 12, lostAck: 2, slow: 2, late: 2 }
+/** Steps at which one strike is one lost or late message; elsewhere it lasts by itself. */
+const messageSteps: ReadonlySet<string> = new Set<RequestStep>(['claimAppend', 'logRead', 'peerMessage', 'membershipList', 'serviceDispatch'])
 
 interface Armed {
   readonly injection: Injection
@@ -243,7 +247,7 @@
  */
 export const injectRequestFaults = (injections: readonly Injection[], seed: number) => (world: () => World): Partial<FleetHooks> => {
   let pending: ServiceFate | undefined
-  const armed: Armed[] = injections.map((injection, index) => ({ injection, wait: (seed + index) % occurrences, left: lasting[injection.fault] ?? 1 }))
+  const armed: Armed[] = injections.map((injection, index) => ({ injection, wait: (seed + index) % occurrences, left: messageSteps.has(injection.step) ? lasting[injection.fault] ?? 1 : 1 }))
 
   const strike = (step: RequestStep, at: string): Fate | undefined => {
     let result: Fate | undefined
--- a/test/matrix/requestWorld.ts
+++ b/test/matrix/requestWorld.ts
@@ -40,7 +40,7 @@
 } as const
 
 /** Times after the epoch, in ms. */
-export const times = { leave: 1_400, drain: 1_500, weights: 1_800, probe: 12_500, end: 16_000 } as const
+export const times = { leave: 1_400, drain: 1_500, weights: 1_800, probe: 9_500, end: 13_000 } as const
 
 const tokens = 20
 const trial = 'nm-derby-e1'
@@ -75,9 +75,8 @@
 export const chatTokens = tokens
 
 const watch = (sightings: Sightings, fleet: () => FakeFleet, begun: Map<Conversation, number>): Pick<FleetHooks, 'onHeard'> & { readonly onEffect: FleetHooks['onEffect'] } => ({
-  onHeard: (conversation, heard) => {
+  onHeard: (conversation, heard, node) => {
     const now = fleet().time.now()
-    const node = parts.nodes[(conversation.tries - 1 + startOf(conversation)) % parts.nodes.length]
     sightings.heard.push({ conversation, heard, node, begun: begun.get(conversation) ?? 0, at: now })
     begun.set(conversation, now)
   },
@@ -88,8 +87,6 @@
   }
 })
 
-const startOf = (conversation: Conversation): number => Number(conversation.name.split('@')[1] ?? 0)
-
 /** Hooks that a fault plan adds to a run. */
 export type Disturbance = (world: () => World) => Partial<FleetHooks>
 
