--- a/test/matrix/requestChecks.ts
+++ b/test/matrix/requestChecks.ts
@@ -1,5 +1,5 @@
 /** Checks every promise of the request path against what engines and services recorded. */
-import { answerOf } from '../fakes/fakeEngine.js'
+import { answerOf } from '../fakes/fakeModelEngine.js'
 import type { Conversation } from '../fakes/fakeCaller.js'
 import type { Promised, Violation } from './matrixTypes.js'
 import { chatTokens, parts, promptOf, type World } from './requestWorld.js'
--- a/test/matrix/requestFaults.ts
+++ b/test/matrix/requestFaults.ts
@@ -5,7 +5,7 @@
  */
 import type { NodeEffect } from '../../src/node/nodeTypes.js'
 import type { LogFault } from '../fakes/fakeLog.js'
-import type { PartFate } from '../fakes/fakeEngine.js'
+import type { PartFate } from '../fakes/fakeModelEngine.js'
 import type { FleetHooks } from '../fakes/fakeFleet.js'
 import type { ServiceFate } from '../fakes/fakeService.js'
 import type { Fault, Injection } from './matrixTypes.js'
