--- /dev/null
+++ b/bench/rules.ts
@@ -0,0 +1,88 @@
+/** Checks rules files of 10,000 lines and times decisions: `npm run bench:rules`. */
+import { checkRules } from '../src/rules/rulesChecker.js'
+import { diffRules } from '../src/rules/rulesDiff.js'
+import { createRuleset } from '../src/rules/rulesMatcher.js'
+import { parseRules } from '../src/rules/rulesParser.js'
+import { createRandom } from '../src/random.js'
+import type { RuleQuery } from '../src/rules/rulesTypes.js'
+
+const lineCount = 10_000
+const workspaceCount = 890
+const decisions = 200_000
+const random = createRandom(7)
+const models = ['drafter', 'classifier', 'assistant', 'summary']
+const verbs = ['priority', 'worth', 'route', 'deadline', 'limit', 'deny']
+
+/** How lines choose their workspace. */
+type Spread = 'evenly' | 'oneWorkspace' | 'allWorkspaces'
+
+const workspaceOf = (spread: Spread): string => {
+  switch (spread) {
+    case 'evenly': return random.below(50) === 0 ? '*' : `w${random.below(workspaceCount)}`
+    case 'oneWorkspace': return 'w0'
+    case 'allWorkspaces': return '*'
+  }
+}
+
+const targetOf = (verb: string): string => {
+  switch (verb) {
+    case 'route': return `-> e${random.below(600)},e${random.below(600)}`
+    case 'deadline': return `-> ${1 + random.below(9)}s`
+    case 'limit': return `-> concurrency=${1 + random.below(99)}`
+    case 'deny': return ''
+    default: return `-> ${random.below(9)}`
+  }
+}
+
+const lineOf = (spread: Spread, index: number): string => {
+  const verb = verbs[random.below(verbs.length)]
+  const workspace = `workspace=${workspaceOf(spread)}`
+  const subject = verb === 'deny' || random.below(3) === 0 ? `service=s${random.below(20)} path=/p${random.below(50)}/*` : `model=${models[random.below(4)]}`
+  const selector = verb === 'limit' ? workspace : `${workspace} ${subject}`
+  return `${verb} ${selector} ${targetOf(verb)} # asked by P${index % 97}, T${random.below(60)}`
+}
+
+const fileOf = (spread: Spread): string => {
+  const head = [
+    ...Array.from({ length: workspaceCount }, (_, index) => `workspace w${index} priority=1 # asked by P${index}, T${index % 60}`),
+    ...models.map(model => `model ${model} version=1 # asked by Pat, Platform`)
+  ]
+  return [...head, ...Array.from({ length: lineCount - head.length }, (_, index) => lineOf(spread, index))].join('\n')
+}
+
+const time = <Value>(work: () => Value): { readonly value: Value, readonly ms: number } => {
+  const started = performance.now()
+  const value = work()
+  return { value, ms: Math.round((performance.now() - started) * 10) / 10 }
+}
+
+const queries = (vary: boolean): RuleQuery[] => Array.from({ length: decisions }, (_, index) => {
+  const workspace = `w${random.below(workspaceCount)}`
+  if (index % 4 > 0) return { workspace, model: models[random.below(4)] }
+  return { workspace, service: `s${random.below(20)}`, method: 'POST', path: `/p${random.below(50)}/${vary ? index : 0}` }
+})
+
+for (const spread of ['evenly', 'oneWorkspace', 'allWorkspaces'] as const) {
+  const text = fileOf(spread)
+  const parsed = time(() => parseRules(text)._unsafeUnwrap())
+  const checked = time(() => checkRules(parsed.value))
+  const ruleset = createRuleset(parsed.value)
+  const [asked, varied] = [queries(false), queries(true)]
+  const first = time(() => Array.from({ length: workspaceCount }, (_, index) => ruleset.decide({ workspace: `w${index}`, model: 'drafter' })))
+  const repeated = time(() => asked.forEach(query => ruleset.decide(query)))
+  const fresh = time(() => varied.forEach(query => ruleset.decide(query)))
+  const edited = parseRules(text.replace('priority=1 ', 'priority=2 '))._unsafeUnwrap()
+  const difference = time(() => diffRules(parsed.value, edited))
+  console.log(JSON.stringify({
+    spread,
+    lines: lineCount,
+    parseMs: parsed.ms,
+    checkMs: checked.ms,
+    conflicts: checked.value.conflicts.length,
+    truncated: checked.value.truncated,
+    diffMs: difference.ms,
+    firstDecisionUs: Math.round(first.ms * 1000 / workspaceCount),
+    decideUs: Math.round(repeated.ms * 1e6 / decisions) / 1000,
+    decideNewPathUs: Math.round(fresh.ms * 1e6 / decisions) / 1000
+  }))
+}
--- a/src/rules/rulesMatcher.ts
+++ b/src/rules/rulesMatcher.ts
@@ -5,8 +5,8 @@
  */
 import { globMatches } from './globs.js'
 import { collectKeys } from './rulesKeys.js'
-import { normalisePath } from './paths.js'
 import { comparePrecedence, selects } from './rulesPrecedence.js'
+import { resolveQuery } from './rulesQuery.js'
 import type { Destination, Rule, RuledModel, RuleDecision, RuleOrigin, RuleQuery, RuleRefusal, Ruleset, Selector, WorkspaceLimit } from './rulesTypes.js'
 
 /** Ms that a request may take when no line says otherwise. */
@@ -217,8 +217,7 @@
     const key = keyOf(query)
     const known = kept.get(query.workspace)?.get(key)
     if (known !== undefined) return known
-    const model = query.model === undefined ? undefined : declarations.aliases.get(query.model) ?? query.model
-    const decision = decideIn(index, declarations, { ...query, model, method: query.method?.toUpperCase(), path: query.path && normalisePath(query.path) })
+    const decision = decideIn(index, declarations, resolveQuery(query, declarations.aliases))
     if (decision.allowed && key.length <= maxKeptKeyLength) keep(query.workspace, key, decision)
     return decision
   }
