--- a/src/rules/rulesIndex.ts
+++ b/src/rules/rulesIndex.ts
@@ -58,12 +58,14 @@
   tier: number
 }
 
-/** Lines of one workspace, or of several, and of one subject. */
-type Bucket = { [Name in Attribute]?: Compiled<Name>[] }
+/** Sorted lines of one bucket, by attribute. */
+type Lists = { [Name in Attribute]?: Compiled<Name>[] }
 
-const emptyBucket = (): Bucket => ({
-  allowed: undefined, repeatable: undefined, endpoints: undefined, priority: undefined, worth: undefined, deadline: undefined
-})
+/** Lines of one workspace, or of several, and of one subject; sorted when first looked into. */
+interface Bucket {
+  readonly entries: AnyEntry[]
+  lists: Lists | undefined
+}
 
 type Buckets = Map<string, Bucket>
 
@@ -113,9 +115,9 @@
 }
 
 /** The first match, or a later one of the same tier if the owner asked for it. */
-const bestOf = <Name extends Attribute>(bucket: readonly Compiled<Name>[], query: RuleQuery, owner: string): Compiled<Name> | undefined => {
+const bestOf = <Name extends Attribute>(list: readonly Compiled<Name>[], query: RuleQuery, owner: string): Compiled<Name> | undefined => {
   let best: Compiled<Name> | undefined
-  for (const compiled of bucket) {
+  for (const compiled of list) {
     if (best !== undefined && compiled.tier !== best.tier) break
     if (!matches(compiled, query)) continue
     if (compiled.entry.origin.team === owner) return compiled
@@ -124,11 +126,11 @@
   return best
 }
 
-const sortBucket = <Name extends Attribute>(bucket: Compiled<Name>[]): void => {
-  bucket.sort((left, right) =>
+const sortList = <Name extends Attribute>(list: Compiled<Name>[]): void => {
+  list.sort((left, right) =>
     compareWeights(left.specificity, right.specificity) || left.entry.origin.line - right.entry.origin.line)
-  bucket.forEach((compiled, index) => {
-    const before = bucket[index - 1]
+  list.forEach((compiled, index) => {
+    const before = list[index - 1]
     if (before === undefined) return
     compiled.tier = before.tier + (compareWeights(before.specificity, compiled.specificity) === 0 ? 0 : 1)
   })
@@ -142,17 +144,31 @@
 
 const anyWorkspace = '*'
 
-const push = <Name extends Attribute>(bucket: Bucket, entry: Entry<Name>): void => {
+const push = <Name extends Attribute>(lists: Lists, entry: Entry<Name>): void => {
   const compiled: Compiled<Name> = { entry, specificity: specificityOf(entry.selector), conditions: conditionsOf(entry.selector), tier: 0 }
-  const list: Compiled<Name>[] | undefined = bucket[entry.attribute]
-  if (list === undefined) (bucket[entry.attribute] as Compiled<Name>[]) = [compiled]
+  const list: Compiled<Name>[] | undefined = lists[entry.attribute]
+  if (list === undefined) (lists[entry.attribute] as Compiled<Name>[]) = [compiled]
   else list.push(compiled)
 }
 
-const findIn = <Name extends Attribute>(buckets: readonly Bucket[], attribute: Name, query: RuleQuery, owner: string): Entry<Name> | undefined => {
+const compile = (entries: readonly AnyEntry[]): Lists => {
+  const lists: Lists = {
+    allowed: undefined, repeatable: undefined, endpoints: undefined, priority: undefined, worth: undefined, deadline: undefined
+  }
+  for (const entry of entries) push(lists, entry)
+  for (const list of Object.values(lists)) if (list !== undefined) sortList(list as Compiled<Attribute>[])
+  return lists
+}
+
+const listsOf = (bucket: Bucket): Lists => {
+  bucket.lists ??= compile(bucket.entries)
+  return bucket.lists
+}
+
+const findIn = <Name extends Attribute>(all: readonly Lists[], attribute: Name, query: RuleQuery, owner: string): Entry<Name> | undefined => {
   let best: Compiled<Name> | undefined
-  for (const bucket of buckets) {
-    const list: readonly Compiled<Name>[] | undefined = bucket[attribute]
+  for (const lists of all) {
+    const list: readonly Compiled<Name>[] | undefined = lists[attribute]
     const found = list && bestOf(list, query, owner)
     if (found !== undefined && (best === undefined || compareCompiled(found, best, owner) < 0)) best = found
   }
@@ -174,30 +190,27 @@
     const buckets = byWorkspace.get(name) ?? new Map<string, Bucket>()
     byWorkspace.set(name, buckets)
     const subject = subjectOf(selector)
-    const bucket = buckets.get(subject) ?? emptyBucket()
+    const bucket = buckets.get(subject) ?? { entries: [], lists: undefined }
     buckets.set(subject, bucket)
     return bucket
   }
 
-  const bucketsOf = (workspace: string, subjects: readonly string[]): readonly Bucket[] => {
+  const listsNear = (workspace: string, subjects: readonly string[]): readonly Lists[] => {
     const buckets = byWorkspace.get(workspace)
-    const found: Bucket[] = []
+    const found: Lists[] = []
     for (const subject of subjects) {
       const bucket = buckets?.get(subject)
-      if (bucket !== undefined) found.push(bucket)
+      if (bucket !== undefined) found.push(listsOf(bucket))
     }
     return found
   }
 
-  for (const entry of entries) push(bucketFor(entry), entry)
-  for (const buckets of byWorkspace.values()) {
-    for (const bucket of buckets.values()) Object.values(bucket).forEach(list => sortBucket((list ?? []) as Compiled<Attribute>[]))
-  }
+  for (const entry of entries) bucketFor(entry).entries.push(entry)
   return {
     lookUp: (query, owner) => {
       const subjects = subjectsOf(query)
-      const own = bucketsOf(query.workspace, subjects)
-      const wide = bucketsOf(anyWorkspace, subjects)
+      const own = listsNear(query.workspace, subjects)
+      const wide = listsNear(anyWorkspace, subjects)
       return attribute => findIn(own, attribute, query, owner) ?? findIn(wide, attribute, query, owner)
     }
   }
