--- a/src/claims/claimsMachine.spec.ts
+++ b/src/claims/claimsMachine.spec.ts
@@ -4,6 +4,7 @@
 import { claimsMessageSchema } from './claimsMessages.js'
 import type { Claim, ClaimsMessage } from './claimsMessages.js'
 import { createPartition } from './claimsPartition.js'
+import type { PartitionStep } from './claimsPartition.js'
 import { partitionOf, streamOf } from './claimsPlacement.js'
 import { queuedNotice } from './claimsTimes.js'
 import { clockSkew, keyWindow } from './claimsTypes.js'
@@ -224,31 +225,47 @@
   })
 })
 
-describe('a partition that is taken over', () => {
-  it('reads what matters of a long stream', () => {
+/** A partition over a log that answers at once; collects its verdicts. */
+const createHeld = (log: FakeLog) => {
+  let token = 0
+  const partition = createPartition({ stream: 's', window: keyWindow, skew: clockSkew, retention: 20 * keyWindow, nextToken: () => token++ })
+  const counts = { records: 0 }
+  const follow = (step: PartitionStep, at: number): string[] => [
+    ...step.replies.flatMap(reply => reply.kind === 'verdict' ? [reply.verdict.kind] : []),
+    ...step.effects.flatMap(effect => {
+      const input = log.perform(effect, at)
+      if (input.kind === 'log.records') counts.records += input.records.length
+      return follow(partition.log(input, at), at)
+    })
+  ]
+  return { counts, ask: (claim: Claim, at: number) => follow(partition.claim(claim, 'n1', at), at) }
+}
+
+const appendEmpty = (log: FakeLog, at: number): void => {
+  log.perform({ kind: 'log.append', owner: 'claims', token: 0, stream: 's', payload: { kind: 'claims.batch', records: [] } }, at)
+}
+
+describe('a held partition', () => {
+  it('reads what matters of a long stream when it is taken over', () => {
     const log = createFakeLog()
     const appends = 20_000
-    const perform = (effect: LogEffect, at: number) => log.perform(effect, at)
     const oldest = now - 10 * keyWindow
-    for (let index = 0; index < appends; index++) {
-      perform({ kind: 'log.append', owner: 'claims', token: 0, stream: 's', payload: { kind: 'claims.batch', records: [] } }, oldest + index * 10 * keyWindow / appends)
-    }
-    let token = 0
-    const partition = createPartition({ stream: 's', window: keyWindow, skew: clockSkew, retention: 20 * keyWindow, nextToken: () => token++ })
-    let steps = [partition.claim(createClaim('a'), 'n1', now)]
-    let records = 0
-    const verdicts: string[] = []
-    while (steps.length > 0) {
-      steps = steps.flatMap(step => {
-        for (const reply of step.replies) if (reply.kind === 'verdict') verdicts.push(reply.verdict.kind)
-        return step.effects.map(effect => {
-          const input = perform(effect, now)
-          if (input.kind === 'log.records') records += input.records.length
-          return partition.log(input, now)
-        })
-      })
-    }
-    expect(verdicts).toEqual(['won'])
-    expect(records).toBeLessThan(appends / 5)
+    for (let index = 0; index < appends; index++) appendEmpty(log, oldest + index * 10 * keyWindow / appends)
+    const { ask, counts } = createHeld(log)
+    expect(ask(createClaim('a'), now)).toEqual(['won'])
+    expect(counts.records).toBeLessThan(appends / 5)
+  })
+
+  it('starts anew where the stream begins after it was paused for longer than records are kept', () => {
+    const log = createFakeLog()
+    const { ask } = createHeld(log)
+    expect(ask(createClaim('a'), now)).toEqual(['won'])
+    const later = now + 21 * keyWindow
+    const late = { ...createClaim('b'), key: createKey(later - 1_000) }
+    for (const at of [now + 1, later]) appendEmpty(log, at)
+    log.expire('s', 2)
+    expect(ask(late, later)).toEqual(['won'])
+    expect(ask({ ...createClaim('c'), key: createKey(now + 2 * keyWindow) }, later + 1_000)).toEqual(['expired'])
+    expect(ask({ ...createClaim('d'), key: createKey(now) }, later + 2_000)).toEqual(['expired'])
   })
 })
--- a/test/matrix/claimsScenario.ts
+++ b/test/matrix/claimsScenario.ts
@@ -28,7 +28,11 @@
   override readonly name = 'CallNotServed'
 }
 
-type CallName = 'plain' | 'local' | 'twice' | 'left' | 'leftLate' | 'slow' | 'fresh'
+/** Calls begun at two instances, each pair a little further apart. */
+const nearCalls = ['near0', 'near1', 'near2', 'near3', 'near4', 'near5'] as const
+const nearStep = 4
+
+type CallName = 'plain' | 'local' | 'twice' | typeof nearCalls[number] | 'left' | 'leftLate' | 'slow' | 'again' | 'fresh'
 
 /** Keys whose partitions are held by the instance that each call needs. */
 const createKeys = (hash: Hash): Record<CallName, string> => {
@@ -45,8 +49,15 @@
     plain: keyHeldBy('n3', 1_000),
     local: keyHeldBy('n1', 1_100),
     twice: keyHeldBy('n4', 1_200),
+    near0: keyHeldBy('n1', 1_250),
+    near1: keyHeldBy('n1', 1_250),
+    near2: keyHeldBy('n2', 1_250),
+    near3: keyHeldBy('n2', 1_250),
+    near4: keyHeldBy('n4', 1_250),
+    near5: keyHeldBy('n4', 1_250),
     left: keyHeldBy('n4', 1_300),
     leftLate: keyHeldBy('n1', 1_400),
+    again: keyHeldBy('n4', 1_500),
     slow: keyHeldBy('n3', 4_000),
     fresh: keyHeldBy('n3', freshAt)
   }
@@ -60,8 +71,14 @@
   call(1_100, 'local', 'n1')
   call(1_200, 'twice', 'n2')
   call(1_200, 'twice', 'n3')
+  nearCalls.forEach((name, index) => {
+    call(1_250 + shift % 30, name, 'n2')
+    call(1_250 + nearStep * index, name, 'n3')
+  })
   call(1_300, 'left', 'n2', { leavesAfter: 8 + shift % 61 })
   call(1_400, 'leftLate', 'n4', { leavesAfter: 60 + shift % 97 })
+  call(1_500, 'again', 'n2')
+  call(1_900 + shift % 50, 'again', 'n1')
   call(2_500, 'plain', 'n2')
   call(2_600, 'local', 'n3')
   call(2_700, 'plain', 'n3', { fingerprint: 'g' })
@@ -114,7 +131,7 @@
 
 /** Without a fault all calls run, repeats get the first answer, and expired keys are refused. */
 const requireAllServed = (cluster: Cluster, keys: Record<CallName, string>): void => {
-  for (const key of [keys.plain, keys.local, keys.twice, keys.left, keys.slow]) requireServed(cluster, key)
+  for (const key of [keys.plain, keys.local, keys.twice, keys.left, ...nearCalls.map(name => keys[name]), keys.slow, keys.again]) requireServed(cluster, key)
   const [body] = runsOf(cluster, keys.plain)
   const expected = [body, body, 'fingerprintMismatch', body, 'unknown', 'unknown']
   const found = answersOf(cluster, keys.plain)
