--- a/src/claims/claimsMachine.ts
+++ b/src/claims/claimsMachine.ts
@@ -87,7 +87,7 @@
   const refusalAtOnce = (input: BeginInput, now: number): Refusal | undefined => {
     const known = refusalFromMemory(db, input, retryAfter()) ?? refusalByTime(input, { window, skew }, now)
     if (known !== undefined) return known
-    if (db.byRequest.size >= mostAttempts) return { kind: 'notRun', reason: 'overloaded', scope: 'attempt', retryAfter: retryAfter() }
+    if (db.byRequest.size + db.ended.size + db.pendingCloses.size >= mostAttempts) return { kind: 'notRun', reason: 'overloaded', scope: 'attempt', retryAfter: retryAfter() }
     const until = logDownUntil.get(partitionOf(hash, input)) ?? -Infinity
     if (now < until) return { kind: 'notRun', reason: 'logUnavailable', scope: 'attempt', retryAfter: until - now + retryAfter() }
     return undefined
--- a/src/claims/claimsPartition.ts
+++ b/src/claims/claimsPartition.ts
@@ -9,7 +9,7 @@
 import type { Claim, Close, Entry, Verdict } from './claimsMessages.js'
 import { createSeek } from './claimsSeek.js'
 import type { Seek } from './claimsSeek.js'
-import { appendGap, appendTries, closeDelay, foldSweepInterval, logPatience, logPause, longestBatch, longestPage, longestQueue, partitionIdle, queuedNotice } from './claimsTimes.js'
+import { appendGap, appendTries, closeDelay, foldSweepInterval, logPatience, logPause, longestBatch, longestPage, longestQueue, mostCalls, partitionIdle, queuedNotice } from './claimsTimes.js'
 import type { LogEffect, LogInput } from '../ports/logPort.js'
 
 /** What a partition has to say to instances. */
@@ -255,7 +255,7 @@
   const claim = (item: Claim, from: string, now: number): PartitionStep => {
     usedAt = now
     const waiting: Waiting<Claim> = { item, from, since: now, noticedAt: now, tries: 0, appending: false }
-    if (now < pausedUntil || claims.size >= longestQueue) return { effects: [], replies: [unavailable(waiting)] }
+    if (now < pausedUntil || claims.size >= longestQueue || (fold?.size() ?? 0) >= mostCalls) return { effects: [], replies: [unavailable(waiting)] }
     const verdict = caughtUp ? fold?.verdictOn(item) : undefined
     if (verdict !== undefined) return { effects: [], replies: [{ kind: 'verdict', to: from, claim: item, verdict }] }
     if (!claims.has(item.attempt)) claims.set(item.attempt, waiting)
--- a/src/claims/claimsTimes.ts
+++ b/src/claims/claimsTimes.ts
@@ -27,8 +27,11 @@
 /** Time in ms between two sweeps of expired state. */
 export const sweepInterval = 1_000
 
-/** Attempts under way at an instance. */
-export const mostAttempts = 8_192
+/** Attempts of an instance that are under way, ended or not yet recorded. */
+export const mostAttempts = 65_536
+
+/** Calls in the state of one partition. */
+export const mostCalls = 65_536
 
 /** Bytes of answers kept for repeats. */
 export const defaultAnswerBytes = 4_194_304
