Claims: a quiet partition costs nothing at a tick

Cause: profile of the matrix: most time went into ticks of held partitions without work, which each built empty lists.

--- a/src/claims/claimsHolder.ts
+++ b/src/claims/claimsHolder.ts
@@ -1,5 +1,5 @@
 /** The partitions that an instance holds; each exists while it is in use. */
-import { createPartition } from './claimsPartition.js'
+import { createPartition, emptyStep } from './claimsPartition.js'
 import type { Partition, PartitionDump, PartitionStep } from './claimsPartition.js'
 import type { Claim, Close } from './claimsMessages.js'
 import { partitionOf, streamOf } from './claimsPlacement.js'
@@ -23,8 +23,6 @@
   readonly retention: number
 }
 
-const nothing: PartitionStep = { effects: [], replies: [] }
-
 /**
  * Creates a holder without partitions; one comes into being with its first claim.
  *
@@ -43,19 +41,20 @@
   }
 
   const tick = (now: number): PartitionStep => {
-    if (partitions.size === 0) return nothing
     const steps: PartitionStep[] = []
     for (const [stream, partition] of partitions) {
-      steps.push(partition.tick(now))
+      const step = partition.tick(now)
+      if (step !== emptyStep) steps.push(step)
       if (partition.isIdle(now)) partitions.delete(stream)
     }
+    if (steps.length === 0) return emptyStep
     return { effects: steps.flatMap(step => step.effects), replies: steps.flatMap(step => step.replies) }
   }
 
   return {
     claim: (claim, from, now) => partitionFor(claim).claim(claim, from, now),
     close: (close, from, now) => partitionFor(close).close(close, from, now),
-    log: (input, now) => partitions.get(input.stream)?.log(input, now) ?? nothing,
+    log: (input, now) => partitions.get(input.stream)?.log(input, now) ?? emptyStep,
     tick,
     dump: () => [...partitions.values()].map(partition => partition.dump())
   }
--- a/src/claims/claimsPartition.ts
+++ b/src/claims/claimsPartition.ts
@@ -47,6 +47,9 @@
   readonly pausedUntil: number
 }
 
+/** A step that asks for nothing. */
+export const emptyStep: PartitionStep = { effects: [], replies: [] }
+
 /** Settings of a partition. */
 export interface PartitionOptions {
   readonly stream: string
@@ -276,7 +279,10 @@
     return due.map(({ item, from }) => ({ kind: 'queued', to: from, claim: item }))
   }
 
+  const isQuiet = (): boolean => claims.size + closes.size === 0 && reading === undefined && appending === undefined
+
   const tick = (now: number): PartitionStep => {
+    if (isQuiet() && now - sweptAt < foldSweepInterval) return emptyStep
     const replies: PartitionReply[] = []
     if (appending !== undefined && now - appending.at >= logPatience) replies.push(...failed(appending.token, now))
     if (reading !== undefined && now - reading.at >= logPatience) replies.push(...failed(reading.token, now))
@@ -288,8 +294,7 @@
     return { effects: work(now), replies }
   }
 
-  const isIdle = (now: number): boolean =>
-    claims.size + closes.size === 0 && reading === undefined && appending === undefined && now - usedAt >= partitionIdle
+  const isIdle = (now: number): boolean => isQuiet() && now - usedAt >= partitionIdle
 
   const dump = (): PartitionDump => ({
     stream,
