--- a/src/claims/claimsMachine.ts
+++ b/src/claims/claimsMachine.ts
@@ -6,13 +6,14 @@
  * records that it has, until the log has it or the key has expired.
  */
 import { createClaimsDb, addAttempt, closeOf, removeAttempt, sweepClaimsDb } from './claimsDb.js'
-import type { LocalAttempt, Phase } from './claimsDb.js'
+import type { LocalAttempt } from './claimsDb.js'
 import { createHolder } from './claimsHolder.js'
 import { keyTime } from './claimsKey.js'
 import { callName, claimsMessageSchema } from './claimsMessages.js'
-import type { Claim, ClaimsMessage, Finding, Owner, Verdict } from './claimsMessages.js'
-import { findingFromMemory, refusalByTime, refusalFromMemory } from './claimsLocal.js'
+import type { Claim, ClaimsMessage, Verdict } from './claimsMessages.js'
+import { refusalByTime, refusalFromMemory } from './claimsLocal.js'
 import { createPlacement, partitionOf } from './claimsPlacement.js'
+import { createRepeats } from './claimsRepeats.js'
 import { createRecorder } from './claimsRecorder.js'
 import { RetentionTooShort } from './claimsErrors.js'
 import { claimPatience, defaultAnswerBytes, dispatchLimit, holderPatience, logDownFor, lookupPatience, mostAttempts, retryBase, sweepInterval } from './claimsTimes.js'
@@ -104,6 +105,18 @@
     refuse(attempt.request, refusal)
   }
 
+  const repeats = createRepeats({
+    db,
+    self,
+    incarnation,
+    window,
+    find: placement.find,
+    send,
+    end,
+    record,
+    retryAfter
+  })
+
   /** Forgets the attempt, then records that it is given up. */
   const giveUp = (attempt: LocalAttempt, reason: NotRunReason, now: number, appended = true): void => {
     const scope = attempt.phase.kind === 'granted' ? 'call' : 'attempt'
@@ -153,7 +166,7 @@
         attempt.phase = { kind: 'granted' }
         effects.push({ kind: 'claims.granted', request: attempt.request })
         return
-      case 'taken': return applyTaken(attempt, verdict.owner, verdict.state, now)
+      case 'taken': return repeats.taken(attempt, verdict.owner, verdict.state, now)
       case 'spent': return giveUp(attempt, 'superseded', now)
       case 'expired': return giveUpUnknown(attempt, 'keyExpired', now)
       case 'undecided': return giveUpUnknown(attempt, 'recordsExpired', now)
@@ -169,48 +182,6 @@
     record(closeOf(attempt.claim, 'notRun'), attempt.keyTime, now)
   }
 
-  const applyTaken = (attempt: LocalAttempt, owner: Owner, state: 'held' | 'ran' | 'unknown', now: number): void => {
-    if (owner.kind === 'close') return end(attempt, state === 'ran' ? { kind: 'ran' } : { kind: 'unknown', reason: 'answerLost' })
-    if (owner.fingerprint !== attempt.claim.fingerprint) return end(attempt, { kind: 'fingerprintMismatch' })
-    if (state === 'unknown') return end(attempt, { kind: 'unknown', reason: 'answerLost' })
-    const claimant = placement.find(owner.claimant)
-    const isGone = owner.claimant !== self && claimant?.incarnation !== owner.incarnation
-    if (isGone && state === 'ran') return end(attempt, { kind: 'ran' })
-    if (isGone) return end(attempt, { kind: 'unknown', reason: 'answerLost' })
-    attempt.phase = { kind: 'asking', owner, recorded: state, sentAt: now }
-    send(owner.claimant, { kind: 'claims.lookup', owner, asker: attempt.claim.attempt }, now)
-  }
-
-  const findingOn = (owner: Claim, now: number): Finding => {
-    const time = keyTime(owner.key)
-    const isOwn = owner.claimant === self && owner.incarnation === incarnation
-    if (!isOwn || time === undefined || now - time > window) return { kind: 'unknown' }
-    const finding = findingFromMemory(db, owner)
-    const isUnrecorded = finding.kind === 'neverRun' && !db.pendingCloses.has(owner.attempt)
-    if (isUnrecorded) record(closeOf(owner, 'notRun'), time, now)
-    return finding
-  }
-
-  const applyFinding = (asker: string, owner: string, finding: Finding): void => {
-    const attempt = db.byAttempt.get(asker)
-    if (attempt?.phase.kind !== 'asking' || attempt.phase.owner.attempt !== owner) return
-    if (finding.kind === 'ran') return end(attempt, finding)
-    if (attempt.phase.recorded === 'ran') return end(attempt, { kind: 'ran' })
-    switch (finding.kind) {
-      case 'running': return end(attempt, { kind: 'inProgress', retryAfter: retryAfter() })
-      case 'unknown': return end(attempt, { kind: 'unknown', reason: 'answerLost' })
-      case 'neverRun': return end(attempt, { kind: 'notRun', reason: 'superseded', scope: 'attempt', retryAfter: retryAfter() })
-      default: return assertNever(finding)
-    }
-  }
-
-  /** The claimant does not answer: only what the log says is left. */
-  const resolveUnanswered = (attempt: LocalAttempt, { owner, recorded }: Phase & { kind: 'asking' }, now: number): void => {
-    const mayStillRun = now < owner.deadline
-    if (recorded === 'ran') return end(attempt, { kind: 'ran' })
-    end(attempt, mayStillRun ? { kind: 'inProgress', retryAfter: retryAfter() } : { kind: 'unknown', reason: 'answerLost' })
-  }
-
   const receive = (from: string, message: ClaimsMessage, now: number): void => {
     switch (message.kind) {
       case 'claims.claim': return reply(holder.claim(message.claim, from, now), now)
@@ -221,8 +192,8 @@
         db.pendingCloses.delete(message.attempt)
         return
       case 'claims.lookup':
-        return send(from, { kind: 'claims.found', asker: message.asker, attempt: message.owner.attempt, finding: findingOn(message.owner, now) }, now)
-      case 'claims.found': return applyFinding(message.asker, message.attempt, message.finding)
+        return send(from, { kind: 'claims.found', asker: message.asker, attempt: message.owner.attempt, finding: repeats.findingOn(message.owner, now) }, now)
+      case 'claims.found': return repeats.found(message.asker, message.attempt, message.finding)
       default: return assertNever(message)
     }
   }
@@ -250,7 +221,7 @@
     for (const attempt of [...db.byRequest.values()]) {
       const { phase } = attempt
       if (phase.kind === 'claiming' && phase.holder === peer) ask(attempt, phase.tries + 1, now)
-      if (phase.kind === 'asking' && phase.owner.claimant === peer) resolveUnanswered(attempt, phase, now)
+      if (phase.kind === 'asking' && phase.owner.claimant === peer) repeats.unanswered(attempt, phase, now)
     }
   }
 
@@ -263,7 +234,7 @@
         if (now - phase.sentAt >= holderPatience) ask(attempt, phase.tries + 1, now)
         return
       case 'asking':
-        if (now - phase.sentAt >= lookupPatience) resolveUnanswered(attempt, phase, now)
+        if (now - phase.sentAt >= lookupPatience) repeats.unanswered(attempt, phase, now)
         return
       case 'granted':
         if (isLate(attempt, now)) giveUp(attempt, 'deadlinePassed', now)
--- a/src/claims/claimsPartition.ts
+++ b/src/claims/claimsPartition.ts
@@ -6,10 +6,12 @@
  */
 import { createFold } from './claimsFold.js'
 import type { Fold } from './claimsFold.js'
-import type { Claim, Close, Entry, Verdict } from './claimsMessages.js'
+import { createQueue, createWaiting } from './claimsQueue.js'
+import type { Waiting } from './claimsQueue.js'
+import type { Claim, Close, Verdict } from './claimsMessages.js'
 import { createSeek } from './claimsSeek.js'
 import type { Seek } from './claimsSeek.js'
-import { appendGap, appendTries, closeDelay, foldSweepInterval, logPatience, logPause, longestBatch, longestPage, longestQueue, mostCalls, partitionIdle, queuedNotice } from './claimsTimes.js'
+import { appendGap, appendTries, foldSweepInterval, logPatience, logPause, longestPage, longestQueue, mostCalls, partitionIdle } from './claimsTimes.js'
 import type { LogEffect, LogInput } from '../ports/logPort.js'
 
 /** What a partition has to say to instances. */
@@ -60,17 +62,6 @@
   readonly nextToken: () => number
 }
 
-interface Waiting<Item extends Claim | Close> {
-  readonly item: Item
-  readonly from: string
-  readonly since: number
-  noticedAt: number
-  /** Appends tried; any of them may yet take effect. */
-  tries: number
-  /** Whether an append of it is under way or not yet read back. */
-  appending: boolean
-}
-
 interface Operation {
   readonly token: number
   readonly at: number
@@ -83,8 +74,7 @@
  */
 export const createPartition = (options: PartitionOptions): Partition => {
   const { stream, nextToken } = options
-  const claims = new Map<string, Waiting<Claim>>()
-  const closes = new Map<string, Waiting<Close>>()
+  const { claims, closes, ...queue } = createQueue()
   let seek: Seek | undefined
   let fold: Fold | undefined
   let next: number | undefined
@@ -112,31 +102,11 @@
     return step.from
   }
 
-  const batch = (): readonly Entry[] => {
-    const due = [...claims.values(), ...closes.values()].filter(waiting => !waiting.appending).slice(0, longestBatch)
-    for (const waiting of due) {
-      waiting.appending = true
-      waiting.tries++
-    }
-    return due.map(waiting => waiting.item)
-  }
-
-  const isUrgent = ({ item, appending: under, since }: Waiting<Claim | Close>, now: number): boolean => {
-    if (under) return false
-    return item.kind === 'claim' || item.outcome === 'notRun' || now - since >= closeDelay
-  }
-
-  const hasUrgent = (now: number): boolean => {
-    for (const waiting of claims.values()) if (isUrgent(waiting, now)) return true
-    for (const waiting of closes.values()) if (isUrgent(waiting, now)) return true
-    return false
-  }
-
   const append = (now: number): LogEffect[] => {
-    if (!caughtUp || appending !== undefined || now < pausedUntil || now - appendedAt < appendGap || !hasUrgent(now)) return []
+    if (!caughtUp || appending !== undefined || now < pausedUntil || now - appendedAt < appendGap || !queue.hasUrgent(now)) return []
     appending = { token: nextToken(), at: now }
     appendedAt = now
-    const payload = { kind: 'claims.batch', records: batch() }
+    const payload = { kind: 'claims.batch', records: queue.takeBatch() }
     return [{ kind: 'log.append', owner: 'claims', token: appending.token, stream, payload }]
   }
 
@@ -257,7 +227,7 @@
 
   const claim = (item: Claim, from: string, now: number): PartitionStep => {
     usedAt = now
-    const waiting: Waiting<Claim> = { item, from, since: now, noticedAt: now, tries: 0, appending: false }
+    const waiting = createWaiting(item, from, now)
     if (now < pausedUntil || claims.size >= longestQueue || (fold?.size() ?? 0) >= mostCalls) return { effects: [], replies: [unavailable(waiting)] }
     const verdict = caughtUp ? fold?.verdictOn(item) : undefined
     if (verdict !== undefined) return { effects: [], replies: [{ kind: 'verdict', to: from, claim: item, verdict }] }
@@ -269,16 +239,10 @@
     usedAt = now
     if (now < pausedUntil || closes.size >= longestQueue) return { effects: [], replies: [] }
     if (caughtUp && fold?.isClosed(item)) return { effects: [], replies: [{ kind: 'closed', to: from, close: item }] }
-    if (!closes.has(item.attempt)) closes.set(item.attempt, { item, from, since: now, noticedAt: now, tries: 0, appending: false })
+    if (!closes.has(item.attempt)) closes.set(item.attempt, createWaiting(item, from, now))
     return { effects: work(now), replies: [] }
   }
 
-  const notices = (now: number): PartitionReply[] => {
-    const due = [...claims.values()].filter(waiting => now - waiting.noticedAt >= queuedNotice)
-    for (const waiting of due) waiting.noticedAt = now
-    return due.map(({ item, from }) => ({ kind: 'queued', to: from, claim: item }))
-  }
-
   const isQuiet = (): boolean => claims.size + closes.size === 0 && reading === undefined && appending === undefined
 
   const tick = (now: number): PartitionStep => {
@@ -286,7 +250,7 @@
     const replies: PartitionReply[] = []
     if (appending !== undefined && now - appending.at >= logPatience) replies.push(...failed(appending.token, now))
     if (reading !== undefined && now - reading.at >= logPatience) replies.push(...failed(reading.token, now))
-    replies.push(...notices(now))
+    replies.push(...queue.takeNotices(now).map(({ item, from }): PartitionReply => ({ kind: 'queued', to: from, claim: item })))
     if (now - sweptAt >= foldSweepInterval) {
       sweptAt = now
       fold?.sweep()
