--- a/test/matrix/claimsCluster.ts
+++ b/test/matrix/claimsCluster.ts
@@ -8,21 +8,19 @@
 import type { ClaimsMessage } from '../../src/claims/claimsMessages.js'
 import type { ClaimsEffect, ClaimsInput, ClaimsInstance, Outcome, Refusal } from '../../src/claims/claimsTypes.js'
 import type { Hash } from '../../src/hash.js'
-import type { LogEffect, LogInput } from '../../src/ports/logPort.js'
+import type { LogEffect } from '../../src/ports/logPort.js'
 import { tickInterval } from '../../src/ports/peerPort.js'
 import { createRandom } from '../../src/random.js'
-import { createFakeLog } from '../fakes/fakeLog.js'
 import { createVirtualTime } from '../fakes/virtualTime.js'
 import type { ClaimsStep } from './claimsFaults.js'
+import { createFaultyLog, lateBy, retention, slowBy, stepOfLog } from './claimsFaultyLog.js'
+import type { Call, ServiceRun, Told } from './claimsRecords.js'
 import type { Fault, Plan } from './matrixTypes.js'
 import { breakClaims, isUnbounded } from './claimsVariants.js'
 
 export const start = 1_700_000_000_000
 const window = 10_000
 const skew = 500
-const retention = 13_000
-/** Times in ms since the start between which the log is slow. */
-const slowLog = { from: 4_000, until: 4_900, by: 300 }
 const instanceIds = ['n1', 'n2', 'n3', 'n4']
 const deadlineAfter = 1_500
 const answerPatience = 1_000
@@ -33,34 +31,6 @@
 const freezeFor = 2_500
 const outageFor = 3_000
 const splitFor = 3_000
-const lateBy = 4_000
-const slowBy = 700
-
-/** One run at the service, by its own record. */
-export interface ServiceRun {
-  readonly key: string
-  readonly attempt: string
-  readonly at: number
-  readonly body: string
-}
-
-/** What an attempt's caller was told, or would have been had it stayed. */
-export interface Told {
-  readonly key: string
-  readonly attempt: string
-  readonly at: number
-  readonly answer: { readonly kind: 'answered', readonly body: string } | { readonly kind: 'outcomeUnknown' } | Refusal
-}
-
-/** A call as its caller makes it. */
-export interface Call {
-  readonly key: string
-  readonly fingerprint: string
-  /** The instance first asked. */
-  readonly at: string
-  /** Ms after which the caller leaves the first attempt. */
-  readonly leavesAfter?: number
-}
 
 interface Request {
   readonly call: Call
@@ -98,7 +68,7 @@
 export const createCluster = (plan: Plan, hash: Hash): Cluster => {
   const time = createVirtualTime(start)
   const random = createRandom(plan.seed)
-  const log = createFakeLog()
+  const log = createFaultyLog(time, random, start)
   /** With another seed than 1 an injection lets up to three occasions pass. */
   const waiting = plan.injections.map((injection, index) => ({ ...injection, passes: (plan.seed - 1 + index) % 4 }))
   if (plan.seed === 1) waiting.forEach(injection => { injection.passes = 0 })
@@ -107,7 +77,6 @@
   const openCalls = new Map<string, Call>()
   const accepted = new Map<number, Request>()
   let serial = 0
-  let logDownUntil = 0
   let splitUntil = 0
   let lastFault = 0
 
@@ -193,7 +162,7 @@
       case 'crash': return crash(instance, restartAfter)
       case 'restartEmpty': return time.after(0, () => { if (instance.up) crash(instance, 0) })
       case 'freeze': return freeze(instance)
-      case 'outage': logDownUntil = time.now() + outageFor; return
+      case 'outage': return log.goDown(outageFor)
       case 'lapsedLease': return split()
       case 'racingPublishers': return [...openCalls.values()].forEach(call => submit(call, otherThan(call.at), callerTries))
       case 'herdRestart': return [...instances.values()].forEach(each => time.after(random.below(200), () => { if (each.up) crash(each, random.below(200)) }))
@@ -255,40 +224,10 @@
     }
   }
 
-  const stepOfLog = (effect: LogEffect): ClaimsStep => {
-    if (effect.kind === 'log.read') return 'readBack'
-    return JSON.stringify(effect.payload).includes('"kind":"claim"') ? 'append' : 'closeAppend'
-  }
-
   const useLog = (instance: Instance, effect: LogEffect): void => {
-    const { owner, token, stream } = effect
-    const fault = step(stepOfLog(effect), instance.id)
-    const since = time.now() - start
-    const delay = 4 + random.below(8) + (since >= slowLog.from && since < slowLog.until ? slowLog.by : 0)
     const { incarnation } = instance
-    const answer = (input: LogInput, after: number): void => time.after(after, () => inside(instance, incarnation, () => feed(instance, input)))
-    const effectAt = (after: number, answers: boolean, times = 1): void => time.after(after, () => {
-      const down = time.now() < logDownUntil
-      const oldest = log.records(stream).find(record => record.at >= time.now() - retention)
-      log.expire(stream, oldest?.offset ?? Infinity)
-      const input = log.perform(effect, time.now(), down ? 'outage' : times > 1 ? 'duplicate' : 'none')
-      if (answers) answer(input, fault === 'slow' ? slowBy * 2 : delay / 2)
-      if (answers && times > 1) answer(input, slowBy)
-    })
-    switch (fault) {
-      case 'crash': return
-      case 'cutBefore': return answer({ kind: 'log.failed', owner, token, stream, failure: 'lost' }, delay)
-      case 'cutAfter': return effectAt(delay / 2, false)
-      case 'lostAck':
-        effectAt(delay / 2, false)
-        return answer({ kind: 'log.failed', owner, token, stream, failure: 'lost' }, delay)
-      case 'late': return effectAt(lateBy, true)
-      case 'duplicate': return effectAt(delay / 2, true, 2)
-      case 'crossed':
-        effectAt(delay / 2, false)
-        return answer({ kind: 'log.appended', owner, token: token + 1, stream, offset: 0 }, delay)
-      default: effectAt(delay / 2, true)
-    }
+    const fault = step(stepOfLog(effect), instance.id)
+    log.use(effect, fault, input => inside(instance, incarnation, () => feed(instance, input)))
   }
 
   const perform = (instance: Instance, effect: ClaimsEffect): void => {
--- a/test/matrix/claimsScenario.ts
+++ b/test/matrix/claimsScenario.ts
@@ -7,8 +7,9 @@
 import type { Hash } from '../../src/hash.js'
 import { createKey } from '../fakes/idempotencyKey.js'
 import { createCluster, start } from './claimsCluster.js'
-import type { Cluster, Told } from './claimsCluster.js'
+import type { Cluster } from './claimsCluster.js'
 import { claimsApplicability, claimsSteps } from './claimsFaults.js'
+import type { Told } from './claimsRecords.js'
 import { claimsVariants } from './claimsVariants.js'
 import type { Plan, Scenario, Violation } from './matrixTypes.js'
 
