--- a/src/claims/claimsHolder.ts
+++ b/src/claims/claimsHolder.ts
@@ -12,6 +12,8 @@
   readonly close: (close: Close, from: string, now: number) => PartitionStep
   readonly log: (input: LogInput, now: number) => PartitionStep
   readonly tick: (now: number) => PartitionStep
+  /** Whether no partition has work. */
+  readonly isQuiet: () => boolean
   readonly dump: () => readonly PartitionDump[]
 }
 
@@ -56,6 +58,7 @@
     close: (close, from, now) => partitionFor(close).close(close, from, now),
     log: (input, now) => partitions.get(input.stream)?.log(input, now) ?? emptyStep,
     tick,
+    isQuiet: () => [...partitions.values()].every(partition => partition.isQuiet()),
     dump: () => [...partitions.values()].map(partition => partition.dump())
   }
 }
--- a/src/claims/claimsMachine.spec.ts
+++ b/src/claims/claimsMachine.spec.ts
@@ -102,6 +102,16 @@
     expect(give(createBegin(2), now + 400)).toEqual([{ kind: 'claims.granted', request: 2 }])
   })
 
+  it('is quiet once every end is recorded', () => {
+    const { give, claims } = createNode(createFakeLog())
+    give(createBegin(1))
+    claims.mayDispatch(1, now)
+    give({ kind: 'claims.settle', request: 1, outcome: createAnswer('first') })
+    expect(claims.isQuiet()).toBe(false)
+    for (let at = now; at < now + 2_000; at += 50) give({ kind: 'tick' }, at)
+    expect(claims.isQuiet()).toBe(true)
+  })
+
   it('answers repeats from memory, and other requests under the same key with a mismatch', () => {
     const { give, claims } = createNode(createFakeLog())
     give(createBegin(1))
--- a/src/claims/claimsMachine.ts
+++ b/src/claims/claimsMachine.ts
@@ -31,6 +31,8 @@
    * `claims.refused`, unless it has ended already.
    */
   readonly mayDispatch: (request: number, now: number) => boolean
+  /** Whether a leaving instance may go: no attempt is under way, every end is recorded, no instance waits for a verdict. */
+  readonly isQuiet: () => boolean
   readonly dump: () => ClaimsDump
 }
 
@@ -284,6 +286,8 @@
     return effects
   }
 
+  const isQuiet = (): boolean => db.byRequest.size + db.pendingCloses.size === 0 && holder.isQuiet()
+
   const dump = (): ClaimsDump => ({
     attempts: [...db.byRequest.values()].map(({ request, claim, phase }) => ({ request, workspace: claim.workspace, key: claim.key, attempt: claim.attempt, phase: phase.kind })),
     ended: db.ended.size,
@@ -294,5 +298,5 @@
     malformed
   })
 
-  return { handle, mayDispatch, dump }
+  return { handle, mayDispatch, isQuiet, dump }
 }
--- a/src/claims/claimsPartition.ts
+++ b/src/claims/claimsPartition.ts
@@ -33,6 +33,8 @@
   readonly close: (close: Close, from: string, now: number) => PartitionStep
   readonly log: (input: LogInput, now: number) => PartitionStep
   readonly tick: (now: number) => PartitionStep
+  /** Whether nothing waits for the log. */
+  readonly isQuiet: () => boolean
   /** Whether nothing waits and nobody has asked for `partitionIdle`. */
   readonly isIdle: (now: number) => boolean
   readonly dump: () => PartitionDump
@@ -270,5 +272,5 @@
     pausedUntil
   })
 
-  return { claim, close, log, tick, isIdle, dump }
+  return { claim, close, log, tick, isQuiet, isIdle, dump }
 }
