Judge the unseen load of others by the own load

Cause: reports are up to 1.2 s old, and the load of other entries swings faster. Change: as a report ages, others' load is their mean times own pending tokens now over their mean.

--- a/src/routing/workerModel.ts
+++ b/src/routing/workerModel.ts
@@ -24,6 +24,8 @@
   readonly tokensByPriority: Map<number, number>
   /** Mean uncached tokens of others' waiting requests, over reports. */
   usualForeign: number
+  /** Mean own pending tokens, over the same reports. */
+  usualOwn: number
   /** Mean uncached tokens of own requests here; 0 until known. */
   meanUncached: number
   /** A low quantile of the time to first token per token computed in it, in ms; 0 until known. */
@@ -43,6 +45,8 @@
 const defaultServiceTime = 2000
 /** Weight of the newest answer in means. */
 const learningRate = 0.1
+/** Tokens added to own figures before they are compared, so that few say little. */
+const proxyTokens = 1000
 /** Weight of the newest report in the usual load of others. */
 const usualRate = 0.2
 /** Part of the mix of priorities that each further request leaves. */
@@ -74,6 +78,7 @@
   ownPendingAtReport: 0,
   tokensByPriority: new Map(),
   usualForeign: 0,
+  usualOwn: 0,
   meanUncached: 0,
   tokenCost: 0,
   costSamples: 0,
@@ -96,6 +101,7 @@
   model.report = report
   model.ownAtReport = model.inFlight
   model.ownPendingAtReport = model.pending.size
+  model.usualOwn += usualRate * (model.pendingTokens - model.usualOwn)
   model.usualForeign += usualRate * (otherTokens(model, report) - model.usualForeign)
 }
 
@@ -135,13 +141,17 @@
   return waiting * (model.meanUncached === 0 ? reported : Math.min(reported, model.meanUncached))
 }
 
+/** Others' tokens judged by the own ones: entries that see the same traffic have long queues at the same time. */
+const likelyForeign = (model: WorkerModel): number =>
+  model.usualForeign * (model.pendingTokens + proxyTokens) / (model.usualOwn + proxyTokens)
+
 /** The load that a worker has now. */
 export const loadOf = (model: WorkerModel, now: number): WorkerLoad => {
   const { report } = model
   if (report === undefined) return { requests: model.inFlight, tokens: model.pendingTokens }
   const trust = 0.5 ** (Math.max(0, now - report.at) / reportHalfLife)
   const others = Math.max(0, report.running + report.waiting - model.ownAtReport)
-  const foreign = otherTokens(model, report) * trust + model.usualForeign * (1 - trust)
+  const foreign = otherTokens(model, report) * trust + likelyForeign(model) * (1 - trust)
   return { requests: model.inFlight + others, tokens: model.pendingTokens + foreign }
 }
 
