--- a/src/limits/waitFactor.ts
+++ b/src/limits/waitFactor.ts
@@ -10,7 +10,7 @@
   readonly observe: (expected: number, actual: number, left: number) => void
 }
 
-const quantile = 0.9
+const quantile = 0.75
 const step = 0.02
 const smallest = 0.7
 const largest = 3
