--- a/src/cache/cache.spec.ts
+++ b/src/cache/cache.spec.ts
@@ -83,6 +83,17 @@
     expect(cache.matched('w', 'i1', chain, 500)).toMatchObject({ blocks: 0, certain: true })
   })
 
+  it('does not take a listing for the present state when later events have arrived before it', async () => {
+    const { cache, chain, tick, events } = await createSetting()
+    tick(0)
+    events(2, [{ kind: 'removed', block: chain.blocks[0] }])
+    events(1, stored(chain.blocks), { full: true })
+    expect(cache.matched('w', 'i1', chain, 150).certain).toBe(false)
+    expect(tick(200)).toMatchObject([{ kind: 'endpoint.follow' }])
+    events(2, [], { full: true })
+    expect(cache.matched('w', 'i1', chain, 300)).toMatchObject({ blocks: 0, certain: true })
+  })
+
   it('relies on nothing of a dead incarnation, neither events nor answers', async () => {
     const { cache, workers, chain, tick, events } = await createSetting()
     tick(0)
--- a/src/cache/workerBlocks.ts
+++ b/src/cache/workerBlocks.ts
@@ -16,6 +16,8 @@
   incarnation: string
   state: 'listing' | 'doubtful' | 'certain'
   seq: number
+  /** The highest number that any batch or listing of this incarnation had. */
+  newest: number
   /** When the blocks were last known for certain, in ms. */
   certainAt: number
   /** When a listing was asked for, in ms; undefined if none is awaited. */
@@ -36,6 +38,7 @@
   incarnation,
   state: 'listing',
   seq: -1,
+  newest: -1,
   certainAt: now,
   askedAt: undefined,
   askFrom: now,
@@ -49,6 +52,7 @@
   worker.incarnation = incarnation
   worker.state = 'listing'
   worker.seq = -1
+  worker.newest = -1
   worker.askedAt = undefined
   worker.askFrom = now
   worker.turnedAway = 0
@@ -69,14 +73,15 @@
   if (!worker.blocks.add(high, low)) worker.turnedAway++
 }
 
-/** Applies a full listing. */
+/** Applies a full listing; one that later events have overtaken leaves the blocks doubtful. */
 export const applyListing = (worker: WorkerBlocks, seq: number, events: readonly CacheEvent[], keeps: BlockFilter, now: number): void => {
   if (worker.state === 'certain' && seq < worker.seq) return
   worker.blocks.clear()
   worker.turnedAway = 0
   for (const event of events) apply(worker, event, keeps)
   worker.seq = seq
-  worker.state = 'certain'
+  worker.state = seq < worker.newest ? 'doubtful' : 'certain'
+  worker.newest = Math.max(worker.newest, seq)
   worker.certainAt = now
   worker.askedAt = undefined
 }
@@ -87,6 +92,7 @@
  * @returns whether a gap was found
  */
 export const applyEvents = (worker: WorkerBlocks, seq: number, events: readonly CacheEvent[], keeps: BlockFilter, now: number): boolean => {
+  worker.newest = Math.max(worker.newest, seq)
   if (worker.state === 'listing' || seq <= worker.seq) return false
   const gap = seq > worker.seq + 1
   for (const event of events) apply(worker, event, keeps)
