Hold flagrant floods back at little pressure

Cause: a flooding workspace filled the queues to 0.6 of the deadline before its share mattered. Change: from twice its part on, the pressure that counts is multiplied by the excess.

--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -29,6 +29,8 @@
 const pressureRate = 0.05
 /** Work over the fair part that is tolerated. */
 const fairTolerance = 1.3
+/** Work over the fair part from which on less pressure suffices. */
+const flagrant = 2
 const shortestRetryAfter = 100
 const worthRate = 0.01
 
@@ -87,9 +89,9 @@
 
   /** Part of the time to the deadline that a workspace may wait by its fair part: 1, or less the more it is over. */
   const fairHeadroom = (workspace: string, now: number): number => {
-    if (pressure <= pressureFloor) return 1
     const ratio = fairness.ratio(workspace, now)
-    return ratio <= fairTolerance ? 1 : overShareHeadroom / ratio
+    const over = ratio > flagrant ? pressure * ratio : pressure
+    return ratio <= fairTolerance || over <= pressureFloor ? 1 : overShareHeadroom / ratio
   }
 
   const admit = (question: AdmissionQuestion, now: number): Result<Admission, Refusal> => {
