--- a/src/limits/fairness.ts
+++ b/src/limits/fairness.ts
@@ -13,15 +13,22 @@
 }
 
 interface Account {
+  /** When the workspace was first seen, in ms. */
+  readonly since: number
   recent: number
   usual: number
   at: number
 }
 
 /** Time in which half of the recent work is forgotten, in ms. */
-const recentHalfLife = 2000
+const recentHalfLife = 4000
 /** Time in which half of the usual work is forgotten, in ms. */
 const usualHalfLife = 120_000
+/** Recent work over the entitled part from which on it is a flood: it becomes usual only slowly. */
+export const flagrantExcess = 1.7
+const excessDiscount = 3
+/** Time for which a workspace must be known before its usual part counts fully, in ms. */
+const historyNeeded = 20_000
 const forgottenBelow = 1
 
 /**
@@ -40,14 +47,6 @@
     account.at = now
   }
 
-  const note = (workspace: string, work: number, now: number): void => {
-    const account = accounts.get(workspace) ?? { recent: 0, usual: 0, at: now }
-    accounts.set(workspace, account)
-    fade(account, now)
-    account.recent += work
-    account.usual += work
-  }
-
   const fadeAll = (now: number): void => {
     for (const [id, account] of accounts) {
       fade(account, now)
@@ -66,11 +65,24 @@
       usual += other.usual
     }
     const equal = usual / accounts.size
+    const entitlement = (id: string, of: Account): number => {
+      const known = Math.min(1, (now - of.since) / historyNeeded)
+      return weightOf(id) * Math.max(equal, known * of.usual + (1 - known) * equal)
+    }
     let entitlements = 0
-    for (const [id, other] of accounts) entitlements += weightOf(id) * Math.max(equal, other.usual)
-    const entitled = weightOf(workspace) * Math.max(equal, account.usual) / entitlements
+    for (const [id, other] of accounts) entitlements += entitlement(id, other)
+    const entitled = entitlement(workspace, account) / entitlements
     return recent === 0 ? 0 : account.recent / recent / entitled
   }
 
+  const note = (workspace: string, work: number, now: number): void => {
+    const excess = ratio(workspace, now)
+    const account = accounts.get(workspace) ?? { since: now, recent: 0, usual: 0, at: now }
+    accounts.set(workspace, account)
+    fade(account, now)
+    account.recent += work
+    account.usual += excess > flagrantExcess ? work / excess ** excessDiscount : work
+  }
+
   return { note, ratio }
 }
--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -8,7 +8,7 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import type { Hash } from '../hash.js'
-import { createFairness } from './fairness.js'
+import { createFairness, flagrantExcess } from './fairness.js'
 import { createHeadroom } from './headroom.js'
 import type { LimitsMessage, ShareNotice } from './limitsMessages.js'
 import type { Admission, AdmissionQuestion, Limits, LimitsEffect, LimitsInput, LimitsOptions, Refusal, RetryQuestion, RetryRefusal } from './limitsTypes.js'
@@ -25,12 +25,10 @@
 const overShareHeadroom = 0.6
 const lowPriorityHeadroom = 0.5
 /** Pressure, as expected wait over time to the deadline, from which fairness is enforced. */
-const pressureFloor = 0.6
+const pressureFloor = 0.55
 const pressureRate = 0.05
 /** Work over the fair part that is tolerated. */
 const fairTolerance = 1.3
-/** Work over the fair part from which on less pressure suffices. */
-const flagrant = 2
 const shortestRetryAfter = 100
 const worthRate = 0.01
 
@@ -90,7 +88,7 @@
   /** Part of the time to the deadline that a workspace may wait by its fair part: 1, or less the more it is over. */
   const fairHeadroom = (workspace: string, now: number): number => {
     const ratio = fairness.ratio(workspace, now)
-    const over = ratio > flagrant ? pressure * ratio : pressure
+    const over = ratio > flagrantExcess ? pressure * ratio : pressure
     return ratio <= fairTolerance || over <= pressureFloor ? 1 : overShareHeadroom / ratio
   }
 
@@ -101,11 +99,11 @@
     if (limited !== undefined) return limited
     const left = question.deadline - now
     const expected = question.expectedWait / admissible.value()
-    pressure += pressureRate * (Math.min(2, expected / Math.max(1, left)) - pressure)
+    pressure += pressureRate * (Math.min(2, question.expectedWait / Math.max(1, left)) - pressure)
     meanWorth += worthRate * (question.worth - meanWorth)
     const fair = fairHeadroom(question.workspace, now)
     state.overShare = fair < 1
-    if (expected > left) return refuse(state, 'deadline', expected - left)
+    if (expected > left) return refuse(state, 'deadline', question.expectedWait - left)
     if (expected > left * Math.min(fair, headroom(question))) {
       return refuse(state, state.overShare ? 'fairShare' : 'deadline', expected)
     }
