--- a/src/routing/routingTypes.ts
+++ b/src/routing/routingTypes.ts
@@ -122,7 +122,7 @@
 /** The tail of time to first token goes first. */
 export const latencyObjective: Objective = { recomputation: 0.2, placement: 0.3 }
 /** Worth served per unit of computation goes first. */
-export const worthObjective: Objective = { recomputation: 1, placement: 0.5 }
+export const worthObjective: Objective = { recomputation: 2, placement: 0.5 }
 
 /** The learned state of one worker, for the state dump. */
 export interface WorkerSummary {
--- a/src/routing/score.ts
+++ b/src/routing/score.ts
@@ -44,6 +44,10 @@
   readonly now: number
 }
 
+/** Part of the time to the deadline beyond which an expected wait is taken to be late. */
+const safePart = 0.7
+/** Weight of each ms beyond it; no saved recomputation is worth a missed deadline. */
+const latenessWeight = 4
 /** Age at which uncertain evidence counts half, in ms. */
 const evidenceHalfLife = 20_000
 
@@ -73,5 +77,7 @@
   const unplacedTokens = Math.max(0, question.chain.tokens - tokensOfDepth(question.chain, depth))
   const expectedWait = wait + firstTokenOverhead + uncachedTokens * cost
   const extra = (objective.recomputation + congestion) * uncachedTokens + objective.placement * (1 + congestion) * unplacedTokens
-  return { index, endpoint, model, match, depth, wait, cost, cachedTokens, uncachedTokens, expectedWait, score: expectedWait + extra * meanCost }
+  const late = Math.max(0, expectedWait - safePart * (question.deadline - now))
+  const score = expectedWait + extra * meanCost + latenessWeight * late
+  return { index, endpoint, model, match, depth, wait, cost, cachedTokens, uncachedTokens, expectedWait, score }
 }
