Enforce fair shares by pressure times excess

Cause: two rules for pressure, one of which refused large workspaces at load100. Change: one rule: pressure times the ratio over the fair part above 0.85, from a ratio of 1.5 on.

--- a/src/limits/fairness.ts
+++ b/src/limits/fairness.ts
@@ -25,7 +25,7 @@
 /** Time in which half of the usual work is forgotten, in ms. */
 const usualHalfLife = 120_000
 /** Recent work over the entitled part from which on it is a flood: it becomes usual only slowly. */
-export const flagrantExcess = 1.7
+const flagrantExcess = 1.7
 const excessDiscount = 3
 /** Time for which a workspace must be known before its usual part counts fully, in ms. */
 const historyNeeded = 20_000
--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -8,7 +8,7 @@
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import type { Hash } from '../hash.js'
-import { createFairness, flagrantExcess } from './fairness.js'
+import { createFairness } from './fairness.js'
 import { createHeadroom } from './headroom.js'
 import type { LimitsMessage, ShareNotice } from './limitsMessages.js'
 import type { Admission, AdmissionQuestion, Limits, LimitsEffect, LimitsInput, LimitsOptions, Refusal, RetryQuestion, RetryRefusal } from './limitsTypes.js'
@@ -24,11 +24,11 @@
 /** Part of the time to the deadline that a workspace at its fair part may wait once another is over its own. */
 const overShareHeadroom = 0.6
 const lowPriorityHeadroom = 0.5
-/** Pressure, as expected wait over time to the deadline, from which fairness is enforced. */
-const pressureFloor = 0.55
+/** Pressure, as expected wait over time to the deadline, times work over the fair part, from which fairness is enforced. */
+const pressureFloor = 0.85
 const pressureRate = 0.05
 /** Work over the fair part that is tolerated. */
-const fairTolerance = 1.3
+const fairTolerance = 1.5
 const shortestRetryAfter = 100
 const worthRate = 0.01
 
@@ -88,8 +88,7 @@
   /** Part of the time to the deadline that a workspace may wait by its fair part: 1, or less the more it is over. */
   const fairHeadroom = (workspace: string, now: number): number => {
     const ratio = fairness.ratio(workspace, now)
-    const over = ratio > flagrantExcess ? pressure * ratio : pressure
-    return ratio <= fairTolerance || over <= pressureFloor ? 1 : overShareHeadroom / ratio
+    return ratio <= fairTolerance || pressure * ratio <= pressureFloor ? 1 : overShareHeadroom / ratio
   }
 
   const admit = (question: AdmissionQuestion, now: number): Result<Admission, Refusal> => {
