--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -9,9 +9,9 @@
 import { err, ok } from 'neverthrow'
 import type { Hash } from '../hash.js'
 import { createFairness } from './fairness.js'
+import { createHeadroom } from './headroom.js'
 import type { LimitsMessage, ShareNotice } from './limitsMessages.js'
 import type { Admission, AdmissionQuestion, Limits, LimitsEffect, LimitsInput, LimitsOptions, Refusal, RetryQuestion, RetryRefusal } from './limitsTypes.js'
-import { createWaitFactor } from './waitFactor.js'
 import type { WorkspaceState } from './workspaceState.js'
 import { createWorkspaceState, demandOf, noteDemand, workspaceSummary } from './workspaceState.js'
 
@@ -24,11 +24,11 @@
 /** Part of the time to the deadline that a workspace at its fair part may wait once another is over its own. */
 const overShareHeadroom = 0.6
 const lowPriorityHeadroom = 0.5
-/** Pressure, as expected wait over time to the deadline, from which fairness is enforced. */
-const pressureFloor = 0.6
+/** Pressure, as expected wait over time to the deadline, times work over the fair part, from which fairness is enforced. */
+const pressureFloor = 0.85
 const pressureRate = 0.05
 /** Work over the fair part that is tolerated. */
-const fairTolerance = 1.3
+const fairTolerance = 1.5
 const shortestRetryAfter = 100
 const worthRate = 0.01
 
@@ -42,7 +42,7 @@
   const { random } = options
   const states = new Map<string, WorkspaceState>()
   const fairness = createFairness(options.weightOf)
-  const waitFactor = createWaitFactor()
+  const admissible = createHeadroom()
   let pressure = 0
   let meanWorth = 1
   let rebalancedAt = -rebalanceInterval
@@ -87,9 +87,8 @@
 
   /** Part of the time to the deadline that a workspace may wait by its fair part: 1, or less the more it is over. */
   const fairHeadroom = (workspace: string, now: number): number => {
-    if (pressure <= pressureFloor) return 1
     const ratio = fairness.ratio(workspace, now)
-    return ratio <= fairTolerance ? 1 : overShareHeadroom / ratio
+    return ratio <= fairTolerance || pressure * ratio <= pressureFloor ? 1 : overShareHeadroom / ratio
   }
 
   const admit = (question: AdmissionQuestion, now: number): Result<Admission, Refusal> => {
@@ -98,12 +97,12 @@
     const limited = overLimit(state, question, now)
     if (limited !== undefined) return limited
     const left = question.deadline - now
-    const expected = question.expectedWait * waitFactor.value()
-    pressure += pressureRate * (Math.min(2, expected / Math.max(1, left)) - pressure)
+    const expected = question.expectedWait / admissible.value()
+    pressure += pressureRate * (Math.min(2, question.expectedWait / Math.max(1, left)) - pressure)
     meanWorth += worthRate * (question.worth - meanWorth)
     const fair = fairHeadroom(question.workspace, now)
     state.overShare = fair < 1
-    if (expected > left) return refuse(state, 'deadline', expected - left)
+    if (expected > left) return refuse(state, 'deadline', question.expectedWait - left)
     if (expected > left * Math.min(fair, headroom(question))) {
       return refuse(state, state.overShare ? 'fairShare' : 'deadline', expected)
     }
@@ -121,7 +120,7 @@
   }
 
   const firstToken = (admission: Admission, now: number): void =>
-    waitFactor.observe(admission.expectedWait, now - admission.admittedAt, admission.deadline - admission.admittedAt)
+    admissible.observe(now > admission.deadline)
 
   const finished = (admission: Admission, usedTokens: number | undefined, now: number): void => {
     if (admission.ended) return
@@ -133,7 +132,7 @@
 
   const retry = (question: RetryQuestion, now: number): Result<void, RetryRefusal> => {
     if (question.retried) return err({ kind: 'noRetry', reason: 'retryOfRetry' })
-    if (now + question.expectedWait * waitFactor.value() > question.deadline) return err({ kind: 'noRetry', reason: 'deadline' })
+    if (now + question.expectedWait / admissible.value() > question.deadline) return err({ kind: 'noRetry', reason: 'deadline' })
     if (!stateOf(question.workspace, now).retries.take()) return err({ kind: 'noRetry', reason: 'budget' })
     return ok(undefined)
   }
@@ -187,6 +186,6 @@
     firstToken,
     finished,
     retry,
-    dump: () => ({ workspaces: [...states.values()].map(state => workspaceSummary(state)), waitFactor: waitFactor.value(), pressure })
+    dump: () => ({ workspaces: [...states.values()].map(state => workspaceSummary(state)), headroom: admissible.value(), pressure })
   }
 }
