--- a/src/endpoints/endpoints.spec.ts
+++ b/src/endpoints/endpoints.spec.ts
@@ -75,6 +75,27 @@
     expect(node.get('w0')).toMatchObject({ incarnation: 'b', state: 'live' })
   })
 
+  it('takes back an incarnation that late reports of one that ended unseen had superseded', () => {
+    const node = alone()
+    node.handle(reportOf('c'), 1_000)
+    for (const at of [2_000, 2_200]) node.handle(reportOf('b'), at)
+    expect(node.get('w0')?.incarnation).toBe('b')
+    for (const at of [2_500, 3_000, 3_500, 4_000, 4_500]) node.handle(reportOf('c'), at)
+    expect(node.get('w0')?.incarnation).toBe('b')
+    node.handle(reportOf('c'), 5_500)
+    expect(node.get('w0')).toMatchObject({ incarnation: 'c', since: 5_500 })
+    node.handle(reportOf('b'), 5_600)
+    node.handle(reportOf('b'), 5_800)
+    expect(node.get('w0')?.incarnation).toBe('c')
+  })
+
+  it('keeps a drain that came before the first report', () => {
+    const node = alone()
+    node.handle({ kind: 'endpoints.drain', endpoint: 'w0' }, 500)
+    node.handle(reportOf('a'), 1_000)
+    expect(node.get('w0')?.state).toBe('leaving')
+  })
+
   it('suspects a refusing endpoint at once and retries it after a backoff', () => {
     const node = alone()
     for (const id of ['w0', 'w1', 'w2']) node.handle({ ...reportOf(`${id}-1`), endpoint: id }, 0)
--- a/src/endpoints/endpointsDb.ts
+++ b/src/endpoints/endpointsDb.ts
@@ -13,12 +13,21 @@
   readonly confirmAt: number
 }
 
+/** Reports of a superseded incarnation, with none of the current one between. */
+export interface Insistence {
+  readonly incarnation: string
+  readonly reports: number
+  /** When the first of them came, in ms. */
+  readonly since: number
+}
+
 /** All that is known of one endpoint. */
 export interface EndpointRecord {
   readonly id: string
   known: KnownEndpoint
   lineage: Lineage
   doubt?: Doubt
+  insistence?: Insistence
   leaving: boolean
   gone: boolean
   goneAt: number
--- a/src/endpoints/lineage.ts
+++ b/src/endpoints/lineage.ts
@@ -1,6 +1,6 @@
 /**
- * The succession of incarnations of one endpoint. An incarnation that was
- * superseded never returns, however late its reports arrive.
+ * The succession of incarnations of one endpoint. Late reports of an incarnation
+ * that was superseded are known as such by the list of those that ended.
  */
 
 /** What is known of an endpoint's incarnations. */
@@ -28,6 +28,7 @@
  */
 export const judge = (known: Lineage, told: Lineage): Succession => {
   if (told.incarnation === known.incarnation) return 'same'
+  if (told.generation > known.generation && told.past.includes(known.incarnation)) return 'newer'
   if (told.incarnation === '' || known.past.includes(told.incarnation)) return 'older'
   if (known.incarnation === '' || told.past.includes(known.incarnation)) return 'newer'
   if (told.generation === known.generation) return 'unclear'
--- a/src/endpoints/observations.ts
+++ b/src/endpoints/observations.ts
@@ -16,6 +16,10 @@
 /** Milliseconds between the two reports that confirm a change of incarnation. */
 const confirmDelay = 100
 
+/** Reports in a row, without one of the current incarnation, that bring a superseded one back. */
+const insistentReports = 5
+/** The time over which these reports must be spread, in ms. */
+const insistentTerm = 3_000
 /** How long an own answered probe outweighs what others say, in ms. */
 const directTrust = 5_000
 
@@ -56,10 +60,12 @@
 
   /** The first incarnation may have served for long; one that follows another has an empty cache. */
   const adopt = (record: EndpointRecord, lineage: Lineage, leaving: boolean, now: number): void => {
-    const first = record.lineage.incarnation === '' || record.observed === 0
+    const isUnknown = record.lineage.incarnation === ''
+    const first = isUnknown || record.observed === 0
     record.lineage = lineage
     record.doubt = undefined
-    record.leaving = leaving
+    record.insistence = undefined
+    record.leaving = leaving || (isUnknown && record.leaving)
     record.since = first ? 0 : now
     db.putReport(record, undefined)
     changed(record, 'incarnation')
@@ -94,15 +100,30 @@
     probeSoon(record, now + confirmDelay)
   }
 
+  /**
+   * A superseded incarnation that alone answers probe after probe was declared
+   * superseded in error, by late reports of one that had ended unseen.
+   */
+  const insists = (record: EndpointRecord, incarnation: string, now: number): boolean => {
+    const before = record.insistence?.incarnation === incarnation ? record.insistence : { incarnation, reports: 0, since: now }
+    record.insistence = { ...before, reports: before.reports + 1 }
+    return record.insistence.reports >= insistentReports && now - before.since >= insistentTerm
+  }
+
   /** Answers whether the report speaks for the current incarnation, possibly after adopting it. */
   const settleIncarnation = (record: EndpointRecord, report: EndpointReport, now: number): boolean => {
     const { incarnation } = report
     if (record.lineage.incarnation === incarnation) {
       if (record.doubt !== undefined) changed(record, 'state')
       record.doubt = undefined
+      record.insistence = undefined
+      return true
+    }
+    if (record.lineage.past.includes(incarnation)) {
+      if (!insists(record, incarnation, now)) return false
+      adopt(record, succeed(record.lineage, incarnation), report.leaving, now)
       return true
     }
-    if (record.lineage.past.includes(incarnation)) return false
     const confirmed = record.doubt?.incarnation === incarnation && now >= record.doubt.confirmAt
     if (record.observed > 0 && !confirmed) {
       if (record.doubt?.incarnation !== incarnation) doubt(record, incarnation, now)
@@ -219,7 +240,7 @@
     const { id, kind, address, dataCentre, fenced, slots, models, incarnation, generation, past, leaving, observed } = fact
     const record = db.add({ id, kind, address, dataCentre, fenced, slots, models }, now)
     record.lineage = { incarnation, generation, past }
-    record.leaving = leaving
+    record.leaving = leaving || (isUnknown && record.leaving)
     record.observed = observed
     changed(record, 'added')
     passOn(record)
