Mend the endpoint facts of unknown endpoints

Addresses omit members without a caller port, so that the list of the living can be passed as it is.

--- a/src/addresses/addresses.ts
+++ b/src/addresses/addresses.ts
@@ -50,7 +50,8 @@
   readonly weight: number
 }
 
-const isServing = (member: Member): boolean => member.kind === 'entry' && member.state === 'live'
+/** A seed that has not been heard of may have no caller address yet. */
+const isServing = ({ kind, state, address }: Member): boolean => kind === 'entry' && state === 'live' && address.port > 0
 
 /** Takes the best of each data centre in turn, in the order of the ranking. */
 const spread = (ranked: readonly Entry[], width: number): readonly Entry[] => {
--- a/src/endpoints/observations.ts
+++ b/src/endpoints/observations.ts
@@ -240,7 +240,7 @@
     const { id, kind, address, dataCentre, fenced, slots, models, incarnation, generation, past, leaving, observed } = fact
     const record = db.add({ id, kind, address, dataCentre, fenced, slots, models }, now)
     record.lineage = { incarnation, generation, past }
-    record.leaving = leaving || (isUnknown && record.leaving)
+    record.leaving = leaving
     record.observed = observed
     changed(record, 'added')
     passOn(record)
