Verify a fresh claim at the holder's pace, and specs of orders

Cause: the interval to the next read was taken before the phase changed, so that a second candidate that had just claimed read the log again only after 20 s and could give no orders from 10 s on. Test: 'stops at a stale number until the log has been read', seen failing with no order given. Change: the interval is taken after the decision; specs of plan and machine.

--- a/src/orders/ownership.ts
+++ b/src/orders/ownership.ts
@@ -141,8 +141,12 @@
   /** Acts on the whole stream, read up to its end after `readFrom`. */
   const settle = (now: number): void => {
     pending = { kind: 'none' }
-    const isCandidate = candidates.includes(self.id)
+    decide(now)
     nextRead = now + intervalOf() * (0.9 + 0.2 * random.unit())
+  }
+
+  const decide = (now: number): void => {
+    const isCandidate = candidates.includes(self.id)
     if (latest !== undefined && isOwn(latest) && latest.offset > resignedFence) return take(latest, now)
     if (phase.kind === 'holding') yieldClaim(now)
     phase = { kind: 'standby' }
