Demonstration asks the addresses answer; engine rests between requests

Cause: the client read the time to live under another name than the answer gives, silently fell back to its seeds and sent all to the first instance; the engines stepped each 4 ms for as long as a stream was only kept for resuming, which cost the machine what the instances needed. Change: the client fails when nobody names addresses, and spreads by weight; engines step each 250 ms while nothing runs.

--- a/demo/client.ts
+++ b/demo/client.ts
@@ -12,6 +12,13 @@
 export interface Origin {
   readonly host: string
   readonly port: number
+  /** Share of the caller's requests, relative to the others; 1 if absent. */
+  readonly weight?: number
+}
+
+/** No instance said which addresses to use. */
+export class NoAddresses extends Error {
+  override readonly name = 'NoAddresses'
 }
 
 /** Settings of a caller. */
@@ -77,8 +84,8 @@
 }
 
 const addressSchema = z.object({
-  addresses: z.array(z.object({ host: z.string(), port: z.number() })),
-  timeToLive: z.number()
+  addresses: z.array(z.object({ host: z.string(), port: z.number(), weight: z.number().positive() })),
+  timeToLiveMs: z.number()
 })
 
 const errorSchema = z.object({ error: z.object({ type: z.string(), outcome: z.enum(['ran', 'not_run', 'unknown']) }) })
@@ -107,6 +114,11 @@
 
 const errorOf = (text: string): z.infer<typeof errorSchema>['error'] | undefined => errorSchema.safeParse(parseJson(text)).data?.error
 
+const weighted = (list: readonly Origin[]): Origin => {
+  let rest = Math.random() * list.reduce((total, { weight = 1 }) => total + weight, 0)
+  return list.find(({ weight = 1 }) => (rest -= weight) < 0) ?? list[0]
+}
+
 /**
  * Makes an idempotency key that carries its time.
  *
@@ -141,7 +153,7 @@
       const answer = addressSchema.safeParse(parseJson(await body.text()))
       if (statusCode !== 200 || !answer.success || answer.data.addresses.length === 0) return false
       known = answer.data.addresses
-      knownUntil = Date.now() + answer.data.timeToLive
+      knownUntil = Date.now() + answer.data.timeToLiveMs
       return true
     } catch {
       return false
@@ -153,13 +165,17 @@
     for (const seed of [...known, ...seeds]) {
       if (await ask(seed)) return known
     }
-    return known.length > 0 ? known : seeds
+    if (known.length === 0) throw new NoAddresses(`no instance names addresses for ${workspace}`)
+    return known
   }
 
-  const originFor = async (attempt: number): Promise<Origin> => {
+  /** The first attempt goes by weight, each further one to the next of the list. */
+  const originFor = async (attempt: number, last: Origin | undefined): Promise<Origin> => {
     if (attempt > 0) knownUntil = 0
     const list = await addresses()
-    return list[attempt % list.length]
+    const place = list.findIndex(origin => urlOf(origin) === (last && urlOf(last)))
+    if (place >= 0) return list[(place + 1) % list.length]
+    return weighted(list)
   }
 
   const take = (progress: Progress, origin: Origin, id: string | undefined, data: string, onToken: TokenListener | undefined): void => {
@@ -215,8 +231,9 @@
     const progress: Progress = { text: '', lastTokenAt: 0, gaps: [], promptTokens: 0, cachedTokens: 0, resumes: 0, done: false }
     const text = JSON.stringify({ ...body, stream: true })
     const started = performance.now()
+    let origin: Origin | undefined
     for (let attempt = 0; attempt < attempts; attempt++) {
-      const origin = await originFor(attempt)
+      origin = await originFor(attempt, origin)
       progress.error = undefined
       if (progress.lastEventId !== undefined) progress.resumes++
       else progress.text = ''
@@ -231,8 +248,9 @@
   const call: Caller['call'] = async (method, path, idempotencyKey, body) => {
     const headers = { authorization, 'content-type': 'application/json', 'idempotency-key': idempotencyKey }
     let last: CallResult = { ending: 'broken', status: 0, body: '', outcome: 'unknown' }
+    let origin: Origin | undefined
     for (let attempt = 0; attempt < attempts; attempt++) {
-      const origin = await originFor(attempt)
+      origin = await originFor(attempt, origin)
       try {
         const response = await request(`${urlOf(origin)}${path}`, { dispatcher, method: method as 'POST', headers, body: JSON.stringify(body) })
         const text = await response.body.text()
--- a/src/standins/engine/engineBatch.ts
+++ b/src/standins/engine/engineBatch.ts
@@ -42,7 +42,8 @@
   readonly find: (id: string) => Job | undefined
   readonly load: () => { readonly running: number, readonly waiting: number, readonly waitingTokens: number }
   readonly clear: () => void
-  readonly busy: () => boolean
+  /** Whether jobs wait or run, are only kept for late readers, or none is left. */
+  readonly activity: () => 'working' | 'keeping' | 'idle'
 }
 
 const maxStep = 1_000 // ms of prefill that one step may catch up
@@ -160,7 +161,7 @@
 
   return {
     add: job => {
-      if (jobs.size === 0) steppedAt = job.served.at
+      if (waiting.length + running.length === 0) steppedAt = job.served.at
       jobs.set(job.served.id, job)
       waiting.push(job)
     },
@@ -173,6 +174,9 @@
       waitingTokens: waiting.reduce((tokens, job) => tokens + job.served.promptTokens, 0)
     }),
     clear,
-    busy: () => jobs.size > 0
+    activity: () => {
+      if (jobs.size === 0) return 'idle'
+      return waiting.length + running.length > 0 ? 'working' : 'keeping'
+    }
   }
 }
--- a/src/standins/engine/engineRequests.ts
+++ b/src/standins/engine/engineRequests.ts
@@ -21,7 +21,8 @@
   readonly stop: () => void
 }
 
-const stepInterval = 4 // ms
+const stepInterval = 4 // ms while requests wait or run
+const keepInterval = 250 // ms while streams are only kept
 
 const headerOf = ({ request }: Call, name: string): string => {
   const value = request.headers[name]
@@ -50,9 +51,15 @@
   const readers = new Map<Job, Set<Reader>>()
   let requests = 0
   let stepping: NodeJS.Timeout | undefined
+  let paceOf: ReturnType<typeof batch.activity> = 'idle'
 
   const wake = (): void => {
-    if (stepping === undefined && batch.busy()) stepping = setTimeout(step, stepInterval)
+    const activity = batch.activity()
+    if (activity === 'idle') return
+    if (stepping !== undefined && paceOf !== activity) clearTimeout(stepping)
+    if (stepping !== undefined && paceOf === activity) return
+    paceOf = activity
+    stepping = setTimeout(step, activity === 'working' ? stepInterval : keepInterval)
   }
 
   const step = (): void => {
