Adapter reads an event's id without parsing the event

Cause: each event of a stream was parsed twice, by the adapter for its id and by the relay for its content. Change: the leading id is matched; only events that do not begin with it are parsed by the adapter. An event broken after its id is now found by the relay; a spec shows it. Also: the demonstration ends by itself after 110 s at the latest, and names the build when a program is missing.

--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -58,6 +58,7 @@
 
 const started = (name: string, child: ChildProcess): Promise<z.infer<typeof startedSchema>> => new Promise((resolve, reject) => {
   const timer = setTimeout(() => reject(new StartFailed(`${name} did not start in time`)), startTimeout)
+  child.once('error', error => reject(new StartFailed(`${name}: ${error.message}; run npm run build first`)))
   child.once('exit', code => reject(new StartFailed(`${name} ended with ${code}`)))
   if (child.stdout === null) return reject(new StartFailed(`${name} has no output`))
   createInterface({ input: child.stdout }).once('line', line => {
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -30,6 +30,7 @@
 const watchAfter = 5_000 // ms of load before the watched stream
 const readyTimeout = 20_000 // ms
 const readyPause = 100 // ms
+const longestRun = 110_000 // ms
 const seed = 7
 const lineWidth = 100
 
@@ -159,4 +160,8 @@
 
 process.once('SIGINT', () => process.exit(130))
 process.once('SIGTERM', () => process.exit(143))
+setTimeout(() => {
+  process.stderr.write(`not done after ${longestRun / 1_000} s\n`)
+  process.exit(1)
+}, longestRun)
 main().then(() => process.exit())
--- a/src/adapters/endpointHttp.spec.ts
+++ b/src/adapters/endpointHttp.spec.ts
@@ -7,6 +7,7 @@
 import type { EngineEntry, EngineOptions, Served } from '../standins/engine/engineTypes.js'
 import { createService } from '../standins/service.js'
 import type { StandIn } from '../standins/standInServer.js'
+import { createRelay, relayEvent } from '../streams/streamRelay.js'
 import { createInputCollector } from '../../test/fakes/inputCollector.js'
 import { createEndpointHttp } from './endpointHttp.js'
 
@@ -149,6 +150,14 @@
     expect(await adapter.next(is('endpoint.failed'))).toMatchObject({ failure, sent: true })
   })
 
+  test('an event broken after its id reaches the relay, which finds it garbled', async () => {
+    const { address } = await startRaw(socket => socket.write('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-request-id: r\r\nx-incarnation: i\r\nx-weight-version: 1\r\n\r\nid: 0\ndata: {"id":"r","choices":[\n\n'))
+    const adapter = createAdapter()
+    adapter.perform(dispatch(1, address, modelRequest()))
+    const { requestId, position, data } = await adapter.next(is('endpoint.chunk'))
+    expect(relayEvent(createRelay(), 'r', requestId, position, data)).toEqual({ kind: 'garbled' })
+  })
+
   test('an answer to another request keeps its own id', async () => {
     const { engine, address } = await startEngine()
     const adapter = createAdapter()
--- a/src/adapters/endpointStream.ts
+++ b/src/adapters/endpointStream.ts
@@ -23,7 +23,10 @@
 const maxEventLength = 1024 * 1024 // characters
 const maxRefusalBytes = 1024 * 1024
 
-const identifierOf = (data: string): string | undefined => {
+/** Engines write the id first; the whole event is parsed only where they do not. */
+const leadingIdentifier = /^\{\s*"id"\s*:\s*"([^"\\]*)"/
+
+const parsedIdentifier = (data: string): string | undefined => {
   try {
     const event: unknown = JSON.parse(data)
     if (typeof event !== 'object' || event === null || !('id' in event)) return undefined
@@ -33,6 +36,8 @@
   }
 }
 
+const identifierOf = (data: string): string | undefined => leadingIdentifier.exec(data)?.[1] ?? parsedIdentifier(data)
+
 const positionOf = (id: string | undefined, next: number): number | undefined => {
   if (id === undefined) return next
   return /^\d{1,15}$/.test(id) ? Number(id) : undefined
