Demonstration starts the killed instance again

Cause: nothing showed that a restarted instance serves at once. Change: after the watched stream the killed instance is started with the same settings; the time until its process is up and until it serves is printed.

--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -30,6 +30,8 @@
   readonly instances: readonly Instance[]
   readonly engines: readonly Served[]
   readonly services: readonly Served[]
+  /** Starts an instance again, with the same settings, after its process has ended. */
+  readonly restart: (id: string) => Promise<Instance>
   readonly stop: () => Promise<void>
 }
 
@@ -194,12 +196,17 @@
     const ports = new Map([...engines, ...services].map(({ name, origin }) => [name, origin.port]))
     const peerPorts = await Promise.all(deployment.instances.map(freePort))
     const seeds = deployment.instances.map(({ id }, index) => `${id}@${host}:${peerPorts[index]}`).join(',')
+    const fileOf = (id: string): string => join(folder, `${id}.ini`)
     const instances = await Promise.all(deployment.instances.map((instance, index) => {
-      const file = join(folder, `${instance.id}.ini`)
-      writeFileSync(file, settingsOf(example, instance, peerPorts[index], seeds, { log_url: url(log), membership_url: url(list) }, ports))
-      return keep(startInstance(instance.id, file))
+      writeFileSync(fileOf(instance.id), settingsOf(example, instance, peerPorts[index], seeds, { log_url: url(log), membership_url: url(list) }, ports))
+      return keep(startInstance(instance.id, fileOf(instance.id)))
     }))
-    return { deployment, instances, engines, services, stop }
+    const restart = async (id: string): Promise<Instance> => {
+      const instance = await keep(startInstance(id, fileOf(id)))
+      instances.splice(instances.findIndex(known => known.id === id), 1, instance)
+      return instance
+    }
+    return { deployment, instances, engines, services, restart, stop }
   } catch (error) {
     await stop()
     throw error
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -12,7 +12,7 @@
 import { deployments } from './deployments.js'
 import type { Deployment } from './deployments.js'
 import { startFleet } from './fleet.js'
-import type { Fleet } from './fleet.js'
+import type { Fleet, Instance } from './fleet.js'
 import { countRuns, describe } from './report.js'
 import { createWorkload } from './workload.js'
 import type { Answered, Workload } from './workload.js'
@@ -58,20 +58,18 @@
   throw new NotReady(`the rules of ${fleet.deployment.title} were not accepted: ${answer}`)
 }
 
-const ready = async (fleet: Fleet): Promise<void> => {
+const ready = async ({ id, operator }: Instance): Promise<void> => {
   const until = Date.now() + readyTimeout
-  for (const { id, operator } of fleet.instances) {
-    while (!(await fetch(`${urlOf(operator)}/ready`)).ok) {
-      if (Date.now() > until) throw new NotReady(`${id} did not become ready`)
-      await sleep(readyPause)
-    }
+  while (!(await fetch(`${urlOf(operator)}/ready`)).ok) {
+    if (Date.now() > until) throw new NotReady(`${id} did not become ready`)
+    await sleep(readyPause)
   }
 }
 
 const start = async (deployment: Deployment, folder: string): Promise<Stage> => {
   const fleet = await startFleet(deployment, folder)
   await publish(fleet)
-  await ready(fleet)
+  await Promise.all(fleet.instances.map(ready))
   const { engines, services, instances } = fleet
   say(`${deployment.title}: ${engines.length} engines, ${services.length} services, ${instances.length} entry instances serve (${instances.map(({ id }) => id).join(', ')})`)
   const workload = createWorkload(await loadHash(), createRandom(seed), deployment, instances.map(({ origin }) => origin))
@@ -102,6 +100,7 @@
   const at = (origin: Origin) => fleet.instances.find(instance => instance.origin.port === origin.port)
   let tokens = 0
   let resumed = 0
+  let killed = ''
   ticker.line('\nOne stream, token by token:')
   const answered = await workload.watch(watchedTokens, (text, origin, resumes) => {
     if (resumes > resumed) {
@@ -112,9 +111,15 @@
     if (++tokens !== killAtToken) return
     const instance = at(origin)
     instance?.process.kill('SIGKILL')
+    killed = instance?.id ?? ''
     ticker.line(`>> killed ${instance?.id} (process ${instance?.process.pid}) with ${tokens} of ${watchedTokens} tokens sent`)
   })
-  ticker.line(`>> ${tokens} tokens in all, ${answered.exact ? 'exactly those of the engine, in order' : 'NOT those of the engine'}\n`)
+  ticker.line(`>> ${tokens} tokens in all, ${answered.exact ? 'exactly those of the engine, in order' : 'NOT those of the engine'}`)
+  const began = Date.now()
+  const instance = await fleet.restart(killed)
+  const up = Date.now()
+  await ready(instance)
+  ticker.line(`>> ${killed} started again: process up after ${up - began} ms, serving ${Date.now() - up} ms later\n`)
   return answered
 }
 
