Specs of the whole path over real sockets

Cause: the path was tried only by the demonstration and in virtual time. Stand-ins tell how many strikes of their faults are left.

--- a/src/standins/engine/engine.ts
+++ b/src/standins/engine/engine.ts
@@ -100,6 +100,7 @@
   createKvTransfer(server, cache, options.kvUrl)
 
   return {
+    ...server.standIn<EngineEntry>(record),
     listen: () => {
       reports.start()
       return server.listen()
@@ -108,8 +109,6 @@
       reports.stop()
       requests.stop()
       return server.close()
-    },
-    record,
-    fail: server.fail
+    }
   }
 }
--- a/src/standins/faults.ts
+++ b/src/standins/faults.ts
@@ -38,6 +38,8 @@
   readonly add: (fault: Fault, now: number) => void
   /** Uses up one strike of a counted fault. */
   readonly take: <Name extends FaultName>(kind: Name) => Extract<Fault, { kind: Name }> | undefined
+  /** Strikes that are still to come. */
+  readonly left: () => number
   /** Whether a lasting fault holds at `now`. */
   readonly holds: (kind: FaultName, now: number) => boolean
 }
@@ -65,5 +67,5 @@
     return entry.fault as Extract<Fault, { kind: Name }>
   }
 
-  return { add, take, holds: (kind, now) => now < (until.get(kind) ?? -Infinity) }
+  return { add, take, left: () => waiting.reduce((sum, { left }) => sum + left, 0), holds: (kind, now) => now < (until.get(kind) ?? -Infinity) }
 }
--- a/src/standins/kv.ts
+++ b/src/standins/kv.ts
@@ -43,5 +43,5 @@
     return { status: 200, body: JSON.parse(piece.toString('utf8')) }
   }))
 
-  return { listen: server.listen, close: server.close, record, fail: server.fail }
+  return server.standIn(record)
 }
--- a/src/standins/log.ts
+++ b/src/standins/log.ts
@@ -127,5 +127,5 @@
   server.on('POST', '/streams/:name/records', onAppend)
   server.on('GET', '/streams/:name/records', onRead)
 
-  return { listen: server.listen, close: server.close, record, fail: server.fail }
+  return server.standIn(record)
 }
--- a/src/standins/membership.ts
+++ b/src/standins/membership.ts
@@ -60,5 +60,5 @@
     })
   })
 
-  return { listen: server.listen, close: server.close, record, fail: server.fail }
+  return server.standIn(record)
 }
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -71,5 +71,5 @@
   server.on('GET', '/health', ({ response }) => sendJson(response, 200, { incarnation: incarnation() }))
   server.on(['GET', 'POST', 'PUT', 'PATCH', 'DELETE'], '/*', serve)
 
-  return { listen: server.listen, close: server.close, record, fail: server.fail }
+  return server.standIn(record)
 }
--- a/src/standins/standInServer.ts
+++ b/src/standins/standInServer.ts
@@ -35,6 +35,8 @@
   readonly close: () => Promise<void>
   readonly record: readonly Entry[]
   readonly fail: (fault: Fault) => void
+  /** Strikes of counted faults that are still to come. */
+  readonly faultsLeft: () => number
 }
 
 /** The parts of a stand-in's server. */
@@ -47,6 +49,8 @@
   readonly listen: () => Promise<Address>
   readonly close: () => Promise<void>
   readonly fail: (fault: Fault) => void
+  /** The stand-in that this server makes with its record. */
+  readonly standIn: <Entry>(record: readonly Entry[]) => StandIn<Entry>
 }
 
 const maxBodyBytes = 64 * 1024 * 1024
@@ -180,7 +184,9 @@
     cutAll()
   })
 
-  return { faults, now, after, on, listen, close, fail }
+  const standIn = <Entry>(record: readonly Entry[]): StandIn<Entry> => ({ listen, close, record, fail, faultsLeft: faults.left })
+
+  return { faults, now, after, on, listen, close, fail, standIn }
 }
 
 /**
--- a/src/standins/weights.ts
+++ b/src/standins/weights.ts
@@ -41,5 +41,5 @@
     return { status: 200, body: { ms } }
   }))
 
-  return { listen: server.listen, close: server.close, record, fail: server.fail }
+  return server.standIn(record)
 }
--- /dev/null
+++ b/test/path/pathFixture.ts
@@ -0,0 +1,119 @@
+/** A small fleet over real sockets in one process: platform, engines, services and entry instances. */
+import { createHash } from 'node:crypto'
+import { stringify } from 'ini'
+import { createCaller } from '../../demo/client.js'
+import type { Caller, Origin } from '../../demo/client.js'
+import { loadHash } from '../../src/hash.js'
+import type { Hash } from '../../src/hash.js'
+import { startEntry } from '../../src/processes/entry.js'
+import type { EntryProcess } from '../../src/processes/entry.js'
+import { readSettings } from '../../src/settings/settingsReader.js'
+import { createEngine } from '../../src/standins/engine/engine.js'
+import { readSample, tokensOf } from '../../src/standins/engine/engineSample.js'
+import type { EngineEntry } from '../../src/standins/engine/engineTypes.js'
+import { createLog } from '../../src/standins/log.js'
+import type { Appended } from '../../src/standins/log.js'
+import { createMembership } from '../../src/standins/membership.js'
+import { createService } from '../../src/standins/service.js'
+import type { Run } from '../../src/standins/service.js'
+import type { StandIn } from '../../src/standins/standInServer.js'
+
+/** The running fleet. */
+export interface PathFleet {
+  readonly engines: readonly StandIn<EngineEntry>[]
+  readonly services: readonly StandIn<Run>[]
+  readonly log: StandIn<Appended>
+  readonly origins: readonly Origin[]
+  /** A caller that uses the given instances, in that order, and tries once at each. */
+  readonly callerAt: (workspace: string, ...instances: number[]) => Caller
+  /** Runs with one idempotency key, over all services. */
+  readonly runsOf: (key: string) => number
+  readonly close: () => Promise<void>
+}
+
+const host = '127.0.0.1'
+const workspaces = ['north', 'south']
+
+const rules = [
+  ...workspaces.flatMap(name => [
+    `workspace ${name} deadline=5s # asked by the test`,
+    `key workspace=${name} hash=sha256:${createHash('sha256').update(`demo-key-${name}`).digest('hex')} # asked by the test`
+  ]),
+  'model drafter version=1 # asked by the test',
+  'once service=bookings method=POST # asked by the test'
+].join('\n')
+
+const settingsText = (id: string, endpoints: { readonly engines: readonly Origin[], readonly services: readonly Origin[] }, log: Origin, list: Origin): string => stringify({
+  instance: { id, data_centre: 'dc', log_level: 'error' },
+  platform: { log_url: `http://${host}:${log.port}`, membership_url: `http://${host}:${list.port}`, list_interval: 200, list_lag: 0 },
+  addresses: { time_to_live: 100 },
+  streams: { resume_keys: 'a-key-only-for-this-test' },
+  worker: Object.fromEntries(endpoints.engines.map(({ port }, index) => [`w${index}`, { host, port, data_centre: 'dc', models: 'drafter@1' }])),
+  service: Object.fromEntries(endpoints.services.map(({ port }, index) => [`s${index}`, { host, port, data_centre: 'dc', service: 'bookings' }]))
+})
+
+const publish = async (entry: EntryProcess): Promise<void> => {
+  const body = JSON.stringify({ base: 0, text: rules, publisher: 'test', publishId: 'test' })
+  while (!(await fetch(`http://${host}:${entry.operatorPort}/v1/rules`, { method: 'POST', body })).ok) await pause()
+}
+
+const ready = async (entry: EntryProcess): Promise<void> => {
+  while (!(await fetch(`http://${host}:${entry.operatorPort}/ready`)).ok) await pause()
+}
+
+const pause = (): Promise<void> => new Promise(resolve => { setTimeout(resolve, 20) })
+
+/**
+ * Starts two engines, two services and two entry instances.
+ *
+ * @returns the fleet, ready to serve
+ */
+export const startPathFleet = async (): Promise<PathFleet> => {
+  const hash = await loadHash()
+  const log = createLog()
+  const list = createMembership()
+  const engines = [0, 1].map(index => createEngine(hash, { id: `w${index}`, decodeTime: 5 }))
+  const services = [0, 1].map(index => createService({ id: `s${index}` }))
+  const listening = await Promise.all([log, list, ...engines, ...services].map(standIn => standIn.listen()))
+  const [logAt, listAt, ...rest] = listening
+  const endpoints = { engines: rest.slice(0, 2), services: rest.slice(2) }
+  const entries = await Promise.all(['e0', 'e1'].map(id =>
+    startEntry(readSettings(id, settingsText(id, endpoints, logAt, listAt))._unsafeUnwrap())))
+  await publish(entries[0])
+  await Promise.all(entries.map(ready))
+  const origins = entries.map(({ callerPort }) => ({ host, port: callerPort }))
+  const callers: Caller[] = []
+
+  const callerAt = (workspace: string, ...instances: number[]): Caller => {
+    const seeds = instances.map(index => origins[index])
+    const caller = createCaller({ workspace, key: `demo-key-${workspace}`, seeds, direct: true, attempts: seeds.length })
+    callers.push(caller)
+    return caller
+  }
+
+  const close = async (): Promise<void> => {
+    await Promise.all(callers.map(caller => caller.close()))
+    for (const entry of entries) entry.drain()
+    await Promise.all(entries.map(({ ended }) => ended))
+    await Promise.all([log, list, ...engines, ...services].map(standIn => standIn.close()))
+  }
+
+  const runsOf = (key: string): number => services.flatMap(({ record }) => record).filter(run => run.key === key).length
+
+  return { engines, services, log, origins, callerAt, runsOf, close }
+}
+
+/**
+ * The text that engines generate for a request.
+ *
+ * @param hash - hash functions
+ * @param body - the caller's request
+ * @param tokens - number of tokens
+ * @returns the text
+ */
+export const expectedText = (hash: Hash, body: Readonly<Record<string, unknown>>, tokens: number): string => {
+  const read = readSample({ ...body, stream: true }, '1')
+  if ('complaint' in read) return read.complaint
+  const token = tokensOf(hash, read.sample.key)
+  return Array.from({ length: tokens }, (_, position) => token(position)).join('')
+}
