Request scenario: every broken variant is caught

Cause: three variants passed unseen: the fake's crossed answers carried the caller's own tokens, no variant altered what callers are told, and late work never had a reason to go to the leaving worker. Change: crossed events carry another prompt's tokens; a variant rewrites the outcome; late prompts spread over all workers.

--- a/test/fakes/fakeFleet.ts
+++ b/test/fakes/fakeFleet.ts
@@ -33,6 +33,8 @@
   readonly onHeard: (conversation: Conversation, heard: Heard, node: string) => void
   /** May change what the adapters would hand to an instance. */
   readonly tamper: (node: string, input: NodeInput) => NodeInput
+  /** May change what an instance says. */
+  readonly tamperEffect: (effect: NodeEffect) => NodeEffect
   readonly note: (line: string) => void
 }
 
@@ -83,6 +85,7 @@
   listFault: () => 'none',
   onHeard: () => {},
   tamper: (_node, input) => input,
+  tamperEffect: effect => effect,
   note: () => {}
 }
 
@@ -148,7 +151,7 @@
     for (const effect of target.node.handle(hooks.tamper(id, input), time.now())) {
       hooks.onEffect(id, effect)
       if (target.node === undefined || target.starts !== starts) return
-      perform(id, effect)
+      perform(id, hooks.tamperEffect(effect))
     }
   }
 
--- a/test/fakes/fakeModelEngine.ts
+++ b/test/fakes/fakeModelEngine.ts
@@ -97,6 +97,18 @@
   return own.map(({ content }) => content).join('\n')
 }
 
+/** The prompt whose tokens a crossed answer carries. */
+export const crossedPrompt = 'prompt of another caller'
+
+/** The part of an answer to somebody else, under that request's id. */
+const cross = (input: EndpointInput): EndpointInput => {
+  if (input.kind === 'endpoint.head') return { ...input, requestId: 'of-another' }
+  if (input.kind !== 'endpoint.chunk') return input
+  const event = JSON.parse(input.data) as { choices: { delta: { content?: string } }[] }
+  event.choices[0].delta.content = tokenAt(crossedPrompt, '7', input.position)
+  return { ...input, requestId: 'of-another', data: JSON.stringify(event) }
+}
+
 /**
  * Creates an engine.
  *
@@ -144,7 +156,7 @@
         link.deliver(input)
         link.deliver(input)
         return
-      case 'crossed': link.deliver('requestId' in input ? { ...input, requestId: 'of-another' } : input)
+      case 'crossed': link.deliver(cross(input))
     }
   }
 
--- a/test/matrix/requestChecks.ts
+++ b/test/matrix/requestChecks.ts
@@ -1,5 +1,5 @@
 /** Checks every promise of the request path against what engines and services recorded. */
-import { answerOf } from '../fakes/fakeModelEngine.js'
+import { answerOf, crossedPrompt } from '../fakes/fakeModelEngine.js'
 import type { Conversation } from '../fakes/fakeCaller.js'
 import type { Promised, Violation } from './matrixTypes.js'
 import { chatTokens, parts, promptOf, type World } from './requestWorld.js'
@@ -18,8 +18,14 @@
 
 const violation = (promise: Promised, detail: string): Violation => ({ promise, detail })
 
-const isOfAnother = (world: World, own: Conversation, text: string): boolean =>
-  [...world.chats, ...world.probes].some(other => other !== own && wholes(other).some(whole => text !== '' && whole.startsWith(text.slice(0, 12))))
+const words = (text: string): readonly string[] => text.split(' ').slice(1)
+
+/** Whether some word is another prompt's at that position, and not this one's. */
+const isOfAnother = (world: World, own: Conversation, text: string): boolean => {
+  const others = [...[...world.chats, ...world.probes].filter(chat => chat !== own).flatMap(wholes), ...weights.map(version => answerOf(crossedPrompt, version, chatTokens))].map(words)
+  const mine = wholes(own).map(words)
+  return words(text).some((word, place) => mine.every(whole => whole[place] !== word) && others.some(whole => whole[place] === word))
+}
 
 const checkChat = (world: World, chat: Conversation): Violation[] => {
   const candidates = wholes(chat)
--- a/test/matrix/requestScenario.ts
+++ b/test/matrix/requestScenario.ts
@@ -4,7 +4,7 @@
  * every step. The broken variants tamper with what the core hears or says.
  */
 import type { Hash } from '../../src/hash.js'
-import type { NodeInput } from '../../src/node/nodeTypes.js'
+import type { NodeEffect, NodeInput } from '../../src/node/nodeTypes.js'
 import type { FleetHooks } from '../fakes/fakeFleet.js'
 import { checkWorld } from './requestChecks.js'
 import { injectRequestFaults, requestFaults, requestSteps, type RequestStep } from './requestFaults.js'
@@ -43,13 +43,17 @@
   return { ...input, position }
 }
 
-const swapText = (input: Extract<NodeInput, { kind: 'endpoint.chunk' }>): NodeInput =>
-  input.requestId === 'of-another' ? { ...input, requestId: '' } : input
+/** An event names its own stream's id inside; the broken variant believes that one. */
+const ignoreId = (input: Extract<NodeInput, { kind: 'endpoint.chunk' }>): NodeInput =>
+  ({ ...input, requestId: (JSON.parse(input.data) as { id: string }).id })
+
+const sayNotRun = (effect: NodeEffect): NodeEffect =>
+  effect.kind === 'caller.answer' && typeof effect.body === 'string' ? { ...effect, body: effect.body.replace('"outcome":"unknown"', '"outcome":"not_run"') } : effect
 
 const tampers: Readonly<Partial<Record<Variant, Tamper>>> = {
   repeatsCutCalls: (_world, _node, input) => input.kind === 'endpoint.failed' ? { ...input, sent: false } : input,
   ignoresPositions: (world, node, input) => input.kind === 'endpoint.chunk' ? renumber(world, node, input) : input,
-  ignoresRequestIds: (_world, _node, input) => input.kind === 'endpoint.chunk' ? swapText(input) : input,
+  ignoresRequestIds: (_world, _node, input) => input.kind === 'endpoint.chunk' ? ignoreId(input) : input,
   ignoresLeaving: (_world, _node, input) => input.kind === 'endpoint.report' ? { ...input, leaving: false } : input,
   startsAlone: (world, node, input) => {
     if (!world.sightings.disturbed.has(node)) return input
@@ -65,6 +69,7 @@
 }
 
 const hooksOf = (variant: string, faults: Partial<FleetHooks>, world: () => World): Partial<FleetHooks> => {
+  if (variant === 'claimsNotRun') return { ...faults, tamperEffect: sayNotRun }
   const tamper = tampers[variant as Variant]
   return tamper === undefined ? faults : { ...faults, tamper: (node, input) => tamper(world(), node, input) }
 }
--- a/test/matrix/requestWorld.ts
+++ b/test/matrix/requestWorld.ts
@@ -51,7 +51,11 @@
   { at: 1_300, node: 1 },
   { at: 1_420, node: 2 },
   { at: 1_750, node: 0 },
-  { at: 5_600, node: 1 }
+  { at: 5_600, node: 1 },
+  { at: 5_620, node: 0 },
+  { at: 5_640, node: 1 },
+  { at: 5_660, node: 0 },
+  { at: 5_680, node: 1 }
 ] as const
 
 const bookingOrders = [
@@ -62,7 +66,7 @@
   { at: 3_000, node: 1, key: 1 }
 ] as const
 
-const promptFor = (name: string): string[] => ['guidance '.repeat(60), `listing of ${name}`]
+const promptFor = (name: string): string[] => [`guidance of ${name} `.repeat(30), `listing of ${name}`]
 
 /**
  * The prompt's text as an engine sees it.
