Spread suspicion among instances known from the list

Cause: a record from the platform's list has no version yet, so that a suspicion raised on it lost to 'alive' with a version, and a crashed instance came back to life in others' views. Change: a missing version means the present one; a version learned late is no news; suspicions travel without the member's address; a message's rumors are bounded by bytes.

--- a/src/membership/identity.ts
+++ b/src/membership/identity.ts
@@ -2,6 +2,7 @@
  * This instance's own record: the version that it raises to refute suspicion,
  * and the rule by which one of two processes with the same id gives way.
  */
+import { unversioned } from './membershipDb.js'
 import type { InstanceMember, Rumor } from './membershipMessages.js'
 
 /** What a rumor about this instance's id calls for. */
@@ -60,9 +61,11 @@
   }
 
   const hear = (rumor: Rumor, now: number): IdentityChange => {
-    if (rumor.member.incarnation === '' || rumor.version < version) return { kind: 'none' }
-    if (rumor.member.incarnation !== member.incarnation) return hearOfRival(rumor, now)
-    return rumor.status === 'alive' ? { kind: 'none' } : raise(rumor.version)
+    const isOwn = rumor.member.incarnation === member.incarnation
+    const isOld = rumor.version < version && !(isOwn && rumor.version === unversioned)
+    if (rumor.member.incarnation === '' || isOld) return { kind: 'none' }
+    if (!isOwn) return hearOfRival(rumor, now)
+    return rumor.status === 'alive' ? { kind: 'none' } : raise(Math.max(version, rumor.version))
   }
 
   const leave = (): boolean => {
--- a/src/membership/membershipDb.ts
+++ b/src/membership/membershipDb.ts
@@ -49,6 +49,8 @@
   readonly setSelf: (member: InstanceMember) => void
 }
 
+/** The version of an instance that is known from settings or the list only; told, it means the present one. */
+export const unversioned = 0
 const statusRank = { alive: 0, suspect: 1, dead: 2 } as const
 const rememberedPast = 16
 /** How long a suspect may take to refute, in ms. */
@@ -160,13 +162,17 @@
   const mergeSame = (record: MemberRecord, rumor: Rumor, now: number): Merge => {
     const left = rumor.member.state === 'leaving' && setLeaving(record)
     const ahead = record.member.state === 'leaving' && rumor.member.state === 'live'
-    if (rumor.version < record.version) return left ? 'news' : 'outdated'
+    const version = rumor.version === unversioned ? record.version : rumor.version
+    if (version < record.version) return left ? 'news' : 'outdated'
+    if (record.version === unversioned && rumor.status === 'alive') {
+      record.version = version
+      return left ? 'news' : 'known'
+    }
     const worse = statusRank[rumor.status] > statusRank[record.status]
-    if (rumor.version > record.version || worse) {
-      const changed = record.status !== rumor.status
-      record.version = rumor.version
+    if (version > record.version || worse) {
+      record.version = version
       setStatus(record, rumor.status, now)
-      return changed || left ? 'news' : 'known'
+      return 'news'
     }
     if (left) return 'news'
     return ahead || statusRank[rumor.status] < statusRank[record.status] ? 'outdated' : 'known'
--- a/src/membership/membershipMachine.ts
+++ b/src/membership/membershipMachine.ts
@@ -8,7 +8,7 @@
 import type { Member } from '../ports/membershipPort.js'
 import type { PeerMessage } from '../ports/peerPort.js'
 import { createIdentity } from './identity.js'
-import { createMembershipDb, rumorOf } from './membershipDb.js'
+import { createMembershipDb, rumorOf, unversioned } from './membershipDb.js'
 import type { MemberRecord } from './membershipDb.js'
 import { membershipMessageSchema } from './membershipMessages.js'
 import type { InstanceMember, MembershipMessage, Rumor } from './membershipMessages.js'
@@ -28,6 +28,8 @@
 const forgottenAfter = 3_600_000
 /** An instance heard of within this time keeps its address against the list, in ms. */
 const addressTrust = 5_000
+type Exchange = Pick<Extract<MembershipMessage, { kind: 'membership.ping' }>, 'seq' | 'sum' | 'self' | 'rumors' | 'health'>
+
 const nothing: readonly MembershipFeatureEffect[] = []
 
 /**
@@ -52,19 +54,18 @@
   let relaySeq = -1
 
   for (const seed of options.seeds) {
-    if (seed.id !== selfId) db.add({ ...seed, kind: 'entry', incarnation: '' }, 0, startedAt).seed = true
+    if (seed.id !== selfId) db.add({ ...seed, kind: 'entry', incarnation: '' }, unversioned, startedAt).seed = true
   }
 
   const emit = (effect: MembershipFeatureEffect): void => {
     effects.push(effect)
   }
   const send = (to: string, message: MembershipMessage): void => emit({ kind: 'peer.send', to, message })
-  const exchange = (seq: number, extra: readonly Rumor[] = []): { seq: number, sum: number, self: Rumor, rumors: Rumor[] } => ({
-    seq,
-    sum: db.sum(),
-    self: identity.rumor(),
-    rumors: [...extra, ...rumors.take(db.records.size)]
-  })
+  const exchange = (seq: number, extra: readonly Rumor[] = []): Exchange => {
+    const taken = rumors.take(db.records.size)
+    const health = taken.flatMap(({ member: { id, incarnation }, version, status }) => status === 'alive' ? [] : [{ id, incarnation, version, status }])
+    return { seq, sum: db.sum(), self: identity.rumor(), rumors: [...extra, ...taken.filter(({ status }) => status === 'alive')], health }
+  }
   const spread = (record: MemberRecord): void => rumors.put(rumorOf(record))
 
   const suspect = (id: string, now: number): void => {
@@ -91,9 +92,15 @@
   const views = createViewExchange({ db, rumors, random, startedAt, send, own: identity.rumor })
   const platform = createPlatformList({ random, startedAt, emit })
 
+  /** The own record changed. */
+  const tellSelf = (): void => {
+    db.setSelf(identity.member())
+    rumors.put(identity.rumor())
+  }
+
   const hearOfSelf = (rumor: Rumor, now: number): void => {
     const change = identity.hear(rumor, now)
-    if (change.kind === 'raised') rumors.put(identity.rumor())
+    if (change.kind === 'raised') tellSelf()
     if (change.kind === 'superseded') emit({ kind: 'membership.superseded', by: change.by })
   }
 
@@ -117,6 +124,14 @@
     return behind || record.status !== 'alive' ? [rumorOf(record)] : []
   }
 
+  const hearExchange = (message: Exchange, now: number): void => {
+    message.rumors.forEach(rumor => hear(rumor, now))
+    for (const { id, incarnation, version, status } of message.health) {
+      const member = id === selfId ? identity.member() : db.get(id)?.member
+      if (member?.incarnation === incarnation) hear({ member, version, status }, now)
+    }
+  }
+
   const relay = (from: string, seq: number, target: string, now: number): void => {
     relayed.set(relaySeq, { from, seq, at: now })
     send(target, { kind: 'membership.ping', ...exchange(relaySeq) })
@@ -135,13 +150,13 @@
     switch (message.kind) {
       case 'membership.ping': {
         const corrections = hearSender(message.self, now)
-        message.rumors.forEach(rumor => hear(rumor, now))
+        hearExchange(message, now)
         send(from, { kind: 'membership.ack', ...exchange(message.seq, corrections) })
         return views.compare(from, message.sum, now)
       }
       case 'membership.ack':
         hearSender(message.self, now)
-        message.rumors.forEach(rumor => hear(rumor, now))
+        hearExchange(message, now)
         hearAck(message)
         return views.compare(from, message.sum, now)
       case 'membership.pingVia': return relay(from, message.seq, message.target, now)
@@ -161,7 +176,7 @@
 
   const listRow = (row: Member, now: number): void => {
     const member: InstanceMember = { ...row, kind: 'entry' }
-    const record = db.get(row.id) ?? db.add(member, 0, now)
+    const record = db.get(row.id) ?? db.add(member, unversioned, now)
     record.listed = true
     const { incarnation } = record.member
     if (incarnation === row.incarnation) {
@@ -169,7 +184,7 @@
       return
     }
     if (record.past.includes(row.incarnation)) return
-    if (incarnation === '') db.merge({ member, version: 0, status: record.status }, now)
+    if (incarnation === '') db.merge({ member, version: unversioned, status: record.status }, now)
     else if (record.status !== 'alive' || now - record.heardAt > addressTrust) db.setAddress(record, member)
     prober.probe(row.id, now, false)
   }
@@ -258,8 +273,7 @@
 
   const leave = (now: number): readonly MembershipFeatureEffect[] => {
     if (!identity.leave()) return nothing
-    db.setSelf(identity.member())
-    rumors.put(identity.rumor())
+    tellSelf()
     db.peers().forEach(peer => send(peer, { kind: 'membership.state', rumors: [identity.rumor()] }))
     platform.announce(identity.member(), now)
     return flush()
--- a/src/membership/membershipMessages.ts
+++ b/src/membership/membershipMessages.ts
@@ -19,12 +19,21 @@
   status: z.enum(['alive', 'suspect', 'dead'])
 })
 
+const healthSchema = z.object({
+  id: z.string(),
+  incarnation: z.string(),
+  version: z.number(),
+  status: z.enum(['suspect', 'dead'])
+})
+
 const exchange = {
   seq: z.number(),
   /** Checksum of the sender's view. */
   sum: z.number(),
   self: rumorSchema,
-  rumors: z.array(rumorSchema)
+  rumors: z.array(rumorSchema),
+  /** How members fare that the receiver is expected to know. */
+  health: z.array(healthSchema)
 }
 
 /** Messages of the membership feature. */
@@ -46,6 +55,9 @@
 /** What one instance tells another of a third. */
 export type Rumor = z.infer<typeof rumorSchema>
 
+/** What one instance tells another of a third that both know. */
+export type Health = z.infer<typeof healthSchema>
+
 /** Another instance's health, as far as it is known. */
 export type MemberStatus = Rumor['status']
 
--- a/src/membership/rumorQueue.ts
+++ b/src/membership/rumorQueue.ts
@@ -11,12 +11,16 @@
   readonly size: () => number
 }
 
-/** Rumors that one message carries while few wait. */
-const fewRumors = 6
-/** Rumors that one message carries at most. */
-const mostRumors = 24
+/** Bytes that one message spends on rumors while few wait. */
+const fewBytes = 700
+/** Bytes that one message spends on rumors at most. */
+const mostBytes = 3_000
 /** A message carries this part of the rumors that wait. */
-const queuePart = 1 / 8
+const queuePart = 1 / 4
+/** Size of a rumor with the whole member, in bytes. */
+const wholeBytes = 115
+/** Size of a rumor that only says how a known member fares, in bytes. */
+const briefBytes = 50
 /** Each rumor is sent this many times the binary logarithm of the number of instances. */
 const repeatFactor = 2
 
@@ -35,10 +39,12 @@
   const take = (instances: number): Rumor[] => {
     if (queued.size === 0) return []
     const limit = repeatFactor * Math.ceil(Math.log2(instances + 2))
-    const room = Math.min(queued.size, mostRumors, Math.max(fewRumors, Math.ceil(queued.size * queuePart)))
+    const fits = queued.size
+    let room = Math.min(mostBytes, Math.max(fewBytes, queued.size * briefBytes * queuePart))
     const taken: Rumor[] = []
     for (const [id, item] of queued) {
-      if (taken.length >= room) break
+      if (room <= 0 || taken.length >= fits) break
+      room -= item.rumor.status === 'alive' ? wholeBytes : briefBytes
       taken.push(item.rumor)
       queued.delete(id)
       if (item.sent + 1 < limit) queued.set(id, { rumor: item.rumor, sent: item.sent + 1 })
