A resumed stream is never answered with another sample

Cause: a stream resumed at another instance whose engine had lost it was begun anew at another engine, and the events that the caller already had were cut off the new sample: a splice of two samples. Change: a request that has not yet relayed what its caller has is not sent to another worker; it ends as stream_interrupted, outcome unknown. The file belongs to the request path; this is the smallest change there. Seen failing first: 'is not taken up with another sample' (the second engine's own record showed a fresh request). 'an engine that crashes under a stream leaves it whole' was red before and is green with it; it lands here.

--- a/src/requests/modelAttempts.ts
+++ b/src/requests/modelAttempts.ts
@@ -105,7 +105,7 @@
 
 const giveUp = (context: RequestsContext, request: ModelRequest, now: number): void => {
   const outcome = request.sent ? 'unknown' : 'not_run'
-  if (request.relay.next > 0) fail(context, request, { kind: 'stream_interrupted', outcome: 'unknown' })
+  if (request.relay.next > 0 || request.forwardFrom > 0) fail(context, request, { kind: 'stream_interrupted', outcome: 'unknown' })
   else if (request.tried.length === 0) fail(context, request, { kind: 'no_endpoint', retryAfter: comeBack(context) })
   else fail(context, request, { kind: 'endpoint_failed', outcome, retryAfter: comeBack(context) })
   finish(context, request, now)
@@ -171,6 +171,9 @@
   }
 }
 
+/** The caller already has events that are not relayed again yet; another worker would generate others. */
+const isBehindCaller = ({ relay, forwardFrom }: ModelRequest): boolean => relay.next < forwardFrom
+
 /**
  * Recovers from a failed attempt: at the same engine if the stream had begun
  * there, else elsewhere, else the caller gets a typed error at once.
@@ -196,6 +199,7 @@
   const resumable = attempt.headSeen && (fault === 'cut' || fault === 'gap')
   if (resumable && sameEngineAgain(context, request, attempt, now)) return
   request.tried.push(attempt.endpoint)
+  if (isBehindCaller(request)) return giveUp(context, request, now)
   if (begun ? continueElsewhere(context, request, now) : retryElsewhere(context, request, now)) return
   giveUp(context, request, now)
 }
--- a/test/path/path.spec.ts
+++ b/test/path/path.spec.ts
@@ -95,6 +95,15 @@
     }
   })
 
+  test('an engine that crashes under a stream leaves it whole', async () => {
+    const body = createBody(120)
+    let seen = 0
+    const generation = await fleet.callerAt('north', 0).generate(chat, body, () => {
+      if (++seen === 20) latest().fail({ kind: 'crash' })
+    })
+    expectWhole(generation, body)
+  })
+
   test('a stream that lost its instance goes on at the other, for the same workspace only', async () => {
     const body = createBody(60)
     const ids = await beginStream(body)
@@ -107,6 +116,20 @@
   })
 })
 
+describe('a stream whose engine is gone', () => {
+  test('is not taken up with another sample', async () => {
+    const body = createBody(200)
+    const ids = await beginStream(body)
+    latest().fail({ kind: 'crash' })
+    const begun = (): number => fleet.engines.flatMap(({ record }) => record).length
+    const before = begun()
+    const resumed = await resumeAt(1, 'north', body, ids[5])
+    expect(resumed.raw).toMatch(/"type":"(stream_interrupted|resume_refused)"/)
+    expect(resumed.text).toBe('')
+    expect(begun()).toBe(before)
+  })
+})
+
 describe('calls that may run at most once, over real sockets', () => {
   const path = '/v1/services/bookings/viewings'
 
