--- a/src/admin/adminOperations.ts
+++ b/src/admin/adminOperations.ts
@@ -10,8 +10,11 @@
 import type { Limits } from '../limits/limitsTypes.js'
 import type { Membership } from '../membership/membershipTypes.js'
 import type { Metrics } from '../metrics/metrics.js'
+import type { Orders } from '../orders/ordersMachine.js'
 import type { Requests } from '../requests/requestsMachine.js'
 import type { Routing } from '../routing/routingTypes.js'
+import { checkRules } from '../rules/rulesChecker.js'
+import { explain } from '../rules/rulesExplainer.js'
 import { parseRules } from '../rules/rulesParser.js'
 import type { Settings } from '../settings/settingsSchema.js'
 import type { AdminAnswer, AdminCall, AdminError, RequiredRole } from './adminTypes.js'
@@ -25,6 +28,7 @@
   readonly limits: Limits
   readonly routing: Routing
   readonly claims: Claims
+  readonly orders: Orders
   readonly drain: Drain
   readonly metrics: Metrics
   readonly requests: Requests
@@ -126,7 +130,50 @@
   summary: 'Errors, conflicts and shadowed lines of a rules text.',
   run: (_node, call) => parseRules(Buffer.from(call.body).toString('utf8'))
     .mapErr((errors): AdminError => ({ kind: 'rules_invalid', errors }))
-    .andThen(lines => json({ valid: true, rules: lines.length }))
+    .andThen(lines => json({ valid: true, rules: lines.length, ...checkRules(lines) }))
+}
+
+const explainRequest: AdminOperation = {
+  method: 'GET',
+  path: '/v1/explain',
+  role: 'read',
+  summary: 'What the rules say of a request with these attributes, and which lines decided.',
+  run: (node, call) => {
+    const { workspace, model, adapter, service, method, path } = call.query
+    const ruleset = node.config.current()?.ruleset
+    if (ruleset === undefined) return err({ kind: 'no_configuration' })
+    if (workspace === undefined) return err({ kind: 'malformed_request', place: 'query.workspace', reason: 'name the workspace' })
+    return json(explain(ruleset, { workspace, model, adapter, service, method, path }))
+  }
+}
+
+const history: AdminOperation = {
+  method: 'GET',
+  path: '/v1/rules/history',
+  role: 'read',
+  summary: 'Accepted publishes that the log still tells of: who and when.',
+  run: node => json({ history: (node.config.dump().history ?? []) as unknown })
+}
+
+const workspaces: AdminOperation = {
+  method: 'GET',
+  path: '/v1/workspaces',
+  role: 'read',
+  summary: 'Workspaces with their limits and their use at this instance.',
+  run: node => {
+    const ruleset = node.config.current()?.ruleset
+    if (ruleset === undefined) return err({ kind: 'no_configuration' })
+    const used = new Map(node.limits.dump().workspaces.map(row => [row.workspace, row]))
+    return json({ workspaces: ruleset.workspaces().map(name => ({ name, limits: ruleset.limits(name), use: used.get(name) })) })
+  }
+}
+
+const ordersInProgress: AdminOperation = {
+  method: 'GET',
+  path: '/v1/orders',
+  role: 'read',
+  summary: 'Orders to workers: who gives them, and which run.',
+  run: node => json(node.orders.dump())
 }
 
 const publish: AdminOperation = {
@@ -181,4 +228,6 @@
 }
 
 /** All operations, in the order of the OpenAPI document. */
-export const adminOperations: readonly AdminOperation[] = [health, ready, status, rules, check, publish, endpoints, drainEndpoint, drainSelf, dump]
+export const adminOperations: readonly AdminOperation[] = [
+  health, ready, status, rules, history, check, explainRequest, publish, workspaces, endpoints, ordersInProgress, drainEndpoint, drainSelf, dump
+]
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,8 @@
 import { Command } from 'commander'
 import { version } from '../version.js'
 import { addEntryCommands } from './entryCommand.js'
+import { addOperatorCommands } from './operatorCommands.js'
+import { addRulesCommands } from './rulesCommands.js'
 import { complain, exitCodeHelp, exitCodes } from './output.js'
 
 const program = new Command('wasabireel')
@@ -10,6 +12,8 @@
   .addHelpText('after', exitCodeHelp)
 
 addEntryCommands(program)
+addRulesCommands(program)
+addOperatorCommands(program)
 program.action(() => program.help())
 program.parseAsync().catch((error: unknown) => {
   complain(error instanceof Error ? error.message : String(error))
--- /dev/null
+++ b/src/cli/operatorCommands.ts
@@ -0,0 +1,116 @@
+/** Commands that ask a running instance: status, dump, addresses, drain, endpoints. */
+import type { Command } from 'commander'
+import { ask, type AskFailure, type OperatorTarget } from './operatorClient.js'
+import { complain, exitCodeHelp, exitCodes, print, show } from './output.js'
+
+/** Options of every command that asks an instance. */
+export interface AskOptions {
+  readonly operator: string
+  readonly key?: string
+  readonly json?: boolean
+}
+
+/** The environment variable that holds the operator key. */
+export const keyVariable = 'WASABIREEL_OPERATOR_KEY'
+
+/**
+ * The instance that the options name.
+ *
+ * @param options - options of the command
+ * @returns the target, with the key of the option or of the environment
+ */
+export const targetOf = (options: AskOptions): OperatorTarget => ({ url: options.operator, key: options.key ?? process.env[keyVariable] })
+
+/**
+ * Reports a failure and sets the exit code.
+ *
+ * @param failure - why there is no result
+ * @param json - whether `--json` was given
+ */
+export const reportFailure = (failure: AskFailure, json: boolean | undefined): void => {
+  if (failure.kind === 'unreachable') {
+    complain(`${failure.url} cannot be reached: ${failure.reason}`)
+    process.exitCode = exitCodes.unreachable
+    return
+  }
+  if (json === true) print(JSON.stringify(failure.body))
+  else complain(`refused (${failure.status}): ${JSON.stringify(failure.body)}`)
+  process.exitCode = exitCodes.refused
+}
+
+/**
+ * Adds the options of commands that ask an instance.
+ *
+ * @param command - the command
+ * @returns the command
+ */
+export const addAskOptions = (command: Command): Command => command
+  .requiredOption('--operator <url>', 'operator port of any instance, as http://host:port')
+  .option('--key <key>', `operator key; otherwise taken from ${keyVariable}`)
+  .option('--json', 'print the result as JSON')
+
+interface StatusRow {
+  readonly id: string
+  readonly dataCentre: string
+  readonly state: string
+  readonly configVersion?: number
+}
+
+const statusTable = (rows: readonly StatusRow[]): string => {
+  const cells = [['instance', 'data centre', 'state', 'version'], ...rows.map(row => [row.id, row.dataCentre, row.state, String(row.configVersion ?? '?')])]
+  const widths = cells[0].map((_, column) => Math.max(...cells.map(row => row[column].length)))
+  return cells.map(row => row.map((cell, column) => cell.padEnd(widths[column])).join('  ').trimEnd()).join('\n')
+}
+
+const askAndShow = (method: 'GET' | 'POST', path: (argument: string) => string, words: (value: unknown) => string) =>
+  async (options: AskOptions, argument = ''): Promise<void> => {
+    const answer = await ask(targetOf(options), method, path(argument))
+    answer.match(
+      value => show(options.json, value, () => words(value)),
+      failure => reportFailure(failure, options.json)
+    )
+  }
+
+const pretty = (value: unknown): string => JSON.stringify(value, null, 2)
+const status = askAndShow('GET', () => '/v1/status', value => statusTable((value as { instances: StatusRow[] }).instances))
+const dump = askAndShow('GET', () => '/dump', pretty)
+const endpoints = askAndShow('GET', () => '/v1/endpoints', pretty)
+const drainInstance = askAndShow('POST', () => '/v1/drain', () => 'the instance is leaving')
+const drainEndpoint = askAndShow('POST', id => `/v1/endpoints/${encodeURIComponent(id)}/drain`, () => 'the endpoint gets no new work')
+
+const addresses = async (options: { readonly entry: string, readonly workspace: string, readonly json?: boolean }): Promise<void> => {
+  const answer = await ask({ url: options.entry }, 'GET', `/v1/addresses?workspace=${encodeURIComponent(options.workspace)}`)
+  answer.match(
+    value => show(options.json, value, () => (value as { addresses: { id: string, host: string, port: number }[] }).addresses.map(({ id, host, port }) => `${host}:${port}  ${id}`).join('\n')),
+    failure => reportFailure(failure, options.json)
+  )
+}
+
+const example = (line: string): string => `\nExample: wasabireel ${line}\n${exitCodeHelp}`
+
+/**
+ * Adds the commands.
+ *
+ * @param program - the command line
+ */
+export const addOperatorCommands = (program: Command): void => {
+  addAskOptions(program.command('status').description('Show which instance runs which configuration version.'))
+    .addHelpText('after', example('status --operator http://127.0.0.1:7301'))
+    .action((options: AskOptions) => status(options))
+  addAskOptions(program.command('dump').description('Show the state of one instance, without secrets and bodies.'))
+    .addHelpText('after', example('dump --operator http://127.0.0.1:7301'))
+    .action((options: AskOptions) => dump(options))
+  addAskOptions(program.command('endpoints').description('Show workers and plain services as one instance sees them.'))
+    .addHelpText('after', example('endpoints --operator http://127.0.0.1:7301'))
+    .action((options: AskOptions) => endpoints(options))
+  addAskOptions(program.command('drain').description('Make an instance leave, or give an endpoint no new work.').argument('[endpoint]', 'endpoint; left out, the instance itself'))
+    .addHelpText('after', example('drain nm-derby-w1 --operator http://127.0.0.1:7301'))
+    .action((endpoint: string | undefined, options: AskOptions) => endpoint === undefined ? drainInstance(options) : drainEndpoint(options, endpoint))
+  program.command('addresses')
+    .description('Ask any instance which addresses a workspace\'s callers should use.')
+    .requiredOption('--entry <url>', 'caller port of any instance, as http://host:port')
+    .requiredOption('--workspace <name>', 'workspace')
+    .option('--json', 'print the result as JSON')
+    .addHelpText('after', example('addresses --entry http://127.0.0.1:7201 --workspace listings'))
+    .action(addresses)
+}
--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -20,6 +20,8 @@
 import { createMembership } from '../membership/membershipMachine.js'
 import type { MembershipFeatureEffect } from '../membership/membershipTypes.js'
 import type { Metrics } from '../metrics/metrics.js'
+import { createOrders } from '../orders/ordersMachine.js'
+import type { OrdersDesired } from '../orders/ordersTypes.js'
 import { createPrefix } from '../prefix/prefix.js'
 import type { Random } from '../random.js'
 import { createRequestsDb } from '../requests/requestsDb.js'
@@ -31,7 +33,7 @@
 import { createDirectory } from './directory.js'
 import type { NodeEffect, NodeInput } from './nodeTypes.js'
 import { createRegistry, type Feature } from './registry.js'
-import { endpointsByService, knownEndpoints, seedMembers, selfMember, type SelfAddress } from './settingsViews.js'
+import { desiredModels, endpointsByService, knownEndpoints, seedMembers, selfMember, type SelfAddress } from './settingsViews.js'
 
 /** What the node is made of. */
 export interface NodeOptions {
@@ -61,6 +63,7 @@
   | Extract<ClaimsEffect, { kind: `claims.${string}` }>
   | Extract<EndpointsInput, { kind: `endpoints.${string}` | 'membership.changed' }>
   | Extract<ConfigEffect, { kind: 'config.published' }>
+  | OrdersDesired
 
 type AnyInput = NodeInput | InternalInput
 
@@ -116,6 +119,7 @@
     retryFraction: settings.limits.retry_share,
     entriesOf: workspace => directory.entriesOf(workspace).map(({ id }) => id)
   })
+  const orders = createOrders({ self, random, hash, endpoints: endpoints.list, loadsAtOnce: settings.orders.loads_at_once })
   const services = endpointsByService(settings)
   const registry = createRegistry<AnyInput, AnyEffect>()
   const collected: RequestsEffect[] = []
@@ -143,7 +147,7 @@
     emit: effect => { collected.push(effect) }
   }
   const requests = createRequests(context, directory)
-  const admin = createAdmin({ settings, membership, config, endpoints, limits, routing, claims, drain, metrics, requests, dump: () => dump() })
+  const admin = createAdmin({ settings, membership, config, endpoints, limits, routing, claims, orders, drain, metrics, requests, dump: () => dump() })
 
   const register = (feature: Feature<AnyInput, AnyEffect>): void => registry.register(feature)
 
@@ -153,6 +157,7 @@
   register({ name: 'claims', takes: input => shared(input, 'claims') || claimsKinds.has(input.kind), handle: (input, now) => claims.handle(input as never, now), dump: claims.dump })
   register({ name: 'cache', takes: input => isTick(input) || input.kind === 'endpoint.events' || input.kind === 'endpoint.unreachable', handle: (input, now) => cache.handle(input as never, now), dump: cache.dump })
   register({ name: 'limits', takes: input => shared(input, 'limits'), handle: (input, now) => limits.handle(input as never, now), dump: limits.dump })
+  register({ name: 'orders', takes: input => shared(input, 'orders') || input.kind === 'orders.desired' || input.kind === 'membership.changed', handle: (input, now) => orders.handle(input as never, now), dump: orders.dump })
   register({
     name: 'requests',
     takes: input => isTick(input) || startsWith('caller.')(input) || requestKinds.has(input.kind),
@@ -194,6 +199,7 @@
         return
       case 'config.changed':
         metrics.configVersion.set(effect.version)
+        queue.push({ kind: 'orders.desired', models: desiredModels(settings, config.current()?.ruleset) })
         out.push({ kind: 'node.changed', change: { kind: 'configInForce', version: effect.version, publisher: effect.publisher } })
         return
       case 'endpoints.changed':
--- a/src/node/settingsViews.ts
+++ b/src/node/settingsViews.ts
@@ -1,6 +1,8 @@
 /** What the node's features read from the settings. */
 import type { KnownEndpoint, LoadedModel } from '../endpoints/endpointsTypes.js'
+import type { DesiredModel } from '../orders/ordersTypes.js'
 import type { Member } from '../ports/membershipPort.js'
+import type { Ruleset } from '../rules/rulesTypes.js'
 import type { Settings } from '../settings/settingsSchema.js'
 
 /**
@@ -44,27 +46,24 @@
   return services
 }
 
-/** A model that some workers are meant to hold. */
-export interface MeantModel {
-  readonly model: string
-  readonly adapter?: string
-  readonly workers: readonly string[]
-}
-
 const nameOf = ({ model, adapter }: Pick<LoadedModel, 'model' | 'adapter'>): string => `${model}+${adapter ?? ''}`
 
 /**
- * Which workers are meant to hold which model; the rules say in which version.
+ * Which workers are meant to hold which model: the settings name the workers,
+ * the rules the weight version in force.
  *
  * @param settings - checked settings
- * @returns one row for each model and adapter
+ * @param ruleset - rules in force
+ * @returns one row for each model and adapter that both know
  */
-export const meantModels = (settings: Settings): readonly MeantModel[] => {
-  const rows = new Map<string, { model: string, adapter?: string, workers: string[] }>()
+export const desiredModels = (settings: Settings, ruleset: Ruleset | undefined): readonly DesiredModel[] => {
+  const rows = new Map<string, DesiredModel & { readonly workers: string[] }>()
   for (const [worker, { models }] of Object.entries(settings.worker)) {
     for (const { model, adapter } of models) {
-      const row = rows.get(nameOf({ model, adapter })) ?? { model, adapter, workers: [] }
-      row.workers.push(worker)
+      const ruled = ruleset?.models().get(model)
+      if (ruled === undefined || (adapter !== undefined && !ruled.adapters.includes(adapter))) continue
+      const row = rows.get(nameOf({ model, adapter })) ?? { model, adapter, weightVersion: ruled.weightVersion, workers: [] }
+      if (!row.workers.includes(worker)) row.workers.push(worker)
       rows.set(nameOf(row), row)
     }
   }
