--- a/bench/config.ts
+++ b/bench/config.ts
@@ -1,17 +1,36 @@
-/** Time to force and bytes between peers at the letter's size, on virtual time: `npx tsx bench/config.ts`. */
+/** Cost of a tick at rest, and on virtual time the time to force and the bytes between peers at the letter's size: `npx tsx bench/config.ts`. */
+import { createConfig } from '../src/config/configMachine.js'
 import { loadHash } from '../src/hash.js'
+import { createRandom } from '../src/random.js'
 import { runForceTrial } from '../test/matrix/configForce.js'
 
 const changesPerSecond = 1700 / 86_400
+const ticks = 500_000
 const hash = await loadHash()
 
-for (const [size, logAway] of [[8, 0], [80, 0.5], [320, 0], [320, 0.5], [320, 0.99]]) {
+/** Microseconds of a tick without news, polls of an empty log included. */
+const timeTick = (): number => {
+  const config = createConfig({ self: 'n0', hash, random: createRandom(1), retention: 24 * 3_600_000 })
+  config.handle({ kind: 'config.peers', peers: Array.from({ length: 320 }, (_, index) => `n${index}`) }, 0)
   const started = performance.now()
-  const result = runForceTrial(hash, { size, seed: 5, tick: 50, publishes: 6, interval: 6000, logAway, lines: 60, rest: 20_000 })
+  for (let tick = 1; tick <= ticks; tick++) {
+    for (const effect of config.handle({ kind: 'tick' }, tick * 50)) {
+      if (effect.kind === 'log.read') config.handle({ kind: 'log.records', owner: 'config', token: effect.token, stream: 'config', records: [], first: 0, end: 0 }, tick * 50)
+    }
+  }
+  return Math.round((performance.now() - started) * 1e6 / ticks) / 1000
+}
+
+console.log(JSON.stringify({ idleTickUs: timeTick() }))
+
+for (const [size, logAway, loss] of [[8, 0, 0], [80, 0.5, 0], [320, 0, 0], [320, 0.5, 0], [320, 0.99, 0], [320, 0.5, 0.2]]) {
+  const started = performance.now()
+  const result = runForceTrial(hash, { size, seed: 5, tick: 50, publishes: 6, interval: 6000, logAway, loss, lines: 60, rest: 20_000 })
   const total = result.restBytes + result.publishBytes * changesPerSecond
   console.log(JSON.stringify({
     size,
     logAway,
+    loss,
     accepted: result.accepted,
     worstDelayMs: Math.round(Math.max(...result.delays)),
     restBytesPerSecond: Math.round(result.restBytes),
--- a/bench/rules.ts
+++ b/bench/rules.ts
@@ -1,4 +1,4 @@
-/** Checks rules files of 10,000 lines and times decisions: `npm run bench:rules`. */
+/** Checks rules files of 10,000 lines and times decisions: `npm run bench:rules`; with `npx tsx --expose-gc bench/rules.ts` it also weighs the ruleset. */
 import { checkRules } from '../src/rules/rulesChecker.js'
 import { diffRules } from '../src/rules/rulesDiff.js'
 import { createRuleset } from '../src/rules/rulesMatcher.js'
@@ -62,6 +62,20 @@
   return { workspace, service: `s${random.below(20)}`, method: 'POST', path: `/p${random.below(50)}/${vary ? index : 0}` }
 })
 
+const heapMb = (): number => {
+  global.gc?.()
+  return process.memoryUsage().heapUsed / 1e6
+}
+
+/** MB of heap that a ruleset takes once every workspace has decided. */
+const weigh = (text: string): number => {
+  const before = heapMb()
+  const ruleset = createRuleset(parseRules(text)._unsafeUnwrap())
+  ruleset.workspaces().forEach(workspace => ruleset.decide({ workspace, model: models[0] }))
+  const after = heapMb()
+  return ruleset.rules.length > 0 ? Math.round((after - before) * 10) / 10 : 0
+}
+
 for (const spread of ['evenly', 'oneWorkspace', 'allWorkspaces'] as const) {
   const text = fileOf(spread)
   const parsed = time(() => parseRules(text)._unsafeUnwrap())
@@ -77,6 +91,7 @@
   console.log(JSON.stringify({
     spread,
     lines: lineCount,
+    ...(global.gc === undefined ? {} : { heapMb: weigh(text) }),
     parseMs: parsed.ms,
     checkMs: checked.ms,
     conflicts: checked.value.conflicts.length,
--- a/src/config/configMachine.spec.ts
+++ b/src/config/configMachine.spec.ts
@@ -187,6 +187,16 @@
     expect(bench.config.ready(2000)).toBe(false)
   })
 
+  it('re-appends its version by a quarter of the retention, and not before', () => {
+    const bench = startPaused()
+    bench.fault = 'none'
+    const kinds = (): string[] => bench.log.records('config').map(({ payload }) => (payload as { kind: string }).kind)
+    bench.run(1000, 20_000)
+    expect(kinds()).toEqual(['publish'])
+    for (const now of [900_000, 1_800_000, 2_700_000]) bench.run(now, now + 30_000)
+    expect(kinds().slice(0, 2)).toEqual(['publish', 'snapshot'])
+  })
+
   it('drops what does not fit its schema', () => {
     const bench = startPaused()
     bench.give({ kind: 'peer.message', from: 'n1', message: { kind: 'config.text' } }, 1000)
--- a/src/config/configSnapshots.ts
+++ b/src/config/configSnapshots.ts
@@ -43,10 +43,12 @@
 export const createConfigSnapshots = (db: ConfigDb): ConfigSnapshots => {
   const { retention } = db.options
   let nextLook = -Infinity
+  /** The time of the first look; it stands for the newest snapshot's while none is known. */
+  let firstLook: number | undefined
 
   const isDue = (now: number): boolean => {
     if (!db.fold.anchored || versionInForce(db) === 0 || now - db.caughtUpAt > maxStaleness) return false
-    const age = now - db.snapshotAt
+    const age = now - (db.snapshotAt > 0 ? db.snapshotAt : firstLook ?? now)
     if (age < retention * dueShare) return false
     const rank = rankOf(db)
     const share = rank < firstRanks ? dueShare + rankShare * rank : lateStart + lateShare * rank / (db.peers.length + 1)
@@ -55,6 +57,7 @@
 
   const tick = (now: number): readonly LogEffect[] => {
     if (now < nextLook) return []
+    firstLook ??= now
     nextLook = now + Math.min(lookInterval, retention * rankShare)
     if (!isDue(now)) return []
     const { lines, history } = db.fold.revision
--- a/src/config/configSpreader.ts
+++ b/src/config/configSpreader.ts
@@ -25,7 +25,10 @@
 /** Characters of differences that are sent without being asked for. */
 const maxUnaskedSize = 4096
 /** Ms after which an unanswered question for a version goes to another peer. */
-const wantTimeout = 500
+const wantTimeout = 250
+/** Questions for a version after which the others wait for `slowWantTimeout` ms, as the text may be long on the way. */
+const quickWants = 6
+const slowWantTimeout = 2000
 /** Characters of whole texts sent in a ms at most. */
 const textRate = 4000
 
@@ -61,6 +64,8 @@
   let nextRound = Infinity
   let nextGossip = -Infinity
   let want: Want | undefined
+  /** Questions since the last version came into force. */
+  let wants = 0
   let textReadyAt = -Infinity
 
   const send = (to: string, message: ConfigMessage): SpreadEffect => ({ kind: 'peer.send', to, message })
@@ -121,15 +126,19 @@
     return pick(changeFanout).map(peer => send(peer, message))
   }
 
+  const waitsForAnswer = (now: number): boolean =>
+    want !== undefined && now - want.at < (wants > quickWants ? slowWantTimeout : wantTimeout)
+
   const requestFrom = (peer: string, whole: boolean, now: number): SpreadEffect[] => {
-    if (want !== undefined && now - want.at < wantTimeout && !whole) return []
+    if (waitsForAnswer(now) && !whole) return []
+    wants++
     want = { peer, at: now }
     return [send(peer, { kind: 'config.want', have: versionInForce(db), whole })]
   }
 
   /** Asks another peer when the one asked before has not answered. */
   const renewWant = (now: number): SpreadEffect[] => {
-    if (want === undefined || now - want.at < wantTimeout) return []
+    if (want === undefined || waitsForAnswer(now)) return []
     const ahead = [...db.versions].filter(([, heard]) => heard.version > versionInForce(db)).map(([peer]) => peer)
     want = undefined
     return ahead.length === 0 ? [] : requestFrom(ahead[random.below(ahead.length)], false, now)
@@ -187,7 +196,10 @@
   const adopt = (revision: Revision, through: number, steps: readonly Step[]): boolean => {
     const offset = revision.history.at(-1)?.offset ?? -1
     const changed = putInForce(db, takeRevision(db.fold, revision, Math.max(through, offset)), steps)
-    if (changed) want = undefined
+    if (changed) {
+      want = undefined
+      wants = 0
+    }
     return changed
   }
 
--- a/test/matrix/configForce.ts
+++ b/test/matrix/configForce.ts
@@ -1,4 +1,5 @@
 /** A fleet of the letter's size that publishes, with the time to force and the bytes between peers. */
+import { createRandom } from '../../src/random.js'
 import { createFleet } from './configFleet.js'
 import type { Fleet, FleetInstance } from './configFleet.js'
 import type { PublishResult } from '../../src/config/configTypes.js'
@@ -15,6 +16,8 @@
   readonly interval: number
   /** The part of the fleet that cannot reach the log. */
   readonly logAway: number
+  /** The part of the messages between peers that is lost. */
+  readonly loss: number
   readonly lines: number
   /** Ms without a publish, for the bytes of rest. */
   readonly rest: number
@@ -56,6 +59,7 @@
   const results: PublishResult[] = []
   const reached = new Map<number, number>()
   const holders = new Map<number, number>()
+  const losses = createRandom(trial.seed)
   let reads = 0
   const watch = (instance: FleetInstance): void => {
     const version = instance.config.current()?.version ?? 0
@@ -75,7 +79,7 @@
     countBytes: true,
     passage: (_, effect) => {
       if (effect.kind === 'log.read') reads++
-      return { kind: 'whole' }
+      return effect.kind === 'peer.send' && losses.unit() < trial.loss ? { kind: 'dropped' } : { kind: 'whole' }
     },
     published: (_, result) => { results.push(result) },
     watch
