Let slots stand for speeds only while an instance is fresh

Cause: presumed slow by their slots, slow workers were never tried and never learned, so that load100 got worse. Change: slots count for 3 s after the first decision, then an unknown worker costs the mean.

--- a/src/routing/routingMachine.ts
+++ b/src/routing/routingMachine.ts
@@ -28,6 +28,8 @@
 const scoredPlaced = 8
 const scoredHolders = 4
 const scoredAtRandom = 4
+/** Time after the first decision for which declared slots stand for speeds, in ms. */
+const freshTime = 3000
 /** Scores this close to the best are as good: a fraction, and at least this many ms. */
 const equalFraction = 0.03
 const equalTime = 2
@@ -49,6 +51,7 @@
   const congestion = createCongestion()
   const models = new Map<string, WorkerModel>()
   let meanCost = defaultPrefillCost
+  let firstDecisionAt: number | undefined
 
   const modelOf = (endpoint: string, incarnation: string): WorkerModel => {
     const known = models.get(endpoint) ?? createWorkerModel(endpoint, incarnation)
@@ -60,12 +63,18 @@
   const admitted = (question: Question, endpoint: Endpoint): boolean =>
     !question.exclude.includes(endpoint.id) && (question.allowed?.includes(endpoint.id) ?? true)
 
+  /** Until speeds are learned, declared slots stand for them; later an unknown worker is tried as if it were an ordinary one. */
+  const priorCost = (set: CandidateSet, endpoint: Endpoint, now: number): number => {
+    firstDecisionAt ??= now
+    return now - firstDecisionAt > freshTime ? meanCost : meanCost * set.meanSlots / Math.max(1, endpoint.slots)
+  }
+
   const scored = (question: Question, set: CandidateSet, placement: Placement, index: number, now: number): Score => {
     const endpoint = set.workers[index]
     const model = modelOf(endpoint.id, endpoint.incarnation)
     noteReport(model, endpoint.report)
     const match = cache.matched(endpoint.id, endpoint.incarnation, question.chain, now)
-    return scoreOf({ question, endpoint, index, model, match, depth: placement.depthOf(index), belief, meanCost, priorCost: meanCost * set.meanSlots / Math.max(1, endpoint.slots), objective, congestion: congestion.value(), now })
+    return scoreOf({ question, endpoint, index, model, match, depth: placement.depthOf(index), belief, meanCost, priorCost: priorCost(set, endpoint, now), objective, congestion: congestion.value(), now })
   }
 
   const considered = (question: Question, set: CandidateSet, placement: Placement): Iterable<number> => {
