Probe the neighbours of failed instances

Cause: the loss of 106 of 320 instances was known to all only after 23.5 s. Change: a failed probe in a data centre where three do not answer starts three bare probes of its other instances, 12 outstanding at most. Probes for others have their own module.

--- a/src/membership/membershipMachine.ts
+++ b/src/membership/membershipMachine.ts
@@ -15,6 +15,7 @@
 import type { InstanceState, Membership, MembershipFeatureEffect, MembershipFeatureInput, MembershipOptions } from './membershipTypes.js'
 import { createPlatformList } from './platformList.js'
 import { createProber } from './prober.js'
+import { createRelays } from './relays.js'
 import { createRumorQueue } from './rumorQueue.js'
 import { createViewExchange } from './viewExchange.js'
 
@@ -28,6 +29,9 @@
 const forgottenAfter = 3_600_000
 /** An instance heard of within this time keeps its address against the list, in ms. */
 const addressTrust = 5_000
+/** Instances of one data centre that do not answer, above which the others are probed at once. */
+const correlated = 3
+
 type Exchange = Pick<Extract<MembershipMessage, { kind: 'membership.ping' }>, 'seq' | 'sum' | 'self' | 'rumors' | 'health'>
 
 const nothing: readonly MembershipFeatureEffect[] = []
@@ -49,9 +53,7 @@
 
   const db = createMembershipDb(identity.member(), hash)
   const rumors = createRumorQueue()
-  /** Probes made for others: own sequence number to who asked. */
-  const relayed = new Map<number, { readonly from: string, readonly seq: number, readonly at: number }>()
-  let relaySeq = -1
+  const relays = createRelays()
 
   for (const seed of options.seeds) {
     if (seed.id !== selfId) db.add({ ...seed, kind: 'entry', incarnation: '' }, unversioned, startedAt).seed = true
@@ -61,8 +63,8 @@
     effects.push(effect)
   }
   const send = (to: string, message: MembershipMessage): void => emit({ kind: 'peer.send', to, message })
-  const exchange = (seq: number, extra: readonly Rumor[] = []): Exchange => {
-    const taken = rumors.take(db.records.size)
+  const exchange = (seq: number, extra: readonly Rumor[] = [], bare = false): Exchange => {
+    const taken = bare ? [] : rumors.take(db.records.size)
     const health = taken.flatMap(({ member: { id, incarnation }, version, status }) => status === 'alive' ? [] : [{ id, incarnation, version, status }])
     return { seq, sum: db.sum(), self: identity.rumor(), rumors: [...extra, ...taken.filter(({ status }) => status === 'alive')], health }
   }
@@ -78,11 +80,22 @@
 
   const prober = createProber(random, {
     peers: db.peers,
-    ping: (target, seq) => send(target, { kind: 'membership.ping', ...exchange(seq, doubtsOf(target)) }),
+    ping: (target, seq, bare) => send(target, { kind: 'membership.ping', ...exchange(seq, doubtsOf(target), bare) }),
     pingVia: (relay, target, seq) => send(relay, { kind: 'membership.pingVia', seq, target }),
-    suspect
+    suspect: (target, now) => {
+      suspect(target, now)
+      prober.probeTogether(neighboursOf(target), now)
+    }
   })
 
+  /** The living of a data centre in which several do not answer. */
+  const neighboursOf = (id: string): readonly string[] => {
+    const dataCentre = db.get(id)?.member.dataCentre
+    const neighbours = [...db.records.values()].filter(({ member }) => member.dataCentre === dataCentre)
+    const silent = neighbours.filter(({ status }) => status !== 'alive').length
+    return silent < correlated ? [] : neighbours.filter(({ status }) => status === 'alive').map(({ member }) => member.id)
+  }
+
   /** A suspect is told what is said of it, so that it can refute. */
   const doubtsOf = (id: string): readonly Rumor[] => {
     const record = db.get(id)
@@ -133,17 +146,13 @@
   }
 
   const relay = (from: string, seq: number, target: string, now: number): void => {
-    relayed.set(relaySeq, { from, seq, at: now })
-    send(target, { kind: 'membership.ping', ...exchange(relaySeq) })
-    relaySeq--
+    send(target, { kind: 'membership.ping', ...exchange(relays.start(from, seq, now)) })
   }
 
   const hearAck = (message: Extract<MembershipMessage, { kind: 'membership.ack' }>): void => {
     prober.answered(message.seq)
-    const asked = relayed.get(message.seq)
-    if (asked === undefined) return
-    relayed.delete(message.seq)
-    send(asked.from, { kind: 'membership.vouch', seq: asked.seq, target: message.self })
+    const asked = relays.finish(message.seq)
+    if (asked !== undefined) send(asked.from, { kind: 'membership.vouch', seq: asked.seq, target: message.self })
   }
 
   const receive = (from: string, message: MembershipMessage, now: number): void => {
@@ -206,9 +215,7 @@
       const forgotten = record.status === 'dead' && now - record.diedAt > forgottenAfter
       if (forgotten && !record.seed && !record.listed) db.remove(id)
     }
-    for (const [seq, { at }] of relayed) {
-      if (now - at > probeInterval) relayed.delete(seq)
-    }
+    relays.expire(now)
   }
 
   const excusePause = (gap: number, now: number): void => {
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -7,7 +7,8 @@
 
 /** What the prober wants done. */
 export interface ProberActions {
-  readonly ping: (target: string, seq: number) => void
+  /** A bare probe carries no rumors. */
+  readonly ping: (target: string, seq: number, bare: boolean) => void
   readonly pingVia: (relay: string, target: string, seq: number) => void
   readonly suspect: (target: string, now: number) => void
   /** All that can be probed. */
@@ -20,6 +21,8 @@
   readonly next: (now: number) => void
   /** Probes one peer out of turn; `suspected` false never leads to suspicion. */
   readonly probe: (target: string, now: number, suspected?: boolean) => void
+  /** Probes several peers that may have failed together, without indirect probes. */
+  readonly probeTogether: (targets: readonly string[], now: number) => void
   readonly answered: (seq: number) => void
   /** Acts on probes whose time is up. */
   readonly check: (now: number) => void
@@ -39,6 +42,10 @@
 /** Time after which a peer is suspected, in ms. */
 const probeTimeout = 1_000
 const relays = 3
+/** Probes that one failed probe starts where others have failed already. */
+const fanOut = 3
+/** Probes outstanding at once that are started in this way. */
+const mostTogether = 12
 
 /**
  * Creates a prober.
@@ -65,7 +72,17 @@
   const probe = (target: string, now: number, suspected = true): void => {
     seq++
     outstanding.set(seq, { target, sentAt: now, suspected, indirect: false })
-    actions.ping(target, seq)
+    actions.ping(target, seq, false)
+  }
+
+  const probeTogether = (targets: readonly string[], now: number): void => {
+    const probed = new Set([...outstanding.values()].map(({ target }) => target))
+    const room = mostTogether - outstanding.size
+    for (const target of shuffled(targets.filter(id => !probed.has(id))).slice(0, Math.min(fanOut, Math.max(0, room)))) {
+      seq++
+      outstanding.set(seq, { target, sentAt: now, suspected: true, indirect: true })
+      actions.ping(target, seq, true)
+    }
   }
 
   const next = (now: number): void => {
@@ -97,6 +114,7 @@
   return {
     next,
     probe,
+    probeTogether,
     answered: id => outstanding.delete(id),
     check,
     reset: () => outstanding.clear()
--- a/src/membership/rumorQueue.ts
+++ b/src/membership/rumorQueue.ts
@@ -14,7 +14,7 @@
 /** Bytes that one message spends on rumors while few wait. */
 const fewBytes = 700
 /** Bytes that one message spends on rumors at most. */
-const mostBytes = 3_000
+const mostBytes = 2_000
 /** A message carries this part of the rumors that wait. */
 const queuePart = 1 / 4
 /** Size of a rumor with the whole member, in bytes. */
