--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -38,7 +38,8 @@
 writeFileSync('dist/sea.json', JSON.stringify({
   main: 'dist/wasabireel.cjs',
   output: 'dist/wasabireel.blob',
-  disableExperimentalSEAWarning: true
+  disableExperimentalSEAWarning: true,
+  useCodeCache: true
 }))
 execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'pipe' })
 copyFileSync(process.execPath, 'dist/wasabireel.new')
