--- a/src/membership/membershipDb.ts
+++ b/src/membership/membershipDb.ts
@@ -39,6 +39,8 @@
   readonly setAddress: (record: MemberRecord, member: InstanceMember) => void
   /** Ids of instances that are not dead, without this one. */
   readonly peers: () => readonly string[]
+  /** The living of an instance's data centre, if several do not answer there. */
+  readonly endangered: (id: string) => readonly string[]
   readonly deadIds: () => readonly string[]
   /** Instances that are not dead, with this one. */
   readonly members: () => readonly Member[]
@@ -53,6 +55,8 @@
 export const unversioned = 0
 const statusRank = { alive: 0, suspect: 1, dead: 2 } as const
 const rememberedPast = 16
+/** Instances of one data centre that do not answer, from which on the others may have failed with them. */
+const correlated = 3
 /** How long a suspect may take to refute, in ms. */
 export const suspicionTerm = 3_000
 
@@ -194,6 +198,13 @@
     return 'outdated'
   }
 
+  const endangered = (id: string): readonly string[] => {
+    const dataCentre = records.get(id)?.member.dataCentre
+    const neighbours = [...records.values()].filter(({ member }) => member.dataCentre === dataCentre)
+    const living = neighbours.filter(({ status }) => status === 'alive')
+    return neighbours.length - living.length < correlated ? [] : living.map(({ member }) => member.id)
+  }
+
   return {
     records,
     get: id => records.get(id),
@@ -210,6 +221,7 @@
       outdate()
     },
     peers: () => current().peers,
+    endangered,
     deadIds: () => current().dead,
     members: () => current().members,
     alive: () => current().alive,
--- a/src/membership/membershipMachine.ts
+++ b/src/membership/membershipMachine.ts
@@ -29,9 +29,6 @@
 const forgottenAfter = 3_600_000
 /** An instance heard of within this time keeps its address against the list, in ms. */
 const addressTrust = 5_000
-/** Instances of one data centre that do not answer, above which the others are probed at once. */
-const correlated = 3
-
 type Exchange = Pick<Extract<MembershipMessage, { kind: 'membership.ping' }>, 'seq' | 'sum' | 'self' | 'rumors' | 'health'>
 
 const nothing: readonly MembershipFeatureEffect[] = []
@@ -84,18 +81,10 @@
     pingVia: (relay, target, seq) => send(relay, { kind: 'membership.pingVia', seq, target }),
     suspect: (target, now) => {
       suspect(target, now)
-      prober.probeTogether(neighboursOf(target), now)
+      prober.probeTogether(db.endangered(target), now)
     }
   })
 
-  /** The living of a data centre in which several do not answer. */
-  const neighboursOf = (id: string): readonly string[] => {
-    const dataCentre = db.get(id)?.member.dataCentre
-    const neighbours = [...db.records.values()].filter(({ member }) => member.dataCentre === dataCentre)
-    const silent = neighbours.filter(({ status }) => status !== 'alive').length
-    return silent < correlated ? [] : neighbours.filter(({ status }) => status === 'alive').map(({ member }) => member.id)
-  }
-
   /** A suspect is told what is said of it, so that it can refute. */
   const doubtsOf = (id: string): readonly Rumor[] => {
     const record = db.get(id)
