Requests move once from a worker that keeps silent

Change: past half of the time to the deadline and four times the expected wait a request goes once to another worker, within the retry budget; a worker that let a deadline pass is reported to the registry. Ruled out: hedging from the start, which recomputes prefixes under load.

--- a/src/requests/modelAttempts.ts
+++ b/src/requests/modelAttempts.ts
@@ -203,3 +203,44 @@
   if (begun ? continueElsewhere(context, request, now) : retryElsewhere(context, request, now)) return
   giveUp(context, request, now)
 }
+
+/** Multiple of the expected wait after which a silent worker is doubted. */
+const patienceFactor = 4
+
+const isOverdue = (request: ModelRequest, attempt: ModelAttempt, now: number): boolean => {
+  const waited = now - attempt.startedAt
+  const expected = attempt.flight?.choice.expectedWait ?? 0
+  return waited >= (request.deadline - attempt.startedAt) / 2 && waited >= patienceFactor * expected
+}
+
+/**
+ * Moves a request once from a worker that keeps silent to another, if one is
+ * left, there is time, and the retry budget allows it; else it goes on waiting.
+ *
+ * @param context - the node
+ * @param request - a request without a first token
+ * @param now - present time in ms
+ */
+export const moveFromSilent = (context: RequestsContext, request: ModelRequest, now: number): void => {
+  const { attempt } = request
+  if (attempt === undefined || request.tried.length > 0 || request.relay.next > 0 || !isOverdue(request, attempt, now)) return
+  const { workspace, deadline } = request
+  const question = { ...request.question, exclude: [attempt.endpoint] }
+  const choice = context.routing.choose(question, context.endpoints(), now)
+  if (choice.isErr()) return
+  if (context.limits.retry({ workspace, deadline, retried: false, expectedWait: choice.value.expectedWait }, now).isErr()) return
+  doubt(context, attempt.endpoint)
+  request.sent = true
+  request.tried.push(attempt.endpoint)
+  dropAttempt(context, request, 'cancel')
+  dispatch(context, request, choice.value, 'silent', now)
+}
+
+/**
+ * Tells the registry that a worker kept silent.
+ *
+ * @param context - the node
+ * @param endpoint - the worker
+ */
+export const doubt = (context: RequestsContext, endpoint: string): void =>
+  context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint, outcome: 'timeout' } })
--- a/src/requests/requestsMachine.ts
+++ b/src/requests/requestsMachine.ts
@@ -11,7 +11,7 @@
 import type { EndpointInput } from '../ports/endpointPort.js'
 import type { Tick } from '../ports/peerPort.js'
 import type { RuleDecision, RuleQuery } from '../rules/rulesTypes.js'
-import { recover } from './modelAttempts.js'
+import { doubt, moveFromSilent, recover } from './modelAttempts.js'
 import { dropAttempt, finish } from './modelCompletion.js'
 import { beginModel, type Admittee } from './modelBegin.js'
 import { onChunk, onEnd, onHead } from './modelStream.js'
@@ -205,7 +205,8 @@
     }
     const orphaned = active.goneAt !== undefined && now - active.goneAt >= context.options.resumeGrace
     const late = active.firstTokenAt === undefined && now >= active.deadline
-    if (!late && !orphaned) return expireStalled(active, now)
+    if (!late && !orphaned) return active.firstTokenAt === undefined ? moveFromSilent(context, active, now) : expireStalled(active, now)
+    if (late && active.attempt !== undefined) doubt(context, active.attempt.endpoint)
     if (active.goneAt === undefined) fail(context, active, { kind: 'deadline_exceeded', outcome: 'unknown', retryAfter: comeBack(context) })
     dropAttempt(context, active, 'cancel')
     finish(context, active, now)
