Page of all settings from their schema; hosts with numbers over 255 refused

The pattern of IPv4 addresses takes 0 to 255 for each number; seeds that look like IPv4 addresses are held to the same, seeds by host name stay allowed as before.

Ruled out: checking by node:net, since settings are part of the core.

--- /dev/null
+++ b/src/settings/settingsPage.ts
@@ -0,0 +1,70 @@
+/** Writes the page of all settings from their schema. */
+import type { z } from 'zod'
+import { fixedSections, serviceSection, workerSection, type SettingMeaning } from './settingsSchema.js'
+
+interface Definition {
+  readonly innerType?: z.ZodType
+  readonly shape?: Readonly<Record<string, z.ZodType>>
+  readonly defaultValue?: unknown
+}
+
+interface Setting extends SettingMeaning {
+  readonly key: string
+  readonly standard: string
+}
+
+const definitionOf = (schema: z.ZodType): Definition => (schema as unknown as { def: Definition }).def
+
+const shapeOf = (schema: z.ZodType): Readonly<Record<string, z.ZodType>> => {
+  const { shape, innerType } = definitionOf(schema)
+  if (shape !== undefined) return shape
+  return innerType === undefined ? {} : shapeOf(innerType)
+}
+
+const meaningOf = (schema: z.ZodType): SettingMeaning => {
+  const { innerType } = definitionOf(schema)
+  const meaning = schema.meta()
+  if (typeof meaning?.allowed === 'string') return meaning as unknown as SettingMeaning
+  return innerType === undefined ? { unit: '', allowed: '', description: '' } : meaningOf(innerType)
+}
+
+const standardOf = (schema: z.ZodType): string => {
+  const { defaultValue, innerType } = definitionOf(schema)
+  if (innerType === undefined) return 'required'
+  return defaultValue === '' ? 'empty' : `\`${String(defaultValue)}\``
+}
+
+const settingsOf = (section: z.ZodType): Setting[] =>
+  Object.entries(shapeOf(section)).map(([key, schema]) => ({ key, standard: standardOf(schema), ...meaningOf(schema) }))
+
+const cell = (text: string): string => text.replaceAll('|', '\\|')
+
+const table = (section: z.ZodType): string[] => [
+  '| key | unit | default | allowed | meaning |',
+  '|---|---|---|---|---|',
+  ...settingsOf(section).map(({ key, unit, standard, allowed, description }) =>
+    `| \`${key}\` | ${cell(unit)} | ${cell(standard)} | ${cell(allowed)} | ${cell(description)} |`)
+]
+
+const introduction = [
+  '# Settings',
+  '',
+  'One INI file for each instance, given with `--settings FILE`. This page is written by `npm run pages` from `src/settings/settingsSchema.ts`.',
+  '',
+  'Unknown keys and sections are errors. A wrong value is reported with the file, the section, the key, what was found and what is allowed; `wasabireel settings check FILE` reports them all at once. Settings are read when the process starts; what changes while the fleet runs stands in the rules (`RULES.md`). Only the files that `[tls]` names are read again without a restart.'
+]
+
+/**
+ * Writes the page.
+ *
+ * @returns Markdown
+ */
+export const settingsPage = (): string => {
+  const sections: readonly (readonly [string, z.ZodType])[] = [
+    ...Object.entries(fixedSections),
+    ['worker.NAME', workerSection],
+    ['service.NAME', serviceSection]
+  ]
+  const parts = sections.flatMap(([name, section]) => ['', `## [${name}]`, '', ...table(section)])
+  return [...introduction, ...parts, ''].join('\n')
+}
--- a/src/settings/settingsReader.spec.ts
+++ b/src/settings/settingsReader.spec.ts
@@ -34,4 +34,12 @@
       'a.ini: [worker.w1] port: found "70000", allowed: a whole number from 0 to 65535'
     ])
   })
+
+  it.each(['256.0.0.1', '10.0.0.999', '1.2.3'])('refuses the host %s', found => {
+    expect(problems(minimal + `[caller]\nhost = ${found}\n`)).toEqual([`a.ini: [caller] host: found "${found}", allowed: an IPv4 or IPv6 address`])
+  })
+
+  it('refuses seeds whose IPv4 address has numbers over 255', () => {
+    expect(problems(minimal + '[peer]\nseeds = e2@300.0.0.1:7001\n')).toEqual(['a.ini: [peer] seeds: found "e2@300.0.0.1:7001", allowed: id@host:port, separated by commas'])
+  })
 })
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -37,7 +37,9 @@
     .meta({ unit: 'truth value', allowed: 'true or false', description })
 
 const name = (description: string) => text('letters, digits and -', /^[a-z0-9][a-z0-9-]{0,62}$/, description)
-const host = (description: string) => text('an IPv4 or IPv6 address', /^(\d{1,3}(\.\d{1,3}){3}|[0-9a-f:]*:[0-9a-f:]+)$/i, description)
+const octet = '(25[0-5]|2[0-4]\\d|1?\\d?\\d)'
+const address = `(${octet}(\\.${octet}){3}|[0-9a-fA-F:]*:[0-9a-fA-F:]+)`
+const host = (description: string) => text('an IPv4 or IPv6 address', new RegExp(`^${address}$`), description)
 const port = (description: string) => whole('TCP port', 0, 65_535, description)
 const url = (description: string) => text('an http:// or https:// address, or empty', /^(https?:\/\/[^\s/]+(:\d+)?)?$/, description)
 const file = (description: string) => text('a file name, or empty', /^.*$/, description)
@@ -45,7 +47,7 @@
 const optional = <Schema extends z.ZodType>(schema: Schema, value: string | number | boolean) =>
   schema.prefault(String(value) as never)
 
-const seedPattern = /^[a-z0-9-]+@[^\s@,]+:\d+$/
+const seedPattern = new RegExp(`^[a-z0-9-]+@(${address}|(?![\\d.]+:)[^\\s@,]+):\\d+$`)
 
 const seeds = z.string()
   .transform(list => list.split(',').map(part => part.trim()).filter(part => part !== ''))
