--- a/src/routing/routingMachine.ts
+++ b/src/routing/routingMachine.ts
@@ -24,10 +24,10 @@
 /** Fleets up to this size are scored in full. */
 const scoreAllUpTo = 24
 /** Workers scored in a larger fleet: placed ones and recent holders by level, the deepest first, and others drawn at random. */
-const scoredAtMost = 20
-const scoredPlaced = 8
-const scoredHolders = 4
-const scoredAtRandom = 4
+const scoredAtMost = 12
+const scoredPlaced = 4
+const scoredHolders = 2
+const scoredAtRandom = 2
 /** Time after the first decision for which declared slots stand for speeds, in ms. */
 const freshTime = 3000
 /** Scores this close to the best are as good: a fraction, and at least this many ms. */
