--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -33,6 +33,8 @@
   /** Starts an instance again, with the same settings, after its process has ended. */
   readonly restart: (id: string) => Promise<Instance>
   readonly stop: () => Promise<void>
+  /** The log service. */
+  readonly log: Served
 }
 
 type Section = Record<string, string>
@@ -136,14 +138,14 @@
     ...section.fenced === 'true' ? [] : ['--unfenced']
   ])
 
-const settingsOf = (example: Example, instance: Deployment['instances'][number], peerPort: number, seeds: string, platform: Section, ports: ReadonlyMap<string, number>): string => {
+const settingsOf = (example: Example, instance: Deployment['instances'][number], callerPort: number, peerPort: number, seeds: string, platform: Section, ports: ReadonlyMap<string, number>): string => {
   const placed = (sections: Record<string, Section>): Record<string, Section> => Object.fromEntries(
     Object.entries(sections).map(([name, section]) => [name, { ...section, host, port: String(ports.get(name)) }])
   )
   return stringify({
     ...example,
     instance: { ...example.instance, id: instance.id, data_centre: instance.dataCentre, size: String(instance.size) },
-    caller: { ...example.caller, host, port: '0' },
+    caller: { ...example.caller, host, port: String(callerPort) },
     operator: { ...example.operator, host, port: '0' },
     peer: { ...example.peer, host, port: String(peerPort), seeds },
     platform: { ...example.platform, ...platform },
@@ -194,11 +196,12 @@
       keep(startEngine(deployment, index, id, section, example.routing.block_bytes, weights, kv))))
     const services = await Promise.all(Object.keys(example.service).map(id => keep(startStandIn(id, ['service', '--id', id, '--run-time', '20']))))
     const ports = new Map([...engines, ...services].map(({ name, origin }) => [name, origin.port]))
+    const callerPorts = await Promise.all(deployment.instances.map(freePort))
     const peerPorts = await Promise.all(deployment.instances.map(freePort))
     const seeds = deployment.instances.map(({ id }, index) => `${id}@${host}:${peerPorts[index]}`).join(',')
     const fileOf = (id: string): string => join(folder, `${id}.ini`)
     const instances = await Promise.all(deployment.instances.map((instance, index) => {
-      writeFileSync(fileOf(instance.id), settingsOf(example, instance, peerPorts[index], seeds, { log_url: url(log), membership_url: url(list) }, ports))
+      writeFileSync(fileOf(instance.id), settingsOf(example, instance, callerPorts[index], peerPorts[index], seeds, { log_url: url(log), membership_url: url(list) }, ports))
       return keep(startInstance(instance.id, fileOf(instance.id)))
     }))
     const restart = async (id: string): Promise<Instance> => {
@@ -206,7 +209,7 @@
       instances.splice(instances.findIndex(known => known.id === id), 1, instance)
       return instance
     }
-    return { deployment, instances, engines, services, restart, stop }
+    return { deployment, instances, engines, services, log, restart, stop }
   } catch (error) {
     await stop()
     throw error
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -44,6 +44,11 @@
 execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'pipe' })
 copyFileSync(process.execPath, 'dist/wasabireel.new')
 chmodSync('dist/wasabireel.new', 0o755)
+// The library's ELF reader warns about sections that Node's binary does not name.
+const warn = console.warn
+console.warn = (...words) => { if (!String(words[0]).startsWith('warning: Can\'t find string offset')) warn(...words) }
 await inject('dist/wasabireel.new', 'NODE_SEA_BLOB', readFileSync('dist/wasabireel.blob'), { sentinelFuse: fuse })
+console.warn = warn
+
 // A running binary keeps its old file.
 renameSync('dist/wasabireel.new', 'dist/wasabireel')
--- a/test/matrix/requestWorld.ts
+++ b/test/matrix/requestWorld.ts
@@ -134,6 +134,8 @@
     },
     logFault: (node, effect) => armed ? faults.logFault?.(node, effect) ?? 'none' : 'none',
     peerFate: (from, to) => armed ? faults.peerFate?.(from, to) ?? 'deliver' : 'deliver',
+    tamper: (node, input) => armed ? faults.tamper?.(node, input) ?? input : input,
+    tamperEffect: effect => armed ? faults.tamperEffect?.(effect) ?? effect : effect,
     listFault: () => armed ? faults.listFault?.() ?? 'none' : 'none',
     onHeard: watching.onHeard,
     note
