Slow-start only workers whose restart was seen

Cause: a fresh instance took every worker for one that had just come back empty, since 'since' is when the instance first saw it, and reckoned with a quarter of its slots for 4 s. Change: the ramp runs from a change of incarnation that this instance saw. Found by reading; test 'starts a worker slowly after its restart, but not because this instance is fresh' failed before and passes now. LimitsOptions now holds the hash.

--- a/src/limits/limitsMachine.ts
+++ b/src/limits/limitsMachine.ts
@@ -7,7 +7,6 @@
  */
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
-import type { Hash } from '../hash.js'
 import { createFairness } from './fairness.js'
 import { createHeadroom } from './headroom.js'
 import type { LimitsMessage, ShareNotice } from './limitsMessages.js'
@@ -38,7 +37,7 @@
  * @param options - identity, peers and weights
  * @returns limits that have admitted nothing
  */
-export const createLimits = (options: LimitsOptions & { readonly hash: Hash }): Limits => {
+export const createLimits = (options: LimitsOptions): Limits => {
   const { random } = options
   const states = new Map<string, WorkspaceState>()
   const fairness = createFairness(options.weightOf)
--- a/src/limits/limitsTypes.ts
+++ b/src/limits/limitsTypes.ts
@@ -1,5 +1,6 @@
 /** Admission of requests: workspace limits, deadlines, fairness and retries. */
 import type { Result } from 'neverthrow'
+import type { Hash } from '../hash.js'
 import type { PeerEffect, PeerInput, Tick } from '../ports/peerPort.js'
 import type { Random } from '../random.js'
 import type { WorkspaceLimit } from '../rules/rulesTypes.js'
@@ -64,6 +65,7 @@
 
 /** Settings of limits. */
 export interface LimitsOptions {
+  readonly hash: Hash
   /** This entry's id, as its peers know it. */
   readonly self: string
   readonly incarnation: string
--- a/src/routing/routing.spec.ts
+++ b/src/routing/routing.spec.ts
@@ -129,6 +129,19 @@
     expect(routing.dump().workers[0]).toMatchObject({ inFlight: 1, incarnation: 'i2' })
   })
 
+  it('starts a worker slowly after its restart, but not because this instance is fresh', async () => {
+    let endpoints = [worker('w0', { since: 1000 })]
+    const { routing, ask } = await createSetting(1, () => endpoints)
+    const question = ask(['p'])
+    const waitWithFour = (now: number): number => {
+      for (let index = 0; index < 4; index++) routing.started(question, routing.choose(question, endpoints, now)._unsafeUnwrap(), now)
+      return routing.explain(question, endpoints, now)[0].wait
+    }
+    expect(waitWithFour(1000)).toBeLessThan(50)
+    endpoints = [worker('w0', { since: 2000, incarnation: 'i2' })]
+    expect(waitWithFour(2000)).toBeGreaterThan(500)
+  })
+
   it('sends service calls to the nearest free endpoint', async () => {
     const endpoints = [service('near', 'd'), service('far', 'e')]
     const { routing } = await createSetting(1, () => endpoints)
--- a/src/routing/routingMachine.ts
+++ b/src/routing/routingMachine.ts
@@ -53,10 +53,10 @@
   let meanCost = defaultPrefillCost
   let firstDecisionAt: number | undefined
 
-  const modelOf = (endpoint: string, incarnation: string): WorkerModel => {
+  const modelOf = (endpoint: string, incarnation: string, now: number): WorkerModel => {
     const known = models.get(endpoint) ?? createWorkerModel(endpoint, incarnation)
     models.set(endpoint, known)
-    if (known.incarnation !== incarnation) restartModel(known, incarnation)
+    if (known.incarnation !== incarnation) restartModel(known, incarnation, now)
     return known
   }
 
@@ -71,7 +71,7 @@
 
   const scored = (question: Question, set: CandidateSet, placement: Placement, index: number, now: number): Score => {
     const endpoint = set.workers[index]
-    const model = modelOf(endpoint.id, endpoint.incarnation)
+    const model = modelOf(endpoint.id, endpoint.incarnation, now)
     noteReport(model, endpoint.report)
     const match = cache.matched(endpoint.id, endpoint.incarnation, question.chain, now)
     return scoreOf({ question, endpoint, index, model, match, depth: placement.depthOf(index), belief, meanCost, priorCost: priorCost(set, endpoint, now), objective, congestion: congestion.value(), now })
@@ -146,7 +146,7 @@
   }
 
   const started = (question: Question, choice: Choice, now: number): Flight => {
-    const model = modelOf(choice.endpoint, choice.incarnation)
+    const model = modelOf(choice.endpoint, choice.incarnation, now)
     const uncachedTokens = Math.max(0, question.promptTokens - choice.expectedCachedTokens)
     const tokensAhead = loadOf(model, now).tokens + uncachedTokens
     const flight: Flight = { question, choice, startedAt: now, tokensAhead, uncachedTokens, firstTokenAt: undefined, ended: false }
--- a/src/routing/workerModel.ts
+++ b/src/routing/workerModel.ts
@@ -11,6 +11,8 @@
 export interface WorkerModel {
   readonly endpoint: string
   incarnation: string
+  /** When a restart was noticed, in ms; undefined for a worker that has not restarted since it was first seen. */
+  restartedAt: number | undefined
   /** Own requests dispatched and not ended. */
   inFlight: number
   /** Own requests that have had no first token yet, and their uncached tokens. */
@@ -70,6 +72,7 @@
 export const createWorkerModel = (endpoint: string, incarnation: string): WorkerModel => ({
   endpoint,
   incarnation,
+  restartedAt: undefined,
   inFlight: 0,
   pending: new Set(),
   pendingTokens: 0,
@@ -87,8 +90,9 @@
 })
 
 /** Drops what belonged to an earlier incarnation. */
-export const restartModel = (model: WorkerModel, incarnation: string): void => {
+export const restartModel = (model: WorkerModel, incarnation: string, now: number): void => {
   model.incarnation = incarnation
+  model.restartedAt = now
   model.inFlight = 0
   model.pending.clear()
   model.pendingTokens = 0
@@ -121,10 +125,9 @@
   return count === 0 ? unknown : sum / count
 }
 
-const slotsOf = (endpoint: Endpoint, now: number): number => {
-  const age = now - endpoint.since
-  const ramp = age >= rampTime || endpoint.since <= 0 ? 1 : Math.max(rampFloor, age / rampTime)
-  return Math.max(1, endpoint.slots * ramp)
+const slotsOf = (model: WorkerModel, endpoint: Endpoint, now: number): number => {
+  const age = now - (model.restartedAt ?? -Infinity)
+  return Math.max(1, endpoint.slots * Math.min(1, Math.max(rampFloor, age / rampTime)))
 }
 
 /** Load on a worker as far as it is known: own requests at once, those of others by an aged report. */
@@ -195,7 +198,7 @@
  */
 export const expectedQueue = (model: WorkerModel, endpoint: Endpoint, cost: number, priority: number, utilisation: number, now: number): number => {
   const load = loadOf(model, now)
-  const slots = slotsOf(endpoint, now)
+  const slots = slotsOf(model, endpoint, now)
   const mix = mixOf(model, priority)
   const over = Math.max(0, load.requests + 1 - slots) * mix.ahead
   const service = model.serviceTime === 0 ? defaultServiceTime : model.serviceTime
