Administration API described by schemas; OpenAPI document; pages of lists

Cause: answers of the administration API had no schema, lists came whole (890 workspaces, 600 workers), the history was cut to eight publishes, unknown query keys were taken in silence, and no document told clients what to expect.

Change: each operation has zod schemas for query, body and answer, from which its types come; docs/openapi.json is written from them by `npm run pages`, and a spec fails when it is stale. Specs drive a fleet of the real core and check every operation's answer, and errors of each status, against the schemas without letting a member pass that the schema lacks. workspaces, endpoints and history take `limit` and `after` and answer `next`; the pages go by name or version, so rows that come or go move no other row. Config gets `history()`. The command line reads lists page by page and gains `workspaces`, `orders` and `rules history`.

Ruled out: undoing the drain of an endpoint, since leaving is sticky until a new incarnation; the operation's summary says so. Pages by position, since they skip rows when one goes.

--- a/scripts/pages.ts
+++ b/scripts/pages.ts
@@ -1,5 +1,7 @@
 /** Writes the pages that are made from schemas. */
 import { writeFileSync } from 'node:fs'
+import { openApiPage } from '../src/admin/openApi.js'
 import { settingsPage } from '../src/settings/settingsPage.js'
 
 writeFileSync('docs/SETTINGS.md', settingsPage())
+writeFileSync('docs/openapi.json', openApiPage())
--- a/src/admin/adminMachine.ts
+++ b/src/admin/adminMachine.ts
@@ -10,8 +10,9 @@
 import { keyHash } from '../requests/requestsMachine.js'
 import type { Operator } from '../rules/rulesTypes.js'
 import { adminErrorBody, adminStatus } from './adminErrors.js'
-import { adminOperations, type AdminNode, type AdminOperation } from './adminOperations.js'
-import type { AdminError, RequiredRole } from './adminTypes.js'
+import type { AdminOperation } from './adminOperation.js'
+import { adminOperations } from './adminOperations.js'
+import type { AdminError, AdminNode, RequiredRole } from './adminTypes.js'
 
 /** What the API reacts to. */
 export type AdminInput = OperatorInput | Extract<ConfigEffect, { kind: 'config.published' }>
--- a/src/admin/adminTypes.ts
+++ b/src/admin/adminTypes.ts
@@ -1,31 +1,62 @@
 /** The administration API: who may call what, and what goes wrong. */
-import type { PublishResult } from '../config/configTypes.js'
-import type { Operator, RuleError } from '../rules/rulesTypes.js'
+import type { z } from 'zod'
+import type { Drain } from '../addresses/drain.js'
+import type { Claims } from '../claims/claimsMachine.js'
+import type { Config } from '../config/configMachine.js'
+import type { ConfigInput } from '../config/configTypes.js'
+import type { Endpoints } from '../endpoints/endpointsMachine.js'
+import type { Limits } from '../limits/limitsTypes.js'
+import type { Membership } from '../membership/membershipTypes.js'
+import type { Metrics } from '../metrics/metrics.js'
+import type { Orders } from '../orders/ordersMachine.js'
+import type { Requests } from '../requests/requestsMachine.js'
+import type { Routing } from '../routing/routingTypes.js'
+import type { Operator } from '../rules/rulesTypes.js'
+import type { Settings } from '../settings/settingsSchema.js'
 
-/** What an operation needs of its caller; `none` is open to probes of the platform. */
-export type RequiredRole = 'none' | 'read' | 'publish' | 'fleet'
+export type { AdminError, RequiredRole } from './adminSchemas.js'
 
-/** Why an operator gets no answer. */
-export type AdminError =
-  | { readonly kind: 'unauthorised' }
-  | { readonly kind: 'forbidden', readonly required: RequiredRole }
-  | { readonly kind: 'unknown_path', readonly path: string }
-  | { readonly kind: 'malformed_request', readonly place: string, readonly reason: string }
-  | { readonly kind: 'rules_invalid', readonly errors: readonly RuleError[] }
-  | { readonly kind: 'publish_refused', readonly result: Exclude<PublishResult, { kind: 'accepted' }> }
-  | { readonly kind: 'no_configuration' }
-  | { readonly kind: 'not_ready' }
+/** The instance, as the API sees it. */
+export interface AdminNode {
+  readonly settings: Settings
+  readonly membership: Membership
+  readonly config: Config
+  readonly endpoints: Endpoints
+  readonly limits: Limits
+  readonly routing: Routing
+  readonly claims: Claims
+  readonly orders: Orders
+  readonly drain: Drain
+  readonly metrics: Metrics
+  readonly requests: Requests
+  readonly dump: () => unknown
+}
+
+/** What an operation may ask of other features. */
+export type AdminRequest =
+  | ConfigInput
+  | { readonly kind: 'endpoints.drain', readonly endpoint: string }
+  | { readonly kind: 'drain.start' }
+
+/** Passes what an operation asks of other features. */
+export type Emit = (effect: { readonly kind: 'admin.ask', readonly input: AdminRequest }) => void
 
 /** An operation's answer: JSON at once, or a publish that is answered later. */
-export type AdminAnswer =
-  | { readonly kind: 'json', readonly status: number, readonly body: unknown }
+export type AdminAnswer<Body = unknown> =
+  | { readonly kind: 'json', readonly status: number, readonly body: Body }
   | { readonly kind: 'later' }
 
-/** One call of an operator. */
-export interface AdminCall {
+/** One call of an operator, its parts checked. */
+export interface AdminCall<Query = unknown, Body = unknown> {
   readonly request: number
   readonly operator: Operator | undefined
   readonly params: Readonly<Record<string, string | undefined>>
-  readonly query: Readonly<Record<string, string>>
-  readonly body: Uint8Array
+  readonly query: Query
+  readonly body: Body
 }
+
+/** What an operation takes as its body. */
+export type BodyForm =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'text' }
+  | { readonly kind: 'json', readonly schema: z.ZodType }
--- /dev/null
+++ b/src/admin/openApi.ts
@@ -0,0 +1,83 @@
+/** Writes the OpenAPI document of the administration API from the operations' schemas. */
+import { z } from 'zod'
+import type { AdminOperation } from './adminOperation.js'
+import { adminOperations } from './adminOperations.js'
+import { adminErrorBodySchema } from './adminSchemas.js'
+import type { BodyForm } from './adminTypes.js'
+
+/** Raised when an answer changes so that older clients cannot read it. */
+const apiVersion = '1'
+
+type Node = Readonly<Record<string, unknown>>
+
+const withoutDialect = ({ $schema, ...rest }: Node): Node => rest
+
+const inputSchema = (schema: z.ZodType): Node => withoutDialect(z.toJSONSchema(schema, { io: 'input', target: 'draft-2020-12' }))
+const outputSchema = (schema: z.ZodType): Node => withoutDialect(z.toJSONSchema(schema, { io: 'output', target: 'draft-2020-12' }))
+
+const jsonContent = (schema: Node): Node => ({ 'application/json': { schema } })
+
+const pathParameters = (path: string): Node[] =>
+  [...path.matchAll(/:(\w+)/g)].map(([, name]) => ({ name, in: 'path', required: true, schema: { type: 'string' } }))
+
+const queryParameters = (query: z.ZodObject): Node[] => {
+  const { properties = {}, required = [] } = inputSchema(query) as { properties?: Record<string, Node>, required?: string[] }
+  return Object.entries(properties).map(([name, schema]) => ({ name, in: 'query', required: required.includes(name), schema }))
+}
+
+const requestBody = (form: BodyForm): Node => {
+  switch (form.kind) {
+    case 'none': return {}
+    case 'text': return { requestBody: { required: true, content: { 'text/plain': { schema: { type: 'string' } } } } }
+    case 'json': return { requestBody: { required: true, content: jsonContent(inputSchema(form.schema)) } }
+  }
+}
+
+const describeOperation = ({ name, summary, role, path, query, body, status, answer }: AdminOperation): Node => ({
+  operationId: name,
+  summary,
+  description: role === 'none' ? 'Needs no key.' : `Needs an operator key with the role \`${role}\` or a higher one.`,
+  ...(role === 'none' ? { security: [] } : {}),
+  parameters: [...pathParameters(path), ...queryParameters(query)],
+  ...requestBody(body),
+  responses: {
+    [status]: { description: 'Done.', content: jsonContent(outputSchema(answer)) },
+    default: { $ref: '#/components/responses/Error' }
+  }
+})
+
+const describePaths = (): Node => {
+  const paths: Record<string, Record<string, Node>> = {}
+  for (const operation of adminOperations) {
+    const path = operation.path.replace(/:(\w+)/g, '{$1}')
+    paths[path] = { ...paths[path], [operation.method.toLowerCase()]: describeOperation(operation) }
+  }
+  return paths
+}
+
+/**
+ * Describes the administration API.
+ *
+ * @returns an OpenAPI 3.1 document
+ */
+export const openApiDocument = (): Node => ({
+  openapi: '3.1.0',
+  info: {
+    title: 'wasabireel administration',
+    version: apiVersion,
+    description: 'Served on the operator port of every instance. Before the first rules are published no key is known, and every operation is open to whoever reaches the port.'
+  },
+  security: [{ operatorKey: [] }],
+  paths: describePaths(),
+  components: {
+    securitySchemes: { operatorKey: { type: 'http', scheme: 'bearer' } },
+    responses: { Error: { description: 'Nothing was done, unless `publish_refused` says `unknown`.', content: jsonContent(outputSchema(adminErrorBodySchema)) } }
+  }
+})
+
+/**
+ * The document as it is checked in.
+ *
+ * @returns JSON text
+ */
+export const openApiPage = (): string => `${JSON.stringify(openApiDocument(), null, 2)}\n`
--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -1,5 +1,7 @@
 /** Commands that ask a running instance: status, dump, addresses, drain, endpoints. */
 import type { Command } from 'commander'
+import { err, ok, type Result } from 'neverthrow'
+import { largestPage } from '../admin/adminSchemas.js'
 import { ask, type AskFailure, type OperatorTarget } from './operatorClient.js'
 import { complain, exitCodeHelp, exitCodes, print, show } from './output.js'
 
@@ -71,10 +73,37 @@
     )
   }
 
+/** Asks for a list page after page. */
+const askList = async (options: AskOptions, path: string, name: string): Promise<Result<readonly unknown[], AskFailure>> => {
+  const rows: unknown[] = []
+  for (let after: string | undefined = ''; after !== undefined;) {
+    const answer: Result<unknown, AskFailure> = await ask(targetOf(options), 'GET', `${path}?limit=${largestPage}${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`)
+    if (answer.isErr()) return err(answer.error)
+    const page = answer.value as Readonly<Record<string, unknown>>
+    rows.push(...page[name] as unknown[])
+    after = page.next as string | undefined
+  }
+  return ok(rows)
+}
+
+/**
+ * Makes the action of a command that shows a list whole.
+ *
+ * @param path - the list's operation
+ * @param name - the member of the answer that holds the rows
+ */
+export const showList = (path: string, name: string) => async (options: AskOptions): Promise<void> => {
+  const rows = await askList(options, path, name)
+  rows.match(
+    value => show(options.json, { [name]: value }, () => pretty({ [name]: value })),
+    failure => reportFailure(failure, options.json)
+  )
+}
+
 const pretty = (value: unknown): string => JSON.stringify(value, null, 2)
 const status = askAndShow('GET', () => '/v1/status', value => statusTable((value as { instances: StatusRow[] }).instances))
 const dump = askAndShow('GET', () => '/dump', pretty)
-const endpoints = askAndShow('GET', () => '/v1/endpoints', pretty)
+const orders = askAndShow('GET', () => '/v1/orders', pretty)
 const drainInstance = askAndShow('POST', () => '/v1/drain', () => 'the instance is leaving')
 const drainEndpoint = askAndShow('POST', id => `/v1/endpoints/${encodeURIComponent(id)}/drain`, () => 'the endpoint gets no new work')
 
@@ -102,7 +131,13 @@
     .action((options: AskOptions) => dump(options))
   addAskOptions(program.command('endpoints').description('Show workers and plain services as one instance sees them.'))
     .addHelpText('after', example('endpoints --operator http://127.0.0.1:7301'))
-    .action((options: AskOptions) => endpoints(options))
+    .action(showList('/v1/endpoints', 'endpoints'))
+  addAskOptions(program.command('workspaces').description('Show workspaces with their limits and their use at one instance.'))
+    .addHelpText('after', example('workspaces --operator http://127.0.0.1:7301'))
+    .action(showList('/v1/workspaces', 'workspaces'))
+  addAskOptions(program.command('orders').description('Show which orders to workers are in progress.'))
+    .addHelpText('after', example('orders --operator http://127.0.0.1:7301'))
+    .action((options: AskOptions) => orders(options))
   addAskOptions(program.command('drain').description('Make an instance leave, or give an endpoint no new work.').argument('[endpoint]', 'endpoint; left out, the instance itself'))
     .addHelpText('after', example('drain nm-derby-w1 --operator http://127.0.0.1:7301'))
     .action((endpoint: string | undefined, options: AskOptions) => endpoint === undefined ? drainInstance(options) : drainEndpoint(options, endpoint))
--- a/src/cli/rulesCommands.ts
+++ b/src/cli/rulesCommands.ts
@@ -9,7 +9,7 @@
 import { parseRules } from '../rules/rulesParser.js'
 import type { Rule, RuleError, RuleQuery } from '../rules/rulesTypes.js'
 import { ask } from './operatorClient.js'
-import { addAskOptions, reportFailure, targetOf, type AskOptions } from './operatorCommands.js'
+import { addAskOptions, reportFailure, targetOf, type AskOptions, showList } from './operatorCommands.js'
 import { complain, exitCodeHelp, exitCodes, print, show } from './output.js'
 
 const read = (file: string): Result<string, string> => {
@@ -124,4 +124,7 @@
   addAskOptions(rules.command('show').description('Show the rules in force.'))
     .addHelpText('after', `\nExample: wasabireel rules show --operator http://127.0.0.1:7301\n${exitCodeHelp}`)
     .action(showRules)
+  addAskOptions(rules.command('history').description('Show accepted publishes, the newest first: who and when.'))
+    .addHelpText('after', `\nExample: wasabireel rules history --operator http://127.0.0.1:7301\n${exitCodeHelp}`)
+    .action(showList('/v1/rules/history', 'history'))
 }
--- a/src/config/configMachine.ts
+++ b/src/config/configMachine.ts
@@ -12,7 +12,7 @@
 import { createConfigSpreader } from './configSpreader.js'
 import type { ConfigDb, ConfigOptions, MissedCheck } from './configDb.js'
 import type { ConfigMessage } from './configMessages.js'
-import type { ConfigEffect, ConfigInput, CurrentConfig, PeerVersion } from './configTypes.js'
+import type { ConfigEffect, ConfigInput, CurrentConfig, PeerVersion, Publication } from './configTypes.js'
 import type { LogEffect, LogInput } from '../ports/logPort.js'
 import type { PeerEffect, PeerInput, Tick } from '../ports/peerPort.js'
 
@@ -41,6 +41,8 @@
   readonly versionOf: (instance: string) => PeerVersion | undefined
   /** Whether requests may be served under the rules at hand. */
   readonly ready: (now: number) => boolean
+  /** Accepted publishes that the log still tells of, in ascending order. */
+  readonly history: () => readonly Publication[]
   readonly dump: () => Readonly<Record<string, unknown>>
 }
 
@@ -176,5 +178,5 @@
     db.lastSeen !== undefined && now - db.lastSeen <= pauseThreshold &&
     db.check === undefined && db.ruleset !== undefined && !isOutdated(db)
 
-  return { handle, current: () => db.current, versionOf, ready, dump: () => dumpOf(db, publisher.pending()) }
+  return { handle, current: () => db.current, versionOf, ready, history: () => db.fold.revision.history, dump: () => dumpOf(db, publisher.pending()) }
 }
--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -5,7 +5,7 @@
 import { createDrain, type DrainEffect } from '../addresses/drain.js'
 import { createPlacement } from '../addresses/rendezvous.js'
 import { createAdmin } from '../admin/adminMachine.js'
-import type { AdminRequest } from '../admin/adminOperations.js'
+import type { AdminRequest } from '../admin/adminTypes.js'
 import { createCache } from '../cache/cacheMachine.js'
 import { cacheDefaults } from '../cache/cacheTypes.js'
 import { createClaims } from '../claims/claimsMachine.js'
--- a/test/matrix/configVariants.ts
+++ b/test/matrix/configVariants.ts
@@ -55,6 +55,7 @@
     current: () => config.current(),
     versionOf: instance => config.versionOf(instance),
     ready: now => config.ready(now),
+    history: () => config.history(),
     dump: () => config.dump()
   }
 }
