--- a/src/node/directory.ts
+++ b/src/node/directory.ts
@@ -31,7 +31,19 @@
  */
 export const createDirectory = ({ placement, membership, config, settings }: DirectoryOptions): WorkspaceDirectory => {
   const width = settings.addresses.per_workspace
-  const reachable = (): readonly Member[] => membership.alive().filter(isReachable)
+  let alive: readonly Member[] = []
+  let reached: readonly Member[] = []
+
+  /** The same array until the members change, so that choices can be remembered by it. */
+  const reachable = (): readonly Member[] => {
+    const present = membership.alive()
+    if (present !== alive) {
+      alive = present
+      reached = present.filter(isReachable)
+    }
+    return reached
+  }
+
   const entriesOf = (workspace: string): readonly Member[] => workspaceEntries(placement, workspace, reachable(), width)
 
   const addresses = (workspace: string, caller: string): unknown => {
--- a/src/requests/modelBegin.ts
+++ b/src/requests/modelBegin.ts
@@ -89,7 +89,7 @@
 
 type Release = ModelRequest['release']
 
-const record = (context: RequestsContext, admittee: Admittee, call: ModelCall, question: Question, release: Release, point: ResumePoint | undefined): ModelRequest => {
+const record = (context: RequestsContext, admittee: Admittee, call: ModelCall, question: Question, admission: Pick<ModelRequest, 'release' | 'sawFirstToken'>, point: ResumePoint | undefined): ModelRequest => {
   const { lastEventId: _token, ...accepted } = admittee
   const request: ModelRequest = {
     ...accepted,
@@ -99,7 +99,7 @@
     relay: createRelay(),
     forwardFrom: point === undefined ? 0 : point.position + 1,
     resume: point,
-    release,
+    ...admission,
     publicId: '',
     attempt: undefined,
     weightVersion: undefined,
@@ -121,15 +121,19 @@
     .mapErr(reason => noEndpoint(context, reason))
     .andThen(choice => admit(context, admittee, question, choice, now).map(admission => {
       const release: Release = (promptTokens, completionTokens, at) => context.limits.finished(admission, promptTokens + completionTokens, at)
-      const request = record(context, admittee, call, question, release, undefined)
+      const sawFirstToken = (at: number): void => context.limits.firstToken(admission, at)
+      const request = record(context, admittee, call, question, { release, sawFirstToken }, undefined)
       return dispatch(context, request, choice, 'first', now)
     }))
 
+/** A stream taken up again was admitted and counted by the instance that began it. */
+const uncounted: Pick<ModelRequest, 'release' | 'sawFirstToken'> = { release: () => {}, sawFirstToken: () => {} }
+
 /** The engine is asked from its first event, so that this instance too can hand the stream over. */
 const beginResumed = (context: RequestsContext, admittee: Admittee, call: ModelCall, question: Question, point: ResumePoint, now: number): Result<void, CallerError> => {
   const { endpoint, engineRequest, incarnation, weightVersion } = point.identity
   if (context.endpoint(endpoint)?.incarnation !== incarnation) return err({ kind: 'stream_interrupted', outcome: 'unknown' })
-  const request = record(context, admittee, call, question, () => { /* The first instance counted it. */ }, point)
+  const request = record(context, admittee, call, question, uncounted, point)
   resume(context, request, { endpoint, engineRequest, incarnation, weightVersion, base: 0 }, now)
   return ok(undefined)
 }
--- a/src/requests/modelStream.ts
+++ b/src/requests/modelStream.ts
@@ -31,6 +31,7 @@
 const observeToken = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, now: number): void => {
   if (request.firstTokenAt === undefined) {
     request.firstTokenAt = now
+    request.sawFirstToken(now)
     context.metrics.firstToken.observe({ workspace: context.metrics.workspaceLabel(request.workspace) }, (now - request.arrived) / msPerSecond)
   } else if (request.lastTokenAt !== undefined) {
     context.metrics.tokenGap.observe((now - request.lastTokenAt) / msPerSecond)
--- a/src/requests/requestsTypes.ts
+++ b/src/requests/requestsTypes.ts
@@ -103,6 +103,8 @@
   /** Events before this position are not sent to the caller, who has them. */
   readonly forwardFrom: number
   readonly resume?: ResumePoint
+  /** Tells the limits when the first token came. */
+  readonly sawFirstToken: (now: number) => void
   readonly release: (promptTokens: number, completionTokens: number, now: number) => void
   publicId: string
   attempt: ModelAttempt | undefined
