--- a/src/requests/requestsMachine.ts
+++ b/src/requests/requestsMachine.ts
@@ -130,10 +130,17 @@
     beginCall(arrival, operation.call, workspace, now)
   }
 
+  /** Only callers whose key is in force hear what is wrong with a body. */
+  const refuseUnparsed = (arrival: Arrival, error: CallerError, now: number): void => {
+    const judgesBody = error.kind === 'malformed_request' && error.place.startsWith('body')
+    const refusal = judgesBody ? authorise(arrival, now).match(() => error, unauthorised => unauthorised) : error
+    refuse(context, arrival.request, undefined, refusal)
+  }
+
   const arrive = (arrival: Arrival, now: number): void =>
     parseRequest(arrival).match(
       operation => operate(arrival, operation, now),
-      error => refuse(context, arrival.request, undefined, error)
+      error => refuseUnparsed(arrival, error, now)
     )
 
   const abandon = (active: ActiveRequest, now: number): void => {
