Peers are held to the names of their certificates; certificates renewed safely

Cause: any certificate of the authority could give itself any instance's name in its first frame, outgoing connections took any certificate of the authority for the instance meant, the peers' port never took renewed certificates, and a reload with a certificate and key that do not fit would throw in the process.

Change: with TLS on, the hello's `from` must be the common name or a DNS alternative name of the peer's certificate, else the connection is broken and counted as `wrongName`; outgoing connections check the certificate for the id meant, and nothing is sent before; the peers' port takes renewed certificates; a reload tries the new files together first and keeps the old ones otherwise.

--- a/src/adapters/credentials.ts
+++ b/src/adapters/credentials.ts
@@ -1,12 +1,13 @@
 /** Certificates and keys for TLS, read from files and read again on request. */
 import { readFileSync } from 'node:fs'
+import { createSecureContext } from 'node:tls'
 
 /** What a TLS server and a TLS client need; both sides are authenticated. */
 export interface Credentials {
   readonly server: { readonly ca: string, readonly cert: string, readonly key: string }
   /** Registers what to do when the files were read again. */
   readonly onReload: (listener: (renewed: Credentials) => void) => void
-  /** Reads the files again; a server keeps the old ones if they cannot be read. */
+  /** Reads the files again; the old ones are kept if these cannot be read or do not fit together. */
   readonly reload: () => boolean
 }
 
@@ -30,7 +31,9 @@
 
   const reload = (): boolean => {
     try {
-      server = read()
+      const renewed = read()
+      createSecureContext(renewed)
+      server = renewed
     } catch {
       return false
     }
--- a/src/adapters/peerTcp.ts
+++ b/src/adapters/peerTcp.ts
@@ -4,7 +4,7 @@
  * cannot be sent is dropped, since delivery is never promised.
  */
 import { connect as connectPlain, createServer as createPlainServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { connect as connectTls, createServer as createTlsServer } from 'node:tls'
+import { connect as connectTls, createServer as createTlsServer, TLSSocket, type PeerCertificate, type Server as TlsServer } from 'node:tls'
 import { z } from 'zod'
 import type { Address } from '../endpoints/endpointsTypes.js'
 import type { PeerEffect, PeerInput } from '../ports/peerPort.js'
@@ -18,7 +18,7 @@
 /** What the adapter reports and counts. */
 export interface PeerEvents {
   readonly emit: (input: PeerInput) => void
-  readonly garbled: (problem: FrameProblem['kind'] | 'noHello' | 'noKind') => void
+  readonly garbled: (problem: FrameProblem['kind'] | 'noHello' | 'noKind' | 'wrongName') => void
   readonly sent: (bytes: number) => void
   readonly received: (bytes: number) => void
 }
@@ -47,6 +47,28 @@
 const connectTimeout = 2_000
 const reconnectPause = 500
 
+/** The reason that TLS is given for breaking a connection to the wrong instance. */
+class WrongPeer extends Error {
+  override readonly name = 'WrongPeer'
+
+  constructor (readonly wanted: string, readonly found: readonly string[]) {
+    super(`the certificate names ${found.join(', ')} and not ${wanted}`)
+  }
+}
+
+/** The names that a certificate vouches for: its common name and its DNS alternative names. */
+const certifiedNames = ({ subject, subjectaltname = '' }: PeerCertificate): readonly string[] => [
+  ...[subject?.CN ?? []].flat(),
+  ...subjectaltname.split(', ').flatMap(name => name.startsWith('DNS:') ? [name.slice('DNS:'.length)] : [])
+]
+
+const checkName = (id: string, certificate: PeerCertificate): Error | undefined =>
+  certifiedNames(certificate).includes(id) ? undefined : new WrongPeer(id, certifiedNames(certificate))
+
+/** Without TLS every name is taken as said. */
+const mayBeNamed = (socket: Socket, id: string): boolean =>
+  !(socket instanceof TLSSocket) || certifiedNames(socket.getPeerCertificate()).includes(id)
+
 interface Outgoing {
   readonly socket: Socket
   readonly address: Address
@@ -72,8 +94,10 @@
 
     const take = (value: unknown): boolean => {
       if (from === undefined) {
-        from = helloSchema.safeParse(value).data?.from
-        if (from === undefined) events.garbled('noHello')
+        const said = helloSchema.safeParse(value).data?.from
+        if (said === undefined) events.garbled('noHello')
+        else if (!mayBeNamed(socket, said)) events.garbled('wrongName')
+        else from = said
         return from !== undefined
       }
       const message = messageSchema.safeParse(value)
@@ -107,7 +131,7 @@
     const target = { host: address.host, port: address.port }
     const socket = options.credentials === undefined
       ? connectPlain(target)
-      : connectTls({ ...target, ...options.credentials.server, checkServerIdentity: () => undefined })
+      : connectTls({ ...target, ...options.credentials.server, checkServerIdentity: (_host, certificate) => checkName(id, certificate) })
     socket.setNoDelay(true)
     socket.setTimeout(connectTimeout, () => { if (socket.connecting) socket.destroy() })
     socket.on('error', () => socket.destroy())
@@ -147,6 +171,8 @@
     ? createPlainServer(accept)
     : createTlsServer({ ...options.credentials.server, requestCert: true, rejectUnauthorized: true }, accept)
 
+  options.credentials?.onReload(renewed => (server as TlsServer).setSecureContext(renewed.server))
+
   const listen = (): Promise<number> => new Promise((resolve, reject) => {
     server.once('error', reject)
     server.listen(options.port, options.host, () => resolve((server.address() as AddressInfo).port))
