--- a/src/admin/openApi.ts
+++ b/src/admin/openApi.ts
@@ -65,7 +65,7 @@
   info: {
     title: 'wasabireel administration',
     version: apiVersion,
-    description: 'Served on the operator port of every instance. Before the first rules are published no key is known, and every operation is open to whoever reaches the port.'
+    description: 'Served on the operator port of every instance. Before the first rules are published no key is known, and every operation is open to whoever reaches the port. Requests that are too large, too slow or no valid HTTP are answered before they reach an operation, in the words of the caller port: `body_too_large`, `header_too_large`, `request_timeout`, `malformed_request`. `GET /metrics` answers in the text format of Prometheus, without a key.'
   },
   security: [{ operatorKey: [] }],
   paths: describePaths(),
