--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -106,7 +106,7 @@
   const endpoints = createEndpoints({ self: self.id, known: knownEndpoints(settings), random, hash })
   const config = createConfig({ self: self.id, hash, random, retention })
   const claims = createClaims({ self: self.id, incarnation: self.incarnation, hash, random, retention, answerBytes: settings.claims.answer_bytes })
-  const cache = createCache({ ...cacheDefaults, random, endpointOf: endpoints.get, workers: () => endpoints.list().filter(({ kind }) => kind === 'worker') })
+  const cache = createCache({ ...cacheDefaults, maxFollowed: settings.cache.followed, depth: settings.cache.depth, random, endpointOf: endpoints.get, workers: () => endpoints.list().filter(({ kind }) => kind === 'worker') })
   const routing = createRouting({ hash, random, cache, objective: objectiveOf(settings.routing.objective), dataCentre: self.dataCentre })
   const drain = createDrain({ timeToLive: settings.addresses.time_to_live, membershipLag: settings.platform.list_lag })
   const directory = createDirectory({ placement, membership, config, settings })
--- a/src/settings/settingsDefaults.ts
+++ b/src/settings/settingsDefaults.ts
@@ -8,6 +8,7 @@
   peer: { host: '127.0.0.1', port: 0, seeds: '', frame_limit: 4_194_304 },
   platform: { log_url: '', membership_url: '', log_timeout: 2_000, log_retention: 86_400_000, list_interval: 2_000, list_lag: 5_000 },
   routing: { objective: 0.5, block_bytes: 512, expected_tokens: 128, default_deadline: 10_000 },
+  cache: { followed: 32, depth: 'all' },
   limits: { retry_share: 0.1, in_flight: 4_096 },
   claims: { answer_bytes: 8_388_608 },
   addresses: { per_workspace: 3, time_to_live: 5_000 },
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -137,6 +137,10 @@
     expected_tokens: optional(whole('tokens', 1, 100_000, 'Generated tokens assumed when a request names no maximum.'), defaults.routing.expected_tokens),
     default_deadline: optional(whole('ms', 1, 600_000, 'Time to the first token when no rule names one.'), defaults.routing.default_deadline)
   }).prefault({}),
+  cache: z.strictObject({
+    followed: optional(whole('workers', 0, 4_096, 'Workers whose cache events this instance follows at once; those used most go first. 0 leaves it to answers alone.'), defaults.cache.followed),
+    depth: optional(z.enum(['all', 'levels', 'none']).meta({ unit: 'depth', allowed: 'all, levels or none', description: 'Which blocks of the events are kept: all, those that end a message of a prompt seen here, or none.' }), defaults.cache.depth)
+  }).prefault({}),
   limits: z.strictObject({
     retry_share: optional(number('share of first attempts', 0, 1, 'Retries allowed per first attempt.'), defaults.limits.retry_share),
     in_flight: optional(whole('requests', 1, 1_000_000, 'Requests that this instance holds at once.'), defaults.limits.in_flight)
