A check on the module graph: no cycles, no way from the core to an adapter

Cause: the linter's cycle rule does not resolve .js paths to .ts here, so it never reported one. Change: a spec that reads the imports; it found one cycle first (engineBatch and engineTypes of the stand-in), mended by a module for the engine's record.

--- a/src/standins/engine/engineBatch.ts
+++ b/src/standins/engine/engineBatch.ts
@@ -5,7 +5,7 @@
 import type { PrefixChain } from '../../prefix/prefixTypes.js'
 import type { EngineCache } from './engineCache.js'
 import type { Sample } from './engineSample.js'
-import type { Served } from './engineTypes.js'
+import type { Served } from './engineServed.js'
 
 /** A request in the engine; `events` are the JSON texts of its stream by position. */
 export interface Job {
--- a/src/standins/engine/engineRequests.ts
+++ b/src/standins/engine/engineRequests.ts
@@ -9,7 +9,8 @@
 import type { Sample } from './engineSample.js'
 import { createReader } from './engineStream.js'
 import type { Reader } from './engineStream.js'
-import type { EngineContext, Served } from './engineTypes.js'
+import type { Served } from './engineServed.js'
+import type { EngineContext } from './engineTypes.js'
 
 /** Serves model requests. */
 export interface EngineRequests {
--- a/src/standins/engine/engineTypes.ts
+++ b/src/standins/engine/engineTypes.ts
@@ -4,6 +4,7 @@
 import type { StandInOptions, StandInServer } from '../standInServer.js'
 import type { Batch } from './engineBatch.js'
 import type { EngineCache } from './engineCache.js'
+import type { Served } from './engineServed.js'
 
 /** Settings of the engine. */
 export interface EngineOptions extends StandInOptions {
@@ -32,22 +33,6 @@
   readonly kvUrl?: string
 }
 
-/** A request that the engine took up. */
-export interface Served {
-  readonly kind: 'request'
-  readonly id: string
-  readonly workspace: string
-  readonly salt: string
-  readonly model: string
-  readonly weightVersion: string
-  readonly at: number
-  readonly promptTokens: number
-  readonly from: number
-  cachedTokens: number
-  generated: number
-  outcome: 'open' | 'finished' | 'cancelled' | 'lost'
-}
-
 /** An order that arrived. */
 export interface Ordered {
   readonly kind: 'order'
--- /dev/null
+++ b/test/layout/modules.spec.ts
@@ -0,0 +1,61 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { dirname, join, normalize } from 'node:path'
+
+const importPattern = /^(?:import|export)\s[^'"]*?from\s+'(\.[^']+)\.js'|^import\s+'(\.[^']+)\.js'/gm
+
+const outer = /^src\/(adapters|processes|standins|cli)\//
+
+const modulesOf = (folder: string): string[] => readdirSync(folder, { recursive: true, encoding: 'utf8' })
+  .filter(name => name.endsWith('.ts') && !name.endsWith('.spec.ts'))
+  .map(name => join(folder, name))
+
+const importsOf = (text: string, from: string): string[] =>
+  [...text.matchAll(importPattern)].map(match => `${normalize(join(dirname(from), match[1] ?? match[2]))}.ts`)
+
+const readGraph = (): Map<string, string[]> =>
+  new Map(modulesOf('src').map(module => [module, importsOf(readFileSync(module, 'utf8'), module)]))
+
+/** The first cycle found below a module, as the path around it. */
+const cycleFrom = (graph: ReadonlyMap<string, readonly string[]>, module: string, path: readonly string[], done: Set<string>): readonly string[] | undefined => {
+  const start = path.indexOf(module)
+  if (start >= 0) return [...path.slice(start), module]
+  if (done.has(module)) return undefined
+  for (const next of graph.get(module) ?? []) {
+    const cycle = cycleFrom(graph, next, [...path, module], done)
+    if (cycle !== undefined) return cycle
+  }
+  done.add(module)
+  return undefined
+}
+
+const findCycle = (graph: ReadonlyMap<string, readonly string[]>): readonly string[] | undefined => {
+  const done = new Set<string>()
+  for (const module of graph.keys()) {
+    const cycle = cycleFrom(graph, module, [], done)
+    if (cycle !== undefined) return cycle
+  }
+  return undefined
+}
+
+describe('modules', () => {
+  const graph = readGraph()
+
+  it('finds a cycle where there is one', () => {
+    expect(findCycle(new Map([['a', ['b']], ['b', ['c']], ['c', ['b']]]))).toEqual(['b', 'c', 'b'])
+    expect(importsOf("import { a } from './a.js'\nimport type {\n  B\n} from '../b/c.js'\n", 'src/x/y.ts')).toEqual(['src/x/a.ts', 'src/b/c.ts'])
+  })
+
+  it('import one another without cycles', () => {
+    expect(findCycle(graph)).toBeUndefined()
+  })
+
+  it('of the core import no adapter', () => {
+    const crossing = [...graph].filter(([module]) => !outer.test(module)).flatMap(([module, imports]) => imports.filter(target => outer.test(target)).map(target => `${module} -> ${target}`))
+    expect(crossing).toEqual([])
+  })
+
+  it('name only files that exist', () => {
+    const missing = [...graph].flatMap(([module, imports]) => imports.filter(target => !graph.has(target)).map(target => `${module} -> ${target}`))
+    expect(missing).toEqual([])
+  })
+})
