One way to read a file on the command line; failures with a kind

Cause: two commands read files each in its own way, with other exit codes for a file that is missing, and two failures were bare strings. Change: readTextFile for both, exit code 2 in both; exchanges without an answer are objects with a kind.

--- a/src/adapters/httpExchange.ts
+++ b/src/adapters/httpExchange.ts
@@ -29,6 +29,11 @@
 /** Why an exchange failed. */
 export type ExchangeFailure = 'refused' | 'cut' | 'timeout' | 'garbled'
 
+/** An exchange without an answer. */
+export interface FailedExchange {
+  readonly kind: ExchangeFailure
+}
+
 /** A request as it goes out. */
 export interface HttpRequest {
   readonly method: string
@@ -63,7 +68,7 @@
 export interface HttpClient {
   readonly start: (address: Address, request: HttpRequest, listener: ExchangeListener) => Exchange
   /** A whole JSON exchange that fails after `timeout` ms. */
-  readonly json: (address: Address, request: HttpRequest, timeout: number) => Promise<Result<JsonAnswer, ExchangeFailure>>
+  readonly json: (address: Address, request: HttpRequest, timeout: number) => Promise<Result<JsonAnswer, FailedExchange>>
   readonly close: () => Promise<void>
 }
 
@@ -177,18 +182,18 @@
     return { abort, pause, resume }
   }
 
-  const json = (address: Address, request: HttpRequest, timeout: number): Promise<Result<JsonAnswer, ExchangeFailure>> =>
+  const json = (address: Address, request: HttpRequest, timeout: number): Promise<Result<JsonAnswer, FailedExchange>> =>
     new Promise(resolve => {
       let status = 0
       let size = 0
       const chunks: Buffer[] = []
-      const settle = (result: Result<JsonAnswer, ExchangeFailure>): void => {
+      const settle = (result: Result<JsonAnswer, FailedExchange>): void => {
         clearTimeout(timer)
         resolve(result)
       }
       const stop = (failure: ExchangeFailure): void => {
         exchange.abort()
-        settle(err(failure))
+        settle(err({ kind: failure }))
       }
       const timer = setTimeout(() => stop('timeout'), timeout)
       const exchange = start(address, request, {
@@ -199,19 +204,19 @@
           chunks.push(chunk)
         },
         end: () => settle(parse(status, Buffer.concat(chunks))),
-        failed: failure => settle(err(failure))
+        failed: failure => settle(err({ kind: failure }))
       })
     })
 
   return { start, json, close: () => agent.destroy() }
 }
 
-const parse = (status: number, bytes: Buffer): Result<JsonAnswer, ExchangeFailure> => {
+const parse = (status: number, bytes: Buffer): Result<JsonAnswer, FailedExchange> => {
   if (bytes.length === 0) return ok({ status, body: undefined })
   try {
     return ok({ status, body: JSON.parse(bytes.toString('utf8')) })
   } catch {
-    return err('garbled')
+    return err({ kind: 'garbled' })
   }
 }
 
--- a/src/adapters/logHttp.ts
+++ b/src/adapters/logHttp.ts
@@ -74,7 +74,7 @@
     const { owner, token, stream } = effect
     options.emit(result.match(
       answer => inputOf(effect, answer),
-      failure => ({ kind: 'log.failed', owner, token, stream, failure: failures[failure] })
+      failure => ({ kind: 'log.failed', owner, token, stream, failure: failures[failure.kind] })
     ))
   }
 
--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -1,24 +1,19 @@
 /** `wasabireel entry` and `wasabireel settings`: run an instance, check its settings. */
-import { readFileSync } from 'node:fs'
 import type { Command } from 'commander'
 import { err, ok, type Result } from 'neverthrow'
 import { startEntry } from '../processes/entry.js'
 import { describeProblem, readSettings, type SettingProblem } from '../settings/settingsReader.js'
 import type { Settings } from '../settings/settingsSchema.js'
 import { complain, exitCodeHelp, exitCodes, print, show } from './output.js'
+import { describeUnreadable, readTextFile, type UnreadableFile } from './textFile.js'
 
-type Unreadable = { readonly kind: 'unreadable', readonly file: string, readonly reason: string }
-
-const load = (file: string): Result<Settings, Unreadable | readonly SettingProblem[]> => {
-  try {
-    return readSettings(file, readFileSync(file, 'utf8'))
-  } catch (error) {
-    return err({ kind: 'unreadable', file, reason: (error as NodeJS.ErrnoException).code ?? 'unknown' })
-  }
+const load = (file: string): Result<Settings, UnreadableFile | readonly SettingProblem[]> => {
+  const text = readTextFile(file)
+  return text.isOk() ? readSettings(file, text.value) : err(text.error)
 }
 
-const describe = (problem: Unreadable | readonly SettingProblem[]): string =>
-  'kind' in problem ? `${problem.file}: cannot be read (${problem.reason})` : problem.map(describeProblem).join('\n')
+const describe = (problem: UnreadableFile | readonly SettingProblem[]): string =>
+  'kind' in problem ? describeUnreadable(problem) : problem.map(describeProblem).join('\n')
 
 const run = async (options: { readonly settings: string }): Promise<void> => {
   const settings = load(options.settings)
@@ -45,7 +40,7 @@
     problem => {
       if (options.json === true) print(JSON.stringify({ valid: false, problems: problem }))
       else complain(describe(problem))
-      process.exitCode = exitCodes.refused
+      process.exitCode = 'kind' in problem ? exitCodes.usage : exitCodes.refused
     }
   )
 }
--- a/src/cli/rulesCommands.ts
+++ b/src/cli/rulesCommands.ts
@@ -1,8 +1,6 @@
 /** Commands on rules: check a file, explain a request, publish, show. */
-import { readFileSync } from 'node:fs'
 import { randomUUID } from 'node:crypto'
 import type { Command } from 'commander'
-import { err, ok, type Result } from 'neverthrow'
 import { checkRules, type RuleReport } from '../rules/rulesChecker.js'
 import { explain } from '../rules/rulesExplainer.js'
 import { createRuleset } from '../rules/rulesMatcher.js'
@@ -11,14 +9,7 @@
 import { ask } from './operatorClient.js'
 import { addAskOptions, reportFailure, targetOf, type AskOptions, showList } from './operatorCommands.js'
 import { complain, exitCodeHelp, exitCodes, print, show } from './output.js'
-
-const read = (file: string): Result<string, string> => {
-  try {
-    return ok(readFileSync(file, 'utf8'))
-  } catch (error) {
-    return err(`${file}: cannot be read (${(error as NodeJS.ErrnoException).code ?? 'unknown'})`)
-  }
-}
+import { describeUnreadable, readTextFile } from './textFile.js'
 
 const describeError = (file: string, { code, line, column, key, found, allowed }: RuleError): string =>
   `${file}:${line}:${column}: ${code}${key === undefined ? '' : ` of ${key}`}: found ${found}, allowed: ${allowed}`
@@ -31,9 +22,9 @@
 
 /** Reads and parses a file; on errors prints them all, sets the exit code and answers undefined. */
 const load = (file: string, json: boolean | undefined): { readonly text: string, readonly rules: readonly Rule[] } | undefined => {
-  const text = read(file)
+  const text = readTextFile(file)
   if (text.isErr()) {
-    complain(text.error)
+    complain(describeUnreadable(text.error))
     process.exitCode = exitCodes.usage
     return undefined
   }
