One mixing of words for both kinds of placement

Cause: the finalizer stood twice, in routing and in addresses, under one name and two forms. Conclusion: names and prompts are hashed by the library, pairs are mixed.

--- a/src/addresses/rendezvous.ts
+++ b/src/addresses/rendezvous.ts
@@ -4,6 +4,7 @@
  * gives each candidate a share of keys in proportion to its weight.
  */
 import type { Hash } from '../hash.js'
+import { mixWord } from '../wordMix.js'
 
 const hashRange = 2 ** 32
 
@@ -13,15 +14,6 @@
   readonly weight: number
 }
 
-/** Finalizer of MurmurHash3 (Appleby, 2011): every input bit affects every output bit. */
-const mix = (value: number): number => {
-  let mixed = value ^ (value >>> 16)
-  mixed = Math.imul(mixed, 0x85ebca6b)
-  mixed ^= mixed >>> 13
-  mixed = Math.imul(mixed, 0xc2b2ae35)
-  return (mixed ^ (mixed >>> 16)) >>> 0
-}
-
 /**
  * Scores a key on a candidate from the hashes of both.
  *
@@ -31,7 +23,7 @@
  * @returns the score; the highest wins
  */
 export const rendezvousScore = (key: number, candidate: number, weight = 1): number => {
-  const unit = (mix(mix(key) ^ candidate) + 0.5) / hashRange
+  const unit = (mixWord(mixWord(key) ^ candidate) + 0.5) / hashRange
   return weight / -Math.log(unit)
 }
 
@@ -68,11 +60,11 @@
     const sorted = [...ids].sort()
     const idHashes = Uint32Array.from(sorted, hashOf)
     return key => {
-      const keyHash = mix(hash.h32(key))
+      const keyHash = mixWord(hash.h32(key))
       let best = 0
       let bestScore = -1
       for (let index = 0; index < idHashes.length; index++) {
-        const score = mix(keyHash ^ idHashes[index])
+        const score = mixWord(keyHash ^ idHashes[index])
         if (score <= bestScore) continue
         best = index
         bestScore = score
@@ -89,5 +81,5 @@
       .map(({ candidate }) => candidate)
   }
 
-  return { ownerAmong, rank, unit: key => mix(hash.h32(key)) / hashRange }
+  return { ownerAmong, rank, unit: key => mixWord(hash.h32(key)) / hashRange }
 }
--- a/src/routing/rendezvous.ts
+++ b/src/routing/rendezvous.ts
@@ -6,6 +6,7 @@
  */
 import { LRUCache } from 'lru-cache'
 import type { Hash } from '../hash.js'
+import { mixWords } from '../wordMix.js'
 
 /** A worker that may be placed on. */
 export interface Placeable {
@@ -26,14 +27,6 @@
 const maxOrders = 2048
 const wordRange = 2 ** 32
 
-/** Mixes two 32-bit words into one. */
-const mix = (left: number, right: number): number => {
-  let word = (left ^ Math.imul(right, 0x9e3779b1)) >>> 0
-  word = Math.imul(word ^ (word >>> 16), 0x85ebca6b)
-  word = Math.imul(word ^ (word >>> 13), 0xc2b2ae35)
-  return (word ^ (word >>> 16)) >>> 0
-}
-
 /**
  * Creates the orders over a set of workers.
  *
@@ -52,7 +45,7 @@
     const best = new Uint16Array(length)
     const keys = new Float64Array(length).fill(-1)
     for (const index of members) {
-      const key = weights[index] / -Math.log((mix(low, seeds[index]) + 0.5) / wordRange)
+      const key = weights[index] / -Math.log((mixWords(low, seeds[index]) + 0.5) / wordRange)
       if (key <= keys[length - 1]) continue
       let place = length - 1
       while (place > 0 && keys[place - 1] < key) {
