Ports of the demonstration that nobody else takes; explain a model request

Cause: the demonstration took ports that the system had given out and freed again, so another process could have them first (seen in a fresh clone: nm-derby-e2 ended with 3). Change: ports below the ephemeral range, tried before use; POST /v1/explain/model and the command explain rank the workers with what is cached.

--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -3,7 +3,6 @@
 import type { ChildProcess } from 'node:child_process'
 import { readFileSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import { parse, stringify } from 'ini'
@@ -101,14 +100,23 @@
 
 const url = ({ origin }: Served): string => `http://${origin.host}:${origin.port}`
 
-const freePort = (): Promise<number> => new Promise(resolve => {
+/** Ports below those that the system gives out by itself, so that nobody else takes one meanwhile. */
+const firstPort = 21_000
+const portBlocks = 500
+const portsPerBlock = 20
+let nextPort = firstPort + (process.pid % portBlocks) * portsPerBlock
+
+const canListen = (port: number): Promise<boolean> => new Promise(resolve => {
   const server = createServer()
-  server.listen(0, host, () => {
-    const { port } = server.address() as AddressInfo
-    server.close(() => resolve(port))
-  })
+  server.once('error', () => resolve(false))
+  server.listen(port, host, () => server.close(() => resolve(true)))
 })
 
+const freePort = async (): Promise<number> => {
+  const port = nextPort++
+  return await canListen(port) ? port : freePort()
+}
+
 /**
  * Ends a process at once.
  *
--- a/src/admin/admin.spec.ts
+++ b/src/admin/admin.spec.ts
@@ -28,6 +28,7 @@
   checkRules: { body: rules },
   publish: { body: publication },
   explain: { path: '/v1/explain?workspace=listings&model=drafter' },
+  explainModel: { body: { workspace: 'listings', model: 'drafter', prompt: ['guidance', 'a listing'] } },
   drainEndpoint: { path: '/v1/endpoints/nm-derby-w1/drain' }
 }
 
@@ -74,6 +75,14 @@
     expect(endpoints.filter(({ learned }) => learned !== undefined).length).toBeGreaterThan(0)
   })
 
+  it('ranks the workers for a model request, with its prefix levels', () => {
+    const body = { workspace: 'listings', model: 'drafter', prompt: ['g'.repeat(1_000), 'a listing'] }
+    const answer = operator.ask({ method: 'POST', path: '/v1/explain/model', body }).body as { levels: number[], workers: { score: number }[] }
+    expect(answer.levels).toEqual([2, 3])
+    expect(answer.workers).toHaveLength(3)
+    expect(answer.workers.map(({ score }) => score)).toEqual(answer.workers.map(({ score }) => score).sort((left, right) => left - right))
+  })
+
   it('answers a check with conflicts and shadowed lines by its schema', () => {
     const text = `${rules}deadline workspace=listings -> 1s # asked by Ines, Viewings\ndeadline workspace=listings -> 2s # asked by Tom, Listings\n`
     const { body } = operator.ask({ method: 'POST', path: '/v1/rules/check', body: text })
--- a/src/admin/adminSchemas.ts
+++ b/src/admin/adminSchemas.ts
@@ -242,3 +242,42 @@
 
 /** The body of every error: `type` is the error's kind. */
 export const adminErrorBodySchema = z.object({ error: z.union(errorBodies) })
+
+/** Body of an explanation of a model request. */
+export const explainModelBody = z.strictObject({
+  workspace: z.string().min(1),
+  model: z.string().min(1),
+  adapter: z.string().min(1).optional(),
+  /** Texts of the messages, or one text. */
+  prompt: z.array(z.string()).min(1),
+  maxTokens: z.number().int().positive().optional()
+})
+
+const scoredEndpoint = z.strictObject({
+  endpoint: z.string(),
+  incarnation: z.string(),
+  /** Expected time until the worker starts on the prompt, in ms. */
+  wait: z.number(),
+  cachedTokens: z.number(),
+  certain: z.boolean(),
+  /** In ms per uncached token. */
+  prefillCost: z.number(),
+  /** Expected time to the first token, in ms. */
+  expectedWait: z.number(),
+  /** Leading levels of the prompt that are placed on this worker. */
+  level: z.number(),
+  /** The lowest wins, in ms. */
+  score: z.number()
+})
+
+/** What the rules and routing would do with a model request now. */
+export const explainModelAnswer = z.strictObject({
+  allowed: z.boolean(),
+  model: z.string().optional(),
+  weightVersion: z.string().optional(),
+  promptTokens: z.number(),
+  /** Prefix blocks at the end of each message. */
+  levels: z.array(z.number()),
+  /** Workers, best first. */
+  workers: z.array(scoredEndpoint)
+})
--- a/src/admin/adminTypes.ts
+++ b/src/admin/adminTypes.ts
@@ -10,8 +10,8 @@
 import type { Metrics } from '../metrics/metrics.js'
 import type { Orders } from '../orders/ordersMachine.js'
 import type { Requests } from '../requests/requestsMachine.js'
-import type { Routing } from '../routing/routingTypes.js'
-import type { Operator } from '../rules/rulesTypes.js'
+import type { Question, Routing } from '../routing/routingTypes.js'
+import type { Operator, RuleDecision } from '../rules/rulesTypes.js'
 import type { Settings } from '../settings/settingsSchema.js'
 
 export type { AdminError, RequiredRole } from './adminSchemas.js'
@@ -29,6 +29,8 @@
   readonly drain: Drain
   readonly metrics: Metrics
   readonly requests: Requests
+  /** What routing would be asked for a model request. */
+  readonly questionFor: (admittee: { readonly workspace: string, readonly decision: RuleDecision, readonly deadline: number }, call: { readonly model: string, readonly adapter?: string, readonly prompt: readonly string[], readonly maxTokens?: number }) => Question
   readonly dump: () => unknown
 }
 
--- a/src/admin/rulesOperations.ts
+++ b/src/admin/rulesOperations.ts
@@ -4,7 +4,7 @@
 import { explain } from '../rules/rulesExplainer.js'
 import { parseRules } from '../rules/rulesParser.js'
 import { defineOperation, noBody, noQuery, type AdminOperation } from './adminOperation.js'
-import { checkAnswer, explainAnswer, explainQuery, historyAnswer, historyQuery, publishAnswer, publishBody, rulesAnswer } from './adminSchemas.js'
+import { checkAnswer, explainAnswer, explainModelAnswer, explainModelBody, explainQuery, historyAnswer, historyQuery, publishAnswer, publishBody, rulesAnswer } from './adminSchemas.js'
 import type { AdminAnswer, AdminError } from './adminTypes.js'
 
 const json = <Body>(body: Body): Result<AdminAnswer<Body>, AdminError> => ok({ kind: 'json', status: 200, body })
@@ -91,5 +91,27 @@
   }
 })
 
+const explainModel = defineOperation({
+  method: 'POST',
+  path: '/v1/explain/model',
+  role: 'read',
+  name: 'explainModel',
+  summary: 'Which worker a model request would get at this instance now: its prefix levels and the scored workers, best first.',
+  status: 200,
+  query: noQuery,
+  body: { kind: 'json', schema: explainModelBody },
+  answer: explainModelAnswer,
+  run: (node, { body }, _emit, now) => {
+    const ruleset = node.config.current()?.ruleset
+    if (ruleset === undefined) return err({ kind: 'no_configuration' })
+    const { workspace, model, adapter } = body
+    const decision = ruleset.decide({ workspace, model, adapter })
+    const question = node.questionFor({ workspace, decision, deadline: now + decision.deadline }, body)
+    const { allowed, weightVersion } = decision
+    const workers = allowed ? node.routing.explain(question, node.endpoints.list(), now) : []
+    return json({ allowed, model: decision.model, weightVersion, promptTokens: question.promptTokens, levels: [...question.chain.levels], workers: [...workers] })
+  }
+})
+
 /** Operations on the rules. */
-export const rulesOperations: readonly AdminOperation[] = [rules, history, check, publish, explainRequest]
+export const rulesOperations: readonly AdminOperation[] = [rules, history, check, publish, explainRequest, explainModel]
--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -4,6 +4,7 @@
 import { largestPage } from '../admin/adminSchemas.js'
 import { ask, type AskFailure, type OperatorTarget } from './operatorClient.js'
 import { complain, exitCodeHelp, exitCodes, print, show } from './output.js'
+import { describeUnreadable, readTextFile } from './textFile.js'
 
 /** Options of every command that asks an instance. */
 export interface AskOptions {
@@ -117,6 +118,42 @@
 
 const example = (line: string): string => `\nExample: wasabireel ${line}\n${exitCodeHelp}`
 
+interface ExplainOptions extends AskOptions {
+  readonly workspace: string
+  readonly model: string
+  readonly adapter?: string
+  readonly prompt: string
+}
+
+interface Ranking {
+  readonly levels: readonly number[]
+  readonly workers: readonly { readonly endpoint: string, readonly expectedWait: number, readonly cachedTokens: number, readonly level: number, readonly score: number }[]
+}
+
+const rankingWords = ({ levels, workers }: Ranking): string => [
+  `prefix levels end at blocks ${levels.join(', ')}`,
+  ...workers.map(({ endpoint, expectedWait, cachedTokens, level, score }) =>
+    `${endpoint}: first token in ${Math.round(expectedWait)} ms, ${Math.round(cachedTokens)} tokens cached, placed for ${level} levels, score ${score.toFixed(1)}`)
+].join('\n')
+
+const explainModel = async (options: ExplainOptions): Promise<void> => {
+  const text = readTextFile(options.prompt)
+  if (text.isErr()) {
+    complain(describeUnreadable(text.error))
+    process.exitCode = exitCodes.usage
+    return
+  }
+  const { workspace, model, adapter } = options
+  const answer = await ask(targetOf(options), 'POST', '/v1/explain/model', JSON.stringify({ workspace, model, adapter, prompt: text.value.split(promptSeparator) }))
+  answer.match(
+    value => show(options.json, value, () => rankingWords(value as Ranking)),
+    failure => reportFailure(failure, options.json)
+  )
+}
+
+/** Separates the messages of a prompt file. */
+const promptSeparator = '\n---\n'
+
 /**
  * Adds the commands.
  *
@@ -141,6 +178,13 @@
   addAskOptions(program.command('drain').description('Make an instance leave, or give an endpoint no new work.').argument('[endpoint]', 'endpoint; left out, the instance itself'))
     .addHelpText('after', example('drain nm-derby-w1 --operator http://127.0.0.1:7301'))
     .action((endpoint: string | undefined, options: AskOptions) => endpoint === undefined ? drainInstance(options) : drainEndpoint(options, endpoint))
+  addAskOptions(program.command('explain').description('Say which worker a model request would get at one instance now, and why.'))
+    .requiredOption('--workspace <name>', 'workspace')
+    .requiredOption('--model <name>', 'model')
+    .option('--adapter <name>', 'adapter')
+    .requiredOption('--prompt <file>', 'prompt, its messages separated by lines of ---')
+    .addHelpText('after', example('explain --workspace listings --model drafter --prompt prompt.txt --operator http://127.0.0.1:7301'))
+    .action(explainModel)
   program.command('addresses')
     .description('Ask any instance which addresses a workspace\'s callers should use.')
     .requiredOption('--entry <url>', 'caller port of any instance, as http://host:port')
--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -24,6 +24,7 @@
 import type { OrdersDesired } from '../orders/ordersTypes.js'
 import { createPrefix } from '../prefix/prefix.js'
 import type { Random } from '../random.js'
+import { modelQuestion } from '../requests/modelBegin.js'
 import { createRequestsDb } from '../requests/requestsDb.js'
 import type { RequestsContext, RequestsEffect } from '../requests/requestsContext.js'
 import { createRequests, type RequestsInput } from '../requests/requestsMachine.js'
@@ -148,7 +149,7 @@
     emit: effect => { collected.push(effect) }
   }
   const requests = createRequests(context, directory)
-  const admin = createAdmin({ settings, membership, config, endpoints, limits, routing, claims, orders, drain, metrics, requests, dump: () => dump() })
+  const admin = createAdmin({ settings, membership, config, endpoints, limits, routing, claims, orders, drain, metrics, requests, questionFor: (admittee, call) => modelQuestion(context, admittee, call), dump: () => dump() })
 
   const register = (feature: Feature<AnyInput, AnyEffect>): void => registry.register(feature)
 
--- a/src/requests/modelBegin.ts
+++ b/src/requests/modelBegin.ts
@@ -24,7 +24,15 @@
   readonly lastEventId?: string
 }
 
-const questionOf = (context: RequestsContext, admittee: Admittee, call: ModelCall): Question => {
+/**
+ * What routing is asked for a model request.
+ *
+ * @param context - the node
+ * @param admittee - whose request, under which decision of the rules
+ * @param call - what it asks for
+ * @returns the question, with the prompt's prefix chain
+ */
+export const modelQuestion = (context: RequestsContext, admittee: Pick<Admittee, 'decision' | 'workspace' | 'deadline'>, call: Pick<ModelCall, 'model' | 'adapter' | 'prompt' | 'maxTokens'>): Question => {
   const { decision, workspace, deadline } = admittee
   const model = decision.model ?? call.model
   const weightVersion = decision.weightVersion
@@ -147,7 +155,7 @@
  * @param now - present time in ms
  */
 export const beginModel = (context: RequestsContext, admittee: Admittee, call: ModelCall, now: number): void => {
-  const question = questionOf(context, admittee, call)
+  const question = modelQuestion(context, admittee, call)
   resumePoint(context, admittee, now)
     .andThen(point => point === undefined
       ? beginFresh(context, admittee, call, question, now)
