The node plugs features in by one typed way

Cause: nine registrations cast their input each on its own, on lines of 200 characters, and the administration API answered with unknown effects. Change: one function holds the one cast, next to the kinds that each feature takes; the API's effects have a type.

--- a/src/admin/adminMachine.ts
+++ b/src/admin/adminMachine.ts
@@ -12,14 +12,17 @@
 import { adminErrorBody, adminStatus } from './adminErrors.js'
 import type { AdminOperation } from './adminOperation.js'
 import { adminOperations } from './adminOperations.js'
-import type { AdminError, AdminNode, RequiredRole } from './adminTypes.js'
+import type { AdminError, AdminNode, RequiredRole, Emit } from './adminTypes.js'
 
 /** What the API reacts to. */
 export type AdminInput = OperatorInput | Extract<ConfigEffect, { kind: 'config.published' }>
 
+/** What the API answers, and asks of other features. */
+export type AdminEffect = OperatorEffect | Parameters<Emit>[0]
+
 /** The administration API. */
 export interface Admin {
-  readonly handle: (input: AdminInput, now: number) => readonly unknown[]
+  readonly handle: (input: AdminInput, now: number) => readonly AdminEffect[]
 }
 
 const roleRank = { none: 0, read: 1, publish: 2, fleet: 3 } as const
@@ -64,14 +67,14 @@
     return isAllowed(operator, required) ? ok(operator) : err({ kind: 'forbidden', required })
   }
 
-  const operate = (input: OperatorInput, now: number): readonly unknown[] => {
+  const operate = (input: OperatorInput, now: number): readonly AdminEffect[] => {
     const [path, search = ''] = input.path.split('?')
     const route = routes.find(input.method as HTTPMethod, path)
     if (route === null) return [refuse(input.request, { kind: 'unknown_path', path })]
     const operation = route.store as AdminOperation
     const operator = authorise(input, operation.role, now)
     if (operator.isErr()) return [refuse(input.request, operator.error)]
-    const effects: unknown[] = []
+    const effects: AdminEffect[] = []
     const call = { request: input.request, operator: operator.value, params: route.params, query: Object.fromEntries(new URLSearchParams(search)), body: input.body }
     operation.run(node, call, effect => effects.push(effect), now).match(
       result => { if (result.kind === 'json') effects.push(answer(input.request, result.status, result.body)) },
@@ -80,10 +83,10 @@
     return effects
   }
 
-  const published = ({ request, result }: Extract<AdminInput, { kind: 'config.published' }>): readonly unknown[] =>
+  const published = ({ request, result }: Extract<AdminInput, { kind: 'config.published' }>): readonly AdminEffect[] =>
     result.kind === 'accepted' ? [answer(request, 200, result)] : [refuse(request, { kind: 'publish_refused', result })]
 
-  const handle = (input: AdminInput, now: number): readonly unknown[] =>
+  const handle = (input: AdminInput, now: number): readonly AdminEffect[] =>
     input.kind === 'config.published' ? published(input) : operate(input, now)
 
   return { handle }
--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -22,6 +22,7 @@
 import type { Metrics } from '../metrics/metrics.js'
 import { createOrders } from '../orders/ordersMachine.js'
 import type { OrdersDesired } from '../orders/ordersTypes.js'
+import type { FeatureName } from '../ports/features.js'
 import { createPrefix } from '../prefix/prefix.js'
 import type { Random } from '../random.js'
 import { modelQuestion } from '../requests/modelBegin.js'
@@ -33,7 +34,7 @@
 import type { Settings } from '../settings/settingsSchema.js'
 import { createDirectory } from './directory.js'
 import type { NodeEffect, NodeInput } from './nodeTypes.js'
-import { createRegistry, type Feature } from './registry.js'
+import { createRegistry } from './registry.js'
 import { desiredModels, endpointsByService, knownEndpoints, seedMembers, selfMember, type SelfAddress } from './settingsViews.js'
 
 /** What the node is made of. */
@@ -88,6 +89,11 @@
 /** Inputs that a feature with peers, a log or both takes. */
 const shared = (input: AnyInput, feature: string): boolean => isTick(input) || isPeerOf(input, feature) || ownedBy(input, feature)
 
+const adminKinds = new Set(['operator.request', 'config.published'])
+const cacheKinds = new Set(['endpoint.events', 'endpoint.unreachable'])
+const configKinds = new Set(['config.publish', 'config.peers', 'config.survey'])
+const listKinds = new Set(['membership.list', 'membership.failed'])
+const ordersKinds = new Set(['orders.desired', 'membership.changed'])
 const requestKinds = new Set(['claims.granted', 'claims.refused', 'endpoint.head', 'endpoint.chunk', 'endpoint.end', 'endpoint.answer', 'endpoint.failed'])
 const endpointsKinds = new Set(['endpoint.report', 'endpoint.unreachable', 'endpoints.evidence', 'endpoints.drain', 'membership.list', 'membership.failed', 'membership.changed'])
 const claimsKinds = new Set(['claims.begin', 'claims.settle', 'claims.unsent', 'claims.abandon', 'claims.members'])
@@ -151,25 +157,24 @@
   const requests = createRequests(context, directory)
   const admin = createAdmin({ settings, membership, config, endpoints, limits, routing, claims, orders, drain, metrics, requests, questionFor: (admittee, call) => modelQuestion(context, admittee, call), dump: () => dump() })
 
-  const register = (feature: Feature<AnyInput, AnyEffect>): void => registry.register(feature)
-
-  register({ name: 'membership', takes: input => shared(input, 'membership') || input.kind === 'membership.list' || input.kind === 'membership.failed', handle: (input, now) => membership.handle(input as never, now), dump: membership.dump })
-  register({ name: 'endpoints', takes: input => shared(input, 'endpoints') || endpointsKinds.has(input.kind), handle: (input, now) => endpoints.handle(input as never, now), dump: endpoints.dump })
-  register({ name: 'config', takes: input => shared(input, 'config') || (startsWith('config.')(input) && input.kind !== 'config.published'), handle: (input, now) => config.handle(input as never, now), dump: config.dump })
-  register({ name: 'claims', takes: input => shared(input, 'claims') || claimsKinds.has(input.kind), handle: (input, now) => claims.handle(input as never, now), dump: claims.dump })
-  register({ name: 'cache', takes: input => isTick(input) || input.kind === 'endpoint.events' || input.kind === 'endpoint.unreachable', handle: (input, now) => cache.handle(input as never, now), dump: cache.dump })
-  register({ name: 'limits', takes: input => shared(input, 'limits'), handle: (input, now) => limits.handle(input as never, now), dump: limits.dump })
-  register({ name: 'orders', takes: input => shared(input, 'orders') || input.kind === 'orders.desired' || input.kind === 'membership.changed', handle: (input, now) => orders.handle(input as never, now), dump: orders.dump })
-  register({
-    name: 'requests',
-    takes: input => isTick(input) || startsWith('caller.')(input) || requestKinds.has(input.kind),
-    handle: (input, now) => {
-      requests.handle(input as RequestsInput, now)
-      return collected.splice(0)
-    },
-    dump: () => ({ running: requests.running(), attempts: context.db.attempts.size, routing: routing.dump() })
-  })
-  register({ name: 'admin', takes: input => input.kind === 'operator.request' || input.kind === 'config.published', handle: (input, now) => admin.handle(input as never, now) as readonly AnyEffect[], dump: () => ({ drain: drain.dump() }) })
+  /** A feature's `takes` admits just the inputs that its `handle` is written for. */
+  const plug = <Taken>(name: FeatureName, takes: (input: AnyInput) => boolean, handle: (input: Taken, now: number) => readonly AnyEffect[], dump: () => unknown): void =>
+    registry.register({ name, takes, handle: (input, now) => handle(input as Taken, now), dump })
+
+  const handleRequests = (input: RequestsInput, now: number): readonly AnyEffect[] => {
+    requests.handle(input, now)
+    return collected.splice(0)
+  }
+
+  plug('membership', input => shared(input, 'membership') || listKinds.has(input.kind), membership.handle, membership.dump)
+  plug('endpoints', input => shared(input, 'endpoints') || endpointsKinds.has(input.kind), endpoints.handle, endpoints.dump)
+  plug('config', input => shared(input, 'config') || configKinds.has(input.kind), config.handle, config.dump)
+  plug('claims', input => shared(input, 'claims') || claimsKinds.has(input.kind), claims.handle, claims.dump)
+  plug('cache', input => isTick(input) || cacheKinds.has(input.kind), cache.handle, cache.dump)
+  plug('limits', input => shared(input, 'limits'), limits.handle, limits.dump)
+  plug('orders', input => shared(input, 'orders') || ordersKinds.has(input.kind), orders.handle, orders.dump)
+  plug('requests', input => isTick(input) || startsWith('caller.')(input) || requestKinds.has(input.kind), handleRequests, () => ({ running: requests.running(), attempts: context.db.attempts.size, routing: routing.dump() }))
+  plug('admin', input => adminKinds.has(input.kind), admin.handle, () => ({ drain: drain.dump() }))
 
   const drained = (effects: readonly DrainEffect[], now: number): readonly AnyEffect[] =>
     effects.flatMap((effect): readonly AnyEffect[] => effect.kind === 'drain.announce'
