--- a/src/adapters/endpointHttp.spec.ts
+++ b/src/adapters/endpointHttp.spec.ts
@@ -10,6 +10,7 @@
 import type { StandIn } from '../standins/standInServer.js'
 import { createRelay, relayEvent } from '../streams/streamRelay.js'
 import { createInputCollector } from '../../test/fakes/inputCollector.js'
+import { waitFor } from '../../test/fakes/waitFor.js'
 import { createEndpointHttp } from './endpointHttp.js'
 
 type Input<Kind extends EndpointInput['kind']> = Extract<EndpointInput, { kind: Kind }>
@@ -354,8 +355,3 @@
     expect(batches()[3].incarnation).not.toBe(batches()[0].incarnation)
   })
 })
-
-/** Polls a stand-in's own record, which sends no events. */
-async function waitFor (holds: () => boolean): Promise<void> {
-  while (!holds()) await new Promise(resolve => setTimeout(resolve, 1))
-}
--- a/src/adapters/platformHttp.spec.ts
+++ b/src/adapters/platformHttp.spec.ts
@@ -5,6 +5,7 @@
 import { createMembership } from '../standins/membership.js'
 import type { Fault } from '../standins/faults.js'
 import { createInputCollector } from '../../test/fakes/inputCollector.js'
+import { waitFor } from '../../test/fakes/waitFor.js'
 import { createLogHttp } from './logHttp.js'
 import { createMembershipHttp } from './membershipHttp.js'
 
@@ -107,7 +108,7 @@
     const announced = async (change: Partial<Member> = {}): Promise<void> => {
       const count = list.record.length
       adapter.perform({ kind: 'membership.announce', member: member(change) })
-      while (list.record.length === count) await new Promise(resolve => setTimeout(resolve, 1))
+      await waitFor(() => list.record.length !== count)
     }
     return { list, fetched, announced, pass: (ms: number) => { now += ms } }
   }
