--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,36 +1,13 @@
 // Bundles the program and injects the bundle into a copy of Node, which makes dist/wasabireel one file.
 import { chmodSync, copyFileSync, existsSync, mkdirSync, readFileSync, renameSync, writeFileSync } from 'node:fs'
 import { execFileSync } from 'node:child_process'
-import { build } from 'esbuild'
 import { inject } from 'postject'
+import { bundle, bundleProgram } from './bundleProgram.mjs'
 
-const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
-const optional = ['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'cbor-extract']
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
-const bundle = (entry, outfile) => build({
-  entryPoints: [entry],
-  outfile,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  minify: false,
-  external: optional,
-  define: { WASABIREEL_VERSION: JSON.stringify(version) },
-  logLevel: 'error'
-})
-
-// Bunyan and cbor-x ask for optional packages; inside a single executable `require` prints a warning, so they are answered here.
-const guard = `const optionalPackages = new Set(${JSON.stringify(optional)});
-const missing = name => { const error = new Error('optional package ' + name + ' is left out'); error.code = 'MODULE_NOT_FOUND'; throw error };
-const builtIn = require;
-require = Object.assign(name => optionalPackages.has(name) ? missing(name) : builtIn(name), builtIn);
-`
-
 mkdirSync('dist', { recursive: true })
-await bundle('src/cli/main.ts', 'dist/wasabireel.cjs')
-writeFileSync('dist/wasabireel.cjs', guard + readFileSync('dist/wasabireel.cjs', 'utf8'))
+await bundleProgram('dist/wasabireel.cjs')
 for (const [entry, outfile] of [['src/standins/main.ts', 'dist/standins.cjs'], ['demo/main.ts', 'dist/demo.cjs']]) {
   if (existsSync(entry)) await bundle(entry, outfile)
 }
--- /dev/null
+++ b/scripts/bundleProgram.mjs
@@ -0,0 +1,31 @@
+// Bundles the program into one file that Node.js runs by itself.
+import { readFileSync, writeFileSync } from 'node:fs'
+import { build } from 'esbuild'
+
+const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
+const optional = ['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'cbor-extract']
+
+// Bunyan and cbor-x ask for optional packages; inside a single executable `require` prints a warning, so they are answered here.
+const guard = `const optionalPackages = new Set(${JSON.stringify(optional)});
+const missing = name => { const error = new Error('optional package ' + name + ' is left out'); error.code = 'MODULE_NOT_FOUND'; throw error };
+const builtIn = require;
+require = Object.assign(name => optionalPackages.has(name) ? missing(name) : builtIn(name), builtIn);
+`
+
+export const bundle = (entry, outfile) => build({
+  entryPoints: [entry],
+  outfile,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  minify: false,
+  external: optional,
+  define: { WASABIREEL_VERSION: JSON.stringify(version) },
+  logLevel: 'error'
+})
+
+export const bundleProgram = async outfile => {
+  await bundle('src/cli/main.ts', outfile)
+  writeFileSync(outfile, guard + readFileSync(outfile, 'utf8'))
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,7 @@
 import { Command } from 'commander'
 import { version } from '../version.js'
 import { addEntryCommands } from './entryCommand.js'
+import { addGatewayCommand } from './gatewayCommand.js'
 import { addOperatorCommands } from './operatorCommands.js'
 import { addRulesCommands } from './rulesCommands.js'
 import { complain, exitCodeHelp, exitCodes } from './output.js'
@@ -12,6 +13,7 @@
   .addHelpText('after', exitCodeHelp)
 
 addEntryCommands(program)
+addGatewayCommand(program)
 addRulesCommands(program)
 addOperatorCommands(program)
 program.action(() => program.help())
--- /dev/null
+++ b/src/fleet/fleetMessages.ts
@@ -0,0 +1,37 @@
+/** Messages between the instances of a fleet. */
+import { z } from 'zod'
+import { catalogSchema } from '../catalog/catalogTypes.js'
+
+const moment = z.object({ steady: z.number(), wall: z.number() })
+
+const beat = z.object({
+  kind: z.literal('fleet.beat'),
+  incarnation: z.string(),
+  ready: z.boolean(),
+  leaving: z.boolean(),
+  /** The sender's clocks at the time of sending. */
+  sentAt: moment,
+  /** `sentAt` of the last beat that the sender had from the receiver. */
+  echo: moment.optional(),
+  /** Version of the sender's configuration; 0 without one. */
+  configuration: z.number(),
+  /** Age, in ms, of the sender's proof that this version is the newest. */
+  proofAge: z.number().optional(),
+  /** Whether the sender gives orders about weights. */
+  holding: z.boolean(),
+  weights: z.array(z.object({ model: z.string(), version: z.number() }))
+})
+
+/** All messages of the fleet. */
+export const fleetMessageSchema = z.discriminatedUnion('kind', [
+  beat,
+  z.object({ kind: z.literal('fleet.loading'), worker: z.string(), model: z.string(), version: z.number(), time: z.number() }),
+  z.object({ kind: z.literal('fleet.loaded'), worker: z.string(), model: z.string(), version: z.number() }),
+  z.object({ kind: z.literal('fleet.wantCatalog'), version: z.number() }),
+  z.object({ kind: z.literal('fleet.catalog'), catalog: catalogSchema })
+])
+
+/** A message of the fleet. */
+export type FleetMessage = z.infer<typeof fleetMessageSchema>
+/** A sign of life with what the sender believes. */
+export type Beat = z.infer<typeof beat>
--- /dev/null
+++ b/src/forwarding/forwardingContext.ts
@@ -0,0 +1,49 @@
+/** What forwarding needs from the rest of the instance. */
+import type { CatalogIndex } from '../catalog/catalogIndex.js'
+import type { Hash } from '../hash.js'
+import type { Moment, ReadLease } from '../lease/readLease.js'
+import type { KeptParts } from '../placement/keptParts.js'
+import type { WorkerLoad } from '../placement/workerLoad.js'
+import type { RetryWindow } from '../admission/retryWindow.js'
+import type { ForwardEffect } from '../ports/forwardPort.js'
+import type { Random } from '../random.js'
+import type { WeightsBelief } from '../workers/weightsBelief.js'
+import type { WorkersDb } from '../workers/workersDb.js'
+import type { ForwardNote } from './forwardingTypes.js'
+
+/** Knowledge and outlets of one instance. */
+export interface ForwardingContext {
+  readonly dataCentre: string
+  readonly catalog: () => CatalogIndex | undefined
+  readonly lease: ReadLease
+  /** Age of the newest proof, in ms, at which keys and refusals are no longer vouched for. */
+  readonly bounds: () => LeaseBounds
+  readonly workers: WorkersDb
+  readonly weights: WeightsBelief
+  readonly loadOf: (worker: string) => WorkerLoad
+  readonly keptBy: (worker: string) => KeptParts
+  /** What the part store is believed to keep; undefined while it is out of reach. */
+  readonly stored: () => KeptParts | undefined
+  readonly retries: (service: string) => RetryWindow
+  /** Instances that share the retry budget. */
+  readonly instances: () => number
+  readonly hash: Hash
+  readonly random: Random
+  readonly emit: (effect: ForwardEffect) => void
+  readonly note: (note: ForwardNote) => void
+}
+
+/** Ages of the newest proof, in ms. */
+export interface LeaseBounds {
+  /** From here on requests with a key are turned away. */
+  readonly keys: number
+  /** From here on an unknown key or path may be one of a newer configuration. */
+  readonly absence: number
+}
+
+/** Times of one decision. */
+export interface DecisionTime {
+  /** Present time, steady, in ms. */
+  readonly now: number
+  readonly moment: Moment
+}
--- /dev/null
+++ b/src/forwarding/forwardingMachine.ts
@@ -0,0 +1,408 @@
+/**
+ * Forwards requests: finds route and workspace, sends each request to a worker,
+ * passes the answer on unchanged, and decides what follows when a worker turns
+ * it away, breaks off, keeps silent or answers something else. A request that is
+ * given up is answered at once.
+ */
+import { createWaitingLine } from '../admission/waitingLine.js'
+import type { Route, Workspace } from '../catalog/catalogTypes.js'
+import { assertNever } from '../errors.js'
+import type { Moment } from '../lease/readLease.js'
+import type { AnswerHead, Call, ForwardInput } from '../ports/forwardPort.js'
+import { noteCounts, noteEnded, noteFailure, noteFirstEvent, noteSuccess, suspect } from '../placement/workerLoad.js'
+import { firstEventOverhead } from '../placement/modelPlacement.js'
+import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
+import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
+import { chooseService, place } from './placing.js'
+import { answerOf, outcomeOf, type Refusal } from './refusal.js'
+
+/** The forwarding of one instance. */
+export interface Forwarding {
+  readonly handle: (input: ForwardInput, moment: Moment) => void
+  /** Turns away and gives up what has used its time, and tries again what waits. */
+  readonly tick: (moment: Moment) => void
+  /** Requests in progress. */
+  readonly size: () => number
+  /** Whether a request waits for a worker of any service. */
+  readonly waiting: () => number
+  readonly dump: () => unknown
+}
+
+/** Part of its objective for which a request may wait here while no worker can take it. */
+const waitShare = 0.5
+/** A silent worker is doubted after this time, in ms, or a multiple of what was expected. */
+const silenceFloor = 450
+const silenceFactor = 3
+/** A stream without events for this time, in ms, is taken up elsewhere. */
+const stallLimit = 900
+/** Repeats of one request beyond which its caller is told. */
+const repeatLimit = 4
+/** A worker that is full or away is likely to take work again after this time, in ms. */
+const turnedAwayPause = 120
+/** Time for which a worker that turned a request away while weights are being changed is left alone, in ms. */
+const presumedLoad = 250
+/** Worker errors from here on may pass elsewhere. */
+const firstServerError = 500
+const misdirected = 421
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300
+
+/** Whether the request may run on another worker although the first may have run it. */
+const isRepeatable = ({ route }: Exchange): boolean => route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
+
+/**
+ * Creates the forwarding of one instance.
+ *
+ * @param context - knowledge and outlets of the instance
+ */
+export const createForwarding = (context: ForwardingContext): Forwarding => {
+  const exchanges = new Map<number, Exchange>()
+  const byAttempt = new Map<number, Exchange>()
+  const line = createWaitingLine()
+  let lastAttempt = 0
+
+  const elapsed = (exchange: Exchange, now: number): number => Math.round(now - exchange.arrivedAt)
+
+  const answerRefusal = (request: number, id: string, refusal: Refusal, after: number, moment: Moment): void => {
+    const answer = answerOf(refusal, context.random.unit())
+    context.note({
+      kind: 'refused',
+      id,
+      reason: refusal.kind,
+      outcome: outcomeOf(refusal),
+      after,
+      configuration: context.catalog()?.catalog.version ?? 0,
+      proofAge: Math.round(Math.min(context.lease.age(moment), Number.MAX_SAFE_INTEGER))
+    })
+    context.emit({ kind: 'call.answer', request, ...answer })
+  }
+
+  const forgetAttempt = (exchange: Exchange, cancel: boolean): void => {
+    const { attempt } = exchange
+    if (attempt === undefined) return
+    noteEnded(context.loadOf(attempt.worker), attempt.flight)
+    byAttempt.delete(attempt.id)
+    exchange.attempt = undefined
+    if (cancel) context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
+  }
+
+  const forget = (exchange: Exchange): void => {
+    exchanges.delete(exchange.request)
+    line.remove(exchange.request)
+  }
+
+  const refuse = (exchange: Exchange, refusal: Refusal, { now, moment }: DecisionTime): void => {
+    const { request, call } = exchange
+    forget(exchange)
+    if (exchange.opened) {
+      context.note({ kind: 'brokenOff', id: call.id, reason: refusal.kind, after: elapsed(exchange, now), events: exchange.events })
+      context.emit({ kind: 'call.abort', request })
+      return
+    }
+    const promised = exchange.mayHaveRun && outcomeOf(refusal) === 'not_run' ? { kind: 'broken' } as const : refusal
+    answerRefusal(request, call.id, promised, elapsed(exchange, now), moment)
+  }
+
+  const tryPlace = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
+    lastAttempt++
+    const placing = place(context, exchange, cause, lastAttempt, time)
+    switch (placing.kind) {
+      case 'sent':
+        line.remove(exchange.request)
+        byAttempt.set(lastAttempt, exchange)
+        return
+      case 'refused': return refuse(exchange, placing.refusal, time)
+      case 'noneNow': return wait(exchange, cause, time)
+      default: assertNever(placing)
+    }
+  }
+
+  const wait = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
+    const { route, arrivedAt, deadline, workspace } = exchange
+    const until = Math.min(deadline, arrivedAt + waitShare * route.objective)
+    const someLive = context.workers.live(exchange.service).some(({ id }) => !exchange.avoided.has(id))
+    const exhausted = exchange.sentTo.size >= route.maxWorkers
+    if (time.now >= until || exhausted || (!someLive && cause !== 'first' && cause !== 'waited')) {
+      refuse(exchange, exhausted ? { kind: 'turnedAway', wait: turnedAwayPause } : { kind: 'noWorker' }, time)
+      return
+    }
+    line.add({ request: exchange.request, priority: workspace?.priority ?? route.priority, since: arrivedAt, until })
+  }
+
+  const authorise = (call: Call, route: Route, age: number): Workspace | Refusal | undefined => {
+    const index = context.catalog()
+    if (route.open || index?.catalog.workspaces === undefined) return undefined
+    const workspace = call.key === undefined ? undefined : index.workspaceOf(call.key)
+    if (workspace === undefined) return age < context.bounds().absence ? { kind: 'unknownKey' } : { kind: 'unprovenConfiguration' }
+    return age < context.bounds().keys ? workspace : { kind: 'unprovenConfiguration' }
+  }
+
+  const arrive = (request: number, call: Call, time: DecisionTime): void => {
+    const { now, moment } = time
+    const index = context.catalog()
+    if (index === undefined) return answerRefusal(request, call.id, { kind: 'noConfiguration' }, 0, moment)
+    const age = context.lease.age(moment)
+    const route = index.routeOf(call.host, call.path)
+    if (route === undefined) {
+      const refusal: Refusal = age < context.bounds().absence ? { kind: 'noRoute' } : { kind: 'unprovenConfiguration' }
+      return answerRefusal(request, call.id, refusal, 0, moment)
+    }
+    const authorised = authorise(call, route, age)
+    if (authorised !== undefined && 'kind' in authorised) return answerRefusal(request, call.id, authorised, 0, moment)
+    const service = chooseService(context, route, call)
+    if (service === undefined) return answerRefusal(request, call.id, { kind: 'noWorker' }, 0, moment)
+    const exchange: Exchange = {
+      request,
+      call,
+      route,
+      workspace: authorised,
+      service,
+      arrivedAt: now,
+      deadline: now + Math.min(call.patience ?? Infinity, route.timeout),
+      sentTo: new Set(),
+      avoided: new Set(),
+      repeats: 0,
+      mayHaveRun: false,
+      attempt: undefined,
+      opened: false,
+      lastEvent: undefined,
+      events: 0
+    }
+    exchanges.set(request, exchange)
+    context.retries(service).noteRequest(now)
+    tryPlace(exchange, 'first', time)
+  }
+
+  /** Sends a request once more if the budget allows it; an arrival at a worker uses the budget, also one that is turned away. */
+  const again = (exchange: Exchange, cause: SendCause, otherwise: Refusal, time: DecisionTime): void => {
+    const { now } = time
+    const allowed = exchange.repeats < repeatLimit && now < exchange.deadline &&
+      context.retries(exchange.service).take(context.instances(), now)
+    if (!allowed) return refuse(exchange, otherwise, time)
+    exchange.repeats++
+    tryPlace(exchange, cause, time)
+  }
+
+  const failAttempt = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
+    context.note({ kind: 'attemptFailed', id: exchange.call.id, worker: attempt.worker, reason, after: Math.round(now - attempt.sentAt) })
+    forgetAttempt(exchange, cancel)
+  }
+
+  const suspectWorker = (worker: string, reason: string, now: number): void => {
+    const load = context.loadOf(worker)
+    suspect(load, now)
+    context.note({ kind: 'workerSuspected', worker, reason, until: Math.round(load.suspectedUntil) })
+  }
+
+  /** The worker says that the request has not run. */
+  const turnedAway = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
+    const { now } = time
+    const { prompt } = exchange.call
+    const worker = context.workers.get(attempt.worker)
+    if (head.status === misdirected && head.worker !== undefined && head.worker !== attempt.worker) {
+      failAttempt(exchange, attempt, 'otherWorker', false, now)
+      suspectWorker(attempt.worker, 'otherWorker', now)
+      exchange.avoided.add(attempt.worker)
+      exchange.sentTo.delete(attempt.worker)
+      return again(exchange, 'turnedAway', { kind: 'turnedAway', wait: turnedAwayPause }, time)
+    }
+    const newest = prompt === undefined ? undefined : context.weights.newest(prompt.model)
+    if (head.status === misdirected && prompt !== undefined && worker !== undefined && newest !== undefined && attempt.version !== newest.version) {
+      context.weights.noteHeld(worker, prompt.model, head.weightVersion ?? newest.version)
+      context.weights.noteLoaded(attempt.worker)
+      context.keptBy(attempt.worker).clear()
+      failAttempt(exchange, attempt, 'otherVersion', false, now)
+      return again(exchange, 'otherVersion', { kind: 'turnedAway', wait: turnedAwayPause }, time)
+    }
+    if (prompt !== undefined && worker !== undefined && newest !== undefined && !context.weights.isNewest(worker, prompt.model)) {
+      context.weights.noteLoading(attempt.worker, now + presumedLoad)
+    }
+    failAttempt(exchange, attempt, 'turnedAway', false, now)
+    exchange.avoided.add(attempt.worker)
+    again(exchange, 'turnedAway', { kind: 'turnedAway', wait: turnedAwayPause }, time)
+  }
+
+  /** The attempt is over and may have run. */
+  const lost = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, time: DecisionTime): void => {
+    exchange.mayHaveRun = true
+    noteFailure(context.loadOf(attempt.worker))
+    failAttempt(exchange, attempt, reason, cancel, time.now)
+    if (!isRepeatable(exchange)) return refuse(exchange, { kind: 'broken' }, time)
+    exchange.avoided.add(attempt.worker)
+    again(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
+  }
+
+  const unsent = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
+    failAttempt(exchange, attempt, 'unsent', false, time.now)
+    suspectWorker(attempt.worker, 'unreachable', time.now)
+    exchange.avoided.add(attempt.worker)
+    exchange.sentTo.delete(attempt.worker)
+    if (time.now >= exchange.deadline) refuse(exchange, { kind: 'lateUnsent' }, time)
+    else tryPlace(exchange, 'unsent', time)
+  }
+
+  const isStream = ({ route }: Exchange, head: AnswerHead): boolean => route.kind === 'stream' && isSuccess(head.status)
+
+  const takeHead = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
+    const { now } = time
+    const { call } = exchange
+    attempt.head = head
+    attempt.lastDataAt = now
+    if (head.requestId !== undefined && head.requestId !== call.id) return lost(exchange, attempt, 'garbled', true, time)
+    const load = context.loadOf(attempt.worker)
+    if (head.load !== undefined) noteCounts(load, head.load, now)
+    if (head.notRun) return
+    const worker = context.workers.get(attempt.worker)
+    if (head.weightVersion !== undefined && worker !== undefined && call.prompt !== undefined) context.weights.noteHeld(worker, call.prompt.model, head.weightVersion)
+    if (isSuccess(head.status) && !head.signed) return lost(exchange, attempt, 'garbled', true, time)
+    if (!isStream(exchange, head)) return
+    if (exchange.opened) return
+    exchange.opened = true
+    exchange.mayHaveRun = true
+    context.emit({ kind: 'call.open', request: exchange.request, status: head.status, headers: head.headers })
+  }
+
+  const firstEvent = (exchange: Exchange, attempt: Attempt, now: number): void => {
+    const load = context.loadOf(attempt.worker)
+    noteFirstEvent(load, attempt.flight, firstEventOverhead, now)
+    const { prompt } = exchange.call
+    if (prompt === undefined || attempt.scope === undefined) return
+    context.keptBy(attempt.worker).add(attempt.scope, prompt.parts)
+    if (attempt.stores) context.stored()?.add(attempt.scope, prompt.parts)
+  }
+
+  const takeData = (exchange: Exchange, attempt: Attempt, bytes: Buffer, now: number): void => {
+    attempt.lastDataAt = now
+    const { head } = attempt
+    if (head === undefined) return
+    if (!isStream(exchange, head) || head.notRun) {
+      attempt.body.push(bytes)
+      return
+    }
+    const events = attempt.splitter.push(bytes)
+    if (events === undefined) return
+    if (attempt.flight.firstAt === undefined) firstEvent(exchange, attempt, now)
+    exchange.events += events.count
+    if (events.lastId !== undefined) exchange.lastEvent = events.lastId
+    context.emit({ kind: 'call.write', request: exchange.request, bytes: events.bytes })
+  }
+
+  const complete = (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number): void => {
+    const load = context.loadOf(attempt.worker)
+    const isPlain = !isStream(exchange, head)
+    noteSuccess(load, isPlain && isSuccess(head.status) ? now - attempt.sentAt : undefined)
+    forgetAttempt(exchange, false)
+    forget(exchange)
+    context.note({ kind: 'answered', id: exchange.call.id, worker: attempt.worker, status: head.status, after: elapsed(exchange, now), events: exchange.events })
+    if (isPlain) context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body: Buffer.concat(attempt.body) })
+    else context.emit({ kind: 'call.end', request: exchange.request })
+  }
+
+  const takeEnd = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
+    const { head } = attempt
+    if (head === undefined) return lost(exchange, attempt, 'garbled', false, time)
+    if (head.notRun) return turnedAway(exchange, attempt, head, time)
+    if (isStream(exchange, head) && attempt.splitter.isInside()) return lost(exchange, attempt, 'partialEvent', false, time)
+    const mayPass = head.status >= firstServerError && isRepeatable(exchange) && !exchange.opened
+    if (mayPass && canRepeat(exchange, time.now)) return lost(exchange, attempt, 'failedAnswer', false, time)
+    if (exchange.opened && !isStream(exchange, head)) return lost(exchange, attempt, 'failedAnswer', false, time)
+    if (head.status >= firstServerError) noteFailure(context.loadOf(attempt.worker))
+    complete(exchange, attempt, head, time.now)
+  }
+
+  const canRepeat = ({ route, sentTo, service, repeats }: Exchange, now: number): boolean =>
+    repeats < repeatLimit && sentTo.size < route.maxWorkers &&
+    context.workers.live(service).some(({ id }) => !sentTo.has(id)) &&
+    context.retries(service).has(context.instances(), now)
+
+  const left = (exchange: Exchange, now: number): void => {
+    context.note({ kind: 'callerLeft', id: exchange.call.id, after: elapsed(exchange, now), events: exchange.events })
+    forgetAttempt(exchange, true)
+    forget(exchange)
+  }
+
+  const handleAttempt = (input: Extract<ForwardInput, { readonly attempt: number }>, time: DecisionTime): void => {
+    const exchange = byAttempt.get(input.attempt)
+    const attempt = exchange?.attempt
+    if (exchange === undefined || attempt?.id !== input.attempt) return
+    switch (input.kind) {
+      case 'attempt.head': return takeHead(exchange, attempt, input.head, time)
+      case 'attempt.data': return takeData(exchange, attempt, input.bytes, time.now)
+      case 'attempt.ended': return takeEnd(exchange, attempt, time)
+      case 'attempt.failed':
+        if (input.failure === 'unsent') return unsent(exchange, attempt, time)
+        if (attempt.head?.notRun === true) return turnedAway(exchange, attempt, attempt.head, time)
+        return lost(exchange, attempt, input.failure, false, time)
+      default: assertNever(input)
+    }
+  }
+
+  const handle = (input: ForwardInput, moment: Moment): void => {
+    const time = { now: moment.steady, moment }
+    switch (input.kind) {
+      case 'call.arrived': return arrive(input.request, input.call, time)
+      case 'call.unreadable': return answerRefusal(input.request, 'none', { kind: 'unreadable', problem: input.problem }, 0, moment)
+      case 'call.left': {
+        const exchange = exchanges.get(input.request)
+        if (exchange !== undefined) left(exchange, time.now)
+        return
+      }
+      default: return handleAttempt(input, time)
+    }
+  }
+
+  const expire = (exchange: Exchange, time: DecisionTime): void => {
+    const sent = exchange.attempt !== undefined
+    if (exchange.attempt !== undefined) {
+      exchange.mayHaveRun = true
+      forgetAttempt(exchange, true)
+    }
+    refuse(exchange, sent || exchange.mayHaveRun ? { kind: 'late' } : { kind: 'lateUnsent' }, time)
+  }
+
+  const isStalled = ({ opened }: Exchange, attempt: Attempt, now: number): boolean =>
+    opened && now - attempt.lastDataAt > stallLimit
+
+  const isSilent = (attempt: Attempt, now: number): boolean =>
+    attempt.head === undefined && now - attempt.sentAt > Math.max(silenceFloor, silenceFactor * attempt.flight.expected)
+
+  /** Doubts silent workers; what may run elsewhere goes there. */
+  const watch = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
+    const { now } = time
+    const stalled = isStalled(exchange, attempt, now)
+    if (attempt.silent || (!stalled && !isSilent(attempt, now))) return
+    attempt.silent = true
+    const load = context.loadOf(attempt.worker)
+    noteFailure(load)
+    if (!stalled) suspectWorker(attempt.worker, 'silent', now)
+    if (!isRepeatable(exchange) || !canRepeat(exchange, now)) return
+    exchange.mayHaveRun = true
+    failAttempt(exchange, attempt, 'silent', true, now)
+    exchange.avoided.add(attempt.worker)
+    again(exchange, stalled ? 'resume' : 'silent', { kind: 'broken' }, time)
+  }
+
+  const tick = (moment: Moment): void => {
+    const time = { now: moment.steady, moment }
+    for (const exchange of exchanges.values()) {
+      if (exchange.deadline <= time.now) expire(exchange, time)
+      else if (exchange.attempt !== undefined) watch(exchange, exchange.attempt, time)
+    }
+    for (const { request } of line.overdue(time.now)) {
+      const exchange = exchanges.get(request)
+      if (exchange !== undefined) refuse(exchange, { kind: 'noWorker' }, time)
+    }
+    for (const { request } of line.inOrder()) {
+      const exchange = exchanges.get(request)
+      if (exchange !== undefined) tryPlace(exchange, 'waited', time)
+    }
+  }
+
+  return {
+    handle,
+    tick,
+    size: () => exchanges.size,
+    waiting: line.size,
+    dump: () => ({ requests: exchanges.size, waiting: line.size() })
+  }
+}
--- /dev/null
+++ b/src/gateway/gatewayMachine.ts
@@ -0,0 +1,379 @@
+/**
+ * The core of a gateway: an instance that forwards requests as they are to
+ * workers which discovery announces. It ties the features together; each input
+ * goes to the feature that takes it, and what they ask for is gathered.
+ */
+import { createRetryWindow, type RetryBounds, type RetryWindow } from '../admission/retryWindow.js'
+import { indexCatalog, type CatalogIndex } from '../catalog/catalogIndex.js'
+import type { Address, Catalog } from '../catalog/catalogTypes.js'
+import { assertNever } from '../errors.js'
+import { createFleet } from '../fleet/fleetMachine.js'
+import { fleetMessageSchema } from '../fleet/fleetMessages.js'
+import type { LeaseBounds } from '../forwarding/forwardingContext.js'
+import { createForwarding } from '../forwarding/forwardingMachine.js'
+import type { Hash } from '../hash.js'
+import { createReadLease, type Moment } from '../lease/readLease.js'
+import { createKeptParts, type KeptParts } from '../placement/keptParts.js'
+import { createWorkerLoad, foreignRequests, type WorkerLoad } from '../placement/workerLoad.js'
+import type { FeedInput, FleetMember, PartChange } from '../ports/feedPort.js'
+import type { PeerMessage } from '../ports/peerPort.js'
+import type { Random } from '../random.js'
+import { createRolloutLease } from '../rollout/rolloutLease.js'
+import { createRollout, type RolloutNotice } from '../rollout/rolloutMachine.js'
+import { createWeightsBelief } from '../workers/weightsBelief.js'
+import { createWorkersDb, type WorkerChange } from '../workers/workersDb.js'
+import type { GatewayEffect, GatewayInput, GatewayNote } from './gatewayTypes.js'
+
+/** Bounds that a gateway keeps; times in ms. */
+export interface GatewayBounds {
+  readonly lease: LeaseBounds
+  readonly retries: RetryBounds
+  /** Time for which callers may keep the answer of the directory. */
+  readonly addressLife: number
+  /** Callers keep it up to this many times as long. */
+  readonly addressLifeFactor: number
+  /** Time from being told to leave until the process is ended from outside. */
+  readonly grace: number
+  /** Part of a service's workers that may load weights at once. */
+  readonly loadShare: number
+}
+
+/** What a gateway is made of. */
+export interface GatewayOptions {
+  readonly self: FleetMember
+  readonly bounds: () => GatewayBounds
+  readonly hash: Hash
+  readonly random: Random
+}
+
+/** Where callers may connect, and for how long they may keep that. */
+export interface DirectoryAnswer {
+  readonly addresses: readonly string[]
+  /** In ms. */
+  readonly life: number
+}
+
+/** The core of a gateway. */
+export interface Gateway {
+  readonly handle: (input: GatewayInput, now: Moment) => readonly GatewayEffect[]
+  readonly directory: (now: Moment) => DirectoryAnswer
+  readonly isReady: (now: Moment) => boolean
+  readonly gauges: (now: Moment) => { readonly requests: number, readonly waiting: number, readonly proofAge: number, readonly configuration: number, readonly instances: number, readonly workers: number }
+  readonly dump: (now: Moment) => unknown
+}
+
+/** Addresses that callers take from one answer. */
+const mostAddresses = 64
+/** Tokens that a keeper is taken to hold until its service is known. */
+const usualMemory = 100_000
+/** Part of a worker's memory that cached parts are taken to have beside running requests. */
+const cacheShare = 0.85
+/** Time for the fleet to hear that an instance leaves, in ms. */
+const announceLag = 400
+/** Time before the end of the grace at which the last requests are given up, in ms. */
+const graceReserve = 500
+
+const textOf = ({ host, port }: Address): string => `${host}:${port}`
+
+const sameAddress = (left: Address | undefined, right: Address | undefined): boolean =>
+  left?.host === right?.host && left?.port === right?.port
+
+/**
+ * Creates the core of a gateway.
+ *
+ * @param options - this instance and its bounds
+ */
+export const createGateway = (options: GatewayOptions): Gateway => {
+  const { self, bounds, hash, random } = options
+  const effects: GatewayEffect[] = []
+  const emit = (effect: GatewayEffect): void => { effects.push(effect) }
+  const note = (entry: GatewayNote): void => emit({ kind: 'gateway.note', note: entry })
+
+  const lease = createReadLease()
+  const workers = createWorkersDb()
+  const weights = createWeightsBelief()
+  const loads = new Map<string, WorkerLoad>()
+  const kept = new Map<string, KeptParts>()
+  const windows = new Map<string, RetryWindow>()
+  let index: CatalogIndex | undefined
+  let stored: KeptParts | undefined
+  let followed: Address | undefined
+  let present: Moment = { steady: 0, wall: 0 }
+  let announced = false
+  let leftAt: number | undefined
+  let frontClosed = false
+  let exiting = false
+
+  const loadOf = (worker: string): WorkerLoad => {
+    const known = loads.get(worker) ?? createWorkerLoad(worker)
+    loads.set(worker, known)
+    return known
+  }
+
+  const memoryOf = (worker: string): number => {
+    const purpose = index?.service(workers.get(worker)?.service ?? '')?.purpose
+    return purpose?.kind === 'model' ? purpose.memoryTokens * cacheShare : usualMemory
+  }
+
+  const keptBy = (worker: string): KeptParts => {
+    const known = kept.get(worker) ?? createKeptParts(memoryOf(worker))
+    kept.set(worker, known)
+    return known
+  }
+
+  const retries = (service: string): RetryWindow => {
+    const known = windows.get(service) ?? createRetryWindow(bounds().retries)
+    windows.set(service, known)
+    return known
+  }
+
+  const isReady = (now: Moment): boolean =>
+    leftAt === undefined && index !== undefined && lease.age(now) < bounds().lease.keys
+
+  const takeCatalog = (catalog: Catalog, source: 'store' | 'peer'): void => {
+    if (index !== undefined && catalog.version <= index.catalog.version) return
+    index = indexCatalog(catalog)
+    note({ kind: 'configurationInForce', version: catalog.version, source, proofAge: Math.round(Math.min(lease.age(present), Number.MAX_SAFE_INTEGER)) })
+    const { bodyBytes, idleTimeout, headerTimeout } = catalog.limits
+    emit({ kind: 'gateway.limits', bodyBytes, idleTimeout, headerTimeout })
+    const address = index.partStore?.address
+    if (sameAddress(address, followed)) return
+    followed = address
+    stored = undefined
+    emit({ kind: 'parts.follow', address })
+  }
+
+  const nameWeights = (model: string, version: number): void => {
+    if (weights.name(model, version, present.steady)) note({ kind: 'weightsNamed', model, version })
+  }
+
+  const noteLoaded = (worker: string, model: string, version: number): void => {
+    const known = workers.get(worker)
+    weights.noteLoaded(worker)
+    if (known !== undefined) weights.noteHeld(known, model, version)
+  }
+
+  const fleet = createFleet({
+    self,
+    hash,
+    own: now => ({
+      ready: isReady(now),
+      leaving: leftAt !== undefined,
+      configuration: index?.catalog.version ?? 0,
+      proofAge: lease.age(now),
+      holding: rolloutLease.holds(),
+      weights: weights.models().flatMap(model => {
+        const newest = weights.newest(model)
+        return newest === undefined ? [] : [{ model, version: newest.version }]
+      })
+    }),
+    ownCatalog: () => index?.catalog,
+    emit,
+    events: {
+      proven: (version, asOf) => { if (version === index?.catalog.version) lease.renew(asOf) },
+      catalog: catalog => takeCatalog(catalog, 'peer'),
+      weightsNamed: nameWeights,
+      workerLoading: (worker, time) => weights.noteLoading(worker, present.steady + time),
+      workerLoaded: noteLoaded,
+      peerChanged: (peer, change) => note({ kind: 'peerChanged', peer, change })
+    }
+  })
+
+  const rolloutLease = createRolloutLease(self, {
+    isAble: (id, incarnation) => fleet.isAble(id, incarnation, present),
+    rank: () => fleet.rank(present)
+  }, emit)
+
+  const tellRollout = (notice: RolloutNotice): void => {
+    note(notice)
+    switch (notice.kind) {
+      case 'loading': return fleet.broadcast({ ...notice, kind: 'fleet.loading' })
+      case 'loaded': return fleet.broadcast({ ...notice, kind: 'fleet.loaded' })
+      case 'orderAnswered': return
+      default: assertNever(notice)
+    }
+  }
+
+  const rollout = createRollout({
+    self: self.id,
+    loadShare: bounds().loadShare,
+    workers,
+    weights,
+    lease: rolloutLease,
+    workAt: (worker, now) => loadOf(worker).flights.size + foreignRequests(loadOf(worker), now),
+    emit,
+    tell: tellRollout
+  })
+
+  const forwarding = createForwarding({
+    dataCentre: self.dataCentre,
+    catalog: () => index,
+    lease,
+    bounds: () => bounds().lease,
+    workers,
+    weights,
+    loadOf,
+    keptBy,
+    stored: () => stored,
+    retries,
+    instances: () => fleet.size(present),
+    hash,
+    random,
+    emit,
+    note
+  })
+
+  const forgetWorker = (worker: string): void => {
+    loads.delete(worker)
+    kept.delete(worker)
+    weights.forget(worker)
+  }
+
+  const takeWorkerChange = (change: WorkerChange): void => {
+    const { id, service, address } = change.worker
+    if (change.kind === 'updated') return
+    if (change.kind === 'left') forgetWorker(id)
+    if (change.kind === 'restarted') kept.delete(id)
+    note({ kind: 'workerChanged', change: change.kind, worker: id, service, address: textOf(address) })
+  }
+
+  const takePart = (change: PartChange): void => {
+    switch (change.kind) {
+      case 'kept': return stored?.add(change.scope, [{ id: change.part, tokens: change.tokens }])
+      case 'dropped': return stored?.drop(change.scope, change.part)
+      default: assertNever(change)
+    }
+  }
+
+  const takeParts = (restarted: boolean, changes: readonly PartChange[]): void => {
+    if (restarted) note({ kind: 'partStoreRestarted' })
+    if (restarted || stored === undefined) stored = createKeptParts(index?.partStore?.memoryTokens ?? usualMemory)
+    changes.forEach(takePart)
+  }
+
+  const takeFeed = (input: FeedInput): void => {
+    switch (input.kind) {
+      case 'feed.catalog': return takeCatalog(input.catalog, 'store')
+      case 'feed.proof': return lease.renew(input.asOf)
+      case 'feed.weights': return nameWeights(input.model, input.version)
+      case 'feed.workers': return workers.apply(input.records, input.complete, present.steady).forEach(takeWorkerChange)
+      case 'feed.members': return emit({ kind: 'gateway.peers', members: fleet.setMembers(input.members, input.withdrawn) })
+      case 'feed.parts': return takeParts(input.restarted, input.changes)
+      case 'feed.lost':
+        if (input.dependency === 'partStore') stored = undefined
+        return note({ kind: 'dependencyLost', dependency: input.dependency, reason: input.reason })
+      case 'feed.regained': return note({ kind: 'dependencyRegained', dependency: input.dependency })
+      default: assertNever(input)
+    }
+  }
+
+  const takePeerMessage = (from: string, message: PeerMessage): void => {
+    const parsed = fleetMessageSchema.safeParse(message)
+    if (parsed.success) fleet.receive(from, parsed.data, present)
+    else note({ kind: 'garbledPeerMessage', from })
+  }
+
+  const leave = (): void => {
+    if (leftAt !== undefined) return
+    leftAt = present.steady
+    note({ kind: 'leaving', requests: forwarding.size() })
+    fleet.announce(present)
+    rolloutLease.release(present)
+    emit({ kind: 'member.withdraw', id: self.id })
+    emit({ kind: 'gateway.closing' })
+  }
+
+  /** Callers may come for as long as they keep an answer of the directory that names this instance. */
+  const drain = (since: number): void => {
+    const { addressLife, addressLifeFactor, grace } = bounds()
+    const passed = present.steady - since
+    const lingered = passed >= Math.min(addressLife * addressLifeFactor + announceLag, grace / 2)
+    if (lingered && !frontClosed) {
+      frontClosed = true
+      note({ kind: 'frontClosed', requests: forwarding.size() })
+      emit({ kind: 'gateway.closeFront' })
+    }
+    if (exiting || !frontClosed) return
+    if (forwarding.size() > 0 && passed < grace - graceReserve) return
+    exiting = true
+    emit({ kind: 'gateway.exit' })
+  }
+
+  const tick = (): void => {
+    if (!announced) {
+      announced = true
+      emit({ kind: 'member.announce', member: self })
+    }
+    workers.expire(present.steady).forEach(takeWorkerChange)
+    fleet.tick(present)
+    rollout.tick(present)
+    forwarding.tick(present)
+    if (leftAt !== undefined) drain(leftAt)
+  }
+
+  const dispatch = (input: GatewayInput): void => {
+    switch (input.kind) {
+      case 'call.arrived':
+      case 'call.unreadable':
+      case 'call.left':
+      case 'attempt.head':
+      case 'attempt.data':
+      case 'attempt.ended':
+      case 'attempt.failed': return forwarding.handle(input, present)
+      case 'feed.catalog':
+      case 'feed.proof':
+      case 'feed.weights':
+      case 'feed.workers':
+      case 'feed.members':
+      case 'feed.parts':
+      case 'feed.lost':
+      case 'feed.regained': return takeFeed(input)
+      case 'claim.records':
+      case 'claim.accepted':
+      case 'claim.refused':
+      case 'claim.failed': return rolloutLease.answer(input, present)
+      case 'order.answered':
+      case 'worker.told': return rollout.answer(input, present)
+      case 'peer.message': return takePeerMessage(input.from, input.message)
+      case 'peer.lost': return
+      case 'tick': return tick()
+      case 'gateway.leave': return leave()
+      default: assertNever(input)
+    }
+  }
+
+  const handle = (input: GatewayInput, now: Moment): readonly GatewayEffect[] => {
+    present = now
+    dispatch(input)
+    return effects.splice(0)
+  }
+
+  const directory = (now: Moment): DirectoryAnswer => {
+    const others = fleet.fronts(now)
+    const addresses = isReady(now) || others.length === 0 ? [self.front, ...others] : others
+    return { addresses: addresses.slice(0, mostAddresses), life: bounds().addressLife }
+  }
+
+  return {
+    handle,
+    directory,
+    isReady,
+    gauges: now => ({
+      requests: forwarding.size(),
+      waiting: forwarding.waiting(),
+      proofAge: lease.age(now),
+      configuration: index?.catalog.version ?? 0,
+      instances: fleet.size(now),
+      workers: [...workers.all()].length
+    }),
+    dump: now => ({
+      self,
+      configuration: index?.catalog.version,
+      proofAge: lease.age(now),
+      forwarding: forwarding.dump(),
+      fleet: fleet.dump(now),
+      rollout: rollout.dump(),
+      workers: [...workers.all()].map(worker => ({ ...worker, flights: loads.get(worker.id)?.flights.size ?? 0, tokenCost: loads.get(worker.id)?.tokenCost, failures: loads.get(worker.id)?.failures }))
+    })
+  }
+}
--- /dev/null
+++ b/src/placement/modelPlacement.ts
@@ -0,0 +1,166 @@
+/**
+ * Chooses the worker of a model request by the expected time to its first
+ * event. It answers the load in which long shared prompts and short ones meet
+ * on workers of unequal speed: unread tokens ahead are counted at each worker's
+ * own speed, parts that a worker keeps or can fetch are not read again, memory
+ * that would run out counts as waiting, and workers on older weights are used
+ * only where those on the newest are much slower.
+ */
+import type { ModelPurpose } from '../catalog/catalogTypes.js'
+import type { Prompt } from '../ports/forwardPort.js'
+import { rendezvousScore } from '../addresses/rendezvous.js'
+import type { Hash } from '../hash.js'
+import type { KeptParts } from './keptParts.js'
+import { foreignRequests, foreignWaiting, isTrusted, type WorkerLoad } from './workerLoad.js'
+
+/** A worker that may be chosen. */
+export interface ModelCandidate {
+  readonly id: string
+  readonly load: WorkerLoad
+  readonly kept: KeptParts
+  readonly slots: number
+  /** Whether its weights are the newest that were named. */
+  readonly newest: boolean
+  readonly scope: string
+  /** Whether the worker is in the instance's own data centre. */
+  readonly near: boolean
+}
+
+/** What is asked. */
+export interface ModelQuestion {
+  readonly prompt: Prompt
+  readonly purpose: ModelPurpose
+  /** Parts that the part store is believed to keep; undefined if there is no store in reach. */
+  readonly stored: KeptParts | undefined
+  /** Time since newer weights were named, in ms. */
+  readonly weightsAge: number
+  /** Mean time per unread token of the known workers, in ms; 0 if none is known. */
+  readonly meanCost: number
+}
+
+/** The chosen worker and what is expected there. */
+export interface ModelChoice {
+  readonly candidate: ModelCandidate
+  readonly expected: number
+  readonly unreadTokens: number
+  readonly fetchedTokens: number
+  readonly tokensAhead: number
+  readonly memoryTokens: number
+}
+
+/** Time per unread token until an answer told, in ms. */
+const priorCost = 0.025
+/** Network and first step, in ms. */
+export const firstEventOverhead = 12
+const farOverhead = 2
+/** Bits a Mbit/s link carries in one ms. */
+const bitsPerMs = 1_000
+const bitsPerByte = 8
+/** Weight of reading shared parts again, beside the time that it takes: others wait behind it, and it pushes out other parts. */
+const rereadWeight = 1.5
+/** Weight of fetching parts, beside the time that it takes. */
+const fetchWeight = 0.3
+/** Advantage, in ms, of the worker on which a prompt's last shared part belongs by its name, so that instances agree without talking. */
+const homeAdvantage = 30
+/** Cost of a failure, in ms: the caller comes back, or does not. */
+const failureCost = 900
+/** A run on old weights is soon cut or worth little. */
+const oldWeightsCost = 120
+const veryOldWeightsCost = 500
+/** Age of newer weights, in ms, from which runs on older ones are worth markedly less. */
+const weightsGrace = 1_200
+/** Each running request slows the others' tokens; in ms. */
+const runningCost = 1.2
+/** Part of a worker's memory beyond which runs are likely to be preempted. */
+const memoryShare = 0.9
+const memoryCost = 400
+/** Time for a slot of a full worker to come free, in ms. */
+const slotTime = 60
+
+const costOf = (load: WorkerLoad, meanCost: number): number => load.tokenCost || meanCost || priorCost
+
+const fetchCost = ({ tokenBytes, linkSpeed }: ModelPurpose): number => tokenBytes * bitsPerByte / (linkSpeed * bitsPerMs)
+
+const memoryPenalty = (candidate: ModelCandidate, question: ModelQuestion, memoryTokens: number, now: number): number => {
+  const { prompt, purpose } = question
+  const foreign = foreignRequests(candidate.load, now) * (prompt.inputTokens + prompt.maxOutputTokens)
+  const wanted = candidate.load.memoryTokens + foreign + memoryTokens
+  const over = wanted / purpose.memoryTokens - memoryShare
+  return over <= 0 ? 0 : memoryCost * (0.2 + over)
+}
+
+const oldWeights = (candidate: ModelCandidate, { weightsAge }: ModelQuestion): number => {
+  if (candidate.newest) return 0
+  return weightsAge < weightsGrace ? oldWeightsCost : veryOldWeightsCost
+}
+
+/** Expected wait, unread and fetched tokens of a request at one worker. */
+const expectAt = (candidate: ModelCandidate, question: ModelQuestion, now: number): ModelChoice => {
+  const { prompt, purpose, stored, meanCost } = question
+  const { load, kept, scope, slots } = candidate
+  const cost = costOf(load, meanCost)
+  const held = kept.leadingTokens(scope, prompt.parts)
+  const offered = stored === undefined ? 0 : stored.leadingTokens(scope, prompt.parts)
+  const fetchedTokens = Math.max(0, offered - held)
+  const unreadTokens = Math.max(0, prompt.inputTokens - Math.max(held, offered))
+  const waiting = foreignWaiting(load, now) * unreadTokens
+  const tokensAhead = load.pendingTokens + unreadTokens
+  const requests = load.flights.size + foreignRequests(load, now)
+  const over = Math.max(0, requests + 1 - slots)
+  const memoryTokens = prompt.inputTokens + prompt.maxOutputTokens
+  const expected = firstEventOverhead + (candidate.near ? 0 : farOverhead) +
+    (tokensAhead + waiting) * cost + fetchedTokens * fetchCost(purpose) +
+    over * slotTime + memoryPenalty(candidate, question, memoryTokens, now)
+  return { candidate, expected, unreadTokens, fetchedTokens, tokensAhead, memoryTokens }
+}
+
+const sharedTokens = ({ parts }: Prompt): number => parts.reduce((sum, { tokens }) => sum + tokens, 0)
+
+const scoreOf = (choice: ModelChoice, question: ModelQuestion, home: boolean): number => {
+  const { candidate, expected, unreadTokens, fetchedTokens } = choice
+  const { load } = candidate
+  const own = Math.max(0, question.prompt.inputTokens - sharedTokens(question.prompt))
+  const reread = Math.max(0, unreadTokens - own) * costOf(load, question.meanCost) * rereadWeight
+  const fetched = fetchedTokens * fetchCost(question.purpose) * fetchWeight
+  return expected + reread + fetched + load.failures * failureCost + oldWeights(candidate, question) +
+    load.flights.size * runningCost - (home ? homeAdvantage : 0)
+}
+
+const homeOf = (hash: Hash, question: ModelQuestion, candidates: readonly ModelCandidate[]): string | undefined => {
+  const last = question.prompt.parts.at(-1)
+  if (last === undefined) return undefined
+  const key = hash.h32(last.id)
+  let best: string | undefined
+  let bestScore = -Infinity
+  for (const { id } of candidates) {
+    const score = rendezvousScore(key, hash.h32(id))
+    if (score <= bestScore) continue
+    best = id
+    bestScore = score
+  }
+  return best
+}
+
+/**
+ * Chooses a worker.
+ *
+ * @param question - the prompt and what is known of its parts
+ * @param candidates - workers that are live and hold the model
+ * @param hash - the process's hash functions
+ * @param now - present time in ms
+ * @returns the best choice, or undefined if there is no candidate; suspected workers are chosen only if all are
+ */
+export const placeModelRequest = (question: ModelQuestion, candidates: readonly ModelCandidate[], hash: Hash, now: number): ModelChoice | undefined => {
+  const trusted = candidates.filter(({ load }) => isTrusted(load, now))
+  const home = homeOf(hash, question, candidates)
+  let best: ModelChoice | undefined
+  let bestScore = Infinity
+  for (const candidate of trusted.length > 0 ? trusted : candidates) {
+    const choice = expectAt(candidate, question, now)
+    const score = scoreOf(choice, question, candidate.id === home)
+    if (score >= bestScore) continue
+    best = choice
+    bestScore = score
+  }
+  return best
+}
--- /dev/null
+++ b/src/placement/workerLoad.ts
@@ -0,0 +1,145 @@
+/**
+ * What an instance knows of one worker's load and speed: its own requests at
+ * once, those of other instances by the counts in answers, which age, and the
+ * speeds by answers. Failures lower the worker's standing although it answers
+ * fast, since a worker that fails at once would otherwise look idle.
+ */
+import type { LoadCounts } from '../ports/forwardPort.js'
+
+/** One request at a worker. */
+export interface Flight {
+  readonly attempt: number
+  readonly worker: string
+  /** Prompt tokens that the worker has to read. */
+  readonly unreadTokens: number
+  /** Tokens that come from elsewhere. */
+  readonly fetchedTokens: number
+  /** Memory that the request takes when it is done, in tokens. */
+  readonly memoryTokens: number
+  /** Unread tokens that were ahead of this request, its own included. */
+  readonly tokensAhead: number
+  readonly sentAt: number
+  /** Expected time to the answer, or to a stream's first event, in ms. */
+  readonly expected: number
+  firstAt: number | undefined
+}
+
+interface Report {
+  readonly counts: LoadCounts
+  readonly at: number
+  readonly own: number
+}
+
+/** The load and the speeds of one worker. */
+export interface WorkerLoad {
+  readonly id: string
+  readonly flights: Set<Flight>
+  /** Unread tokens of own requests that have not begun. */
+  pendingTokens: number
+  /** Memory of own requests, in tokens. */
+  memoryTokens: number
+  report: Report | undefined
+  /** Time per unread token, in ms; 0 until an answer told. */
+  tokenCost: number
+  /** Time of a plain answer, in ms; 0 until an answer told. */
+  serviceTime: number
+  /** Recent share of attempts that failed. */
+  failures: number
+  /** The worker gets no new work until then. */
+  suspectedUntil: number
+  /** Suspicions in a row. */
+  suspicions: number
+}
+
+/** Part of the distance to a new sample that an average moves. */
+const learningRate = 0.2
+/** Unread tokens from which an answer tells the speed. */
+const tellingTokens = 300
+/** Time in which half of a report's foreign load has become unknowable, in ms. */
+const reportHalfLife = 400
+const firstSuspicion = 300
+const longestSuspicion = 2_400
+
+/** Creates the state of a worker of which nothing is known. */
+export const createWorkerLoad = (id: string): WorkerLoad => ({
+  id,
+  flights: new Set(),
+  pendingTokens: 0,
+  memoryTokens: 0,
+  report: undefined,
+  tokenCost: 0,
+  serviceTime: 0,
+  failures: 0,
+  suspectedUntil: -Infinity,
+  suspicions: 0
+})
+
+const blend = (mean: number, sample: number): number => mean === 0 ? sample : mean + learningRate * (sample - mean)
+
+/** Requests of other instances at the worker, by the last report. */
+export const foreignRequests = (load: WorkerLoad, now: number): number => {
+  if (load.report === undefined) return 0
+  const { counts, at, own } = load.report
+  return Math.max(0, counts.running + counts.waiting - own) * 0.5 ** ((now - at) / reportHalfLife)
+}
+
+/** Waiting requests of other instances at the worker, by the last report. */
+export const foreignWaiting = (load: WorkerLoad, now: number): number => {
+  if (load.report === undefined) return 0
+  const { counts, at, own } = load.report
+  return Math.max(0, Math.min(counts.waiting, counts.running + counts.waiting - own)) * 0.5 ** ((now - at) / reportHalfLife)
+}
+
+/** Counts a request that was sent. */
+export const noteSent = (load: WorkerLoad, flight: Flight): void => {
+  load.flights.add(flight)
+  load.pendingTokens += flight.unreadTokens
+  load.memoryTokens += flight.memoryTokens
+}
+
+/** Takes in the counts of an answer. */
+export const noteCounts = (load: WorkerLoad, counts: LoadCounts, now: number): void => {
+  load.report = { counts, at: now, own: load.flights.size }
+}
+
+const endPending = (load: WorkerLoad, flight: Flight): void => {
+  if (flight.firstAt === undefined) load.pendingTokens = Math.max(0, load.pendingTokens - flight.unreadTokens)
+}
+
+/** Counts the first event of a stream and learns the speed of reading from it. */
+export const noteFirstEvent = (load: WorkerLoad, flight: Flight, overhead: number, now: number): void => {
+  endPending(load, flight)
+  flight.firstAt = now
+  if (flight.tokensAhead < tellingTokens) return
+  load.tokenCost = blend(load.tokenCost, Math.max(0, now - flight.sentAt - overhead) / flight.tokensAhead)
+}
+
+/** Counts the end of a request. */
+export const noteEnded = (load: WorkerLoad, flight: Flight): void => {
+  if (!load.flights.delete(flight)) return
+  endPending(load, flight)
+  load.memoryTokens = Math.max(0, load.memoryTokens - flight.memoryTokens)
+}
+
+/** Takes in an attempt that went well; `answerTime` in ms is given for plain answers. */
+export const noteSuccess = (load: WorkerLoad, answerTime?: number): void => {
+  load.failures *= 1 - learningRate
+  load.suspicions = 0
+  load.suspectedUntil = -Infinity
+  if (answerTime !== undefined) load.serviceTime = blend(load.serviceTime, answerTime)
+}
+
+/** Takes in an attempt that failed at the worker. */
+export const noteFailure = (load: WorkerLoad): void => {
+  load.failures += learningRate * (1 - load.failures)
+}
+
+/** Takes in that the worker could not be reached or keeps silent; it is left alone, longer each time. */
+export const suspect = (load: WorkerLoad, now: number): void => {
+  const pause = Math.min(longestSuspicion, firstSuspicion * 2 ** load.suspicions)
+  load.suspicions++
+  load.suspectedUntil = now + pause
+}
+
+/** Whether the worker may get new work. */
+export const isTrusted = (load: WorkerLoad, now: number): boolean => now >= load.suspectedUntil
--- /dev/null
+++ b/src/processes/gateway.ts
@@ -0,0 +1,185 @@
+/** One gateway: ties the core to its sockets and to the platform. All inputs pass through one function on one thread. */
+import { randomBytes } from 'node:crypto'
+import type { Server } from 'node:http'
+import { createFrontServer } from '../adapters/frontServer.js'
+import { createPeerTcp } from '../adapters/peerTcp.js'
+import { startStatusServer } from '../adapters/statusServer.js'
+import { createWorkerChannels } from '../adapters/workerChannels.js'
+import { assertNever } from '../errors.js'
+import { createGateway, type GatewayBounds } from '../gateway/gatewayMachine.js'
+import type { GatewayEffect, GatewayInput, GatewayNote } from '../gateway/gatewayTypes.js'
+import { loadHash } from '../hash.js'
+import type { Moment } from '../lease/readLease.js'
+import { createLogger, droppedLines, type Logger } from '../logger.js'
+import { createGatewayMetrics } from '../metrics/gatewayMetrics.js'
+import type { Platform } from '../ports/platformPort.js'
+import { createRandom } from '../random.js'
+import type { GatewaySettings } from '../settings/gatewaySettings.js'
+
+/** A running gateway. */
+export interface GatewayProcess {
+  /** Ends once the gateway has left. */
+  readonly ended: Promise<void>
+  /** Leaves without cutting a request. */
+  readonly leave: () => void
+  /** Takes settings that were read again; bounds change at once, addresses stay. */
+  readonly reload: (settings: GatewaySettings) => void
+}
+
+/** Time between ticks, in ms. */
+const tickInterval = 20
+const headerBytes = 16_384
+const frameLimit = 4_194_304
+/** Time for last bytes to leave before the process ends, in ms. */
+const flushTime = 150
+const msPerSecond = 1_000
+/** Part of the time to revoke keys within which an instance without a proof still serves them. */
+const keyShare = 0.9
+/** Part of the time to apply a configuration after which an absent key or path may be a new one. */
+const absenceShare = 0.75
+
+/** The clocks of this process. */
+export const readClocks = (): Moment => ({ steady: performance.now(), wall: Date.now() })
+
+const splitEndpoint = (endpoint: string): { readonly host: string, readonly port: number } => {
+  const colon = endpoint.lastIndexOf(':')
+  return { host: endpoint.slice(0, colon), port: Number(endpoint.slice(colon + 1)) }
+}
+
+const boundsOf = ({ configuration, retries, shutdown, addresses, weights }: GatewaySettings): GatewayBounds => ({
+  lease: {
+    keys: configuration.revoke_within * keyShare,
+    absence: configuration.apply_within * absenceShare
+  },
+  retries: { fraction: retries.fraction, slack: retries.slack, window: retries.window * msPerSecond },
+  addressLife: addresses.time_to_live,
+  addressLifeFactor: addresses.kept_times,
+  grace: shutdown.grace * msPerSecond,
+  loadShare: weights.load_share
+})
+
+const warnings: ReadonlySet<GatewayNote['kind']> = new Set(['attemptFailed', 'refused', 'brokenOff', 'workerSuspected', 'dependencyLost', 'garbledPeerMessage'])
+
+const writeNote = (logger: Logger, note: GatewayNote): void => {
+  const { kind, ...fields } = note
+  if (warnings.has(kind)) logger.warn(fields, kind)
+  else logger.info(fields, kind)
+}
+
+/**
+ * Starts a gateway.
+ *
+ * @param first - checked settings
+ * @param createPlatform - the platform, from the address of its store
+ * @returns the running gateway, once its ports are open
+ */
+export const startGateway = async (first: GatewaySettings, createPlatform: (store: string, clock: () => Moment) => Platform): Promise<GatewayProcess> => {
+  const { instance, listen } = first
+  const logger = createLogger(instance.id, instance.log_level)
+  const incarnation = `${Date.now().toString(36)}-${randomBytes(4).toString('hex')}`
+  const platform = createPlatform(first.platform.store, readClocks)
+  let bounds = boundsOf(first)
+  const hash = await loadHash()
+  const gateway = createGateway({
+    self: { id: instance.id, incarnation, dataCentre: instance.data_centre, front: listen.front, peer: { host: instance.host, port: listen.peer_port } },
+    bounds: () => bounds,
+    hash,
+    random: createRandom(randomBytes(4).readInt32BE())
+  })
+  const metrics = createGatewayMetrics(() => ({ ...gateway.gauges(readClocks()), droppedLines: droppedLines() }))
+
+  const receive = (input: GatewayInput): void => {
+    for (const effect of gateway.handle(input, readClocks())) perform(effect)
+  }
+
+  const front = createFrontServer({ ...splitEndpoint(listen.front), headerBytes, decode: platform.codec.decodeCall }, receive)
+  const channels = createWorkerChannels({ codec: platform.codec, emit: receive, opened: metrics.connectionOpened })
+  const peers = createPeerTcp({ id: instance.id, incarnation, host: instance.host, port: listen.peer_port, frameLimit }, {
+    emit: receive,
+    garbled: problem => metrics.trouble(problem),
+    sent: () => { /* Bytes between instances are not counted here. */ },
+    received: () => { /* Bytes between instances are not counted here. */ }
+  })
+  const servers: Server[] = []
+  let end: () => void = () => { /* Replaced at once. */ }
+  const ended = new Promise<void>(resolve => { end = resolve })
+
+  const exit = async (): Promise<void> => {
+    clearInterval(timer)
+    await new Promise(resolve => { setTimeout(resolve, flushTime) })
+    front.destroy()
+    peers.close()
+    for (const server of servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+    await Promise.all([link.close(), channels.close()])
+    logger.info({ dropped: droppedLines() }, 'stopped')
+    end()
+  }
+
+  const perform = (effect: GatewayEffect): void => {
+    switch (effect.kind) {
+      case 'call.answer':
+      case 'call.open':
+      case 'call.write':
+      case 'call.end':
+      case 'call.abort': return front.perform(effect)
+      case 'attempt.send': return channels.send(effect.attempt, effect.dispatch)
+      case 'attempt.cancel': return channels.cancel(effect.attempt)
+      case 'peer.send': return peers.perform(effect)
+      case 'member.announce':
+      case 'member.withdraw':
+      case 'parts.follow':
+      case 'claim.read':
+      case 'claim.append':
+      case 'order.send':
+      case 'worker.ask': return link.perform(effect)
+      case 'gateway.peers': return peers.setAddresses(new Map(effect.members.map(({ id, peer }) => [id, peer])))
+      case 'gateway.limits': return front.setLimits(effect)
+      case 'gateway.closing': return front.setClosing()
+      case 'gateway.closeFront': return front.closeListener()
+      case 'gateway.exit': return void exit()
+      case 'gateway.note':
+        metrics.count(effect.note)
+        return writeNote(logger, effect.note)
+      default: assertNever(effect)
+    }
+  }
+
+  const directoryAnswer = () => {
+    const { addresses, life } = gateway.directory(readClocks())
+    return { status: 200, contentType: 'application/json', body: platform.faces.encodeDirectory(addresses, life) }
+  }
+  const readyAnswer = () => {
+    const ready = gateway.isReady(readClocks())
+    return { status: ready ? 200 : 503, contentType: 'text/plain', body: ready ? 'ready\n' : 'not ready\n' }
+  }
+  const ready = splitEndpoint(listen.ready)
+  const directory = splitEndpoint(listen.directory)
+  servers.push(
+    await startStatusServer(ready.host, ready.port, { [platform.faces.readyPath]: readyAnswer }),
+    await startStatusServer(directory.host, directory.port, { [platform.faces.directoryPath]: directoryAnswer }),
+    await startStatusServer(instance.host, listen.metrics_port, {
+      '/metrics': async () => ({ status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics() }),
+      '/dump': () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(gateway.dump(readClocks())) })
+    })
+  )
+  const link = platform.open(receive, trouble => {
+    metrics.trouble(trouble.kind)
+    logger.warn(trouble, 'platformTrouble')
+  })
+  await peers.listen()
+  await front.listen()
+  const timer = setInterval(() => receive({ kind: 'tick' }), tickInterval)
+  logger.info({ incarnation, front: listen.front, store: first.platform.store }, 'started')
+
+  return {
+    ended,
+    leave: () => receive({ kind: 'gateway.leave' }),
+    reload: settings => {
+      bounds = boundsOf(settings)
+      logger.info({ bounds }, 'reloaded')
+    }
+  }
+}
--- /dev/null
+++ b/src/settings/gatewaySettings.ts
@@ -0,0 +1,52 @@
+/** The schema of a gateway's settings file. */
+import { z } from 'zod'
+import { flag, host, name, number, optional, port, text, whole } from './settingsFields.js'
+
+const timeInS = (description: string) => number('s', 0.1, 86_400, description)
+const timeInMs = (description: string) => whole('ms', 1, 86_400_000, description)
+const endpoint = (description: string) => text('IP:PORT', /^[\d.]+:\d{1,5}$/, description)
+
+const levels = z.enum(['debug', 'info', 'warn', 'error'])
+
+/** All sections of a gateway's settings. */
+export const gatewaySettingsSchema = z.strictObject({
+  instance: z.strictObject({
+    id: name('Name of this instance, unique in the fleet.'),
+    data_centre: name('Data centre of this instance.'),
+    host: host('Address of this instance.'),
+    log_level: optional(levels.meta({ unit: 'level', allowed: 'debug, info, warn or error', description: 'Least severe log lines written.' }), 'info')
+  }),
+  listen: z.strictObject({
+    front: endpoint('Where callers connect.'),
+    ready: endpoint('Where the platform asks whether the instance is ready.'),
+    directory: endpoint('Where callers ask for addresses.'),
+    peer_port: port('Port for other instances.'),
+    metrics_port: optional(port('Port for metrics and the state dump.'), 9464)
+  }),
+  platform: z.strictObject({
+    store: endpoint('Where the platform\'s store is.')
+  }),
+  configuration: z.strictObject({
+    apply_within: timeInMs('Time from the acceptance of a configuration to its being in force.'),
+    revoke_within: timeInMs('Time from the acceptance of a configuration to the end of the keys that it takes away.'),
+    strict_revoke: flag('Whether that holds for instances that are cut off, too.')
+  }),
+  retries: z.strictObject({
+    fraction: number('share of requests', 0, 1, 'Repeated sends allowed per request, over all instances.'),
+    slack: whole('sends', 0, 100_000, 'Repeated sends allowed beside, over all instances.'),
+    window: timeInS('Window over which they are counted.')
+  }),
+  shutdown: z.strictObject({
+    grace: timeInS('Time from the signal to leave until the process is ended.')
+  }),
+  addresses: z.strictObject({
+    time_to_live: optional(timeInMs('Time for which callers may keep an answer of the directory.'), 1_000),
+    kept_times: optional(number('times', 1, 10, 'Callers keep an answer up to this many times as long.'), 3)
+  }).prefault({}),
+  weights: z.strictObject({
+    load_share: optional(number('share of workers', 0, 1, 'Workers of a service that may load weights at once.'), 0.286)
+  }).prefault({})
+})
+
+/** Checked settings of a gateway. */
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>
--- a/src/settings/settingsPage.ts
+++ b/src/settings/settingsPage.ts
@@ -1,6 +1,7 @@
 /** Writes the page of all settings from their schema. */
 import type { z } from 'zod'
-import { fixedSections, serviceSection, workerSection, type SettingMeaning } from './settingsSchema.js'
+import type { SettingMeaning } from './settingsFields.js'
+import { fixedSections, serviceSection, workerSection } from './settingsSchema.js'
 
 interface Definition {
   readonly innerType?: z.ZodType
--- a/src/settings/settingsReader.ts
+++ b/src/settings/settingsReader.ts
@@ -34,8 +34,8 @@
   return def.shape?.[String(step)] ?? def.valueType
 }
 
-const allowedAt = (path: readonly PropertyKey[]): string => {
-  const schema = path.reduce<z.ZodType | undefined>((at, step) => at === undefined ? undefined : childOf(at, step), settingsSchema)
+const allowedAt = (whole: z.ZodType, path: readonly PropertyKey[]): string => {
+  const schema = path.reduce<z.ZodType | undefined>((at, step) => at === undefined ? undefined : childOf(at, step), whole)
   const meaning = schema === undefined ? undefined : unwrap(schema).meta()
   return typeof meaning?.allowed === 'string' ? meaning.allowed : 'a section with its own keys'
 }
@@ -45,7 +45,7 @@
   return { section: path.slice(0, depth).map(String).join('.'), key: path.slice(depth, depth + 1).map(String).join('') }
 }
 
-const problemsOf = (file: string, tree: Tree, issue: z.core.$ZodIssue): SettingProblem[] => {
+const problemsOf = (schema: z.ZodType, file: string, tree: Tree, issue: z.core.$ZodIssue): SettingProblem[] => {
   if (issue.code === 'unrecognized_keys') {
     return issue.keys.map(key => {
       const path = [...issue.path, key]
@@ -56,23 +56,34 @@
   const keyPath = issue.path.slice(0, place.section.split('.').length + 1)
   const found = lookup(tree, keyPath)
   const kind = found === undefined ? 'missingKey' : 'wrongValue'
-  return [{ kind, file, ...place, found: found === undefined ? 'nothing' : JSON.stringify(found), allowed: allowedAt(keyPath) }]
+  return [{ kind, file, ...place, found: found === undefined ? 'nothing' : JSON.stringify(found), allowed: allowedAt(schema, keyPath) }]
 }
 
 /**
- * Checks settings.
+ * Checks settings by any schema of sections.
  *
+ * @param schema - the sections and their keys
  * @param file - name used in problems
  * @param text - INI text
  * @returns the settings, or every problem found
  */
-export const readSettings = (file: string, text: string): Result<Settings, readonly SettingProblem[]> => {
+export const readSettingsBy = <Schema extends z.ZodType>(schema: Schema, file: string, text: string): Result<z.infer<Schema>, readonly SettingProblem[]> => {
   const tree = plain(parse(text)) as Tree
-  const checked = settingsSchema.safeParse(tree)
+  const checked = schema.safeParse(tree)
   if (checked.success) return ok(checked.data)
-  return err(checked.error.issues.flatMap(issue => problemsOf(file, tree, issue)))
+  return err(checked.error.issues.flatMap(issue => problemsOf(schema, file, tree, issue)))
 }
 
+/**
+ * Checks the settings of an entry instance.
+ *
+ * @param file - name used in problems
+ * @param text - INI text
+ * @returns the settings, or every problem found
+ */
+export const readSettings = (file: string, text: string): Result<Settings, readonly SettingProblem[]> =>
+  readSettingsBy(settingsSchema, file, text)
+
 /**
  * Words a problem for a person.
  *
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -3,51 +3,13 @@
  * which `docs/SETTINGS.md` is generated.
  */
 import { z } from 'zod'
+import { addressPattern, flag, host, name, number, optional, port, text, whole } from './settingsFields.js'
 import { settingsDefaults as defaults } from './settingsDefaults.js'
 
-const decimal = /^-?\d+(\.\d+)?$/
-
-/** Meaning and unit of a key, shown in the settings page and in errors. */
-export interface SettingMeaning {
-  readonly unit: string
-  readonly allowed: string
-  readonly description: string
-}
-
-const number = (unit: string, min: number, max: number, description: string) =>
-  z.string()
-    .regex(decimal)
-    .transform(Number)
-    .pipe(z.number().min(min).max(max))
-    .meta({ unit, allowed: `a number from ${min} to ${max}`, description })
-
-const whole = (unit: string, min: number, max: number, description: string) =>
-  z.string()
-    .regex(/^\d+$/)
-    .transform(Number)
-    .pipe(z.number().int().min(min).max(max))
-    .meta({ unit, allowed: `a whole number from ${min} to ${max}`, description })
-
-const text = (allowed: string, pattern: RegExp, description: string) =>
-  z.string().regex(pattern).meta({ unit: 'text', allowed, description })
-
-const flag = (description: string) =>
-  z.enum(['true', 'false'])
-    .transform(value => value === 'true')
-    .meta({ unit: 'truth value', allowed: 'true or false', description })
-
-const name = (description: string) => text('letters, digits and -', /^[a-z0-9][a-z0-9-]{0,62}$/, description)
-const octet = '(25[0-5]|2[0-4]\\d|1?\\d?\\d)'
-const address = `(${octet}(\\.${octet}){3}|[0-9a-fA-F:]*:[0-9a-fA-F:]+)`
-const host = (description: string) => text('an IPv4 or IPv6 address', new RegExp(`^${address}$`), description)
-const port = (description: string) => whole('TCP port', 0, 65_535, description)
 const url = (description: string) => text('an http:// or https:// address, or empty', /^(https?:\/\/[^\s/]+(:\d+)?)?$/, description)
 const file = (description: string) => text('a file name, or empty', /^.*$/, description)
 
-const optional = <Schema extends z.ZodType>(schema: Schema, value: string | number | boolean) =>
-  schema.prefault(String(value) as never)
-
-const seedPattern = new RegExp(`^[a-z0-9-]+@(${address}|(?![\\d.]+:)[^\\s@,]+):\\d+$`)
+const seedPattern = new RegExp(`^[a-z0-9-]+@(${addressPattern}|(?![\\d.]+:)[^\\s@,]+):\\d+$`)
 
 const seeds = z.string()
   .transform(list => list.split(',').map(part => part.trim()).filter(part => part !== ''))
