--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -139,7 +139,9 @@
       case 'gateway.limits': return front.setLimits(effect)
       case 'gateway.closing': return front.setClosing()
       case 'gateway.closeFront': return front.closeListener()
-      case 'gateway.exit': return void exit()
+      case 'gateway.exit':
+        exit()
+        return
       case 'gateway.note':
         metrics.count(effect.note)
         return writeNote(logger, effect.note)
--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -71,20 +71,21 @@
 export const createRollout = (options: RolloutOptions): Rollout => {
   const { workers, weights, lease, emit, tell } = options
   const loads = new Map<string, Load>()
-  const questions = new Map<number, string>()
+  const questions = new Map<number, Worker>()
   const orders = new Map<number, string>()
   const counts = new Map<string, { readonly startedAt: number, readonly orders: number }>()
   const pausedUntil = new Map<string, number>()
   let token = 0
 
-  const ordersOf = ({ id, startedAt, orders: announced }: Worker): number => {
+  /** Orders that the worker has accepted since its start; undefined until it told. */
+  const ordersOf = ({ id, startedAt }: Worker): number | undefined => {
     const counted = counts.get(id)
-    return counted?.startedAt === startedAt ? Math.max(counted.orders, announced) : announced
+    return counted?.startedAt === startedAt ? counted.orders : undefined
   }
 
   /** Answers may be older than what is known already; the count only rises. */
   const noteOrders = (worker: Worker, count: number): void => {
-    counts.set(worker.id, { startedAt: worker.startedAt, orders: Math.max(count, ordersOf(worker)) })
+    counts.set(worker.id, { startedAt: worker.startedAt, orders: Math.max(count, ordersOf(worker) ?? 0) })
   }
 
   interface Outstanding {
@@ -101,9 +102,20 @@
       .map(worker => ({ worker, model, version: newest.version }))
   })
 
-  const send = ({ worker, model, version }: Outstanding, fence: number, now: Moment): void => {
+  const ask = (worker: Worker): void => {
+    token++
+    questions.set(token, worker)
+    emit({ kind: 'worker.ask', token, worker: worker.id, address: worker.address })
+  }
+
+  /** The count of orders has to be known before one is given. */
+  const askFirst = (worker: Worker, now: Moment): void => {
+    pausedUntil.set(worker.id, now.steady + retryPause)
+    ask(worker)
+  }
+
+  const send = ({ worker, model, version }: Outstanding, expectedOrders: number, fence: number, now: Moment): void => {
     token++
-    const expectedOrders = ordersOf(worker)
     orders.set(token, worker.id)
     loads.set(worker.id, { worker, model, version, fence, expectedOrders, startedAt: now, accepted: false, nextQuestion: Infinity })
     weights.noteLoading(worker.id, now.steady + loadTime)
@@ -121,15 +133,15 @@
     for (const item of ready) {
       const { service } = item.worker
       const running = [...loads.values()].filter(load => load.worker.service === service).length
-      if (running < atOnce(service)) send(item, fence, now)
+      const orders = ordersOf(item.worker)
+      if (orders === undefined) askFirst(item.worker, now)
+      else if (running < atOnce(service)) send(item, orders, fence, now)
     }
   }
 
-  const ask = (load: Load, now: Moment): void => {
-    token++
-    questions.set(token, load.worker.id)
+  const askAgain = (load: Load, now: Moment): void => {
     load.nextQuestion = now.steady + questionInterval
-    emit({ kind: 'worker.ask', token, worker: load.worker.id, address: load.worker.address })
+    ask(load.worker)
   }
 
   const finish = (load: Load): void => {
@@ -151,7 +163,7 @@
     if (present === undefined || present.startedAt !== worker.startedAt) return drop(load, 0, now)
     if ((weights.held(present, model) ?? 0) >= version) return finish(load)
     if (ageOf(load.startedAt, now) > loadTimeout) return drop(load, retryPause, now)
-    if (now.steady >= load.nextQuestion) ask(load, now)
+    if (now.steady >= load.nextQuestion) askAgain(load, now)
   }
 
   const tick = (now: Moment): void => {
@@ -174,7 +186,7 @@
         return
       case 'holds': return finish(load)
       case 'conflict':
-      case 'silent': return ask(load, now)
+      case 'silent': return askAgain(load, now)
       case 'fenced':
         lease.fenced()
         return drop(load, retryPause, now)
@@ -184,11 +196,16 @@
     }
   }
 
-  const takeStatus = (load: Load, status: WorkerStatus | undefined, now: Moment): void => {
-    if (status === undefined) return
-    const { worker, model, version } = load
+  const takeStatus = (worker: Worker, status: WorkerStatus, now: Moment): void => {
     for (const held of status.models) weights.noteHeld(worker, held.name, held.version)
     noteOrders(worker, status.orders)
+    pausedUntil.delete(worker.id)
+    const load = loads.get(worker.id)
+    if (load !== undefined) takeLoadStatus(load, status, now)
+  }
+
+  const takeLoadStatus = (load: Load, status: WorkerStatus, now: Moment): void => {
+    const { worker, model, version } = load
     if ((weights.held(worker, model) ?? 0) >= version) return finish(load)
     if (status.busy) {
       load.accepted = true
@@ -207,9 +224,9 @@
         return
       }
       case 'worker.told': {
-        const load = loads.get(questions.get(input.token) ?? '')
+        const worker = questions.get(input.token)
         questions.delete(input.token)
-        if (load !== undefined) takeStatus(load, input.status, now)
+        if (worker !== undefined && input.status !== undefined) takeStatus(worker, input.status, now)
         return
       }
       default: assertNever(input)
--- a/src/workers/workersTypes.ts
+++ b/src/workers/workersTypes.ts
@@ -17,8 +17,6 @@
   readonly slots: number
   readonly state: 'live' | 'draining'
   readonly models: readonly HeldModel[]
-  /** Orders accepted since its start. */
-  readonly orders: number
   /** Unix ms of its start; 0 if it did not say. */
   readonly startedAt: number
 }
