Weights and parts: who may hold the duty, dead workers, parts of old weights

Change: home by the deepest shared part; beats carry the time since the store itself was heard; a worker that answers neither order nor question is left alone; the store is asked for parts of an old scope that it was known to hold before newer weights were named.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
 ]
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'coverage/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'coverage/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     plugins: { 'import-x': plugins['import-x'] },
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -18,6 +18,8 @@
   readonly leaving: boolean
   readonly configuration: number
   readonly proofAge: number
+  /** Time since this instance heard from the store itself, in ms. */
+  readonly storeAge: number
   readonly holding: boolean
   readonly weights: readonly { readonly model: string, readonly version: number }[]
 }
@@ -74,8 +76,8 @@
 const smallFleet = 10
 /** Beats that may be missing before an instance counts as silent. */
 const missedBeats = 4
-/** Age of a proof, in ms, up to which an instance counts as reaching the store. */
-const reachableProof = 2_500
+/** Time without a word from the store, in ms, up to which an instance counts as reaching it. */
+const storeSilence = 2_000
 const catalogPause = 300
 
 /**
@@ -114,6 +116,7 @@
     ...(peer.beat === undefined ? {} : { echo: peer.beat.sentAt }),
     configuration: own.configuration,
     ...(Number.isFinite(own.proofAge) ? { proofAge: own.proofAge } : {}),
+    ...(Number.isFinite(own.storeAge) ? { storeAge: own.storeAge } : {}),
     holding: own.holding,
     weights: [...own.weights]
   })
@@ -180,7 +183,7 @@
     const peer = peers.get(id)
     if (peer === undefined || !isAlive(peer, now)) return false
     const { beat } = peer
-    return beat?.incarnation === incarnation && !beat.leaving && (beat.proofAge ?? Infinity) < reachableProof
+    return beat?.incarnation === incarnation && !beat.leaving && (beat.storeAge ?? Infinity) < storeSilence
   }
 
   const rank = (now: Moment): number => {
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -17,6 +17,8 @@
   configuration: z.number(),
   /** Age, in ms, of the sender's proof that this version is the newest. */
   proofAge: z.number().optional(),
+  /** Time, in ms, since the sender last heard from the store itself. */
+  storeAge: z.number().optional(),
   /** Whether the sender gives orders about weights. */
   holding: z.boolean(),
   weights: z.array(z.object({ model: z.string(), version: z.number() }))
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -268,7 +268,8 @@
     const { prompt } = exchange.call
     if (prompt === undefined || attempt.scope === undefined) return
     context.keptBy(attempt.worker).add(attempt.scope, prompt.parts)
-    if (attempt.stores) context.stored()?.add(attempt.scope, prompt.parts)
+    const newest = context.weights.newest(prompt.model)?.version
+    if (attempt.stores && (newest === undefined || attempt.version === newest)) context.stored()?.add(attempt.scope, prompt.parts)
   }
 
   const takeData = (exchange: Exchange, attempt: Attempt, bytes: Buffer, now: number): void => {
--- a/src/forwarding/placing.ts
+++ b/src/forwarding/placing.ts
@@ -1,6 +1,7 @@
 /** Finds a worker for a request and sends it there. */
-import type { ModelPurpose, Route, Workspace } from '../catalog/catalogTypes.js'
-import { placeModelRequest, type ModelCandidate, type ModelChoice } from '../placement/modelPlacement.js'
+import type { ModelPurpose, Route } from '../catalog/catalogTypes.js'
+import { cacheScope } from '../placement/cacheScope.js'
+import { homePart, placeModelRequest, type ModelCandidate, type ModelChoice } from '../placement/modelPlacement.js'
 import { placePlainRequest } from '../placement/plainPlacement.js'
 import { noteSent, type Flight } from '../placement/workerLoad.js'
 import type { Call, Dispatch, ModelDispatch, Prompt } from '../ports/forwardPort.js'
@@ -32,13 +33,13 @@
 
 /**
  * Chooses the service of a request among its route's targets by their shares;
- * requests with the same last prompt part go the same way.
+ * requests with the same shared prompt go the same way.
  */
 export const chooseService = (context: ForwardingContext, route: Route, call: Call): string | undefined => {
   const usable = route.targets.filter(({ service, weight }) => weight > 0 && context.workers.live(service).length > 0)
   const targets = usable.length > 0 ? usable : route.targets
   const total = targets.reduce((sum, { weight }) => sum + weight, 0)
-  const key = call.prompt?.parts.at(-1)?.id ?? call.id
+  const key = (call.prompt === undefined ? undefined : homePart(call.prompt))?.id ?? call.id
   let at = context.hash.h32(key) / 2 ** 32 * total
   for (const { service, weight } of targets) {
     at -= weight
@@ -47,11 +48,6 @@
   return targets.at(-1)?.service
 }
 
-const scopeOf = (prompt: Prompt, version: number | undefined, workspace: Workspace | undefined): string => {
-  const shared = `${prompt.model}@${version ?? 'any'}`
-  return workspace?.isolated === true ? `${shared}/${workspace.name}` : shared
-}
-
 /** The workers that may get the request: those that already had it count towards the route's limit, others only below it. */
 const eligible = (context: ForwardingContext, exchange: Exchange): readonly Worker[] => {
   const { sentTo, avoided, route, service } = exchange
@@ -65,17 +61,19 @@
 }
 
 const modelDispatchOf = (context: ForwardingContext, choice: ModelChoice, prompt: Prompt, version: number | undefined): ModelDispatch => {
-  const { candidate, fetchedTokens } = choice
+  const { candidate } = choice
   const store = context.catalog()?.partStore
   const stored = context.stored()
-  if (store === undefined || stored === undefined || !candidate.newest) return { version, scope: candidate.scope }
+  if (store === undefined || stored === undefined) return { version, scope: candidate.scope }
   const all = prompt.parts.reduce((sum, { tokens }) => sum + tokens, 0)
-  const missing = all > 0 && stored.leadingTokens(candidate.scope, prompt.parts) < all
+  if (all === 0) return { version, scope: candidate.scope }
+  const missing = stored.leadingTokens(candidate.scope, prompt.parts) < all
+  // The store is always asked: a miss costs a ms, while the beliefs about what a worker keeps and what others stored are often wrong.
   return {
     version,
     scope: candidate.scope,
-    ...(fetchedTokens > 0 ? { source: store.address } : {}),
-    ...(missing ? { target: store.address } : {})
+    ...(candidate.newest || stored.leadingTokens(candidate.scope, prompt.parts) > 0 ? { source: store.address } : {}),
+    ...(missing && candidate.newest ? { target: store.address } : {})
   }
 }
 
@@ -90,7 +88,7 @@
       kept: context.keptBy(worker.id),
       slots: worker.slots || purpose.slots,
       newest: context.weights.isNewest(worker, prompt.model),
-      scope: scopeOf(prompt, versions.get(worker.id), exchange.workspace),
+      scope: cacheScope(prompt.model, versions.get(worker.id), exchange.workspace),
       near: worker.dataCentre === context.dataCentre
     }))
   const question = {
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -13,6 +13,7 @@
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import type { Hash } from '../hash.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
+import { weightsOf } from '../placement/cacheScope.js'
 import { createKeptParts, type KeptParts } from '../placement/keptParts.js'
 import { createWorkerLoad, foreignRequests, type WorkerLoad } from '../placement/workerLoad.js'
 import type { FeedInput, FleetMember, PartChange } from '../ports/feedPort.js'
@@ -90,6 +91,8 @@
   const note = (entry: GatewayNote): void => emit({ kind: 'gateway.note', note: entry })
 
   const lease = createReadLease()
+  /** Proofs from the store alone, without those of other instances. */
+  const storeLease = createReadLease()
   const workers = createWorkersDb()
   const weights = createWeightsBelief()
   const loads = new Map<string, WorkerLoad>()
@@ -161,6 +164,7 @@
       leaving: leftAt !== undefined,
       configuration: index?.catalog.version ?? 0,
       proofAge: lease.age(now),
+      storeAge: storeLease.age(now),
       holding: rolloutLease.holds(),
       weights: weights.models().flatMap(model => {
         const newest = weights.newest(model)
@@ -237,7 +241,14 @@
     note({ kind: 'workerChanged', change: change.kind, worker: id, service, address: textOf(address) })
   }
 
+  /** Parts that a run makes while its worker changes weights may bear the old scope, so none of an old scope is taken in late. */
+  const isOldScope = (scope: string): boolean => {
+    const scoped = weightsOf(scope)
+    return scoped !== undefined && scoped.version < (weights.newest(scoped.model)?.version ?? -Infinity)
+  }
+
   const takePart = (change: PartChange): void => {
+    if (change.kind === 'kept' && isOldScope(change.scope)) return
     switch (change.kind) {
       case 'kept': return stored?.add(change.scope, [{ id: change.part, tokens: change.tokens }])
       case 'dropped': return stored?.drop(change.scope, change.part)
@@ -254,7 +265,9 @@
   const takeFeed = (input: FeedInput): void => {
     switch (input.kind) {
       case 'feed.catalog': return takeCatalog(input.catalog, 'store')
-      case 'feed.proof': return lease.renew(input.asOf)
+      case 'feed.proof':
+        storeLease.renew(input.asOf)
+        return lease.renew(input.asOf)
       case 'feed.weights': return nameWeights(input.model, input.version)
       case 'feed.workers': return workers.apply(input.records, input.complete, present.steady).forEach(takeWorkerChange)
       case 'feed.members': return emit({ kind: 'gateway.peers', members: fleet.setMembers(input.members, input.withdrawn) })
--- a/src/placement/modelPlacement.ts
+++ b/src/placement/modelPlacement.ts
@@ -7,7 +7,7 @@
  * only where those on the newest are much slower.
  */
 import type { ModelPurpose } from '../catalog/catalogTypes.js'
-import type { Prompt } from '../ports/forwardPort.js'
+import type { Prompt, PromptPart } from '../ports/forwardPort.js'
 import { rendezvousScore } from '../addresses/rendezvous.js'
 import type { Hash } from '../hash.js'
 import type { KeptParts } from './keptParts.js'
@@ -60,8 +60,9 @@
 const rereadWeight = 1.5
 /** Weight of fetching parts, beside the time that it takes. */
 const fetchWeight = 0.3
-/** Advantage, in ms, of the worker on which a prompt's last shared part belongs by its name, so that instances agree without talking. */
-const homeAdvantage = 30
+/** Part of the time to read a prompt's shared parts that speaks for the worker on which they belong by name, so that instances agree without talking. */
+const homeShare = 0.8
+const mostHomeAdvantage = 80
 /** Cost of a failure, in ms: the caller comes back, or does not. */
 const failureCost = 900
 /** A run on old weights is soon cut or worth little. */
@@ -114,7 +115,16 @@
   return { candidate, expected, unreadTokens, fetchedTokens, tokensAhead, memoryTokens }
 }
 
-const sharedTokens = ({ parts }: Prompt): number => parts.reduce((sum, { tokens }) => sum + tokens, 0)
+/** The parts that other requests are likely to share; the last one belongs to the request or its session. */
+const sharedParts = ({ parts }: Prompt): readonly PromptPart[] => parts.length > 1 ? parts.slice(0, -1) : parts
+
+/** The part by whose name a prompt's requests come together: the deepest that is shared. */
+export const homePart = (prompt: Prompt): PromptPart | undefined => sharedParts(prompt).at(-1)
+
+const sharedTokens = (prompt: Prompt): number => sharedParts(prompt).reduce((sum, { tokens }) => sum + tokens, 0)
+
+const homeAdvantage = ({ prompt, meanCost }: ModelQuestion): number =>
+  Math.min(mostHomeAdvantage, sharedTokens(prompt) * (meanCost || priorCost) * homeShare)
 
 const scoreOf = (choice: ModelChoice, question: ModelQuestion, home: boolean): number => {
   const { candidate, expected, unreadTokens, fetchedTokens } = choice
@@ -123,13 +133,13 @@
   const reread = Math.max(0, unreadTokens - own) * costOf(load, question.meanCost) * rereadWeight
   const fetched = fetchedTokens * fetchCost(question.purpose) * fetchWeight
   return expected + reread + fetched + load.failures * failureCost + oldWeights(candidate, question) +
-    load.flights.size * runningCost - (home ? homeAdvantage : 0)
+    load.flights.size * runningCost - (home ? homeAdvantage(question) : 0)
 }
 
 const homeOf = (hash: Hash, question: ModelQuestion, candidates: readonly ModelCandidate[]): string | undefined => {
-  const last = question.prompt.parts.at(-1)
-  if (last === undefined) return undefined
-  const key = hash.h32(last.id)
+  const part = homePart(question.prompt)
+  if (part === undefined) return undefined
+  const key = hash.h32(part.id)
   let best: string | undefined
   let bestScore = -Infinity
   for (const { id } of candidates) {
--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -49,6 +49,7 @@
 /** A load that takes longer is ordered anew, in ms. */
 const loadTimeout = 4_000
 const retryPause = 300
+const silencePause = 800
 /** At least this many workers load at once, where there are more. */
 const leastAtOnce = 2
 
@@ -215,6 +216,13 @@
     if (!load.accepted) drop(load, retryPause, now)
   }
 
+  /** A worker that answers neither an order nor a question is left alone, so that it holds up no other. */
+  const takeAnswer = (worker: Worker, status: WorkerStatus | undefined, now: Moment): void => {
+    if (status !== undefined) return takeStatus(worker, status, now)
+    const load = loads.get(worker.id)
+    if (load !== undefined && !load.accepted) drop(load, silencePause, now)
+  }
+
   const answer = (input: OrderInput, now: Moment): void => {
     switch (input.kind) {
       case 'order.answered': {
@@ -226,7 +234,7 @@
       case 'worker.told': {
         const worker = questions.get(input.token)
         questions.delete(input.token)
-        if (worker !== undefined && input.status !== undefined) takeStatus(worker, input.status, now)
+        if (worker !== undefined) takeAnswer(worker, input.status, now)
         return
       }
       default: assertNever(input)
