The duty of ordering weights passes on by standstill; leaving instances keep out

Streams whose head had gone out before the signal left kept connections behind, on which requests came 5 s later (LOST). Change: the holder renews by appending; another takes over only after the stream stood still longer than the holder may act; leaving instances keep out and withdraw when their front closes; once the front is closed a connection ends with its answer; callers keep addresses for 0.8 s.

--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -70,6 +70,7 @@
   const slots = new Map<number, Slot>()
   let limits = firstLimits
   let closing = false
+  let closed = false
   let last = 0
 
   const read = (message: IncomingMessage, response: ServerResponse): void => {
@@ -105,6 +106,8 @@
     message.on('error', () => { /* The close that follows is what counts. */ })
     response.on('error', () => { /* The close that follows is what counts. */ })
     response.on('close', () => {
+      // An answer whose head went out before the closing did not tell its caller to leave.
+      if (closed) message.socket.destroySoon()
       slots.delete(request)
       if (whole && !slot.finished) emit({ kind: 'call.left', request })
     })
@@ -176,6 +179,7 @@
     setLimits,
     setClosing: () => { closing = true },
     closeListener: () => {
+      closed = true
       server.close()
       server.closeIdleConnections()
     },
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -292,7 +292,6 @@
     note({ kind: 'leaving', requests: forwarding.size() })
     fleet.announce(present)
     rolloutLease.release(present)
-    emit({ kind: 'member.withdraw', id: self.id })
     emit({ kind: 'gateway.closing' })
   }
 
@@ -304,6 +303,7 @@
     if (lingered && !frontClosed) {
       frontClosed = true
       note({ kind: 'frontClosed', requests: forwarding.size() })
+      emit({ kind: 'member.withdraw', id: self.id })
       emit({ kind: 'gateway.closeFront' })
     }
     if (exiting || !frontClosed) return
@@ -319,7 +319,7 @@
     }
     workers.expire(present.steady).forEach(takeWorkerChange)
     fleet.tick(present)
-    rollout.tick(present)
+    if (leftAt === undefined) rollout.tick(present)
     forwarding.tick(present)
     if (leftAt !== undefined) drain(leftAt)
   }
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -1,9 +1,11 @@
 /**
- * Which instance gives orders about weights. The last claim on the stream names
- * the holder, and the claim's offset gives its fencing number. The holder acts only
- * for a short time after a read that showed its claim as the last; an instance
- * that takes over waits until that time has passed for the one before it. An
- * instance that was suspended or cut off therefore asks before it acts.
+ * Which instance gives orders about weights. Claims lie on a stream that accepts
+ * an append only at its expected end. The holder's claim is followed by its own
+ * renewals; the offset of the first gives its fencing number. The holder acts
+ * only for a short time after each renewal, so an instance that was suspended or
+ * cut off asks before it acts. Another instance takes over once the stream has
+ * stood still for longer than that time: by then the former holder may not act,
+ * whatever the instances believe of one another.
  */
 import { z } from 'zod'
 import { ageOf, type Moment } from '../lease/readLease.js'
@@ -37,6 +39,8 @@
 export interface RolloutLease {
   /** Works towards holding the duty; called while there is work. */
   readonly pursue: (now: Moment) => void
+  /** There is no work. */
+  readonly rest: () => void
   readonly answer: (input: ClaimInput, now: Moment) => void
   /** The fencing number if orders may be given now. */
   readonly fence: (now: Moment) => number | undefined
@@ -48,27 +52,33 @@
   readonly release: (now: Moment) => void
 }
 
-/** Time after a confirming read within which the holder may act, in ms. */
+/** Time after a renewal within which the holder may act, in ms. */
 const actWindow = 700
-/** Age of the confirmation from which the holder asks again, in ms. */
-const confirmAfter = 300
+/** Age of the last renewal from which the holder renews, in ms. */
+const renewAfter = 300
 /** Time for an order on its way to arrive, in ms. */
 const transitTime = 200
-/** Time between attempts to take over, in ms. */
-const candidateInterval = 250
+/** Standstill of the stream after which a holder that seems unable is replaced, in ms. */
+const standstill = actWindow + transitTime
+/** Standstill after which any holder is replaced while there is work, in ms. */
+const longStandstill = 2_500
+/** Time between looks at the stream by those that do not hold the duty, in ms. */
+const lookInterval = 250
+/** The same while the holder seems able, in ms. */
+const calmLookInterval = 1_000
 /** Time that a lower rank leaves to the one before it, in ms. */
 const rankPause = 150
 const answerTimeout = 1_500
-/** Fencing number of the claim at offset 0. */
+/** Fencing number of a claim at offset 0. */
 const firstFence = 1
 
 interface Latest extends Claim {
-  readonly offset: number
+  readonly fence: number
 }
 
 type Pending =
   | { readonly kind: 'read', readonly token: number, readonly sentAt: Moment }
-  | { readonly kind: 'append', readonly token: number, readonly sentAt: Moment, readonly at: number, readonly released: boolean }
+  | { readonly kind: 'append', readonly token: number, readonly sentAt: Moment, readonly at: number, readonly claim: Claim }
 
 /**
  * Creates the lease of one instance.
@@ -80,11 +90,10 @@
 export const createRolloutLease = (self: Claimant, rivals: Rivals, emit: (effect: ClaimEffect) => void): RolloutLease => {
   let latest: Latest | undefined
   let end = 0
-  let known = false
+  let endSeenAt: Moment | undefined
   let pending: Pending | undefined
-  let confirmedAt: Moment | undefined
-  let actFrom = -Infinity
-  let nextTry = -Infinity
+  let renewedAt: Moment | undefined
+  let nextLook = -Infinity
   let wantedSince: number | undefined
   let token = 0
 
@@ -99,16 +108,19 @@
 
   const append = (released: boolean, now: Moment): void => {
     token++
-    pending = { kind: 'append', token, sentAt: now, at: end, released }
     const claim: Claim = { holder: self.id, incarnation: self.incarnation, released }
+    pending = { kind: 'append', token, sentAt: now, at: end, claim }
     emit({ kind: 'claim.append', token, at: end, claim })
   }
 
+  const stoodStill = (now: Moment): number => endSeenAt === undefined ? 0 : now.steady - endSeenAt.steady
+
+  const isHolderAble = (): boolean => latest !== undefined && !latest.released && rivals.isAble(latest.holder, latest.incarnation)
+
   const mayTake = (now: Moment): boolean => {
     if (latest === undefined || latest.released) return true
-    if (latest.holder === self.id) return true
-    if (rivals.isAble(latest.holder, latest.incarnation)) return false
-    return now.steady >= (wantedSince ?? now.steady) + rankPause * (1 + rivals.rank())
+    const limit = isHolderAble() ? longStandstill : standstill
+    return stoodStill(now) >= limit + rankPause * rivals.rank()
   }
 
   const pursue = (now: Moment): void => {
@@ -116,42 +128,39 @@
     if (pending !== undefined && ageOf(pending.sentAt, now) > answerTimeout) pending = undefined
     if (pending !== undefined) return
     if (isOwn(latest)) {
-      if (confirmedAt === undefined || ageOf(confirmedAt, now) > confirmAfter) read(now)
+      if (renewedAt === undefined || ageOf(renewedAt, now) > renewAfter) append(false, now)
       return
     }
     const turn = wantedSince + rankPause * rivals.rank()
-    if (now.steady < turn || now.steady < nextTry) return
-    nextTry = now.steady + candidateInterval
-    if (latest !== undefined && known && rivals.isAble(latest.holder, latest.incarnation) && !latest.released) return
+    if (now.steady < turn || now.steady < nextLook) return
+    nextLook = now.steady + (isHolderAble() ? calmLookInterval : lookInterval)
     read(now)
   }
 
+  const take = (offset: number, claim: Claim): void => {
+    const goesOn = latest !== undefined && !latest.released && latest.holder === claim.holder && latest.incarnation === claim.incarnation
+    latest = { ...claim, fence: goesOn && latest !== undefined ? latest.fence : offset + firstFence }
+  }
+
   const fold = (records: readonly ClaimRecord[]): void => {
     for (const { offset, claim } of records) {
       const parsed = claimSchema.safeParse(claim)
-      if (parsed.success) latest = { ...parsed.data, offset }
+      if (parsed.success) take(offset, parsed.data)
     }
   }
 
-  const settleAccepted = (at: number, released: boolean, sentAt: Moment, now: Moment): void => {
-    const before = latest
-    latest = { holder: self.id, incarnation: self.incarnation, released, offset: at }
-    end = at + 1
-    confirmedAt = sentAt
-    const free = before === undefined || before.released || before.holder === self.id
-    actFrom = free ? now.steady : now.steady + actWindow + transitTime
-  }
-
-  const answerRead = (input: Extract<ClaimInput, { kind: 'claim.records' }>, sentAt: Moment, now: Moment): void => {
+  const answerRead = (input: Extract<ClaimInput, { kind: 'claim.records' }>, now: Moment): void => {
     fold(input.records)
+    if (endSeenAt === undefined || input.end !== end) endSeenAt = now
     end = input.end
-    known = true
-    if (isOwn(latest)) {
-      confirmedAt = sentAt
-      return
-    }
-    confirmedAt = undefined
-    if (mayTake(now)) append(false, now)
+    if (isOwn(latest) || mayTake(now)) append(false, now)
+  }
+
+  const accepted = (at: number, claim: Claim, sentAt: Moment, now: Moment): void => {
+    take(at, claim)
+    end = at + 1
+    endSeenAt = now
+    renewedAt = sentAt
   }
 
   const answer = (input: ClaimInput, now: Moment): void => {
@@ -159,20 +168,21 @@
     const asked = pending
     pending = undefined
     switch (input.kind) {
-      case 'claim.records': return answerRead(input, asked.sentAt, now)
+      case 'claim.records': return answerRead(input, now)
       case 'claim.accepted':
-        if (asked.kind === 'append') settleAccepted(asked.at, asked.released, asked.sentAt, now)
+        if (asked.kind === 'append') accepted(asked.at, asked.claim, asked.sentAt, now)
         return
-      case 'claim.refused': return read(now)
+      case 'claim.refused':
+        renewedAt = undefined
+        return read(now)
       case 'claim.failed':
-        nextTry = now.steady + candidateInterval
+        nextLook = now.steady + lookInterval
     }
   }
 
   const fence = (now: Moment): number | undefined => {
-    if (latest === undefined || !isOwn(latest) || confirmedAt === undefined) return undefined
-    if (now.steady < actFrom || ageOf(confirmedAt, now) >= actWindow) return undefined
-    return latest.offset + firstFence
+    if (latest === undefined || !isOwn(latest) || renewedAt === undefined) return undefined
+    return ageOf(renewedAt, now) < actWindow ? latest.fence : undefined
   }
 
   const release = (now: Moment): void => {
@@ -181,10 +191,11 @@
 
   return {
     pursue,
+    rest: () => { wantedSince = undefined },
     answer,
     fence,
     holds: () => isOwn(latest),
-    fenced: () => { confirmedAt = undefined },
+    fenced: () => { renewedAt = undefined },
     release
   }
 }
--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -170,7 +170,7 @@
   const tick = (now: Moment): void => {
     for (const load of [...loads.values()]) watch(load, now)
     const work = outstanding()
-    if (work.length === 0) return
+    if (work.length === 0) return lease.rest()
     lease.pursue(now)
     const fence = lease.fence(now)
     if (fence !== undefined) sendMore(work, fence, now)
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -40,7 +40,7 @@
     grace: timeInS('Time from the signal to leave until the process is ended.')
   }),
   addresses: z.strictObject({
-    time_to_live: optional(timeInMs('Time for which callers may keep an answer of the directory.'), 1_000),
+    time_to_live: optional(timeInMs('Time for which callers may keep an answer of the directory.'), 800),
     kept_times: optional(number('times', 1, 10, 'Callers keep an answer up to this many times as long.'), 3)
   }).prefault({}),
   weights: z.strictObject({
