A reset that comes together with data is not taken for the end of an answer

Change: at the end of an answer without length an empty line is written; the write fails at once on a connection that was reset. Ruled out: the library's error event, which is not raised in this case.

--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -1,6 +1,6 @@
 module.exports = {
   testEnvironment: 'node',
-  roots: ['<rootDir>/src', '<rootDir>/test'],
+  roots: ['<rootDir>/src', '<rootDir>/platform', '<rootDir>/test'],
   testMatch: ['**/*.spec.ts'],
   transform: {
     '^.+\\.ts$': ['@swc/jest', { jsc: { target: 'es2022', parser: { syntax: 'typescript' } }, module: { type: 'commonjs' } }]
--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -4,8 +4,9 @@
  * answer that was due is not used again, and a reset does not count as the end
  * of an answer that has no length.
  */
-import type { Socket } from 'node:net'
-import { buildConnector, Client, type Dispatcher } from 'undici'
+import { connect, type Socket } from 'node:net'
+import { Client, type Dispatcher } from 'undici'
+import { ResultAsync } from 'neverthrow'
 import type { AttemptFailure, Dispatch, ForwardInput } from '../ports/forwardPort.js'
 import type { WireCodec } from '../ports/platformPort.js'
 
@@ -32,15 +33,24 @@
 const idleReserve = 1_200
 const mostIdle = 32
 const headerBytes = 65_536
+/** Silence before a connection is probed, in ms. */
+const probeDelay = 1_000
 
 /** The reason that a connection is given for breaking off. */
 class AttemptCancelled extends Error {
   override readonly name = 'AttemptCancelled'
 }
 
+/** The worker did not take the connection in time. */
+class ConnectTimeout extends Error {
+  override readonly name = 'ConnectTimeout'
+}
+
 interface Channel {
   readonly client: Client
   readonly key: string
+  /** Whether the answer under way ends with the connection. */
+  unframed: boolean
   /** Whether the connection was reset. */
   reset: boolean
 }
@@ -57,6 +67,34 @@
 const textOf = (raw: readonly Buffer[] | readonly string[] | null | undefined): string[] =>
   (raw ?? []).map(part => typeof part === 'string' ? part : part.toString('latin1'))
 
+/** Connects within the time limit, which the library's own coarse timers would overrun. */
+const openSocket = ({ host, port }: Dispatch['address']): ResultAsync<Socket, Error> => ResultAsync.fromPromise(new Promise<Socket>((resolve, reject) => {
+  const socket = connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: probeDelay })
+  const timer = setTimeout(() => socket.destroy(new ConnectTimeout()), connectTimeout)
+  socket.once('connect', () => {
+    clearTimeout(timer)
+    resolve(socket)
+  })
+  socket.once('error', error => {
+    clearTimeout(timer)
+    reject(error)
+  })
+}), error => error instanceof Error ? error : new ConnectTimeout())
+
+/**
+ * Notes a reset. The event loop reports a reset that comes together with data
+ * as an ordinary end, but a write then fails at once; an empty line between
+ * requests means nothing to a worker that has only closed its side.
+ */
+const watchSocket = (channel: Channel, socket: Socket): void => {
+  socket.once('error', () => { channel.reset = true })
+  socket.once('end', () => {
+    if (!channel.unframed) return
+    socket.write('\r\n')
+    channel.reset ||= socket.errored !== null
+  })
+}
+
 /**
  * Creates the connections.
  *
@@ -68,7 +106,6 @@
   const running = new Map<number, Running>()
 
   const openChannel = (key: string, { host, port }: Dispatch['address']): Channel => {
-    const connector = buildConnector({ timeout: connectTimeout, keepAlive: true, keepAliveInitialDelay: 1_000 })
     const client = new Client(`http://${host}:${port}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -76,14 +113,16 @@
       keepAliveTimeout: idleTime,
       keepAliveTimeoutThreshold: idleReserve,
       maxHeaderSize: headerBytes,
-      connect: (target, callback) => connector(target, (...result) => {
-        const socket = result[1] as Socket | null
-        socket?.once('error', () => { channel.reset = true })
-        if (socket !== null) options.opened()
-        callback(...result)
-      })
+      connect: (_target, callback) => openSocket({ host, port }).match(
+        socket => {
+          watchSocket(channel, socket)
+          options.opened()
+          callback(null, socket)
+        },
+        error => callback(error, null)
+      )
     })
-    const channel: Channel = { client, key, reset: false }
+    const channel: Channel = { client, key, unframed: false, reset: false }
     return channel
   }
 
@@ -105,7 +144,6 @@
 
   const createHandler = (attempt: number, run: Running): Dispatcher.DispatchHandler => {
     let sent = false
-    let unframed = false
 
     const end = (): boolean => running.delete(attempt) && !run.cancelled
 
@@ -122,21 +160,21 @@
       onResponseStart: (controller, status) => {
         if (status < 200 || run.cancelled) return
         const headers = textOf(controller.rawHeaders as Buffer[] | null)
-        unframed = isUnframed(headers)
+        run.channel.unframed = isUnframed(headers)
         emit({ kind: 'attempt.head', attempt, head: codec.decodeAnswer(status, headers) })
       },
       onResponseData: (_controller, bytes) => {
         if (!run.cancelled) emit({ kind: 'attempt.data', attempt, bytes })
       },
       onResponseEnd: () => {
-        if (unframed && run.channel.reset) return fail('cut')
+        if (run.channel.unframed && run.channel.reset) return fail('cut')
         if (!end()) return discard(run.channel)
         giveBack(run.channel)
         emit({ kind: 'attempt.ended', attempt })
       },
       onResponseError: (_controller, error) => {
-        const garbled = 'code' in error && typeof error.code === 'string' && error.code.startsWith('HPE_')
-        fail(sent ? garbled ? 'garbled' : 'cut' : 'unsent')
+        if (!sent) return fail('unsent')
+        fail(error.name === 'HTTPParserError' ? 'garbled' : 'cut')
       }
     }
   }
--- /dev/null
+++ b/test/fakes/rawServer.ts
@@ -0,0 +1,35 @@
+/** A TCP server that answers with given bytes, for tests of what a worker may send. */
+import { createServer, type AddressInfo, type Socket } from 'node:net'
+
+/** A running server. */
+export interface RawServer {
+  readonly port: number
+  /** Connections accepted so far. */
+  readonly accepted: () => number
+  readonly close: () => Promise<void>
+}
+
+/**
+ * Starts a server.
+ *
+ * @param onRequest - called with the connection each time bytes arrive
+ */
+export const startRawServer = async (onRequest: (socket: Socket, bytes: Buffer) => void): Promise<RawServer> => {
+  let accepted = 0
+  const sockets = new Set<Socket>()
+  const server = createServer(socket => {
+    accepted++
+    sockets.add(socket)
+    socket.on('error', () => socket.destroy())
+    socket.on('data', bytes => onRequest(socket, bytes))
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return {
+    port: (server.address() as AddressInfo).port,
+    accepted: () => accepted,
+    close: () => {
+      for (const socket of sockets) socket.destroy()
+      return new Promise(resolve => { server.close(() => resolve()) })
+    }
+  }
+}
