--- a/scripts/startCached.cjs
+++ b/scripts/startCached.cjs
@@ -18,6 +18,8 @@
 
 const script = new Script(Module.wrap(readFileSync(filename, 'utf8')), { filename, cachedData: isWriting ? undefined : readCache() })
 const run = script.runInThisContext()
-if (isWriting) process.argv.splice(2, 1)
+if (isWriting) {
+  process.argv.splice(2, 1)
+  process.on('exit', () => writeFileSync(cacheFile, script.createCachedData()))
+}
 run({}, require, { exports: {} }, filename, __dirname)
-if (isWriting) writeFileSync(cacheFile, script.createCachedData())
