Workers out of reach are probed apart from requests, and the doubt is shared

Change: a doubted worker gets no work until a connection to it opens; the doubt goes to all instances; what may run elsewhere leaves a worker out of reach at once, the rest is answered after 1.5 s. The speed of reading is learned from quick answers. The spec 'cost one request, not one every few hundred ms' replays it.

--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -22,11 +22,13 @@
 export interface WorkerChannels {
   readonly send: (attempt: number, dispatch: Dispatch) => void
   readonly cancel: (attempt: number) => void
+  /** Opens a connection to see whether the worker can be reached, and closes it. */
+  readonly probe: (worker: string, address: Dispatch['address']) => void
   readonly close: () => Promise<void>
 }
 
 /** Time to connect after which a worker counts as unreachable, in ms. */
-const connectTimeout = 350
+const connectTimeout = 200
 /** Time for which an idle connection is kept when the worker does not say, in ms. */
 const idleTime = 4_000
 /** Safety before the time that the worker says, in ms. */
@@ -200,11 +202,17 @@
     discard(run.channel)
   }
 
+  const probe = async (worker: string, address: Dispatch['address']): Promise<void> => {
+    const socket = await openSocket(address)
+    socket.map(open => open.destroy())
+    emit({ kind: 'worker.probed', worker, reachable: socket.isOk() })
+  }
+
   const close = async (): Promise<void> => {
     const all = [...idle.values()].flat()
     idle.clear()
     await Promise.allSettled(all.map(({ client }) => client.destroy()))
   }
 
-  return { send, cancel, close }
+  return { send, cancel, probe, close }
 }
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -32,6 +32,7 @@
   readonly weightsNamed: (model: string, version: number) => void
   readonly workerLoading: (worker: string, time: number) => void
   readonly workerLoaded: (worker: string, model: string, version: number) => void
+  readonly workerDoubted: (worker: string) => void
   readonly peerChanged: (id: string, change: 'alive' | 'silent' | 'leaving') => void
 }
 
@@ -167,6 +168,7 @@
       case 'fleet.beat': return takeBeat(from, message, now)
       case 'fleet.loading': return events.workerLoading(message.worker, message.time)
       case 'fleet.loaded': return events.workerLoaded(message.worker, message.model, message.version)
+      case 'fleet.doubt': return events.workerDoubted(message.worker)
       case 'fleet.wantCatalog': {
         const catalog = options.ownCatalog()
         if (catalog !== undefined && catalog.version >= message.version) emit({ kind: 'peer.send', to: from, message: { kind: 'fleet.catalog', catalog } })
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -29,6 +29,8 @@
   beat,
   z.object({ kind: z.literal('fleet.loading'), worker: z.string(), model: z.string(), version: z.number(), time: z.number() }),
   z.object({ kind: z.literal('fleet.loaded'), worker: z.string(), model: z.string(), version: z.number() }),
+  /** The sender could not reach a worker. */
+  z.object({ kind: z.literal('fleet.doubt'), worker: z.string() }),
   z.object({ kind: z.literal('fleet.wantCatalog'), version: z.number() }),
   z.object({ kind: z.literal('fleet.catalog'), catalog: catalogSchema })
 ])
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -31,6 +31,8 @@
   readonly random: Random
   readonly emit: (effect: ForwardEffect) => void
   readonly note: (note: ForwardNote) => void
+  /** Tells the other instances that a worker may be out of reach. */
+  readonly tellDoubt: (worker: string) => void
 }
 
 /** Ages of the newest proof, in ms. */
--- a/src/forwarding/forwardingMachine.spec.ts
+++ b/src/forwarding/forwardingMachine.spec.ts
@@ -222,3 +222,49 @@
     expect(fake.sends()[0].dispatch.worker).toBe('m2')
   })
 })
+
+describe('workers out of reach', () => {
+  it('cost one request, not one every few hundred ms', () => {
+    const fake = build(buildCatalog({ routes: [buildRoute({ kind: 'once', maxWorkers: 1 })] }))
+    fake.arrive(buildCall(), 0)
+    const [{ attempt, dispatch }] = fake.sends()
+    fake.fail(attempt, 'unsent', 200)
+    for (let now = 220; now < 12_000; now += 20) {
+      fake.lease.renew({ steady: now, wall: now })
+      fake.arrive(buildCall({ id: `call-${now}` }), now)
+      fake.head(fake.sends().at(-1)?.attempt ?? 0, {}, now + 5)
+      fake.end(fake.sends().at(-1)?.attempt ?? 0, now + 5)
+      const probes = fake.probes().length
+      fake.tick(now + 10)
+      if (fake.probes().length > probes) fake.probed(dispatch.worker, false, now + 15)
+    }
+    expect(fake.sends().filter(({ dispatch: { worker } }) => worker === dispatch.worker)).toHaveLength(1)
+  })
+
+  it('are used again once they can be reached', () => {
+    const fake = build(buildCatalog(), [buildWorker('w1'), buildWorker('w2')])
+    fake.arrive(buildCall(), 0)
+    const { attempt, dispatch } = fake.sends()[0]
+    fake.fail(attempt, 'unsent', 200)
+    expect(fake.probes()).toEqual([dispatch.worker])
+    fake.probed(dispatch.worker, true, 210)
+    expect(fake.loadOf(dispatch.worker)?.doubtedSince).toBeUndefined()
+  })
+
+  it('lose the requests that may run elsewhere at once, and the others when they stay away', () => {
+    const fake = build(buildCatalog({ routes: [buildRoute({ kind: 'once', maxWorkers: 1, timeout: 5_000 }), buildRoute({ pathPrefix: '/read/', timeout: 5_000 })] }), [buildWorker('w1'), buildWorker('w2')])
+    const booking = fake.arrive(buildCall(), 0)
+    const { worker } = fake.sends()[0].dispatch
+    const other = fake.arrive(buildCall({ path: '/read/x' }), 1)
+    const reading = fake.sends()[1].dispatch.worker === worker ? other : fake.arrive(buildCall({ path: '/read/x' }), 2)
+    fake.tick(190)
+    expect(fake.probes()).toContain(worker)
+    fake.probed(worker, false, 390)
+    expect(fake.view(booking)).toBeUndefined()
+    expect(fake.sends().filter(({ dispatch }) => dispatch.worker !== worker && dispatch.call.path === '/read/x').length).toBeGreaterThan(0)
+    expect(fake.view(reading)).toBeUndefined()
+    fake.tick(1_800)
+    fake.probed(worker, false, 2_000)
+    expect(fake.view(booking)).toMatchObject({ status: 502 })
+  })
+})
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -9,8 +9,9 @@
 import { assertNever } from '../errors.js'
 import type { Moment } from '../lease/readLease.js'
 import type { AnswerHead, Call, ForwardInput } from '../ports/forwardPort.js'
-import { noteCounts, noteEnded, noteFailure, noteFirstEvent, noteSuccess, suspect } from '../placement/workerLoad.js'
+import { noteCounts, noteEnded, noteFailure, noteFirstEvent, noteSuccess } from '../placement/workerLoad.js'
 import { firstEventOverhead } from '../placement/modelPlacement.js'
+import { createDoubts } from './doubts.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
 import { chooseService, place } from './placing.js'
@@ -25,6 +26,8 @@
   readonly size: () => number
   /** Whether a request waits for a worker of any service. */
   readonly waiting: () => number
+  /** Another instance could not reach a worker. */
+  readonly doubt: (worker: string, now: number) => void
   readonly dump: () => unknown
 }
 
@@ -33,6 +36,13 @@
 /** A silent worker is doubted after this time, in ms, or a multiple of what was expected. */
 const silenceFloor = 450
 const silenceFactor = 3
+/** A worker is probed when an answer is late by this time, in ms, or a multiple of what was expected. */
+const lateFloor = 180
+const lateFactor = 2
+/** Time without bytes, in ms, after which a request at a worker out of reach is taken for lost. */
+const quietTime = 150
+/** Time out of reach, in ms, after which requests that may not run elsewhere are given up. */
+const giveUpAfter = 1_500
 /** A stream without events for this time, in ms, is taken up elsewhere. */
 const stallLimit = 900
 /** Repeats of one request beyond which its caller is told. */
@@ -59,6 +69,7 @@
   const exchanges = new Map<number, Exchange>()
   const byAttempt = new Map<number, Exchange>()
   const line = createWaitingLine()
+  const doubts = createDoubts(context)
   let lastAttempt = 0
 
   const elapsed = (exchange: Exchange, now: number): number => Math.round(now - exchange.arrivedAt)
@@ -166,7 +177,8 @@
       attempt: undefined,
       opened: false,
       lastEvent: undefined,
-      events: 0
+      events: 0,
+      firstEventAt: undefined
     }
     exchanges.set(request, exchange)
     context.retries(service).noteRequest(now)
@@ -188,12 +200,6 @@
     forgetAttempt(exchange, cancel)
   }
 
-  const suspectWorker = (worker: string, reason: string, now: number): void => {
-    const load = context.loadOf(worker)
-    suspect(load, now)
-    context.note({ kind: 'workerSuspected', worker, reason, until: Math.round(load.suspectedUntil) })
-  }
-
   /** The worker says that the request has not run. */
   const turnedAway = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
     const { now } = time
@@ -201,7 +207,7 @@
     const worker = context.workers.get(attempt.worker)
     if (head.status === misdirected && head.worker !== undefined && head.worker !== attempt.worker) {
       failAttempt(exchange, attempt, 'otherWorker', false, now)
-      suspectWorker(attempt.worker, 'otherWorker', now)
+      doubts.raise(attempt.worker, 'otherWorker', now)
       exchange.avoided.add(attempt.worker)
       exchange.sentTo.delete(attempt.worker)
       return again(exchange, 'turnedAway', { kind: 'turnedAway', wait: turnedAwayPause }, time)
@@ -234,7 +240,7 @@
 
   const unsent = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
     failAttempt(exchange, attempt, 'unsent', false, time.now)
-    suspectWorker(attempt.worker, 'unreachable', time.now)
+    doubts.raise(attempt.worker, 'unreachable', time.now)
     exchange.avoided.add(attempt.worker)
     exchange.sentTo.delete(attempt.worker)
     if (time.now >= exchange.deadline) refuse(exchange, { kind: 'lateUnsent' }, time)
@@ -284,6 +290,7 @@
     if (events === undefined) return
     if (attempt.flight.firstAt === undefined) firstEvent(exchange, attempt, now)
     exchange.events += events.count
+    exchange.firstEventAt ??= now
     if (events.lastId !== undefined) exchange.lastEvent = events.lastId
     context.emit({ kind: 'call.write', request: exchange.request, bytes: events.bytes })
   }
@@ -294,7 +301,7 @@
     noteSuccess(load, isPlain && isSuccess(head.status) ? now - attempt.sentAt : undefined)
     forgetAttempt(exchange, false)
     forget(exchange)
-    context.note({ kind: 'answered', id: exchange.call.id, worker: attempt.worker, status: head.status, after: elapsed(exchange, now), events: exchange.events })
+    context.note({ kind: 'answered', id: exchange.call.id, worker: attempt.worker, status: head.status, after: elapsed(exchange, now), events: exchange.events, ...(exchange.firstEventAt === undefined ? {} : { first: Math.round(exchange.firstEventAt - exchange.arrivedAt) }) })
     if (isPlain) context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body: Buffer.concat(attempt.body) })
     else context.emit({ kind: 'call.end', request: exchange.request })
   }
@@ -338,6 +345,24 @@
     }
   }
 
+  /** Requests at a worker that is out of reach go elsewhere, or are given up if they may not. */
+  const leaveWorker = (exchange: Exchange, attempt: Attempt, doubted: number, time: DecisionTime): void => {
+    if (time.now - attempt.lastDataAt < quietTime) return
+    if (isRepeatable(exchange) && canRepeat(exchange, time.now)) return lost(exchange, attempt, 'silent', true, time)
+    if (doubted < giveUpAfter) return
+    exchange.mayHaveRun = true
+    failAttempt(exchange, attempt, 'silent', true, time.now)
+    refuse(exchange, { kind: 'broken' }, time)
+  }
+
+  const takeProbe = (worker: string, reachable: boolean, time: DecisionTime): void => {
+    const doubted = doubts.probed(worker, reachable, time.now)
+    if (doubted === undefined) return
+    for (const exchange of exchanges.values()) {
+      if (exchange.attempt?.worker === worker) leaveWorker(exchange, exchange.attempt, doubted, time)
+    }
+  }
+
   const handle = (input: ForwardInput, moment: Moment): void => {
     const time = { now: moment.steady, moment }
     switch (input.kind) {
@@ -348,6 +373,7 @@
         if (exchange !== undefined) left(exchange, time.now)
         return
       }
+      case 'worker.probed': return takeProbe(input.worker, input.reachable, time)
       default: return handleAttempt(input, time)
     }
   }
@@ -367,15 +393,22 @@
   const isSilent = (attempt: Attempt, now: number): boolean =>
     attempt.head === undefined && now - attempt.sentAt > Math.max(silenceFloor, silenceFactor * attempt.flight.expected)
 
+  /** A worker that is later than expected is probed long before its request is given up. */
+  const isLate = (attempt: Attempt, now: number): boolean =>
+    now - attempt.lastDataAt > Math.max(lateFloor, lateFactor * attempt.flight.expected)
+
   /** Doubts silent workers; what may run elsewhere goes there. */
   const watch = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
     const { now } = time
+    if (!attempt.doubted && isLate(attempt, now)) {
+      attempt.doubted = true
+      doubts.raise(attempt.worker, 'silent', now)
+    }
     const stalled = isStalled(exchange, attempt, now)
     if (attempt.silent || (!stalled && !isSilent(attempt, now))) return
     attempt.silent = true
-    const load = context.loadOf(attempt.worker)
-    noteFailure(load)
-    if (!stalled) suspectWorker(attempt.worker, 'silent', now)
+    noteFailure(context.loadOf(attempt.worker))
+    doubts.raise(attempt.worker, 'silent', now)
     if (!isRepeatable(exchange) || !canRepeat(exchange, now)) return
     exchange.mayHaveRun = true
     failAttempt(exchange, attempt, 'silent', true, now)
@@ -385,6 +418,7 @@
 
   const tick = (moment: Moment): void => {
     const time = { now: moment.steady, moment }
+    doubts.tick(time.now)
     for (const exchange of exchanges.values()) {
       if (exchange.deadline <= time.now) expire(exchange, time)
       else if (exchange.attempt !== undefined) watch(exchange, exchange.attempt, time)
@@ -404,6 +438,7 @@
     tick,
     size: () => exchanges.size,
     waiting: line.size,
+    doubt: (worker, now) => doubts.raise(worker, 'peer', now),
     dump: () => ({ requests: exchanges.size, waiting: line.size() })
   }
 }
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -19,6 +19,8 @@
   readonly body: Buffer[]
   readonly splitter: EventSplitter
   lastDataAt: number
+  /** Whether the worker was probed for this attempt's sake. */
+  doubted: boolean
   /** Whether the worker's silence was noted. */
   silent: boolean
 }
@@ -47,6 +49,8 @@
   /** Id of the last event that went to the caller. */
   lastEvent: string | undefined
   events: number
+  /** When the first event went to the caller. */
+  firstEventAt: number | undefined
 }
 
 /** What the instance decided about a request; one log line each. */
@@ -54,10 +58,14 @@
   | { readonly kind: 'sent', readonly id: string, readonly worker: string, readonly cause: SendCause, readonly expected: number, readonly flights: number, readonly unread: number, readonly fetched: number, readonly version?: number, readonly configuration: number, readonly proofAge: number }
   | { readonly kind: 'attemptFailed', readonly id: string, readonly worker: string, readonly reason: AttemptEnd, readonly after: number }
   | { readonly kind: 'refused', readonly id: string, readonly reason: string, readonly outcome: string, readonly after: number, readonly configuration: number, readonly proofAge: number }
-  | { readonly kind: 'answered', readonly id: string, readonly worker: string, readonly status: number, readonly after: number, readonly events: number }
+  | { readonly kind: 'answered', readonly id: string, readonly worker: string, readonly status: number, readonly after: number, readonly events: number, /** Time to the first event of a stream. */ readonly first?: number }
   | { readonly kind: 'brokenOff', readonly id: string, readonly reason: string, readonly after: number, readonly events: number }
   | { readonly kind: 'callerLeft', readonly id: string, readonly after: number, readonly events: number }
-  | { readonly kind: 'workerSuspected', readonly worker: string, readonly reason: string, readonly until: number }
+  | { readonly kind: 'workerDoubted', readonly worker: string, readonly reason: DoubtReason }
+  | { readonly kind: 'workerProbed', readonly worker: string, readonly reachable: boolean, readonly doubted: number }
+
+/** Why it is doubted that a worker can be reached. */
+export type DoubtReason = 'unreachable' | 'silent' | 'otherWorker' | 'peer'
 
 /** Why a request is sent. */
 export type SendCause = 'first' | 'turnedAway' | 'unsent' | 'otherVersion' | 'failed' | 'resume' | 'silent' | 'waited'
--- a/src/forwarding/placing.ts
+++ b/src/forwarding/placing.ts
@@ -172,6 +172,7 @@
     body: [],
     splitter: createEventSplitter(),
     lastDataAt: now,
+    doubted: false,
     silent: false
   }
   context.note({
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -179,6 +179,7 @@
       weightsNamed: nameWeights,
       workerLoading: (worker, time) => weights.noteLoading(worker, present.steady + time),
       workerLoaded: noteLoaded,
+      workerDoubted: worker => forwarding.doubt(worker, present.steady),
       peerChanged: (peer, change) => note({ kind: 'peerChanged', peer, change })
     }
   })
@@ -224,7 +225,8 @@
     hash,
     random,
     emit,
-    note
+    note,
+    tellDoubt: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
   })
 
   const forgetWorker = (worker: string): void => {
@@ -332,7 +334,8 @@
       case 'attempt.head':
       case 'attempt.data':
       case 'attempt.ended':
-      case 'attempt.failed': return forwarding.handle(input, present)
+      case 'attempt.failed':
+      case 'worker.probed': return forwarding.handle(input, present)
       case 'feed.catalog':
       case 'feed.proof':
       case 'feed.weights':
--- a/src/placement/modelPlacement.ts
+++ b/src/placement/modelPlacement.ts
@@ -158,10 +158,10 @@
  * @param candidates - workers that are live and hold the model
  * @param hash - the process's hash functions
  * @param now - present time in ms
- * @returns the best choice, or undefined if there is no candidate; suspected workers are chosen only if all are
+ * @returns the best choice, or undefined if there is no candidate; doubted workers are chosen only if all are
  */
 export const placeModelRequest = (question: ModelQuestion, candidates: readonly ModelCandidate[], hash: Hash, now: number): ModelChoice | undefined => {
-  const trusted = candidates.filter(({ load }) => isTrusted(load, now))
+  const trusted = candidates.filter(({ load }) => isTrusted(load))
   const home = homeOf(hash, question, candidates)
   let best: ModelChoice | undefined
   let bestScore = Infinity
--- a/src/placement/plainPlacement.ts
+++ b/src/placement/plainPlacement.ts
@@ -40,10 +40,10 @@
  *
  * @param candidates - live workers that were not tried yet
  * @param now - present time in ms
- * @returns the best choice, or undefined if there is no candidate; suspected workers are chosen only if all are
+ * @returns the best choice, or undefined if there is no candidate; doubted workers are chosen only if all are
  */
 export const placePlainRequest = (candidates: readonly PlainCandidate[], now: number): PlainChoice | undefined => {
-  const trusted = candidates.filter(({ load }) => isTrusted(load, now))
+  const trusted = candidates.filter(({ load }) => isTrusted(load))
   let best: PlainChoice | undefined
   let bestScore = Infinity
   for (const candidate of trusted.length > 0 ? trusted : candidates) {
--- a/src/placement/workerLoad.ts
+++ b/src/placement/workerLoad.ts
@@ -45,10 +45,8 @@
   serviceTime: number
   /** Recent share of attempts that failed. */
   failures: number
-  /** The worker gets no new work until then. */
-  suspectedUntil: number
-  /** Suspicions in a row. */
-  suspicions: number
+  /** Since when it is doubted that the worker can be reached; it gets no new work meanwhile. */
+  doubtedSince: number | undefined
 }
 
 /** Part of the distance to a new sample that an average moves. */
@@ -57,8 +55,9 @@
 const tellingTokens = 300
 /** Time in which half of a report's foreign load has become unknowable, in ms. */
 const reportHalfLife = 400
-const firstSuspicion = 300
-const longestSuspicion = 2_400
+/** Part of the distance that the learned speed moves down, and up: it follows the quick answers, whose wait was their own reading. */
+const speedUp = 0.25
+const slowDown = 0.08
 
 /** Creates the state of a worker of which nothing is known. */
 export const createWorkerLoad = (id: string): WorkerLoad => ({
@@ -70,8 +69,7 @@
   tokenCost: 0,
   serviceTime: 0,
   failures: 0,
-  suspectedUntil: -Infinity,
-  suspicions: 0
+  doubtedSince: undefined
 })
 
 const blend = (mean: number, sample: number): number => mean === 0 ? sample : mean + learningRate * (sample - mean)
@@ -111,7 +109,9 @@
   endPending(load, flight)
   flight.firstAt = now
   if (flight.tokensAhead < tellingTokens) return
-  load.tokenCost = blend(load.tokenCost, Math.max(0, now - flight.sentAt - overhead) / flight.tokensAhead)
+  const sample = Math.max(0, now - flight.sentAt - overhead) / flight.tokensAhead
+  if (load.tokenCost === 0) load.tokenCost = sample
+  else load.tokenCost += (sample < load.tokenCost ? speedUp : slowDown) * (sample - load.tokenCost)
 }
 
 /** Counts the end of a request. */
@@ -124,8 +124,6 @@
 /** Takes in an attempt that went well; `answerTime` in ms is given for plain answers. */
 export const noteSuccess = (load: WorkerLoad, answerTime?: number): void => {
   load.failures *= 1 - learningRate
-  load.suspicions = 0
-  load.suspectedUntil = -Infinity
   if (answerTime !== undefined) load.serviceTime = blend(load.serviceTime, answerTime)
 }
 
@@ -134,12 +132,5 @@
   load.failures += learningRate * (1 - load.failures)
 }
 
-/** Takes in that the worker could not be reached or keeps silent; it is left alone, longer each time. */
-export const suspect = (load: WorkerLoad, now: number): void => {
-  const pause = Math.min(longestSuspicion, firstSuspicion * 2 ** load.suspicions)
-  load.suspicions++
-  load.suspectedUntil = now + pause
-}
-
 /** Whether the worker may get new work. */
-export const isTrusted = (load: WorkerLoad, now: number): boolean => now >= load.suspectedUntil
+export const isTrusted = (load: WorkerLoad): boolean => load.doubtedSince === undefined
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -113,6 +113,7 @@
   | { readonly kind: 'attempt.data', readonly attempt: number, readonly bytes: Buffer }
   | { readonly kind: 'attempt.ended', readonly attempt: number }
   | { readonly kind: 'attempt.failed', readonly attempt: number, readonly failure: AttemptFailure }
+  | { readonly kind: 'worker.probed', readonly worker: string, readonly reachable: boolean }
 
 /** What the forwarding core asks for. */
 export type ForwardEffect =
@@ -126,3 +127,5 @@
   | { readonly kind: 'call.abort', readonly request: number }
   | { readonly kind: 'attempt.send', readonly attempt: number, readonly dispatch: Dispatch }
   | { readonly kind: 'attempt.cancel', readonly attempt: number }
+  /** Opens a connection and closes it again. */
+  | { readonly kind: 'worker.probe', readonly worker: string, readonly address: Address }
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -58,7 +58,7 @@
   loadShare: weights.load_share
 })
 
-const warnings: ReadonlySet<GatewayNote['kind']> = new Set(['attemptFailed', 'refused', 'brokenOff', 'workerSuspected', 'dependencyLost', 'garbledPeerMessage'])
+const warnings: ReadonlySet<GatewayNote['kind']> = new Set(['attemptFailed', 'refused', 'brokenOff', 'workerDoubted', 'dependencyLost', 'garbledPeerMessage'])
 
 const writeNote = (logger: Logger, note: GatewayNote): void => {
   const { kind, ...fields } = note
@@ -126,6 +126,7 @@
       case 'call.end':
       case 'call.abort': return front.perform(effect)
       case 'attempt.send': return channels.send(effect.attempt, effect.dispatch)
+      case 'worker.probe': return channels.probe(effect.worker, effect.address)
       case 'attempt.cancel': return channels.cancel(effect.attempt)
       case 'peer.send': return peers.perform(effect)
       case 'member.announce':
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -73,7 +73,8 @@
     hash: options.hash,
     random: createRandom(options.seed ?? 1),
     emit: effect => effects.push(effect),
-    note: note => notes.push(note)
+    note: note => notes.push(note),
+    tellDoubt: () => { /* No other instance here. */ }
   })
 
   let lastRequest = 0
@@ -120,6 +121,8 @@
     fail: (attempt: number, failure: 'unsent' | 'cut' | 'garbled', now: number): void => forwarding.handle({ kind: 'attempt.failed', attempt, failure }, momentAt(now)),
     leave: (request: number, now: number): void => forwarding.handle({ kind: 'call.left', request }, momentAt(now)),
     tick: (now: number): void => forwarding.tick(momentAt(now)),
+    probed: (worker: string, reachable: boolean, now: number): void => forwarding.handle({ kind: 'worker.probed', worker, reachable }, momentAt(now)),
+    probes: (): readonly string[] => effects.flatMap(effect => effect.kind === 'worker.probe' ? [effect.worker] : []),
     cancelled: (): readonly number[] => effects.flatMap(effect => effect.kind === 'attempt.cancel' ? [effect.attempt] : [])
   }
 }
