--- a/src/placement/modelPlacement.ts
+++ b/src/placement/modelPlacement.ts
@@ -71,7 +71,7 @@
 /** Age of newer weights, in ms, from which runs on older ones are worth markedly less. */
 const weightsGrace = 1_200
 /** Each running request slows the others' tokens; in ms. */
-const runningCost = 1.2
+const runningCost = 3
 /** Part of a worker's memory beyond which runs are likely to be preempted. */
 const memoryShare = 0.9
 const memoryCost = 400
@@ -126,14 +126,14 @@
 const homeAdvantage = ({ prompt, meanCost }: ModelQuestion): number =>
   Math.min(mostHomeAdvantage, sharedTokens(prompt) * (meanCost || priorCost) * homeShare)
 
-const scoreOf = (choice: ModelChoice, question: ModelQuestion, home: boolean): number => {
+const scoreOf = (choice: ModelChoice, question: ModelQuestion, home: boolean, now: number): number => {
   const { candidate, expected, unreadTokens, fetchedTokens } = choice
   const { load } = candidate
   const own = Math.max(0, question.prompt.inputTokens - sharedTokens(question.prompt))
   const reread = Math.max(0, unreadTokens - own) * costOf(load, question.meanCost) * rereadWeight
   const fetched = fetchedTokens * fetchCost(question.purpose) * fetchWeight
   return expected + reread + fetched + load.failures * failureCost + oldWeights(candidate, question) +
-    load.flights.size * runningCost - (home ? homeAdvantage(question) : 0)
+    (load.flights.size + foreignRequests(load, now)) * runningCost - (home ? homeAdvantage(question) : 0)
 }
 
 const homeOf = (hash: Hash, question: ModelQuestion, candidates: readonly ModelCandidate[]): string | undefined => {
@@ -167,7 +167,7 @@
   let bestScore = Infinity
   for (const candidate of trusted.length > 0 ? trusted : candidates) {
     const choice = expectAt(candidate, question, now)
-    const score = scoreOf(choice, question, candidate.id === home)
+    const score = scoreOf(choice, question, candidate.id === home, now)
     if (score >= bestScore) continue
     best = choice
     bestScore = score
