No requests for workers that came back with weights of long ago

Change: a worker's age of weights counts from the first naming that it lacks; beyond 0.7 of the time to apply them it gets no request while there is another. The spec 'go to no worker that came back with weights of long ago' failed without it.

--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -16,8 +16,7 @@
   readonly dataCentre: string
   readonly catalog: () => CatalogIndex | undefined
   readonly lease: ReadLease
-  /** Age of the newest proof, in ms, at which keys and refusals are no longer vouched for. */
-  readonly bounds: () => LeaseBounds
+  readonly bounds: () => ForwardingBounds
   readonly workers: WorkersDb
   readonly weights: WeightsBelief
   readonly loadOf: (worker: string) => WorkerLoad
@@ -35,12 +34,14 @@
   readonly tellDoubt: (worker: string) => void
 }
 
-/** Ages of the newest proof, in ms. */
-export interface LeaseBounds {
+/** Times that forwarding keeps, in ms; the first two are ages of the newest proof. */
+export interface ForwardingBounds {
   /** From here on requests with a key are turned away. */
   readonly keys: number
   /** From here on an unknown key or path may be one of a newer configuration. */
   readonly absence: number
+  /** Time from the naming of weights within which every request has to begin on them. */
+  readonly weights: number
 }
 
 /** Times of one decision. */
--- a/src/forwarding/forwardingMachine.spec.ts
+++ b/src/forwarding/forwardingMachine.spec.ts
@@ -215,6 +215,16 @@
     expect(fake.sends()[1].dispatch).toMatchObject({ worker: dispatch.worker, model: { version: 2, scope: 'llm@2' } })
   })
 
+  it('go to no worker that came back with weights of long ago, while there is another', () => {
+    const fake = buildModel()
+    fake.weights.name('llm', 2, 0)
+    fake.workers.apply([{ kind: 'present', worker: buildWorker('m2', { service: 'model', slots: 8, models: [{ name: 'llm', version: 2 }] }) }], false, 0)
+    fake.workers.apply([{ kind: 'present', worker: buildWorker('m3', { service: 'model', slots: 8, models: [{ name: 'llm', version: 1 }] }) }], false, 5_900)
+    fake.lease.renew({ steady: 6_000, wall: 6_000 })
+    for (let at = 0; at < 20; at++) fake.arrive({ ...modelCall, id: `late-${at}` }, 6_000 + at)
+    expect(new Set(fake.sends().map(({ dispatch }) => dispatch.worker))).toEqual(new Set(['m2']))
+  })
+
   it('go to no worker that is loading weights', () => {
     const fake = buildModel()
     fake.weights.noteLoading('m1', 600)
--- a/src/forwarding/placing.ts
+++ b/src/forwarding/placing.ts
@@ -72,13 +72,12 @@
   return {
     version,
     scope: candidate.scope,
-    ...(candidate.newest || stored.leadingTokens(candidate.scope, prompt.parts) > 0 ? { source: store.address } : {}),
-    ...(missing && candidate.newest ? { target: store.address } : {})
+    ...(candidate.outdated === 0 || stored.leadingTokens(candidate.scope, prompt.parts) > 0 ? { source: store.address } : {}),
+    ...(missing && candidate.outdated === 0 ? { target: store.address } : {})
   }
 }
 
 const modelTarget = (context: ForwardingContext, exchange: Exchange, prompt: Prompt, purpose: ModelPurpose, workers: readonly Worker[], now: number): Target | undefined => {
-  const newest = context.weights.newest(prompt.model)
   const versions = new Map(workers.map(worker => [worker.id, context.weights.held(worker, prompt.model)]))
   const candidates = workers
     .filter(worker => !context.weights.isLoading(worker.id, now))
@@ -87,7 +86,7 @@
       load: context.loadOf(worker.id),
       kept: context.keptBy(worker.id),
       slots: worker.slots || purpose.slots,
-      newest: context.weights.isNewest(worker, prompt.model),
+      outdated: context.weights.outdatedFor(worker, prompt.model, now),
       scope: cacheScope(prompt.model, versions.get(worker.id), exchange.workspace),
       near: worker.dataCentre === context.dataCentre
     }))
@@ -95,7 +94,7 @@
     prompt,
     purpose,
     stored: context.stored(),
-    weightsAge: newest === undefined ? 0 : now - newest.at,
+    weightsWithin: context.bounds().weights,
     meanCost: meanCostOf(context, workers)
   }
   const choice = placeModelRequest(question, candidates, context.hash, now)
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -9,7 +9,7 @@
 import { assertNever } from '../errors.js'
 import { createFleet } from '../fleet/fleetMachine.js'
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
-import type { LeaseBounds } from '../forwarding/forwardingContext.js'
+import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import type { Hash } from '../hash.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
@@ -27,7 +27,7 @@
 
 /** Bounds that a gateway keeps; times in ms. */
 export interface GatewayBounds {
-  readonly lease: LeaseBounds
+  readonly forwarding: ForwardingBounds
   readonly retries: RetryBounds
   /** Time for which callers may keep the answer of the directory. */
   readonly addressLife: number
@@ -131,7 +131,7 @@
   }
 
   const isReady = (now: Moment): boolean =>
-    leftAt === undefined && index !== undefined && lease.age(now) < bounds().lease.keys
+    leftAt === undefined && index !== undefined && lease.age(now) < bounds().forwarding.keys
 
   const takeCatalog = (catalog: Catalog, source: 'store' | 'peer'): void => {
     if (index !== undefined && catalog.version <= index.catalog.version) return
@@ -214,7 +214,7 @@
     dataCentre: self.dataCentre,
     catalog: () => index,
     lease,
-    bounds: () => bounds().lease,
+    bounds: () => bounds().forwarding,
     workers,
     weights,
     loadOf,
--- a/src/placement/modelPlacement.ts
+++ b/src/placement/modelPlacement.ts
@@ -19,8 +19,8 @@
   readonly load: WorkerLoad
   readonly kept: KeptParts
   readonly slots: number
-  /** Whether its weights are the newest that were named. */
-  readonly newest: boolean
+  /** Time since weights newer than its own were named, in ms; 0 if it holds the newest. */
+  readonly outdated: number
   readonly scope: string
   /** Whether the worker is in the instance's own data centre. */
   readonly near: boolean
@@ -32,8 +32,8 @@
   readonly purpose: ModelPurpose
   /** Parts that the part store is believed to keep; undefined if there is no store in reach. */
   readonly stored: KeptParts | undefined
-  /** Time since newer weights were named, in ms. */
-  readonly weightsAge: number
+  /** Time after which requests may no longer begin on outdated weights, in ms. */
+  readonly weightsWithin: number
   /** Mean time per unread token of the known workers, in ms; 0 if none is known. */
   readonly meanCost: number
 }
@@ -70,6 +70,8 @@
 const veryOldWeightsCost = 500
 /** Age of newer weights, in ms, from which runs on older ones are worth markedly less. */
 const weightsGrace = 1_200
+/** Part of that time after which a worker gets no request, since it may wait at the worker before it begins. */
+const timelyShare = 0.7
 /** Each running request slows the others' tokens; in ms. */
 const runningCost = 3
 /** Part of a worker's memory beyond which runs are likely to be preempted. */
@@ -90,9 +92,15 @@
   return over <= 0 ? 0 : memoryCost * (0.2 + over)
 }
 
-const oldWeights = (candidate: ModelCandidate, { weightsAge }: ModelQuestion): number => {
-  if (candidate.newest) return 0
-  return weightsAge < weightsGrace ? oldWeightsCost : veryOldWeightsCost
+const oldWeights = ({ outdated }: ModelCandidate): number => {
+  if (outdated === 0) return 0
+  return outdated < weightsGrace ? oldWeightsCost : veryOldWeightsCost
+}
+
+/** Workers that came back with weights of long ago are left to the rollout, unless there is no other. */
+const timely = (candidates: readonly ModelCandidate[], weightsWithin: number): readonly ModelCandidate[] => {
+  const fit = candidates.filter(({ outdated }) => outdated < weightsWithin * timelyShare)
+  return fit.length > 0 ? fit : candidates
 }
 
 /** Expected wait, unread and fetched tokens of a request at one worker. */
@@ -132,7 +140,7 @@
   const own = Math.max(0, question.prompt.inputTokens - sharedTokens(question.prompt))
   const reread = Math.max(0, unreadTokens - own) * costOf(load, question.meanCost) * rereadWeight
   const fetched = fetchedTokens * fetchCost(question.purpose) * fetchWeight
-  return expected + reread + fetched + load.failures * failureCost + oldWeights(candidate, question) +
+  return expected + reread + fetched + load.failures * failureCost + oldWeights(candidate) +
     (load.flights.size + foreignRequests(load, now)) * runningCost - (home ? homeAdvantage(question) : 0)
 }
 
@@ -161,11 +169,12 @@
  * @returns the best choice, or undefined if there is no candidate; doubted workers are chosen only if all are
  */
 export const placeModelRequest = (question: ModelQuestion, candidates: readonly ModelCandidate[], hash: Hash, now: number): ModelChoice | undefined => {
-  const trusted = candidates.filter(({ load }) => isTrusted(load))
+  const usable = timely(candidates, question.weightsWithin)
+  const trusted = usable.filter(({ load }) => isTrusted(load))
   const home = homeOf(hash, question, candidates)
   let best: ModelChoice | undefined
   let bestScore = Infinity
-  for (const candidate of trusted.length > 0 ? trusted : candidates) {
+  for (const candidate of trusted.length > 0 ? trusted : usable) {
     const choice = expectAt(candidate, question, now)
     const score = scoreOf(choice, question, candidate.id === home, now)
     if (score >= bestScore) continue
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -47,7 +47,8 @@
 }
 
 const boundsOf = ({ configuration, retries, shutdown, addresses, weights }: GatewaySettings): GatewayBounds => ({
-  lease: {
+  forwarding: {
+    weights: weights.apply_within,
     keys: configuration.revoke_within * keyShare,
     absence: configuration.apply_within * absenceShare
   },
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -44,8 +44,9 @@
     kept_times: optional(number('times', 1, 10, 'Callers keep an answer up to this many times as long.'), 3)
   }).prefault({}),
   weights: z.strictObject({
+    apply_within: timeInMs('Time from the naming of weights within which every request has to begin on them.'),
     load_share: optional(number('share of workers', 0, 1, 'Workers of a service that may load weights at once.'), 0.286)
-  }).prefault({})
+  })
 })
 
 /** Checked settings of a gateway. */
--- a/src/workers/weightsBelief.ts
+++ b/src/workers/weightsBelief.ts
@@ -25,9 +25,14 @@
   readonly isLoading: (worker: string, now: number) => boolean
   /** Whether the worker holds the newest weights of the model. */
   readonly isNewest: (worker: Worker, model: string) => boolean
+  /** Time, in ms, since the first weights newer than the worker's were named; 0 if there are none. */
+  readonly outdatedFor: (worker: Worker, model: string, now: number) => number
   readonly forget: (worker: string) => void
 }
 
+/** Versions of a model that are remembered. */
+const keptNames = 32
+
 interface Evidence {
   readonly startedAt: number
   readonly versions: Map<string, number>
@@ -35,7 +40,8 @@
 
 /** Creates a belief without evidence. */
 export const createWeightsBelief = (): WeightsBelief => {
-  const named = new Map<string, NamedWeights>()
+  /** By model, the newest last. */
+  const named = new Map<string, NamedWeights[]>()
   const evidence = new Map<string, Evidence>()
   const loading = new Map<string, number>()
 
@@ -48,8 +54,9 @@
   }
 
   const name = (model: string, version: number, now: number): boolean => {
-    if ((named.get(model)?.version ?? -Infinity) >= version) return false
-    named.set(model, { version, at: now })
+    const known = named.get(model) ?? []
+    if ((known.at(-1)?.version ?? -Infinity) >= version) return false
+    named.set(model, [...known, { version, at: now }].slice(-keptNames))
     return true
   }
 
@@ -65,19 +72,25 @@
     return Math.max(announced, seen)
   }
 
+  const newest = (model: string): NamedWeights | undefined => named.get(model)?.at(-1)
+
+  const outdatedFor = (worker: Worker, model: string, now: number): number => {
+    const version = held(worker, model) ?? 0
+    const first = named.get(model)?.find(entry => entry.version > version)
+    return first === undefined ? 0 : now - first.at
+  }
+
   return {
     name,
-    newest: model => named.get(model),
+    newest,
     models: () => [...named.keys()],
     noteHeld,
     held,
     noteLoading: (worker, until) => { loading.set(worker, until) },
     noteLoaded: worker => { loading.delete(worker) },
     isLoading: (worker, now) => now < (loading.get(worker) ?? -Infinity),
-    isNewest: (worker, model) => {
-      const newest = named.get(model)
-      return newest === undefined || (held(worker, model) ?? 0) >= newest.version
-    },
+    isNewest: (worker, model) => (held(worker, model) ?? 0) >= (newest(model)?.version ?? 0),
+    outdatedFor,
     forget: worker => {
       evidence.delete(worker)
       loading.delete(worker)
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -62,7 +62,7 @@
     dataCentre: 'a',
     catalog: () => index,
     lease,
-    bounds: () => ({ keys: 4_500, absence: 1_500 }),
+    bounds: () => ({ keys: 4_500, absence: 1_500, weights: 8_000 }),
     workers,
     weights,
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
