--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import { addEntryCommands } from './entryCommand.js'
 import { addGatewayCommand } from './gatewayCommand.js'
 import { addOperatorCommands } from './operatorCommands.js'
+import { addTraceCommand } from './traceCommand.js'
 import { addRulesCommands } from './rulesCommands.js'
 import { complain, exitCodeHelp, exitCodes } from './output.js'
 
@@ -16,6 +17,7 @@
 addGatewayCommand(program)
 addRulesCommands(program)
 addOperatorCommands(program)
+addTraceCommand(program)
 program.action(() => program.help())
 program.parseAsync().catch((error: unknown) => {
   complain(error instanceof Error ? error.message : String(error))
--- a/src/settings/settingsPage.ts
+++ b/src/settings/settingsPage.ts
@@ -1,6 +1,7 @@
 /** Writes the page of all settings from their schema. */
 import type { z } from 'zod'
 import type { SettingMeaning } from './settingsFields.js'
+import { gatewaySettingsSchema } from './gatewaySettings.js'
 import { fixedSections, serviceSection, workerSection } from './settingsSchema.js'
 
 interface Definition {
@@ -55,6 +56,13 @@
   'Unknown keys and sections are errors. A wrong value is reported with the file, the section, the key, what was found and what is allowed; `wasabireel settings check FILE` reports them all at once. Settings are read when the process starts; what changes while the fleet runs stands in the rules (`RULES.md`). Only the files that `[tls]` names are read again without a restart.'
 ]
 
+const gatewayIntroduction = [
+  '',
+  '# Settings of a gateway',
+  '',
+  'For `wasabireel gateway`, given with `--settings FILE` or by the platform. `deploy/gateway.ini` is the template that the platform fills in; `wasabireel gateway --check` checks a file. They are read again on SIGHUP and when the file has changed: bounds change at once, addresses with the next start.'
+]
+
 /**
  * Writes the page.
  *
@@ -67,5 +75,6 @@
     ['service.NAME', serviceSection]
   ]
   const parts = sections.flatMap(([name, section]) => ['', `## [${name}]`, '', ...table(section)])
-  return [...introduction, ...parts, ''].join('\n')
+  const gateway = Object.entries(shapeOf(gatewaySettingsSchema)).flatMap(([name, section]) => ['', `## Gateway: [${name}]`, '', ...table(section)])
+  return [...introduction, ...parts, ...gatewayIntroduction, ...gateway, ''].join('\n')
 }
