--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,9 @@
 import { addRulesCommands } from './rulesCommands.js'
 import { complain, exitCodeHelp, exitCodes } from './output.js'
 
+// A reader of the output that goes away must not end an instance.
+process.stdout.on('error', () => { process.exitCode ??= exitCodes.unreachable })
+
 const program = new Command('wasabireel')
   .description('Routes language-model traffic whose prompts share long prefixes.')
   .version(version)
