In a small fleet instances tell each other of long prompts that they send

Change: an instance tells the others the worker, the tokens to read and the shared parts; these count towards the wait for their own time to be read, and towards what the worker keeps. Up to 12 instances, since the number of messages grows with the square. The spec 'wait less when the instances tell each other' replays the load.

--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -33,6 +33,7 @@
   readonly workerLoading: (worker: string, time: number) => void
   readonly workerLoaded: (worker: string, model: string, version: number) => void
   readonly workerDoubted: (worker: string) => void
+  readonly workerSent: (sent: Extract<FleetMessage, { kind: 'fleet.sent' }>) => void
   readonly peerChanged: (id: string, change: 'alive' | 'silent' | 'leaving') => void
 }
 
@@ -168,6 +169,7 @@
       case 'fleet.beat': return takeBeat(from, message, now)
       case 'fleet.loading': return events.workerLoading(message.worker, message.time)
       case 'fleet.loaded': return events.workerLoaded(message.worker, message.model, message.version)
+      case 'fleet.sent': return events.workerSent(message)
       case 'fleet.doubt': return events.workerDoubted(message.worker)
       case 'fleet.wantCatalog': {
         const catalog = options.ownCatalog()
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -29,6 +29,14 @@
   beat,
   z.object({ kind: z.literal('fleet.loading'), worker: z.string(), model: z.string(), version: z.number(), time: z.number() }),
   z.object({ kind: z.literal('fleet.loaded'), worker: z.string(), model: z.string(), version: z.number() }),
+  /** The sender gave a worker much to read. */
+  z.object({
+    kind: z.literal('fleet.sent'),
+    worker: z.string(),
+    unreadTokens: z.number(),
+    scope: z.string(),
+    parts: z.array(z.object({ id: z.string(), tokens: z.number() }))
+  }),
   /** The sender could not reach a worker. */
   z.object({ kind: z.literal('fleet.doubt'), worker: z.string() }),
   z.object({ kind: z.literal('fleet.wantCatalog'), version: z.number() }),
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -5,7 +5,7 @@
 import type { KeptParts } from '../placement/keptParts.js'
 import type { WorkerLoad } from '../placement/workerLoad.js'
 import type { RetryWindow } from '../admission/retryWindow.js'
-import type { ForwardEffect } from '../ports/forwardPort.js'
+import type { ForwardEffect, PromptPart } from '../ports/forwardPort.js'
 import type { Random } from '../random.js'
 import type { WeightsBelief } from '../workers/weightsBelief.js'
 import type { WorkersDb } from '../workers/workersDb.js'
@@ -30,6 +30,8 @@
   readonly random: Random
   readonly emit: (effect: ForwardEffect) => void
   readonly note: (note: ForwardNote) => void
+  /** Tells the other instances what a worker was given to read. */
+  readonly tellSent: (worker: string, unreadTokens: number, scope: string, parts: readonly PromptPart[]) => void
   /** Tells the other instances that a worker may be out of reach. */
   readonly tellDoubt: (worker: string) => void
 }
--- a/src/forwarding/placing.ts
+++ b/src/forwarding/placing.ts
@@ -1,7 +1,7 @@
 /** Finds a worker for a request and sends it there. */
 import type { ModelPurpose, Route } from '../catalog/catalogTypes.js'
 import { cacheScope } from '../placement/cacheScope.js'
-import { homePart, placeModelRequest, type ModelCandidate, type ModelChoice } from '../placement/modelPlacement.js'
+import { homePart, placeModelRequest, sharedParts, type ModelCandidate, type ModelChoice } from '../placement/modelPlacement.js'
 import { placePlainRequest } from '../placement/plainPlacement.js'
 import { noteSent, type Flight } from '../placement/workerLoad.js'
 import type { Call, Dispatch, ModelDispatch, Prompt } from '../ports/forwardPort.js'
@@ -143,6 +143,14 @@
   }
 }
 
+/** Prompt tokens from which the other instances hear of a send. */
+const tellingTokens = 1_000
+
+const tellSent = (context: ForwardingContext, { call: { prompt } }: Exchange, { worker, unreadTokens, model }: Target): void => {
+  if (prompt === undefined || model === undefined || prompt.inputTokens < tellingTokens) return
+  context.tellSent(worker.id, unreadTokens, model.scope, sharedParts(prompt))
+}
+
 const send = (context: ForwardingContext, exchange: Exchange, target: Target, cause: SendCause, attempt: number, time: DecisionTime): void => {
   const { now, moment } = time
   const load = context.loadOf(target.worker.id)
@@ -187,6 +195,7 @@
     configuration: context.catalog()?.catalog.version ?? 0,
     proofAge: Math.round(context.lease.age(moment))
   })
+  tellSent(context, exchange, target)
   context.emit({ kind: 'attempt.send', attempt, dispatch: dispatchOf(exchange, target, now) })
 }
 
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -8,14 +8,15 @@
 import type { Address, Catalog } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
 import { createFleet } from '../fleet/fleetMachine.js'
-import { fleetMessageSchema } from '../fleet/fleetMessages.js'
+import { fleetMessageSchema, type FleetMessage } from '../fleet/fleetMessages.js'
 import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import type { Hash } from '../hash.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
 import { weightsOf } from '../placement/cacheScope.js'
 import { createKeptParts, type KeptParts } from '../placement/keptParts.js'
-import { createWorkerLoad, foreignRequests, type WorkerLoad } from '../placement/workerLoad.js'
+import { costOf } from '../placement/modelPlacement.js'
+import { createWorkerLoad, foreignRequests, noteForeign, type WorkerLoad } from '../placement/workerLoad.js'
 import type { FeedInput, FleetMember, PartChange } from '../ports/feedPort.js'
 import type { PeerMessage } from '../ports/peerPort.js'
 import type { Random } from '../random.js'
@@ -63,6 +64,8 @@
   readonly dump: (now: Moment) => unknown
 }
 
+/** Size of a fleet up to which instances tell each other of single sends; their number grows with its square. */
+const tellingFleet = 12
 /** Addresses that callers take from one answer. */
 const mostAddresses = 64
 /** Tokens that a keeper is taken to hold until its service is known. */
@@ -156,6 +159,13 @@
     if (known !== undefined) weights.noteHeld(known, model, version)
   }
 
+  const noteSentByPeer = ({ worker, unreadTokens, scope, parts }: Extract<FleetMessage, { kind: 'fleet.sent' }>): void => {
+    if (workers.get(worker) === undefined) return
+    const load = loadOf(worker)
+    noteForeign(load, unreadTokens, costOf(load, 0), present.steady)
+    keptBy(worker).add(scope, parts)
+  }
+
   const fleet = createFleet({
     self,
     hash,
@@ -179,6 +189,7 @@
       weightsNamed: nameWeights,
       workerLoading: (worker, time) => weights.noteLoading(worker, present.steady + time),
       workerLoaded: noteLoaded,
+      workerSent: noteSentByPeer,
       workerDoubted: worker => forwarding.doubt(worker, present.steady),
       peerChanged: (peer, change) => note({ kind: 'peerChanged', peer, change })
     }
@@ -226,6 +237,9 @@
     random,
     emit,
     note,
+    tellSent: (worker, unreadTokens, scope, parts) => {
+      if (fleet.size(present) <= tellingFleet) fleet.broadcast({ kind: 'fleet.sent', worker, unreadTokens, scope, parts: [...parts] })
+    },
     tellDoubt: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
   })
 
--- /dev/null
+++ b/src/placement/modelPlacement.spec.ts
@@ -0,0 +1,129 @@
+import { loadHash, type Hash } from '../hash.js'
+import { createRandom } from '../random.js'
+import type { ModelPurpose } from '../catalog/catalogTypes.js'
+import { createKeptParts, type KeptParts } from './keptParts.js'
+import { costOf, placeModelRequest, type ModelCandidate, type ModelQuestion } from './modelPlacement.js'
+import { createWorkerLoad, noteEnded, noteFirstEvent, noteForeign, noteSent, type Flight, type WorkerLoad } from './workerLoad.js'
+
+let hash: Hash
+
+beforeAll(async () => { hash = await loadHash() })
+
+const purpose: ModelPurpose = { kind: 'model', slots: 64, memoryTokens: 100_000, tokenBytes: 163_840, linkSpeed: 130_000 }
+
+const buildCandidate = (id: string, over: Partial<ModelCandidate> = {}): ModelCandidate => ({
+  id,
+  load: createWorkerLoad(id),
+  kept: createKeptParts(100_000),
+  slots: 64,
+  outdated: 0,
+  scope: 'm@1',
+  near: true,
+  ...over
+})
+
+const buildQuestion = (part: string, own: number, shared = 6_000): ModelQuestion => ({
+  prompt: { model: 'm', inputTokens: shared + own, maxOutputTokens: 20, parts: [{ id: part, tokens: shared }, { id: `${part}-own`, tokens: own }] },
+  purpose,
+  stored: undefined,
+  weightsWithin: 8_000,
+  meanCost: 0.02
+})
+
+const chosen = (candidates: readonly ModelCandidate[], question = buildQuestion('aa', 500)): string | undefined =>
+  placeModelRequest(question, candidates, hash, 1_000)?.candidate.id
+
+describe('placement of model requests', () => {
+  it('prefers the worker that keeps the shared parts', () => {
+    const keeper = buildCandidate('w3')
+    keeper.kept.add('m@1', [{ id: 'aa', tokens: 6_000 }])
+    expect(chosen([buildCandidate('w1'), buildCandidate('w2'), keeper])).toBe('w3')
+  })
+
+  it('agrees between instances that know nothing', () => {
+    const ids = ['w1', 'w2', 'w3', 'w4', 'w5']
+    const first = chosen(ids.map(id => buildCandidate(id)))
+    expect(chosen([...ids].reverse().map(id => buildCandidate(id)))).toBe(first)
+  })
+
+  it('counts what other instances sent', () => {
+    const candidates = ['w1', 'w2'].map(id => buildCandidate(id))
+    const home = candidates.find(({ id }) => id === chosen(candidates))
+    expect(home).toBeDefined()
+    if (home !== undefined) noteForeign(home.load, 20_000, 0.02, 900)
+    expect(chosen(candidates)).not.toBe(home?.id)
+  })
+
+  it('avoids a worker that fails though it is idle', () => {
+    const failing = buildCandidate('w1', { load: { ...createWorkerLoad('w1'), failures: 0.5 } })
+    expect(chosen([failing, buildCandidate('w2')])).toBe('w2')
+  })
+
+  it('uses a doubted worker only if there is no other', () => {
+    const doubted = buildCandidate('w1', { load: { ...createWorkerLoad('w1'), doubtedSince: 0 } })
+    expect(chosen([doubted, buildCandidate('w2')])).toBe('w2')
+    expect(chosen([doubted])).toBe('w1')
+  })
+
+  it('keeps away from weights of long ago', () => {
+    const old = buildCandidate('w1', { outdated: 6_000 })
+    const busy = buildCandidate('w2', { load: { ...createWorkerLoad('w2'), pendingTokens: 200_000 } })
+    expect(chosen([old, busy])).toBe('w2')
+  })
+})
+
+interface Replay {
+  readonly tell: boolean
+  readonly seed: number
+}
+
+const instances = 6
+const speeds = [0.028, 0.028, 0.012, 0.028, 0.028, 0.012]
+const gap = 17
+const requests = 900
+
+/**
+ * Replays long prompts from several instances onto workers of unequal speed,
+ * each of which reads one prompt after another; answers with the mean time to
+ * the first event of the slowest tenth, in ms.
+ */
+const replay = ({ tell, seed }: Replay): number => {
+  const random = createRandom(seed)
+  const freeAt = speeds.map(() => 0)
+  const views = Array.from({ length: instances }, () => speeds.map((_, worker): { load: WorkerLoad, kept: KeptParts } => ({ load: createWorkerLoad(`w${worker}`), kept: createKeptParts(90_000) })))
+  const due: { readonly at: number, readonly view: number, readonly worker: number, readonly flight: Flight }[] = []
+  const times: number[] = []
+  for (let request = 0; request < requests; request++) {
+    const now = request * gap * 1.0
+    due.sort((left, right) => left.at - right.at)
+    while (due.length > 0 && due[0].at <= now) {
+      const { at, view, worker, flight } = due.shift() ?? due[0]
+      noteFirstEvent(views[view][worker].load, flight, 12, at)
+      noteEnded(views[view][worker].load, flight)
+    }
+    const view = random.below(instances)
+    const question = buildQuestion(`p${random.below(60)}`, Math.round(500 + 9_000 * random.unit() ** 3), 3_000)
+    const candidates = views[view].map(({ load, kept }, worker) => buildCandidate(`w${worker}`, { load, kept }))
+    const choice = placeModelRequest(question, candidates, hash, now)
+    if (choice === undefined) continue
+    const worker = Number(choice.candidate.id.slice(1))
+    const flight: Flight = { attempt: request, worker: choice.candidate.id, unreadTokens: choice.unreadTokens, fetchedTokens: 0, memoryTokens: choice.memoryTokens, tokensAhead: choice.tokensAhead, sentAt: now, expected: choice.expected, firstAt: undefined }
+    noteSent(choice.candidate.load, flight)
+    freeAt[worker] = Math.max(freeAt[worker], now) + choice.unreadTokens * speeds[worker]
+    times.push(freeAt[worker] + 12 - now)
+    due.push({ at: freeAt[worker] + 12, view, worker, flight })
+    views.forEach((others, index) => {
+      if (index !== view && !tell) return
+      others[worker].kept.add('m@1', question.prompt.parts.slice(0, 1))
+      if (index !== view) noteForeign(others[worker].load, choice.unreadTokens, costOf(others[worker].load, 0), now)
+    })
+  }
+  const slowest = times.sort((left, right) => right - left).slice(0, requests / 10)
+  return slowest.reduce((sum, time) => sum + time, 0) / slowest.length
+}
+
+describe('long prompts from several instances', () => {
+  it.each([1, 2, 3])('wait less when the instances tell each other what they sent (seed %i)', seed => {
+    expect(replay({ tell: true, seed })).toBeLessThan(replay({ tell: false, seed }))
+  })
+})
--- a/src/placement/modelPlacement.ts
+++ b/src/placement/modelPlacement.ts
@@ -11,7 +11,7 @@
 import { rendezvousScore } from '../addresses/rendezvous.js'
 import type { Hash } from '../hash.js'
 import type { KeptParts } from './keptParts.js'
-import { foreignRequests, foreignWaiting, isTrusted, type WorkerLoad } from './workerLoad.js'
+import { foreignRequests, foreignTokens, foreignWaiting, isTrusted, type WorkerLoad } from './workerLoad.js'
 
 /** A worker that may be chosen. */
 export interface ModelCandidate {
@@ -80,7 +80,8 @@
 /** Time for a slot of a full worker to come free, in ms. */
 const slotTime = 60
 
-const costOf = (load: WorkerLoad, meanCost: number): number => load.tokenCost || meanCost || priorCost
+/** Time that a worker takes for an unread token, in ms, as far as it is known. */
+export const costOf = (load: WorkerLoad, meanCost: number): number => load.tokenCost || meanCost || priorCost
 
 const fetchCost = ({ tokenBytes, linkSpeed }: ModelPurpose): number => tokenBytes * bitsPerByte / (linkSpeed * bitsPerMs)
 
@@ -118,13 +119,13 @@
   const over = Math.max(0, requests + 1 - slots)
   const memoryTokens = prompt.inputTokens + prompt.maxOutputTokens
   const expected = firstEventOverhead + (candidate.near ? 0 : farOverhead) +
-    (tokensAhead + waiting) * cost + fetchedTokens * fetchCost(purpose) +
+    (tokensAhead + waiting + foreignTokens(load, now)) * cost + fetchedTokens * fetchCost(purpose) +
     over * slotTime + memoryPenalty(candidate, question, memoryTokens, now)
   return { candidate, expected, unreadTokens, fetchedTokens, tokensAhead, memoryTokens }
 }
 
 /** The parts that other requests are likely to share; the last one belongs to the request or its session. */
-const sharedParts = ({ parts }: Prompt): readonly PromptPart[] => parts.length > 1 ? parts.slice(0, -1) : parts
+export const sharedParts = ({ parts }: Prompt): readonly PromptPart[] => parts.length > 1 ? parts.slice(0, -1) : parts
 
 /** The part by whose name a prompt's requests come together: the deepest that is shared. */
 export const homePart = (prompt: Prompt): PromptPart | undefined => sharedParts(prompt).at(-1)
--- a/src/placement/workerLoad.ts
+++ b/src/placement/workerLoad.ts
@@ -24,6 +24,12 @@
   firstAt: number | undefined
 }
 
+/** Tokens that another instance gave a worker. */
+interface ForeignRead {
+  readonly tokens: number
+  readonly until: number
+}
+
 interface Report {
   readonly counts: LoadCounts
   readonly at: number
@@ -36,6 +42,8 @@
   readonly flights: Set<Flight>
   /** Unread tokens of own requests that have not begun. */
   pendingTokens: number
+  /** What other instances said that they sent, until it is likely to have been read. */
+  readonly foreignReads: ForeignRead[]
   /** Memory of own requests, in tokens. */
   memoryTokens: number
   report: Report | undefined
@@ -64,6 +72,7 @@
   id,
   flights: new Set(),
   pendingTokens: 0,
+  foreignReads: [],
   memoryTokens: 0,
   report: undefined,
   tokenCost: 0,
@@ -95,6 +104,22 @@
   load.memoryTokens += flight.memoryTokens
 }
 
+/** Takes in that another instance gave the worker tokens to read. */
+export const noteForeign = (load: WorkerLoad, tokens: number, cost: number, now: number): void => {
+  load.foreignReads.push({ tokens, until: now + tokens * cost })
+}
+
+/**
+ * Tokens that other instances gave the worker and that are likely to be unread.
+ * Each counts for its own time to be read only: were they counted one after
+ * another, a speed that is taken too low would pile up a queue that is not there.
+ */
+export const foreignTokens = (load: WorkerLoad, now: number): number => {
+  const { foreignReads } = load
+  for (let at = foreignReads.length - 1; at >= 0; at--) if (foreignReads[at].until <= now) foreignReads.splice(at, 1)
+  return foreignReads.reduce((sum, { tokens }) => sum + tokens, 0)
+}
+
 /** Takes in the counts of an answer. */
 export const noteCounts = (load: WorkerLoad, counts: LoadCounts, now: number): void => {
   load.report = { counts, at: now, own: load.flights.size }
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -74,6 +74,7 @@
     random: createRandom(options.seed ?? 1),
     emit: effect => effects.push(effect),
     note: note => notes.push(note),
+    tellSent: () => { /* No other instance here. */ },
     tellDoubt: () => { /* No other instance here. */ }
   })
 
