Bounds may be fractions

Finding: the grown deployments did not start: the budget's slack there is 37.24, and the settings took whole numbers only. The spec 'take every bound as a fraction, too' failed first.

--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -1,9 +1,9 @@
 /** The schema of a gateway's settings file. */
 import { z } from 'zod'
-import { flag, host, name, number, optional, port, text, whole } from './settingsFields.js'
+import { flag, host, name, number, optional, port, text } from './settingsFields.js'
 
 const timeInS = (description: string) => number('s', 0.1, 86_400, description)
-const timeInMs = (description: string) => whole('ms', 1, 86_400_000, description)
+const timeInMs = (description: string) => number('ms', 1, 86_400_000, description)
 const endpoint = (description: string) => text('IP:PORT', /^[\d.]+:\d{1,5}$/, description)
 
 const levels = z.enum(['debug', 'info', 'warn', 'error'])
@@ -33,7 +33,7 @@
   }),
   retries: z.strictObject({
     fraction: number('share of requests', 0, 1, 'Repeated sends allowed per request, over all instances.'),
-    slack: whole('sends', 0, 100_000, 'Repeated sends allowed beside, over all instances.'),
+    slack: number('sends', 0, 100_000, 'Repeated sends allowed beside, over all instances.'),
     window: timeInS('Window over which they are counted.')
   }),
   shutdown: z.strictObject({
