The check on the module graph covers platform/

Cause: the check knew only src/ and failed on the command line's import of the adapter. It now reads both folders, and is stricter: only the command line imports the platform, and the platform imports no adapter and no process.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,7 +23,7 @@
       'no-restricted-properties': ['error', ...clockAndChance],
       'no-restricted-imports': ['error', {
         patterns: [
-          { group: ['**/adapters/**', '**/processes/**', '**/standins/**', '**/cli/**'], message: 'The core imports no adapter.' },
+          { group: ['**/adapters/**', '**/processes/**', '**/standins/**', '**/cli/**', '**/platform/**'], message: 'The core imports no adapter.' },
           { group: ['node:net', 'node:http', 'node:https', 'node:tls', 'node:fs', 'node:timers*', 'undici'], message: 'Sockets, files and timers belong to adapters.' }
         ]
       }]
--- a/test/layout/modules.spec.ts
+++ b/test/layout/modules.spec.ts
@@ -3,7 +3,10 @@
 
 const importPattern = /^(?:import|export)\s[^'"]*?from\s+'(\.[^']+)\.js'|^import\s+'(\.[^']+)\.js'/gm
 
-const outer = /^src\/(adapters|processes|standins|cli)\//
+const outer = /^(src\/(adapters|processes|standins|cli)|platform)\//
+
+/** Where the platform's adapter is tied to the program. */
+const platformUsers = /^(platform|src\/cli)\//
 
 const modulesOf = (folder: string): string[] => readdirSync(folder, { recursive: true, encoding: 'utf8' })
   .filter(name => name.endsWith('.ts') && !name.endsWith('.spec.ts'))
@@ -13,7 +16,7 @@
   [...text.matchAll(importPattern)].map(match => `${normalize(join(dirname(from), match[1] ?? match[2]))}.ts`)
 
 const readGraph = (): Map<string, string[]> =>
-  new Map(modulesOf('src').map(module => [module, importsOf(readFileSync(module, 'utf8'), module)]))
+  new Map(['src', 'platform'].flatMap(modulesOf).map(module => [module, importsOf(readFileSync(module, 'utf8'), module)]))
 
 /** The first cycle found below a module, as the path around it. */
 const cycleFrom = (graph: ReadonlyMap<string, readonly string[]>, module: string, path: readonly string[], done: Set<string>): readonly string[] | undefined => {
@@ -54,6 +57,16 @@
     expect(crossing).toEqual([])
   })
 
+  it('outside the command line import nothing of the platform', () => {
+    const crossing = [...graph].filter(([module]) => !platformUsers.test(module)).flatMap(([module, imports]) => imports.filter(target => target.startsWith('platform/')).map(target => `${module} -> ${target}`))
+    expect(crossing).toEqual([])
+  })
+
+  it('of the platform import no adapter and no process', () => {
+    const crossing = [...graph].filter(([module]) => module.startsWith('platform/')).flatMap(([module, imports]) => imports.filter(target => /^src\/(adapters|processes|standins|cli)\//.test(target)).map(target => `${module} -> ${target}`))
+    expect(crossing).toEqual([])
+  })
+
   it('name only files that exist', () => {
     const missing = [...graph].flatMap(([module, imports]) => imports.filter(target => !graph.has(target)).map(target => `${module} -> ${target}`))
     expect(missing).toEqual([])
