A worker that is merely late is probed before the others hear of it

Ruled out: dead workers (all 9,080 probes were answered); lost messages. Change: the one that doubts probes first; the others hear after 60 ms without an answer, at once after a refused connection. A worker that answered a probe is not doubted again for mere lateness for 250 ms.

--- a/src/forwarding/doubts.ts
+++ b/src/forwarding/doubts.ts
@@ -3,7 +3,9 @@
  * dark: connections to it hang, and each instance would learn that again and
  * again at the cost of a request. A doubted worker gets no new work; it is probed
  * by connecting, apart from requests, until it can be reached, and the doubt is
- * shared, so that one instance's lost time is enough for all.
+ * shared, so that one instance's lost time is enough for all. A worker that is
+ * merely slow answers the first probe at once; then the others never hear of it,
+ * since each of them would open a connection that the worker has to serve.
  */
 import type { ForwardingContext } from './forwardingContext.js'
 import type { DoubtReason } from './forwardingTypes.js'
@@ -16,12 +18,22 @@
   readonly tick: (now: number) => void
 }
 
+/** What doubts need of the instance. */
+export type DoubtsContext = Pick<ForwardingContext, 'workers' | 'loadOf' | 'emit' | 'note' | 'tellDoubt'>
+
 /** Time between probes of a worker that stays out of reach, in ms. */
 const firstPause = 100
 const longestPause = 800
 
+/** Time within which a probe of a worker in reach is answered, in ms. */
+const probeTime = 60
+/** Time after a probe that was answered in which mere lateness raises no new doubt, in ms. */
+const settledTime = 250
+
 interface Doubt {
   readonly since: number
+  /** When the others hear of it; infinite once they have. */
+  tellAt: number
   nextProbe: number
   pause: number
 }
@@ -31,7 +43,7 @@
  *
  * @param context - the instance
  */
-export const createDoubts = (context: ForwardingContext): Doubts => {
+export const createDoubts = (context: DoubtsContext): Doubts => {
   const doubts = new Map<string, Doubt>()
 
   const probe = (worker: string, doubt: Doubt): void => {
@@ -41,13 +53,30 @@
     else context.emit({ kind: 'worker.probe', worker, address })
   }
 
+  const tell = (worker: string, doubt: Doubt): void => {
+    doubt.tellAt = Infinity
+    context.tellDoubt(worker)
+  }
+
+  const tellTime = (reason: DoubtReason, now: number): number => {
+    switch (reason) {
+      case 'unreachable':
+      case 'otherWorker': return now
+      case 'silent': return now + probeTime
+      case 'peer': return Infinity
+    }
+  }
+
+  const isSettled = (worker: string, reason: DoubtReason, now: number): boolean =>
+    (reason === 'silent' || reason === 'peer') && now - (context.loadOf(worker).reachedAt ?? -Infinity) < settledTime
+
   const raise = (worker: string, reason: DoubtReason, now: number): void => {
-    if (doubts.has(worker) || context.workers.get(worker) === undefined) return
-    const doubt: Doubt = { since: now, nextProbe: now, pause: firstPause }
+    if (doubts.has(worker) || context.workers.get(worker) === undefined || isSettled(worker, reason, now)) return
+    const doubt: Doubt = { since: now, nextProbe: now, pause: firstPause, tellAt: tellTime(reason, now) }
     doubts.set(worker, doubt)
     context.loadOf(worker).doubtedSince = now
     context.note({ kind: 'workerDoubted', worker, reason })
-    if (reason !== 'peer') context.tellDoubt(worker)
+    if (now >= doubt.tellAt) tell(worker, doubt)
     probe(worker, doubt)
   }
 
@@ -57,17 +86,23 @@
     const doubted = now - doubt.since
     if (reachable) {
       doubts.delete(worker)
-      context.loadOf(worker).doubtedSince = undefined
+      const load = context.loadOf(worker)
+      load.doubtedSince = undefined
+      load.reachedAt = now
       context.note({ kind: 'workerProbed', worker, reachable, doubted: Math.round(doubted) })
       return undefined
     }
+    if (Number.isFinite(doubt.tellAt)) tell(worker, doubt)
     doubt.nextProbe = now + doubt.pause
     doubt.pause = Math.min(longestPause, doubt.pause * 2)
     return doubted
   }
 
   const tick = (now: number): void => {
-    for (const [worker, doubt] of doubts) if (now >= doubt.nextProbe) probe(worker, doubt)
+    for (const [worker, doubt] of doubts) {
+      if (now >= doubt.tellAt) tell(worker, doubt)
+      if (now >= doubt.nextProbe) probe(worker, doubt)
+    }
   }
 
   return { raise, probed, tick }
--- a/src/placement/workerLoad.ts
+++ b/src/placement/workerLoad.ts
@@ -55,6 +55,8 @@
   failures: number
   /** Since when it is doubted that the worker can be reached; it gets no new work meanwhile. */
   doubtedSince: number | undefined
+  /** When a probe last reached it. */
+  reachedAt: number | undefined
 }
 
 /** Part of the distance to a new sample that an average moves. */
@@ -78,7 +80,8 @@
   tokenCost: 0,
   serviceTime: 0,
   failures: 0,
-  doubtedSince: undefined
+  doubtedSince: undefined,
+  reachedAt: undefined
 })
 
 const blend = (mean: number, sample: number): number => mean === 0 ? sample : mean + learningRate * (sample - mean)
