A few instances read the store for all of a larger fleet

Ruled out: longer polls for all (proofs get as old as two waits, so keys would be refused); group membership of the store (deals anew by itself, costs calls). Change: above 12 instances the three first in an order by processors and name read often and pass on proofs (beats of 0.5 s), changes of workers, whether the part store is in reach and who is silent; the others keep long polls, and read themselves when proofs get old. Lost messages show by a digest of the workers. Shared parts that a worker reads first are told to all fleets. Claims are looked at by three instances. The gateway's registry of workers and its belief about the part store have files of their own.

--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -12,7 +12,7 @@
 const at = (steady: number): Moment => ({ steady, wall: steady })
 
 const buildMember = (id: string, incarnation = `${id}-1`): FleetMember =>
-  ({ id, incarnation, dataCentre: 'a', front: `front-${id}`, peer: { host: '10.0.0.1', port: 1 } })
+  ({ id, incarnation, dataCentre: 'a', front: `front-${id}`, peer: { host: '10.0.0.1', port: 1 }, capacity: 1 })
 
 const buildBeat = (over: Partial<Beat> = {}): Beat => ({
   kind: 'fleet.beat',
@@ -32,7 +32,7 @@
   const fleet = createFleet({
     self: buildMember('a'),
     hash,
-    own: () => ({ ready: true, leaving: false, configuration, proofAge: 100, storeAge: 100, holding: false, weights: [] }),
+    own: () => ({ ready: true, leaving: false, configuration, proofAge: 100, storeAge: 100, holding: false, readFor: undefined, weights: [] }),
     ownCatalog: () => buildCatalog({ version: configuration }),
     emit: ({ to, message }) => sent.push({ to, message }),
     events: {
@@ -43,6 +43,8 @@
       workerLoaded: () => { /* Not looked at. */ },
       workerDoubted: () => { /* Not looked at. */ },
       workerSent: () => { /* Not looked at. */ },
+      workersConcluded: () => { /* Not looked at. */ },
+      readerBelieves: () => { /* Not looked at. */ },
       peerChanged: () => { /* Not looked at. */ }
     }
   })
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -10,7 +10,8 @@
 import { ageOf, earlier, type Moment } from '../lease/readLease.js'
 import type { FleetMember } from '../ports/feedPort.js'
 import type { PeerEffect } from '../ports/peerPort.js'
-import type { Beat, FleetMessage } from './fleetMessages.js'
+import type { WorkerRecord } from '../workers/workersTypes.js'
+import type { Beat, FleetMessage, ReaderState } from './fleetMessages.js'
 
 /** What the own instance says in its beats. */
 export interface OwnState {
@@ -21,6 +22,8 @@
   /** Time since this instance heard from the store itself, in ms. */
   readonly storeAge: number
   readonly holding: boolean
+  /** What it believes, if it reads the store for others. */
+  readonly readFor: Omit<ReaderState, 'silent'> | undefined
   readonly weights: readonly { readonly model: string, readonly version: number }[]
 }
 
@@ -34,6 +37,10 @@
   readonly workerLoaded: (worker: string, model: string, version: number) => void
   readonly workerDoubted: (worker: string) => void
   readonly workerSent: (sent: Extract<FleetMessage, { kind: 'fleet.sent' }>) => void
+  /** An instance that reads for others has concluded this. */
+  readonly workersConcluded: (records: readonly WorkerRecord[]) => void
+  /** An instance that reads for others, and reached the store lately, believes this. */
+  readonly readerBelieves: (state: ReaderState) => void
   readonly peerChanged: (id: string, change: 'alive' | 'silent' | 'leaving') => void
 }
 
@@ -60,6 +67,8 @@
   /** Instances that live, this one included. */
   readonly size: (now: Moment) => number
   readonly isAble: (id: string, incarnation: string, now: Moment) => boolean
+  /** Live instances before this one, in the order that all share, that read for others and reached the store lately. */
+  readonly readersBefore: (now: Moment) => number
   /** Place of this instance among those that live, in an order that all share. */
   readonly rank: (now: Moment) => number
   readonly dump: (now: Moment) => unknown
@@ -78,9 +87,17 @@
 const smallFleet = 10
 /** Beats that may be missing before an instance counts as silent. */
 const missedBeats = 4
-/** Time without a word from the store, in ms, up to which an instance counts as reaching it. */
+/** Time without a word from the store, in ms, up to which an instance counts as reaching it; a read that waits proves only how things were when it was sent, so the time goes up to twice its wait. */
 const storeSilence = 2_000
 const catalogPause = 300
+/** Time between looks at who lives, in ms. */
+const lookInterval = 100
+/** Time in which an instance that follows the store has a new configuration from there, in ms. */
+const storeAnswerTime = 300
+/** Time between beats to and from an instance that reads for others, in ms: proofs and workers reach the rest with them. */
+const readerInterval = 500
+/** Time without a beat, in ms, after which one that reads for others is not relied on. */
+const readerSilence = 1_500
 
 /**
  * Creates the view of the fleet.
@@ -91,12 +108,32 @@
   const { self, hash, emit, events } = options
   const peers = new Map<string, Peer>()
   let nextBeat = -Infinity
+  let nextReaderBeat = -Infinity
+  let nextLook = -Infinity
   let nextWant = -Infinity
+  let behindSince: number | undefined
 
   const interval = (): number => beatInterval * Math.max(1, (peers.size + 1) / smallFleet)
 
-  const isAlive = ({ heardAt }: Peer, now: Moment): boolean =>
-    heardAt !== undefined && ageOf(heardAt, now) < interval() * missedBeats
+  const heardWithin = ({ heardAt }: Peer, time: number, now: Moment): boolean =>
+    heardAt !== undefined && ageOf(heardAt, now) < time
+
+  const isReader = (peer: Peer, now: Moment): boolean =>
+    peer.beat?.readFor !== undefined && !peer.beat.leaving && (peer.beat.storeAge ?? Infinity) < storeSilence && heardWithin(peer, readerSilence, now)
+
+  /** Peers that one which reads for others no longer hears, though they beat to it more often than to the rest. */
+  const reportedSilent = (now: Moment): ReadonlySet<string> =>
+    new Set([...peers.values()].flatMap(peer => isReader(peer, now) ? peer.beat?.readFor?.silent ?? [] : []))
+
+  const alive = (now: Moment): readonly Peer[] => {
+    const silent = reportedSilent(now)
+    return [...peers.values()].filter(peer =>
+      heardWithin(peer, interval() * missedBeats, now) &&
+      (!silent.has(peer.member.id) || heardWithin(peer, readerInterval * missedBeats, now)))
+  }
+
+  const precedes = (left: FleetMember, right: FleetMember): boolean =>
+    left.capacity === right.capacity ? hash.h32(left.id) < hash.h32(right.id) : left.capacity > right.capacity
 
   const setMembers = (members: readonly FleetMember[], withdrawn: readonly string[]): readonly FleetMember[] => {
     for (const id of withdrawn) peers.delete(id)
@@ -109,7 +146,10 @@
     return [...peers.values()].map(({ member }) => member)
   }
 
-  const beatFor = (peer: Peer, own: OwnState, now: Moment): Beat => ({
+  const silentPeers = (now: Moment): string[] =>
+    [...peers.values()].filter(peer => !heardWithin(peer, readerInterval * missedBeats, now)).map(({ member }) => member.id)
+
+  const beatFor = (peer: Peer, own: OwnState, silent: string[], now: Moment): Beat => ({
     kind: 'fleet.beat',
     incarnation: self.incarnation,
     ready: own.ready,
@@ -120,35 +160,56 @@
     ...(Number.isFinite(own.proofAge) ? { proofAge: own.proofAge } : {}),
     ...(Number.isFinite(own.storeAge) ? { storeAge: own.storeAge } : {}),
     holding: own.holding,
+    ...(own.readFor === undefined ? {} : { readFor: { ...own.readFor, silent } }),
     weights: [...own.weights]
   })
 
+  const beatTo = (to: Iterable<Peer>, own: OwnState, now: Moment): void => {
+    const silent = own.readFor === undefined ? [] : silentPeers(now)
+    for (const peer of to) emit({ kind: 'peer.send', to: peer.member.id, message: beatFor(peer, own, silent, now) })
+    nextReaderBeat = now.steady + readerInterval
+  }
+
   const announce = (now: Moment): void => {
     const own = options.own(now)
-    for (const [to, peer] of peers) emit({ kind: 'peer.send', to, message: beatFor(peer, own, now) })
-    nextBeat = now.steady + interval()
+    beatTo(peers.values(), own, now)
+    nextBeat = now.steady + (own.readFor === undefined ? interval() : Math.min(interval(), readerInterval))
   }
 
+  const beatToReaders = (now: Moment): void =>
+    beatTo([...peers.values()].filter(peer => isReader(peer, now)), options.own(now), now)
+
   const noteLiveness = (now: Moment): void => {
+    if (now.steady < nextLook) return
+    nextLook = now.steady + lookInterval
+    const living = new Set(alive(now))
     for (const [id, peer] of peers) {
-      const alive = isAlive(peer, now)
-      if (alive === peer.wasAlive) continue
-      peer.wasAlive = alive
-      events.peerChanged(id, alive ? 'alive' : 'silent')
+      const isAlive = living.has(peer)
+      if (isAlive === peer.wasAlive) continue
+      peer.wasAlive = isAlive
+      events.peerChanged(id, isAlive ? 'alive' : 'silent')
     }
   }
 
   const tick = (now: Moment): void => {
     noteLiveness(now)
     if (now.steady >= nextBeat) announce(now)
+    else if (now.steady >= nextReaderBeat) beatToReaders(now)
+  }
+
+  /** In a larger fleet the store is given time to answer first, so that not all ask the same instance. */
+  const wantCatalog = (from: string, version: number, now: Moment): void => {
+    behindSince ??= now.steady
+    if (peers.size >= smallFleet && now.steady < behindSince + storeAnswerTime) return
+    if (now.steady < nextWant) return
+    nextWant = now.steady + catalogPause
+    emit({ kind: 'peer.send', to: from, message: { kind: 'fleet.wantCatalog', version } })
   }
 
   const takeProof = (from: string, beat: Beat, now: Moment): void => {
     const own = options.own(now).configuration
-    if (beat.configuration > own && now.steady >= nextWant) {
-      nextWant = now.steady + catalogPause
-      emit({ kind: 'peer.send', to: from, message: { kind: 'fleet.wantCatalog', version: beat.configuration } })
-    }
+    if (beat.configuration > own) return wantCatalog(from, beat.configuration, now)
+    behindSince = undefined
     if (beat.configuration !== own || own === 0) return
     if (beat.echo === undefined || beat.proofAge === undefined) return
     events.proven(own, earlier(beat.echo, beat.proofAge))
@@ -161,6 +222,7 @@
     peer.beat = beat
     peer.heardAt = now
     for (const { model, version } of beat.weights) events.weightsNamed(model, version)
+    if (beat.readFor !== undefined && isReader(peer, now)) events.readerBelieves(beat.readFor)
     takeProof(from, beat, now)
   }
 
@@ -171,6 +233,7 @@
       case 'fleet.loaded': return events.workerLoaded(message.worker, message.model, message.version)
       case 'fleet.sent': return events.workerSent(message)
       case 'fleet.doubt': return events.workerDoubted(message.worker)
+      case 'fleet.workers': return events.workersConcluded(message.records)
       case 'fleet.wantCatalog': {
         const catalog = options.ownCatalog()
         if (catalog !== undefined && catalog.version >= message.version) emit({ kind: 'peer.send', to: from, message: { kind: 'fleet.catalog', catalog } })
@@ -181,19 +244,18 @@
     }
   }
 
-  const alive = (now: Moment): readonly Peer[] => [...peers.values()].filter(peer => isAlive(peer, now))
-
   const isAble = (id: string, incarnation: string, now: Moment): boolean => {
     const peer = peers.get(id)
-    if (peer === undefined || !isAlive(peer, now)) return false
+    if (peer === undefined || !alive(now).includes(peer)) return false
     const { beat } = peer
     return beat?.incarnation === incarnation && !beat.leaving && (beat.storeAge ?? Infinity) < storeSilence
   }
 
-  const rank = (now: Moment): number => {
-    const own = hash.h32(self.id)
-    return alive(now).filter(({ member, beat }) => beat?.leaving === false && hash.h32(member.id) < own).length
-  }
+  const rank = (now: Moment): number =>
+    alive(now).filter(({ member, beat }) => beat?.leaving === false && precedes(member, self)).length
+
+  const readersBefore = (now: Moment): number =>
+    [...peers.values()].filter(peer => isReader(peer, now) && precedes(peer.member, self)).length
 
   return {
     setMembers,
@@ -204,7 +266,11 @@
     fronts: now => alive(now).flatMap(({ member, beat }) => beat?.ready === true && !beat.leaving ? [member.front] : []),
     size: now => alive(now).length + 1,
     isAble,
+    readersBefore,
     rank,
-    dump: now => [...peers.values()].map(peer => ({ id: peer.member.id, alive: isAlive(peer, now), ready: peer.beat?.ready, leaving: peer.beat?.leaving }))
+    dump: now => {
+      const living = alive(now)
+      return [...peers.values()].map(peer => ({ id: peer.member.id, alive: living.includes(peer), ready: peer.beat?.ready, leaving: peer.beat?.leaving, reads: isReader(peer, now) }))
+    }
   }
 }
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -1,6 +1,7 @@
 /** Messages between the instances of a fleet. */
 import { z } from 'zod'
 import { catalogSchema } from '../catalog/catalogTypes.js'
+import { workerRecordSchema } from '../workers/workersTypes.js'
 
 const moment = z.object({ steady: z.number(), wall: z.number() })
 
@@ -21,6 +22,15 @@
   storeAge: z.number().optional(),
   /** Whether the sender gives orders about weights. */
   holding: z.boolean(),
+  /** What the sender believes of all workers, if it reads for others. */
+  readFor: z.object({
+    /** Digest of the workers. */
+    workers: z.number(),
+    /** Whether the part store is in reach; undefined if there is none. */
+    partStore: z.boolean().optional(),
+    /** Instances that the sender has not heard for a while. */
+    silent: z.array(z.string())
+  }).optional(),
   weights: z.array(z.object({ model: z.string(), version: z.number() }))
 })
 
@@ -39,6 +49,8 @@
   }),
   /** The sender could not reach a worker. */
   z.object({ kind: z.literal('fleet.doubt'), worker: z.string() }),
+  /** What the sender, which reads for others, has concluded of workers. */
+  z.object({ kind: z.literal('fleet.workers'), records: z.array(workerRecordSchema) }),
   z.object({ kind: z.literal('fleet.wantCatalog'), version: z.number() }),
   z.object({ kind: z.literal('fleet.catalog'), catalog: catalogSchema })
 ])
@@ -47,3 +59,5 @@
 export type FleetMessage = z.infer<typeof fleetMessageSchema>
 /** A sign of life with what the sender believes. */
 export type Beat = z.infer<typeof beat>
+/** What an instance that reads for others says of it in its beats. */
+export type ReaderState = NonNullable<Beat['readFor']>
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -30,8 +30,8 @@
   readonly random: Random
   readonly emit: (effect: ForwardEffect) => void
   readonly note: (note: ForwardNote) => void
-  /** Tells the other instances what a worker was given to read. */
-  readonly tellSent: (worker: string, unreadTokens: number, scope: string, parts: readonly PromptPart[]) => void
+  /** Tells the other instances what a worker was given to read; `first` says that no keeper of these parts was known. */
+  readonly tellSent: (worker: string, unreadTokens: number, scope: string, parts: readonly PromptPart[], first: boolean) => void
   /** Tells the other instances that a worker may be out of reach. */
   readonly tellDoubt: (worker: string) => void
 }
--- a/src/forwarding/placing.ts
+++ b/src/forwarding/placing.ts
@@ -148,7 +148,10 @@
 
 const tellSent = (context: ForwardingContext, { call: { prompt } }: Exchange, { worker, unreadTokens, model }: Target): void => {
   if (prompt === undefined || model === undefined || prompt.inputTokens < tellingTokens) return
-  context.tellSent(worker.id, unreadTokens, model.scope, sharedParts(prompt))
+  const shared = sharedParts(prompt)
+  const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0)
+  const unreadShared = unreadTokens - (prompt.inputTokens - sharedTokens)
+  context.tellSent(worker.id, unreadTokens, model.scope, shared, unreadShared >= tellingTokens)
 }
 
 const send = (context: ForwardingContext, exchange: Exchange, target: Target, cause: SendCause, attempt: number, time: DecisionTime): void => {
--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -14,7 +14,7 @@
 const build = () => {
   const effects: { readonly at: number, readonly effect: GatewayEffect }[] = []
   const gateway = createGateway({
-    self: { id: 'a', incarnation: 'a-1', dataCentre: 'a', front: '10.0.0.1:80', peer: { host: '10.0.0.1', port: 90 } },
+    self: { id: 'a', incarnation: 'a-1', dataCentre: 'a', front: '10.0.0.1:80', peer: { host: '10.0.0.1', port: 90 }, capacity: 1 },
     bounds: () => ({
       forwarding: { keys: 4_500, absence: 1_500, weights: 8_000 },
       retries: { fraction: 0.2, slack: 50, window: 10_000 },
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -8,23 +8,22 @@
 import type { Address, Catalog } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
 import { createFleet } from '../fleet/fleetMachine.js'
-import { fleetMessageSchema, type FleetMessage } from '../fleet/fleetMessages.js'
+import { fleetMessageSchema } from '../fleet/fleetMessages.js'
 import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import type { Hash } from '../hash.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
 import { weightsOf } from '../placement/cacheScope.js'
-import { createKeptParts, type KeptParts } from '../placement/keptParts.js'
-import { costOf } from '../placement/modelPlacement.js'
-import { createWorkerLoad, foreignRequests, noteForeign, type WorkerLoad } from '../placement/workerLoad.js'
-import type { FeedInput, FleetMember, PartChange } from '../ports/feedPort.js'
+import { foreignRequests } from '../placement/workerLoad.js'
+import type { FeedInput, FleetMember } from '../ports/feedPort.js'
 import type { PeerMessage } from '../ports/peerPort.js'
 import type { Random } from '../random.js'
 import { createRolloutLease } from '../rollout/rolloutLease.js'
 import { createRollout, type RolloutNotice } from '../rollout/rolloutMachine.js'
-import { createWeightsBelief } from '../workers/weightsBelief.js'
-import { createWorkersDb, type WorkerChange } from '../workers/workersDb.js'
 import type { GatewayEffect, GatewayInput, GatewayNote } from './gatewayTypes.js'
+import { createStoreReading } from './storeReading.js'
+import { createStoredParts } from './storedParts.js'
+import { createWorkerRegistry, usualMemory } from './workerRegistry.js'
 
 /** Bounds that a gateway keeps; times in ms. */
 export interface GatewayBounds {
@@ -64,21 +63,15 @@
   readonly dump: (now: Moment) => unknown
 }
 
-/** Size of a fleet up to which instances tell each other of single sends; their number grows with its square. */
+/** Size of a fleet up to which instances tell each other of every long prompt; in a larger one, where messages would grow with its square, only of shared parts that a worker reads for the first time. */
 const tellingFleet = 12
 /** Addresses that callers take from one answer. */
 const mostAddresses = 64
-/** Tokens that a keeper is taken to hold until its service is known. */
-const usualMemory = 100_000
-/** Part of a worker's memory that cached parts are taken to have beside running requests. */
-const cacheShare = 0.85
 /** Time for the fleet to hear that an instance leaves, in ms. */
 const announceLag = 400
 /** Time before the end of the grace at which the last requests are given up, in ms. */
 const graceReserve = 500
 
-const textOf = ({ host, port }: Address): string => `${host}:${port}`
-
 const sameAddress = (left: Address | undefined, right: Address | undefined): boolean =>
   left?.host === right?.host && left?.port === right?.port
 
@@ -96,13 +89,15 @@
   const lease = createReadLease()
   /** Proofs from the store alone, without those of other instances. */
   const storeLease = createReadLease()
-  const workers = createWorkersDb()
-  const weights = createWeightsBelief()
-  const loads = new Map<string, WorkerLoad>()
-  const kept = new Map<string, KeptParts>()
+  const registry = createWorkerRegistry({
+    catalog: () => index,
+    note,
+    concluded: records => { if (reading.mode() === 'forAll') fleet.broadcast({ kind: 'fleet.workers', records: [...records] }) }
+  })
+  const { workers, weights, loadOf, keptBy } = registry
+  const stored = createStoredParts()
   const windows = new Map<string, RetryWindow>()
   let index: CatalogIndex | undefined
-  let stored: KeptParts | undefined
   let followed: Address | undefined
   let present: Moment = { steady: 0, wall: 0 }
   let announced = false
@@ -110,23 +105,6 @@
   let frontClosed = false
   let exiting = false
 
-  const loadOf = (worker: string): WorkerLoad => {
-    const known = loads.get(worker) ?? createWorkerLoad(worker)
-    loads.set(worker, known)
-    return known
-  }
-
-  const memoryOf = (worker: string): number => {
-    const purpose = index?.service(workers.get(worker)?.service ?? '')?.purpose
-    return purpose?.kind === 'model' ? purpose.memoryTokens * cacheShare : usualMemory
-  }
-
-  const keptBy = (worker: string): KeptParts => {
-    const known = kept.get(worker) ?? createKeptParts(memoryOf(worker))
-    kept.set(worker, known)
-    return known
-  }
-
   const retries = (service: string): RetryWindow => {
     const known = windows.get(service) ?? createRetryWindow(bounds().retries)
     windows.set(service, known)
@@ -145,7 +123,7 @@
     const address = index.partStore?.address
     if (sameAddress(address, followed)) return
     followed = address
-    stored = undefined
+    stored.setStore(address, index.partStore?.memoryTokens ?? usualMemory)
     emit({ kind: 'parts.follow', address })
   }
 
@@ -153,19 +131,6 @@
     if (weights.name(model, version, present.steady)) note({ kind: 'weightsNamed', model, version })
   }
 
-  const noteLoaded = (worker: string, model: string, version: number): void => {
-    const known = workers.get(worker)
-    weights.noteLoaded(worker)
-    if (known !== undefined) weights.noteHeld(known, model, version)
-  }
-
-  const noteSentByPeer = ({ worker, unreadTokens, scope, parts }: Extract<FleetMessage, { kind: 'fleet.sent' }>): void => {
-    if (workers.get(worker) === undefined) return
-    const load = loadOf(worker)
-    noteForeign(load, unreadTokens, costOf(load, 0), present.steady)
-    keptBy(worker).add(scope, parts)
-  }
-
   const fleet = createFleet({
     self,
     hash,
@@ -176,6 +141,7 @@
       proofAge: lease.age(now),
       storeAge: storeLease.age(now),
       holding: rolloutLease.holds(),
+      readFor: reading.mode() === 'forAll' ? { workers: workers.digest(hash), partStore: stored.isInReach() } : undefined,
       weights: weights.models().flatMap(model => {
         const newest = weights.newest(model)
         return newest === undefined ? [] : [{ model, version: newest.version }]
@@ -188,13 +154,24 @@
       catalog: catalog => takeCatalog(catalog, 'peer'),
       weightsNamed: nameWeights,
       workerLoading: (worker, time) => weights.noteLoading(worker, present.steady + time),
-      workerLoaded: noteLoaded,
-      workerSent: noteSentByPeer,
+      workerLoaded: registry.noteLoaded,
+      workerSent: sent => registry.noteSentByPeer(sent, present.steady),
       workerDoubted: worker => forwarding.doubt(worker, present.steady),
+      workersConcluded: records => { if (reading.mode() === 'throughPeers') registry.adopt(records) },
+      readerBelieves: state => reading.hear(state, present.steady),
       peerChanged: (peer, change) => note({ kind: 'peerChanged', peer, change })
     }
   })
 
+  const reading = createStoreReading({
+    situation: now => ({ size: fleet.size(now), readersBefore: fleet.readersBefore(now), proofAge: lease.age(now), holding: rolloutLease.holds() }),
+    digest: () => workers.digest(hash),
+    emit,
+    changed: mode => note({ kind: 'readingChanged', reading: mode }),
+    partStoreReach: stored.noteReach,
+    workersRead: workers.noteRead
+  })
+
   const rolloutLease = createRolloutLease(self, {
     isAble: (id, incarnation) => fleet.isAble(id, incarnation, present),
     rank: () => fleet.rank(present)
@@ -230,54 +207,24 @@
     weights,
     loadOf,
     keptBy,
-    stored: () => stored,
+    stored: stored.belief,
     retries,
     instances: () => fleet.size(present),
     hash,
     random,
     emit,
     note,
-    tellSent: (worker, unreadTokens, scope, parts) => {
-      if (fleet.size(present) <= tellingFleet) fleet.broadcast({ kind: 'fleet.sent', worker, unreadTokens, scope, parts: [...parts] })
+    tellSent: (worker, unreadTokens, scope, parts, first) => {
+      if (first || fleet.size(present) <= tellingFleet) fleet.broadcast({ kind: 'fleet.sent', worker, unreadTokens, scope, parts: [...parts] })
     },
     tellDoubt: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
   })
 
-  const forgetWorker = (worker: string): void => {
-    loads.delete(worker)
-    kept.delete(worker)
-    weights.forget(worker)
-  }
-
-  const takeWorkerChange = (change: WorkerChange): void => {
-    const { id, service, address } = change.worker
-    if (change.kind === 'updated') return
-    if (change.kind === 'left') forgetWorker(id)
-    if (change.kind === 'restarted') kept.delete(id)
-    note({ kind: 'workerChanged', change: change.kind, worker: id, service, address: textOf(address) })
-  }
-
-  /** Parts that a run makes while its worker changes weights may bear the old scope, so none of an old scope is taken in late. */
   const isOldScope = (scope: string): boolean => {
     const scoped = weightsOf(scope)
     return scoped !== undefined && scoped.version < (weights.newest(scoped.model)?.version ?? -Infinity)
   }
 
-  const takePart = (change: PartChange): void => {
-    if (change.kind === 'kept' && isOldScope(change.scope)) return
-    switch (change.kind) {
-      case 'kept': return stored?.add(change.scope, [{ id: change.part, tokens: change.tokens }])
-      case 'dropped': return stored?.drop(change.scope, change.part)
-      default: assertNever(change)
-    }
-  }
-
-  const takeParts = (restarted: boolean, changes: readonly PartChange[]): void => {
-    if (restarted) note({ kind: 'partStoreRestarted' })
-    if (restarted || stored === undefined) stored = createKeptParts(index?.partStore?.memoryTokens ?? usualMemory)
-    changes.forEach(takePart)
-  }
-
   const takeFeed = (input: FeedInput): void => {
     switch (input.kind) {
       case 'feed.catalog': return takeCatalog(input.catalog, 'store')
@@ -285,11 +232,13 @@
         storeLease.renew(input.asOf)
         return lease.renew(input.asOf)
       case 'feed.weights': return nameWeights(input.model, input.version)
-      case 'feed.workers': return workers.apply(input.records, input.complete, present.steady).forEach(takeWorkerChange)
+      case 'feed.workers': return registry.apply(input.records, input.complete, present.steady)
       case 'feed.members': return emit({ kind: 'gateway.peers', members: fleet.setMembers(input.members, input.withdrawn) })
-      case 'feed.parts': return takeParts(input.restarted, input.changes)
+      case 'feed.parts':
+        if (input.restarted) note({ kind: 'partStoreRestarted' })
+        return stored.apply(input.restarted, input.changes, isOldScope)
       case 'feed.lost':
-        if (input.dependency === 'partStore') stored = undefined
+        if (input.dependency === 'partStore') stored.lose()
         return note({ kind: 'dependencyLost', dependency: input.dependency, reason: input.reason })
       case 'feed.regained': return note({ kind: 'dependencyRegained', dependency: input.dependency })
       default: assertNever(input)
@@ -333,8 +282,9 @@
       announced = true
       emit({ kind: 'member.announce', member: self })
     }
-    workers.expire(present.steady).forEach(takeWorkerChange)
+    registry.expire(present.steady)
     fleet.tick(present)
+    reading.tick(present)
     if (leftAt === undefined) rollout.tick(present)
     forwarding.tick(present)
     if (leftAt !== undefined) drain(leftAt)
@@ -403,7 +353,8 @@
       forwarding: forwarding.dump(),
       fleet: fleet.dump(now),
       rollout: rollout.dump(),
-      workers: [...workers.all()].map(worker => ({ ...worker, flights: loads.get(worker.id)?.flights.size ?? 0, tokenCost: loads.get(worker.id)?.tokenCost, failures: loads.get(worker.id)?.failures }))
+      reading: reading.mode(),
+      workers: registry.dump()
     })
   }
 }
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -2,7 +2,7 @@
 import type { FleetMessage } from '../fleet/fleetMessages.js'
 import type { ForwardNote } from '../forwarding/forwardingTypes.js'
 import type { ClaimEffect, ClaimInput } from '../ports/claimPort.js'
-import type { Dependency, FeedEffect, FeedInput, FleetMember } from '../ports/feedPort.js'
+import type { Dependency, FeedEffect, FeedInput, FleetMember, Reading } from '../ports/feedPort.js'
 import type { ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { OrderEffect, OrderInput } from '../ports/orderPort.js'
 import type { PeerEffect, PeerInput, Tick } from '../ports/peerPort.js'
@@ -49,6 +49,7 @@
   | { readonly kind: 'dependencyLost', readonly dependency: Dependency, readonly reason: string }
   | { readonly kind: 'dependencyRegained', readonly dependency: Dependency }
   | { readonly kind: 'partStoreRestarted' }
+  | { readonly kind: 'readingChanged', readonly reading: Reading }
   | { readonly kind: 'leaving', readonly requests: number }
   | { readonly kind: 'frontClosed', readonly requests: number }
   | { readonly kind: 'garbledPeerMessage', readonly from: string }
--- a/src/ports/feedPort.ts
+++ b/src/ports/feedPort.ts
@@ -13,8 +13,16 @@
   readonly front: string
   /** Where other instances connect. */
   readonly peer: Address
+  /** Processors that the instance may use, as a share of one. */
+  readonly capacity: number
 }
 
+/**
+ * How an instance learns what the platform's store holds: by reading for itself,
+ * by reading for all, from others that read, or by reading because these are silent.
+ */
+export type Reading = 'forItself' | 'forAll' | 'throughPeers' | 'inReserve'
+
 /** A change in what the part store keeps. */
 export type PartChange =
   | { readonly kind: 'kept', readonly scope: string, readonly part: string, readonly tokens: number }
@@ -40,5 +48,9 @@
 export type FeedEffect =
   | { readonly kind: 'member.announce', readonly member: FleetMember }
   | { readonly kind: 'member.withdraw', readonly id: string }
+  /** Read on in this way. */
+  | { readonly kind: 'store.read', readonly reading: Reading }
+  /** Read all workers once, though others read for this instance. */
+  | { readonly kind: 'workers.read' }
   /** Follow a part store, or none. */
   | { readonly kind: 'parts.follow', readonly address: Address | undefined }
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -82,7 +82,7 @@
   let bounds = boundsOf(first)
   const hash = await loadHash()
   const gateway = createGateway({
-    self: { id: instance.id, incarnation, dataCentre: instance.data_centre, front: listen.front, peer: { host: instance.host, port: listen.peer_port } },
+    self: { id: instance.id, incarnation, dataCentre: instance.data_centre, front: listen.front, peer: { host: instance.host, port: listen.peer_port }, capacity: instance.processors * instance.processor_speed },
     bounds: () => bounds,
     hash,
     random: createRandom(randomBytes(4).readInt32BE())
@@ -132,6 +132,8 @@
       case 'peer.send': return peers.perform(effect)
       case 'member.announce':
       case 'member.withdraw':
+      case 'store.read':
+      case 'workers.read':
       case 'parts.follow':
       case 'claim.read':
       case 'claim.append':
--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -50,6 +50,23 @@
     expect(first.lease.fence(at(10))).toBe(1)
   })
 
+  it('is looked at by few of a large fleet while its holder renews it, and passes on when these are gone, too', () => {
+    const stream = buildStream()
+    let reads = 0
+    const counted: Stream = { ...stream, answer: effect => { if (effect.kind === 'claim.read') reads++; return stream.answer(effect) } }
+    const instances = Array.from({ length: 60 }, (_, rank) => buildInstance(counted, `i${rank}`, { rank, able: () => false }))
+    for (let now = 0; now < 2_000; now += 50) instances.forEach(({ pursue }) => pursue(at(now)))
+    // One of three reads each 250 ms, the holder none.
+    expect(reads).toBeLessThan(30)
+    const late = instances.slice(3)
+    let held: number | undefined
+    for (let now = 2_000; now < 9_000 && held === undefined; now += 50) {
+      late.forEach(({ pursue }) => pursue(at(now)))
+      if (late.some(({ lease }) => lease.fence(at(now)) !== undefined)) held = now
+    }
+    expect(held).toBeLessThan(6_000)
+  })
+
   it('stays with a holder that renews it', () => {
     const stream = buildStream()
     const first = buildInstance(stream, 'a')
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -68,6 +68,8 @@
 const calmLookInterval = 1_000
 /** Time that a lower rank leaves to the one before it, in ms. */
 const rankPause = 150
+/** Instances that look at the stream from the start of work; the others look once it has stood still for long, so that looks do not grow with the fleet. */
+const lookers = 3
 const answerTimeout = 1_500
 /** Fencing number of a claim at offset 0. */
 const firstFence = 1
@@ -123,6 +125,8 @@
     return stoodStill(now) >= limit + rankPause * rivals.rank()
   }
 
+  const turnOf = (rank: number): number => rankPause * rank + (rank < lookers ? 0 : longStandstill)
+
   const pursue = (now: Moment): void => {
     wantedSince ??= now.steady
     if (pending !== undefined && ageOf(pending.sentAt, now) > answerTimeout) pending = undefined
@@ -131,7 +135,7 @@
       if (renewedAt === undefined || ageOf(renewedAt, now) > renewAfter) append(false, now)
       return
     }
-    const turn = wantedSince + rankPause * rivals.rank()
+    const turn = wantedSince + turnOf(rivals.rank())
     if (now.steady < turn || now.steady < nextLook) return
     nextLook = now.steady + (isHolderAble() ? calmLookInterval : lookInterval)
     read(now)
--- a/src/settings/gatewaySettings.spec.ts
+++ b/src/settings/gatewaySettings.spec.ts
@@ -19,7 +19,9 @@
   'bounds.budgetWindowS': '10',
   'bounds.retrySlack': '52',
   'bounds.graceS': '8',
-  'bounds.versionApplyMs': '8000'
+  'bounds.versionApplyMs': '8000',
+  'limits.cpuShare': '0.675',
+  'limits.cores': '1'
 }
 
 const fill = (over: Readonly<Record<string, string>> = {}): string =>
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -14,6 +14,8 @@
     id: name('Name of this instance, unique in the fleet.'),
     data_centre: name('Data centre of this instance.'),
     host: host('Address of this instance.'),
+    processors: optional(number('processors', 0.001, 1_024, 'Part of a processor, or number of processors, that this instance may use.'), 1),
+    processor_speed: optional(number('times', 0.001, 1_024, 'Speed of these processors, beside those of other instances.'), 1),
     log_level: optional(levels.meta({ unit: 'level', allowed: 'debug, info, warn or error', description: 'Least severe log lines written.' }), 'info')
   }),
   listen: z.strictObject({
--- a/src/workers/workersTypes.ts
+++ b/src/workers/workersTypes.ts
@@ -1,27 +1,31 @@
 /** Workers as discovery announces them. */
-import type { Address } from '../catalog/catalogTypes.js'
+import { z } from 'zod'
+import { addressSchema } from '../catalog/catalogTypes.js'
 
-/** Weights that a worker holds. */
-export interface HeldModel {
-  readonly name: string
-  readonly version: number
-}
+const heldModel = z.object({ name: z.string(), version: z.number() })
 
-/** One lifetime of a worker. */
-export interface Worker {
+const worker = z.object({
   /** Name of the lifetime; an old name may come back with a later start. */
-  readonly id: string
-  readonly service: string
-  readonly address: Address
-  readonly dataCentre: string
-  readonly slots: number
-  readonly state: 'live' | 'draining'
-  readonly models: readonly HeldModel[]
+  id: z.string(),
+  service: z.string(),
+  address: addressSchema,
+  dataCentre: z.string(),
+  slots: z.number(),
+  state: z.enum(['live', 'draining']),
+  models: z.array(heldModel).readonly(),
   /** Unix ms of its start; 0 if it did not say. */
-  readonly startedAt: number
-}
+  startedAt: z.number()
+})
+
+/** What is said of one name: a worker, or that it has left. */
+export const workerRecordSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('present'), worker }),
+  z.object({ kind: z.literal('absent'), id: z.string() })
+])
 
+/** Weights that a worker holds. */
+export type HeldModel = Readonly<z.infer<typeof heldModel>>
+/** One lifetime of a worker. */
+export type Worker = Readonly<z.infer<typeof worker>>
 /** What discovery says of one name: a worker, or that it has left. */
-export type WorkerRecord =
-  | { readonly kind: 'present', readonly worker: Worker }
-  | { readonly kind: 'absent', readonly id: string }
+export type WorkerRecord = z.infer<typeof workerRecordSchema>
