An instance outlives SIGHUP while it starts, and misses no change of its settings

A change of the file between its reading and the first look was lost too, since the look took the newer text as known. Change: the signal is attended from the first statement of the program; the watch starts from the text that was loaded.

--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -5,6 +5,10 @@
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
 const optional = ['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'cbor-extract']
 
+// An instance is sent SIGHUP when its settings change, also while it starts; without a handler that ends it.
+const attend = `if (['gateway', 'entry'].some(command => process.argv.includes(command))) process.on('SIGHUP', () => {});
+`
+
 // Bunyan and cbor-x ask for optional packages; inside a single executable `require` prints a warning, so they are answered here.
 const guard = `const optionalPackages = new Set(${JSON.stringify(optional)});
 const missing = name => { const error = new Error('optional package ' + name + ' is left out'); error.code = 'MODULE_NOT_FOUND'; throw error };
@@ -27,5 +31,5 @@
 
 export const bundleProgram = async outfile => {
   await bundle('src/cli/main.ts', outfile)
-  writeFileSync(outfile, guard + readFileSync(outfile, 'utf8'))
+  writeFileSync(outfile, attend + guard + readFileSync(outfile, 'utf8'))
 }
--- a/scripts/startCached.cjs
+++ b/scripts/startCached.cjs
@@ -4,6 +4,9 @@
 const { join } = require('node:path')
 const { Script } = require('node:vm')
 
+// Without a handler this signal ends a process; it may come while the program is still being read.
+process.on('SIGHUP', () => {})
+
 const filename = join(__dirname, 'program.cjs')
 const cacheFile = join(__dirname, 'program.cache')
 const isWriting = process.argv[2] === '--write'
--- a/src/cli/gatewayCommand.ts
+++ b/src/cli/gatewayCommand.ts
@@ -6,6 +6,7 @@
 import { gatewaySettingsSchema, type GatewaySettings } from '../settings/gatewaySettings.js'
 import { describeProblem, readSettingsBy, type SettingProblem } from '../settings/settingsReader.js'
 import { complain, exitCodeHelp, exitCodes, print } from './output.js'
+import { watchSettings } from './settingsFile.js'
 import { describeUnreadable, readTextFile, type UnreadableFile } from './textFile.js'
 
 /** How often the settings file is looked at, in ms, since it may change without a signal. */
@@ -13,46 +14,44 @@
 
 type Failure = UnreadableFile | readonly SettingProblem[]
 
-const load = (file: string): Result<GatewaySettings, Failure> => {
+interface Loaded {
+  readonly text: string
+  readonly settings: GatewaySettings
+}
+
+const load = (file: string): Result<Loaded, Failure> => {
   const text = readTextFile(file)
-  return text.isOk() ? readSettingsBy(gatewaySettingsSchema, file, text.value) : err(text.error)
+  if (text.isErr()) return err(text.error)
+  return readSettingsBy(gatewaySettingsSchema, file, text.value).map(settings => ({ text: text.value, settings }))
 }
 
 const describe = (failure: Failure): string =>
   'kind' in failure ? describeUnreadable(failure) : failure.map(describeProblem).join('\n')
 
 const reloadFrom = (file: string, gateway: GatewayProcess): void => {
-  load(file).match(gateway.reload, failure => complain(describe(failure)))
-}
-
-/** Reads the settings again when their text has changed. */
-const watchFile = (file: string, gateway: GatewayProcess): NodeJS.Timeout => {
-  let known = readTextFile(file).unwrapOr('')
-  return setInterval(() => {
-    const text = readTextFile(file).unwrapOr(known)
-    if (text === known) return
-    known = text
-    reloadFrom(file, gateway)
-  }, fileCheckInterval)
+  load(file).match(({ settings }) => gateway.reload(settings), failure => complain(describe(failure)))
 }
 
 const run = async (options: { readonly settings?: string, readonly check?: boolean }): Promise<void> => {
   const file = options.settings ?? process.env[settingsVariable] ?? ''
-  const settings = load(file)
-  if (settings.isErr()) {
-    complain(describe(settings.error))
+  const loaded = load(file)
+  if (loaded.isErr()) {
+    complain(describe(loaded.error))
     process.exitCode = exitCodes.usage
     return
   }
+  const { settings, text } = loaded.value
   if (options.check === true) {
-    print(`${file}: valid settings of ${settings.value.instance.id}`)
+    print(`${file}: valid settings of ${settings.instance.id}`)
     return
   }
-  const gateway = await startGateway(settings.value, createPlatform)
+  const gateway = await startGateway(settings, createPlatform)
+  const look = watchSettings({ read: () => readTextFile(file), changed: () => reloadFrom(file, gateway) }, text)
   process.on('SIGTERM', gateway.leave)
   process.on('SIGINT', gateway.leave)
   process.on('SIGHUP', () => reloadFrom(file, gateway))
-  const watch = watchFile(file, gateway)
+  look()
+  const watch = setInterval(look, fileCheckInterval)
   await gateway.ended
   clearInterval(watch)
   process.exit(exitCodes.done)
--- /dev/null
+++ b/test/start/startCached.spec.ts
@@ -0,0 +1,20 @@
+import { spawnSync } from 'node:child_process'
+import { copyFileSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+
+let folder: string
+
+beforeEach(() => { folder = mkdtempSync(join(tmpdir(), 'wasabireel-start-')) })
+
+afterEach(() => { rmSync(folder, { recursive: true, force: true }) })
+
+describe('the start of the program', () => {
+  it('outlives the signal to read settings again that comes before the program attends to it', () => {
+    copyFileSync('scripts/startCached.cjs', join(folder, 'wasabireel.cjs'))
+    writeFileSync(join(folder, 'program.cjs'), "process.kill(process.pid, 'SIGHUP'); setImmediate(() => { console.log('alive') })")
+    const { stdout, signal } = spawnSync(process.execPath, [join(folder, 'wasabireel.cjs')], { encoding: 'utf8' })
+    expect(signal).toBeNull()
+    expect(stdout).toBe('alive\n')
+  })
+})
