Connections between instances: silent ones are renewed, all is found sooner after a restart

Besides, the pause before a reconnection was counted on the time of day, which may jump, and a connection that falls silent without a reset was never noticed. Change: connections are given up after 0.4 s and tried again after 0.15 s (the gateway's; the entry keeps its times), pauses are counted on the steady clock, and a connection on which the other's echo stands still for five beats is renewed. The directory of a fleet above 24 names half of it, large instances more often.

--- a/src/adapters/peerTcp.ts
+++ b/src/adapters/peerTcp.ts
@@ -30,6 +30,10 @@
   readonly host: string
   readonly port: number
   readonly frameLimit: number
+  /** Time to connect, in ms. */
+  readonly connectTimeout?: number
+  /** Pause before a new connection to an instance that could not be reached, in ms. */
+  readonly reconnectPause?: number
   readonly credentials?: Credentials
 }
 
@@ -37,6 +41,8 @@
 export interface PeerNetwork {
   readonly listen: () => Promise<number>
   readonly perform: (effect: PeerEffect) => void
+  /** Closes the connection to an instance; the next message opens another. */
+  readonly reset: (id: string) => void
   /** Sets where each peer listens; connections to others are closed. */
   readonly setAddresses: (addresses: ReadonlyMap<string, Address>) => void
   readonly close: () => void
@@ -44,8 +50,8 @@
 
 /** Bytes waiting for one peer at which further messages to it are dropped. */
 const backlogLimit = 1_048_576
-const connectTimeout = 2_000
-const reconnectPause = 500
+const usualConnectTimeout = 2_000
+const usualReconnectPause = 500
 
 /** The reason that TLS is given for breaking a connection to the wrong instance. */
 class WrongPeer extends Error {
@@ -82,6 +88,7 @@
  * @returns the network, not listening yet
  */
 export const createPeerTcp = (options: PeerOptions, events: PeerEvents): PeerNetwork => {
+  const { connectTimeout = usualConnectTimeout, reconnectPause = usualReconnectPause } = options
   const addresses = new Map<string, Address>()
   const outgoing = new Map<string, Outgoing>()
   const pausedUntil = new Map<string, number>()
@@ -123,7 +130,7 @@
   const lose = (id: string, socket: Socket): void => {
     if (outgoing.get(id)?.socket !== socket) return
     outgoing.delete(id)
-    pausedUntil.set(id, Date.now() + reconnectPause)
+    pausedUntil.set(id, performance.now() + reconnectPause)
     events.emit({ kind: 'peer.lost', from: id })
   }
 
@@ -146,7 +153,7 @@
     const known = outgoing.get(id)
     if (known !== undefined) return known.socket
     const address = addresses.get(id)
-    if (address === undefined || (pausedUntil.get(id) ?? 0) > Date.now()) return undefined
+    if (address === undefined || (pausedUntil.get(id) ?? 0) > performance.now()) return undefined
     return open(id, address)
   }
 
@@ -184,5 +191,5 @@
     for (const socket of incoming) socket.destroy()
   }
 
-  return { listen, perform, setAddresses, close }
+  return { listen, perform, reset: id => { outgoing.get(id)?.socket.destroy() }, setAddresses, close }
 }
--- /dev/null
+++ b/src/fleet/directory.ts
@@ -0,0 +1,37 @@
+/**
+ * Chooses the instances that a directory answer names. Callers pick one of the
+ * addresses at random and cannot weigh them, so in a large fleet of unequal
+ * instances the small ones would get as much as the large. Each instance names
+ * about half of the fleet: large ones are in most answers, small ones in few. An
+ * instance always names the same ones while these live, so that callers keep
+ * their connections.
+ */
+import { rendezvousScore } from '../addresses/rendezvous.js'
+import type { Hash } from '../hash.js'
+import type { FleetMember } from '../ports/feedPort.js'
+
+/** Fleet size up to which all are named: callers need some to choose from when many are lost at once. */
+const wholeFleet = 24
+/** Addresses that callers take from one answer. */
+const mostAddresses = 64
+/** Part of a larger fleet that one answer names. */
+const namedShare = 0.5
+
+/**
+ * Chooses the addresses.
+ *
+ * @param asked - id of the instance that answers
+ * @param members - instances that take requests
+ * @param hash - the process's hash functions
+ * @returns IP:PORT of each
+ */
+export const chooseFronts = (asked: string, members: readonly FleetMember[], hash: Hash): readonly string[] => {
+  if (members.length <= wholeFleet) return members.map(({ front }) => front)
+  const key = hash.h32(asked)
+  const count = Math.min(mostAddresses, Math.max(wholeFleet, Math.ceil(members.length * namedShare)))
+  return members
+    .map(({ id, front, capacity }) => ({ front, score: rendezvousScore(key, hash.h32(id), capacity) }))
+    .sort((left, right) => right.score - left.score)
+    .slice(0, count)
+    .map(({ front }) => front)
+}
--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -2,7 +2,7 @@
 import { loadHash, type Hash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
 import type { FleetMember } from '../ports/feedPort.js'
-import { createFleet } from './fleetMachine.js'
+import { createFleet, type Fleet } from './fleetMachine.js'
 import type { Beat, FleetMessage } from './fleetMessages.js'
 
 let hash: Hash
@@ -29,12 +29,16 @@
 const build = (configuration = 4) => {
   const sent: { readonly to: string, readonly message: FleetMessage }[] = []
   const proofs: Moment[] = []
+  const resets: string[] = []
   const fleet = createFleet({
     self: buildMember('a'),
     hash,
     own: () => ({ ready: true, leaving: false, configuration, proofAge: 100, storeAge: 100, holding: false, readFor: undefined, weights: [] }),
     ownCatalog: () => buildCatalog({ version: configuration }),
-    emit: ({ to, message }) => sent.push({ to, message }),
+    emit: effect => {
+      if (effect.kind === 'peer.reset') resets.push(effect.to)
+      else sent.push({ to: effect.to, message: effect.message })
+    },
     events: {
       proven: (_version, asOf) => proofs.push(asOf),
       catalog: () => { /* Not looked at. */ },
@@ -49,18 +53,20 @@
     }
   })
   fleet.setMembers([buildMember('a'), buildMember('b')], [])
-  return { fleet, sent, proofs }
+  return { fleet, sent, proofs, resets }
 }
 
+const frontsAt = (fleet: Fleet, now: number): readonly string[] => fleet.serving(at(now)).map(({ front }) => front)
+
 describe('the fleet', () => {
   it('gives callers only instances that beat, are ready and stay', () => {
     const { fleet } = build()
-    expect(fleet.fronts(at(0))).toEqual([])
+    expect(frontsAt(fleet, 0)).toEqual([])
     fleet.receive('b', buildBeat(), at(100))
-    expect(fleet.fronts(at(200))).toEqual(['front-b'])
-    expect(fleet.fronts(at(1_200))).toEqual([])
+    expect(frontsAt(fleet, 200)).toEqual(['front-b'])
+    expect(frontsAt(fleet, 1_200)).toEqual([])
     fleet.receive('b', buildBeat({ leaving: true }), at(1_300))
-    expect(fleet.fronts(at(1_310))).toEqual([])
+    expect(frontsAt(fleet, 1_310)).toEqual([])
   })
 
   it('takes a proof as of the own moment that the other echoes, less its age', () => {
@@ -69,6 +75,24 @@
     expect(proofs).toEqual([at(700)])
   })
 
+  it('opens its connection anew where nothing that it sent arrives, though it hears the other', () => {
+    const { fleet, resets } = build()
+    for (let now = 0; now <= 3_000; now += 50) {
+      if (now % 250 === 0) fleet.receive('b', buildBeat({ echo: at(Math.min(now, 500)) }), at(now))
+      fleet.tick(at(now))
+    }
+    expect(resets).toEqual(['b', 'b'])
+  })
+
+  it('keeps a connection whose messages arrive', () => {
+    const { fleet, resets } = build()
+    for (let now = 0; now <= 3_000; now += 50) {
+      if (now % 250 === 0) fleet.receive('b', buildBeat({ echo: at(now - 250) }), at(now))
+      fleet.tick(at(now))
+    }
+    expect(resets).toEqual([])
+  })
+
   it('takes no proof without an echo, since a beat may have been held up', () => {
     const { fleet, proofs } = build()
     fleet.receive('b', buildBeat({ proofAge: 0 }), at(9_000))
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -9,7 +9,7 @@
 import type { Hash } from '../hash.js'
 import { ageOf, earlier, type Moment } from '../lease/readLease.js'
 import type { FleetMember } from '../ports/feedPort.js'
-import type { PeerEffect } from '../ports/peerPort.js'
+import type { PeerEffect, PeerReset } from '../ports/peerPort.js'
 import type { WorkerRecord } from '../workers/workersTypes.js'
 import type { Beat, FleetMessage, ReaderState } from './fleetMessages.js'
 
@@ -50,7 +50,7 @@
   readonly hash: Hash
   readonly own: (now: Moment) => OwnState
   readonly ownCatalog: () => Catalog | undefined
-  readonly emit: (effect: PeerEffect<FleetMessage>) => void
+  readonly emit: (effect: PeerEffect<FleetMessage> | PeerReset) => void
   readonly events: FleetEvents
 }
 
@@ -62,8 +62,8 @@
   /** Sends a beat to all at once. */
   readonly announce: (now: Moment) => void
   readonly broadcast: (message: FleetMessage) => void
-  /** Fronts of the other instances that live and take requests. */
-  readonly fronts: (now: Moment) => readonly string[]
+  /** The other instances that live and take requests. */
+  readonly serving: (now: Moment) => readonly FleetMember[]
   /** Instances that live, this one included. */
   readonly size: (now: Moment) => number
   readonly isAble: (id: string, incarnation: string, now: Moment) => boolean
@@ -79,6 +79,9 @@
   heardAt: Moment | undefined
   beat: Beat | undefined
   wasAlive: boolean
+  /** Own time of the last message that is known to have reached it, or from which on none is known to. */
+  reachedAt: Moment | undefined
+  resetAt: number
 }
 
 /** Time between beats in a small fleet, in ms. */
@@ -90,6 +93,8 @@
 /** Time without a word from the store, in ms, up to which an instance counts as reaching it; a read that waits proves only how things were when it was sent, so the time goes up to twice its wait. */
 const storeSilence = 2_000
 const catalogPause = 300
+/** Time between two resets of a connection, in ms. */
+const resetPause = 1_000
 /** Time between looks at who lives, in ms. */
 const lookInterval = 100
 /** Time in which an instance that follows the store has a new configuration from there, in ms. */
@@ -141,7 +146,7 @@
       if (member.id === self.id) continue
       const known = peers.get(member.id)
       if (known?.member.incarnation === member.incarnation) continue
-      peers.set(member.id, { member, heardAt: undefined, beat: undefined, wasAlive: false })
+      peers.set(member.id, { member, heardAt: undefined, beat: undefined, wasAlive: false, reachedAt: undefined, resetAt: -Infinity })
     }
     return [...peers.values()].map(({ member }) => member)
   }
@@ -166,7 +171,10 @@
 
   const beatTo = (to: Iterable<Peer>, own: OwnState, now: Moment): void => {
     const silent = own.readFor === undefined ? [] : silentPeers(now)
-    for (const peer of to) emit({ kind: 'peer.send', to: peer.member.id, message: beatFor(peer, own, silent, now) })
+    for (const peer of to) {
+      peer.reachedAt ??= now
+      emit({ kind: 'peer.send', to: peer.member.id, message: beatFor(peer, own, silent, now) })
+    }
     nextReaderBeat = now.steady + readerInterval
   }
 
@@ -180,8 +188,6 @@
     beatTo([...peers.values()].filter(peer => isReader(peer, now)), options.own(now), now)
 
   const noteLiveness = (now: Moment): void => {
-    if (now.steady < nextLook) return
-    nextLook = now.steady + lookInterval
     const living = new Set(alive(now))
     for (const [id, peer] of peers) {
       const isAlive = living.has(peer)
@@ -191,8 +197,22 @@
     }
   }
 
+  /** A connection may fall silent for good without a reset; the other's echo then stands still. */
+  const mendConnections = (now: Moment): void => {
+    const limit = interval() * (missedBeats + 1)
+    for (const [to, peer] of peers) {
+      if (peer.reachedAt === undefined || ageOf(peer.reachedAt, now) < limit || now.steady - peer.resetAt < resetPause) continue
+      peer.resetAt = now.steady
+      emit({ kind: 'peer.reset', to })
+    }
+  }
+
   const tick = (now: Moment): void => {
-    noteLiveness(now)
+    if (now.steady >= nextLook) {
+      nextLook = now.steady + lookInterval
+      noteLiveness(now)
+      mendConnections(now)
+    }
     if (now.steady >= nextBeat) announce(now)
     else if (now.steady >= nextReaderBeat) beatToReaders(now)
   }
@@ -221,6 +241,7 @@
     if (beat.leaving && peer.beat?.leaving !== true) events.peerChanged(from, 'leaving')
     peer.beat = beat
     peer.heardAt = now
+    if (beat.echo !== undefined) peer.reachedAt = beat.echo
     for (const { model, version } of beat.weights) events.weightsNamed(model, version)
     if (beat.readFor !== undefined && isReader(peer, now)) events.readerBelieves(beat.readFor)
     takeProof(from, beat, now)
@@ -263,7 +284,7 @@
     tick,
     announce,
     broadcast: message => { for (const to of peers.keys()) emit({ kind: 'peer.send', to, message }) },
-    fronts: now => alive(now).flatMap(({ member, beat }) => beat?.ready === true && !beat.leaving ? [member.front] : []),
+    serving: now => alive(now).flatMap(({ member, beat }) => beat?.ready === true && !beat.leaving ? [member] : []),
     size: now => alive(now).length + 1,
     isAble,
     readersBefore,
--- a/src/fleet/reading.spec.ts
+++ b/src/fleet/reading.spec.ts
@@ -62,7 +62,7 @@
         weights: []
       }),
       ownCatalog: () => undefined,
-      emit: ({ to, message }) => queue.push({ from: id, to, message }),
+      emit: effect => { if (effect.kind === 'peer.send') queue.push({ from: id, to: effect.to, message: effect.message }) },
       events: {
         proven: (_version, asOf) => proofs.set(id, Math.max(proofs.get(id) ?? 0, asOf.steady)),
         catalog: () => { /* Not looked at. */ },
@@ -129,7 +129,7 @@
       return { oldest, reads: (reads - before) / (time / 1_000) }
     },
     readersNow: () => living().filter(id => readings.get(id) === 'forAll'),
-    silentTo: (id: string) => members.filter(member => member.id !== id && !instances.get(id)?.fronts(at(now)).includes(member.front)).length
+    silentTo: (id: string) => size - 1 - (instances.get(id)?.serving(at(now)).length ?? 0)
   }
 }
 
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -7,6 +7,7 @@
 import { indexCatalog, type CatalogIndex } from '../catalog/catalogIndex.js'
 import type { Address, Catalog } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
+import { chooseFronts } from '../fleet/directory.js'
 import { createFleet } from '../fleet/fleetMachine.js'
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
 import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
@@ -65,8 +66,6 @@
 
 /** Size of a fleet up to which instances tell each other of every long prompt; in a larger one, where messages would grow with its square, only of shared parts that a worker reads for the first time. */
 const tellingFleet = 12
-/** Addresses that callers take from one answer. */
-const mostAddresses = 64
 /** Time for the fleet to hear that an instance leaves, in ms. */
 const announceLag = 400
 /** Time before the end of the grace at which the last requests are given up, in ms. */
@@ -329,9 +328,9 @@
   }
 
   const directory = (now: Moment): DirectoryAnswer => {
-    const others = fleet.fronts(now)
-    const addresses = isReady(now) || others.length === 0 ? [self.front, ...others] : others
-    return { addresses: addresses.slice(0, mostAddresses), life: bounds().addressLife }
+    const others = fleet.serving(now)
+    const members = isReady(now) || others.length === 0 ? [self, ...others] : others
+    return { addresses: chooseFronts(self.id, members, hash), life: bounds().addressLife }
   }
 
   return {
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -5,7 +5,7 @@
 import type { Dependency, FeedEffect, FeedInput, FleetMember, Reading } from '../ports/feedPort.js'
 import type { ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { OrderEffect, OrderInput } from '../ports/orderPort.js'
-import type { PeerEffect, PeerInput, Tick } from '../ports/peerPort.js'
+import type { PeerEffect, PeerInput, PeerReset, Tick } from '../ports/peerPort.js'
 import type { RolloutNotice } from '../rollout/rolloutMachine.js'
 import type { WorkerChange } from '../workers/workersDb.js'
 
@@ -27,6 +27,7 @@
   | ClaimEffect
   | OrderEffect
   | PeerEffect<FleetMessage>
+  | PeerReset
   /** Where the other instances are reached. */
   | { readonly kind: 'gateway.peers', readonly members: readonly FleetMember[] }
   /** Callers' limits are in force. */
--- a/src/ports/peerPort.ts
+++ b/src/ports/peerPort.ts
@@ -15,6 +15,12 @@
   readonly message: Message
 }
 
+/** The connection to another instance seems to carry nothing; the next message takes a new one. */
+export interface PeerReset {
+  readonly kind: 'peer.reset'
+  readonly to: string
+}
+
 /** What arrives from another instance. */
 export type PeerInput<Message extends PeerMessage = PeerMessage> =
   | { readonly kind: 'peer.message', readonly from: string, readonly message: Message }
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -30,6 +30,9 @@
 const tickInterval = 20
 const headerBytes = 16_384
 const frameLimit = 4_194_304
+/** Instances of one fleet are near; one that has no power does not answer, and is asked again soon since all may come back together. */
+const peerConnectTimeout = 400
+const peerReconnectPause = 150
 /** Time for last bytes to leave before the process ends, in ms. */
 const flushTime = 150
 const msPerSecond = 1_000
@@ -95,7 +98,7 @@
 
   const front = createFrontServer({ ...splitEndpoint(listen.front), headerBytes, decode: platform.codec.decodeCall }, receive)
   const channels = createWorkerChannels({ codec: platform.codec, emit: receive, opened: metrics.connectionOpened })
-  const peers = createPeerTcp({ id: instance.id, incarnation, host: instance.host, port: listen.peer_port, frameLimit }, {
+  const peers = createPeerTcp({ id: instance.id, incarnation, host: instance.host, port: listen.peer_port, frameLimit, connectTimeout: peerConnectTimeout, reconnectPause: peerReconnectPause }, {
     emit: receive,
     garbled: problem => metrics.trouble(problem),
     sent: () => { /* Bytes between instances are not counted here. */ },
@@ -130,6 +133,7 @@
       case 'worker.probe': return channels.probe(effect.worker, effect.address)
       case 'attempt.cancel': return channels.cancel(effect.attempt)
       case 'peer.send': return peers.perform(effect)
+      case 'peer.reset': return peers.reset(effect.to)
       case 'member.announce':
       case 'member.withdraw':
       case 'store.read':
