A request whose caller has left is not passed on by an instance that was held up

Their logs show 1.3 s between lines: the request and the end of its connection waited in the socket together, and the request was looked at first. Ruled out: a lost notice of leaving (callerLeft follows 0.25 s after "sent"). Change: a request is taken in once the sockets have been read again, and dropped if its connection has ended.

--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -53,6 +53,12 @@
   finished: boolean
 }
 
+/**
+ * Calls once the sockets have been read again. A process that was held up finds
+ * a request and the end of its connection together; then the end comes first.
+ */
+const afterNextRead = (callback: () => void): void => { setImmediate(() => setImmediate(callback)) }
+
 const hasHeader = (headers: readonly string[], name: string): boolean =>
   headers.some((header, index) => index % 2 === 0 && header.toLowerCase() === name)
 
@@ -79,11 +85,13 @@
     const chunks: Buffer[] = []
     let size = 0
     let whole = false
+    let delivered = false
     const slot: Slot = { response, method: message.method ?? '', finished: false }
     slots.set(request, slot)
 
     const refuseBody = (): void => {
       whole = true
+      delivered = true
       response.shouldKeepAlive = false
       emit({ kind: 'call.unreadable', request, problem: { kind: 'bodyTooLarge', limit: limits.bodyBytes } })
     }
@@ -94,14 +102,19 @@
       if (size > limits.bodyBytes) return refuseBody()
       chunks.push(chunk)
     })
-    message.on('end', () => {
-      if (whole) return
-      whole = true
+    const deliver = (): void => {
+      if (message.socket.readableEnded || message.socket.destroyed) return emit({ kind: 'call.left', request })
       const head = { method: slot.method, target: message.url ?? '/', headers: message.rawHeaders }
       options.decode(head, chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)).match(
         call => emit({ kind: 'call.arrived', request, call }),
         problem => emit({ kind: 'call.unreadable', request, problem })
       )
+      delivered = true
+    }
+    message.on('end', () => {
+      if (whole) return
+      whole = true
+      afterNextRead(deliver)
     })
     message.on('error', () => { /* The close that follows is what counts. */ })
     response.on('error', () => { /* The close that follows is what counts. */ })
@@ -109,7 +122,7 @@
       // An answer whose head went out before the closing did not tell its caller to leave.
       if (closed) message.socket.destroySoon()
       slots.delete(request)
-      if (whole && !slot.finished) emit({ kind: 'call.left', request })
+      if (delivered && !slot.finished) emit({ kind: 'call.left', request })
     })
   }
 
