--- a/src/fleet/directory.spec.ts
+++ b/src/fleet/directory.spec.ts
@@ -1,19 +1,22 @@
 import { loadHash, type Hash } from '../hash.js'
 import type { FleetMember } from '../ports/feedPort.js'
-import { chooseFronts } from './directory.js'
+import { chooseFronts, type ServingMember } from './directory.js'
 
 let hash: Hash
 
 beforeAll(async () => { hash = await loadHash() })
 
-const build = (count: number, capacity: (index: number) => number = () => 1): readonly FleetMember[] =>
-  Array.from({ length: count }, (_, index) => ({ id: `i${index}`, incarnation: 'x', dataCentre: 'a', front: `f${index}`, peer: { host: '10.0.0.1', port: 1 }, capacity: capacity(index) }))
+const buildMember = (index: number, capacity: number): FleetMember =>
+  ({ id: `i${index}`, incarnation: 'x', dataCentre: 'a', front: `f${index}`, peer: { host: '10.0.0.1', port: 1 }, capacity })
+
+const build = (count: number, capacity: (index: number) => number = () => 1, strained: (index: number) => boolean = () => false): readonly ServingMember[] =>
+  Array.from({ length: count }, (_, index) => ({ member: buildMember(index, capacity(index)), strained: strained(index) }))
 
 /** Share of the traffic that each instance gets when callers ask any instance and pick one address at random. */
-const sharesOf = (members: readonly FleetMember[]): ReadonlyMap<string, number> => {
+const sharesOf = (members: readonly ServingMember[]): ReadonlyMap<string, number> => {
   const shares = new Map<string, number>()
-  for (const { id } of members) {
-    const fronts = chooseFronts(id, members, hash)
+  for (const { member } of members) {
+    const fronts = chooseFronts(member.id, members, hash)
     for (const front of fronts) shares.set(front, (shares.get(front) ?? 0) + 1 / fronts.length / members.length)
   }
   return shares
@@ -33,15 +36,20 @@
     const shares = sharesOf(members)
     const large = shares.get('f0') ?? 0
     expect(shares.size).toBe(88)
-    for (const { front, capacity } of members) {
+    for (const { member: { front, capacity } } of members) {
       if (capacity < 1) expect(shares.get(front) ?? 0).toBeLessThan(large / 1.5)
     }
   })
 
+  it('leave out those that fall behind, unless most do', () => {
+    expect(chooseFronts('i0', build(8, () => 1, index => index < 3), hash)).toEqual(['f3', 'f4', 'f5', 'f6', 'f7'])
+    expect(chooseFronts('i0', build(8, () => 1, index => index < 5), hash)).toHaveLength(8)
+  })
+
   it('stay the same but for one when an instance is lost', () => {
     const members = build(88)
     const before = chooseFronts('i0', members, hash)
-    const after = chooseFronts('i0', members.filter(({ front }) => front !== before[3]), hash)
+    const after = chooseFronts('i0', members.filter(({ member }) => member.front !== before[3]), hash)
     expect(before.filter(front => !after.includes(front))).toEqual([before[3]])
   })
 })
--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -19,6 +19,7 @@
   incarnation: 'b-1',
   ready: true,
   leaving: false,
+  strained: false,
   sentAt: at(0),
   configuration: 4,
   holding: false,
@@ -33,7 +34,7 @@
   const fleet = createFleet({
     self: buildMember('a'),
     hash,
-    own: () => ({ ready: true, leaving: false, configuration, proofAge: 100, storeAge: 100, holding: false, readFor: undefined, weights: [] }),
+    own: () => ({ ready: true, leaving: false, strained: false, configuration, proofAge: 100, storeAge: 100, holding: false, readFor: undefined, weights: [] }),
     ownCatalog: () => buildCatalog({ version: configuration }),
     emit: effect => {
       if (effect.kind === 'peer.reset') resets.push(effect.to)
@@ -56,7 +57,7 @@
   return { fleet, sent, proofs, resets }
 }
 
-const frontsAt = (fleet: Fleet, now: number): readonly string[] => fleet.serving(at(now)).map(({ front }) => front)
+const frontsAt = (fleet: Fleet, now: number): readonly string[] => fleet.serving(at(now)).map(({ member }) => member.front)
 
 describe('the fleet', () => {
   it('gives callers only instances that beat, are ready and stay', () => {
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -11,12 +11,14 @@
 import type { FleetMember } from '../ports/feedPort.js'
 import type { PeerEffect, PeerReset } from '../ports/peerPort.js'
 import type { WorkerRecord } from '../workers/workersTypes.js'
+import type { ServingMember } from './directory.js'
 import type { Beat, FleetMessage, ReaderState } from './fleetMessages.js'
 
 /** What the own instance says in its beats. */
 export interface OwnState {
   readonly ready: boolean
   readonly leaving: boolean
+  readonly strained: boolean
   readonly configuration: number
   readonly proofAge: number
   /** Time since this instance heard from the store itself, in ms. */
@@ -63,7 +65,7 @@
   readonly announce: (now: Moment) => void
   readonly broadcast: (message: FleetMessage) => void
   /** The other instances that live and take requests. */
-  readonly serving: (now: Moment) => readonly FleetMember[]
+  readonly serving: (now: Moment) => readonly ServingMember[]
   /** Instances that live, this one included. */
   readonly size: (now: Moment) => number
   readonly isAble: (id: string, incarnation: string, now: Moment) => boolean
@@ -159,6 +161,7 @@
     incarnation: self.incarnation,
     ready: own.ready,
     leaving: own.leaving,
+    strained: own.strained,
     sentAt: now,
     ...(peer.beat === undefined ? {} : { echo: peer.beat.sentAt }),
     configuration: own.configuration,
@@ -284,7 +287,7 @@
     tick,
     announce,
     broadcast: message => { for (const to of peers.keys()) emit({ kind: 'peer.send', to, message }) },
-    serving: now => alive(now).flatMap(({ member, beat }) => beat?.ready === true && !beat.leaving ? [member] : []),
+    serving: now => alive(now).flatMap(({ member, beat }) => beat?.ready === true && !beat.leaving ? [{ member, strained: beat.strained }] : []),
     size: now => alive(now).length + 1,
     isAble,
     readersBefore,
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -10,6 +10,8 @@
   incarnation: z.string(),
   ready: z.boolean(),
   leaving: z.boolean(),
+  /** Whether the sender falls behind its work. */
+  strained: z.boolean().default(false),
   /** The sender's clocks at the time of sending. */
   sentAt: moment,
   /** `sentAt` of the last beat that the sender had from the receiver. */
--- a/src/fleet/reading.spec.ts
+++ b/src/fleet/reading.spec.ts
@@ -54,6 +54,7 @@
       own: () => ({
         ready: true,
         leaving: false,
+        strained: false,
         configuration: 1,
         proofAge: now - (proofs.get(id) ?? 0),
         storeAge: now - (storeProofs.get(id) ?? 0),
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -5,17 +5,19 @@
  * given up is answered at once.
  */
 import { createWaitingLine } from '../admission/waitingLine.js'
-import type { Route, Workspace } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
 import type { Moment } from '../lease/readLease.js'
 import type { AnswerHead, Call, ForwardInput } from '../ports/forwardPort.js'
 import { noteCounts, noteEnded, noteFailure, noteFirstEvent, noteSuccess } from '../placement/workerLoad.js'
 import { firstEventOverhead } from '../placement/modelPlacement.js'
+import { admit } from './admittance.js'
 import { createDoubts } from './doubts.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
-import { chooseService, place } from './placing.js'
+import { place } from './placing.js'
 import { answerOf, outcomeOf, type Refusal } from './refusal.js'
+import { rejectionOf, type Rejection } from './rejection.js'
+import { isHeard, isLate, isSilent, isStalled } from './silence.js'
 
 /** The forwarding of one instance. */
 export interface Forwarding {
@@ -33,18 +35,8 @@
 
 /** Part of its objective for which a request may wait here while no worker can take it. */
 const waitShare = 0.5
-/** A silent worker is doubted after this time, in ms, or a multiple of what was expected. */
-const silenceFloor = 450
-const silenceFactor = 3
-/** A worker is probed when an answer is late by this time, in ms, or a multiple of what was expected. */
-const lateFloor = 180
-const lateFactor = 2
-/** Time without bytes, in ms, after which a request at a worker out of reach is taken for lost. */
-const quietTime = 150
 /** Time out of reach, in ms, after which requests that may not run elsewhere are given up. */
 const giveUpAfter = 1_500
-/** A stream without events for this time, in ms, is taken up elsewhere. */
-const stallLimit = 900
 /** Repeats of one request beyond which its caller is told. */
 const repeatLimit = 4
 /** A worker that is full or away is likely to take work again after this time, in ms. */
@@ -53,7 +45,6 @@
 const presumedLoad = 250
 /** Worker errors from here on may pass elsewhere. */
 const firstServerError = 500
-const misdirected = 421
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300
 
@@ -140,33 +131,16 @@
     line.add({ request: exchange.request, priority: workspace?.priority ?? route.priority, since: arrivedAt, until })
   }
 
-  const authorise = (call: Call, route: Route, age: number): Workspace | Refusal | undefined => {
-    const index = context.catalog()
-    if (route.open || index?.catalog.workspaces === undefined) return undefined
-    const workspace = call.key === undefined ? undefined : index.workspaceOf(call.key)
-    if (workspace === undefined) return age < context.bounds().absence ? { kind: 'unknownKey' } : { kind: 'unprovenConfiguration' }
-    return age < context.bounds().keys ? workspace : { kind: 'unprovenConfiguration' }
-  }
-
   const arrive = (request: number, call: Call, time: DecisionTime): void => {
     const { now, moment } = time
-    const index = context.catalog()
-    if (index === undefined) return answerRefusal(request, call.id, { kind: 'noConfiguration' }, 0, moment)
-    const age = context.lease.age(moment)
-    const route = index.routeOf(call.host, call.path)
-    if (route === undefined) {
-      const refusal: Refusal = age < context.bounds().absence ? { kind: 'noRoute' } : { kind: 'unprovenConfiguration' }
-      return answerRefusal(request, call.id, refusal, 0, moment)
-    }
-    const authorised = authorise(call, route, age)
-    if (authorised !== undefined && 'kind' in authorised) return answerRefusal(request, call.id, authorised, 0, moment)
-    const service = chooseService(context, route, call)
-    if (service === undefined) return answerRefusal(request, call.id, { kind: 'noWorker' }, 0, moment)
+    const admittance = admit(context, call, time)
+    if (admittance.kind === 'refused') return answerRefusal(request, call.id, admittance.refusal, 0, moment)
+    const { route, workspace, service } = admittance
     const exchange: Exchange = {
       request,
       call,
       route,
-      workspace: authorised,
+      workspace,
       service,
       arrivedAt: now,
       deadline: now + Math.min(call.patience ?? Infinity, route.timeout),
@@ -200,32 +174,36 @@
     forgetAttempt(exchange, cancel)
   }
 
-  /** The worker says that the request has not run. */
-  const turnedAway = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
-    const { now } = time
+  const noteRejection = (exchange: Exchange, attempt: Attempt, rejection: Rejection, now: number): void => {
     const { prompt } = exchange.call
     const worker = context.workers.get(attempt.worker)
-    if (head.status === misdirected && head.worker !== undefined && head.worker !== attempt.worker) {
-      failAttempt(exchange, attempt, 'otherWorker', false, now)
-      doubts.raise(attempt.worker, 'otherWorker', now)
-      exchange.avoided.add(attempt.worker)
-      exchange.sentTo.delete(attempt.worker)
-      return again(exchange, 'turnedAway', { kind: 'turnedAway', wait: turnedAwayPause }, time)
-    }
-    const newest = prompt === undefined ? undefined : context.weights.newest(prompt.model)
-    if (head.status === misdirected && prompt !== undefined && worker !== undefined && newest !== undefined && attempt.version !== newest.version) {
-      context.weights.noteHeld(worker, prompt.model, head.weightVersion ?? newest.version)
-      context.weights.noteLoaded(attempt.worker)
-      context.keptBy(attempt.worker).clear()
-      failAttempt(exchange, attempt, 'otherVersion', false, now)
-      return again(exchange, 'otherVersion', { kind: 'turnedAway', wait: turnedAwayPause }, time)
-    }
-    if (prompt !== undefined && worker !== undefined && newest !== undefined && !context.weights.isNewest(worker, prompt.model)) {
-      context.weights.noteLoading(attempt.worker, now + presumedLoad)
+    switch (rejection.kind) {
+      case 'otherWorker':
+        doubts.raise(attempt.worker, 'otherWorker', now)
+        exchange.avoided.add(attempt.worker)
+        exchange.sentTo.delete(attempt.worker)
+        return
+      case 'otherVersion':
+        if (worker !== undefined && prompt !== undefined) context.weights.noteHeld(worker, prompt.model, rejection.held)
+        context.weights.noteLoaded(attempt.worker)
+        context.keptBy(attempt.worker).clear()
+        return
+      case 'unwilling':
+        if (worker !== undefined && prompt !== undefined && !context.weights.isNewest(worker, prompt.model)) {
+          context.weights.noteLoading(attempt.worker, now + presumedLoad)
+        }
+        exchange.avoided.add(attempt.worker)
+        return
+      default: assertNever(rejection)
     }
-    failAttempt(exchange, attempt, 'turnedAway', false, now)
-    exchange.avoided.add(attempt.worker)
-    again(exchange, 'turnedAway', { kind: 'turnedAway', wait: turnedAwayPause }, time)
+  }
+
+  /** The worker says that the request has not run. */
+  const turnedAway = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
+    const rejection = rejectionOf(context, exchange, attempt, head)
+    noteRejection(exchange, attempt, rejection, time.now)
+    failAttempt(exchange, attempt, rejection.kind === 'unwilling' ? 'turnedAway' : rejection.kind, false, time.now)
+    again(exchange, rejection.kind === 'otherVersion' ? 'otherVersion' : 'turnedAway', { kind: 'turnedAway', wait: turnedAwayPause }, time)
   }
 
   /** The attempt is over and may have run. */
@@ -347,7 +325,7 @@
 
   /** Requests at a worker that is out of reach go elsewhere, or are given up if they may not. */
   const leaveWorker = (exchange: Exchange, attempt: Attempt, doubted: number, time: DecisionTime): void => {
-    if (time.now - attempt.lastDataAt < quietTime) return
+    if (isHeard(attempt, time.now)) return
     if (isRepeatable(exchange) && canRepeat(exchange, time.now)) return lost(exchange, attempt, 'silent', true, time)
     if (doubted < giveUpAfter) return
     exchange.mayHaveRun = true
@@ -387,16 +365,6 @@
     refuse(exchange, sent || exchange.mayHaveRun ? { kind: 'late' } : { kind: 'lateUnsent' }, time)
   }
 
-  const isStalled = ({ opened }: Exchange, attempt: Attempt, now: number): boolean =>
-    opened && now - attempt.lastDataAt > stallLimit
-
-  const isSilent = (attempt: Attempt, now: number): boolean =>
-    attempt.head === undefined && now - attempt.sentAt > Math.max(silenceFloor, silenceFactor * attempt.flight.expected)
-
-  /** A worker that is later than expected is probed long before its request is given up. */
-  const isLate = (attempt: Attempt, now: number): boolean =>
-    now - attempt.lastDataAt > Math.max(lateFloor, lateFactor * attempt.flight.expected)
-
   /** Doubts silent workers; what may run elsewhere goes there. */
   const watch = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
     const { now } = time
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -8,6 +8,7 @@
 import type { Address, Catalog } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
 import { chooseFronts } from '../fleet/directory.js'
+import { createStrain } from '../fleet/strain.js'
 import { createFleet } from '../fleet/fleetMachine.js'
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
 import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
@@ -22,20 +23,15 @@
 import { createRolloutLease } from '../rollout/rolloutLease.js'
 import { createRollout, type RolloutNotice } from '../rollout/rolloutMachine.js'
 import type { GatewayEffect, GatewayInput, GatewayNote } from './gatewayTypes.js'
+import { createLeaving, type LeavingBounds } from './leaving.js'
 import { createStoreReading } from './storeReading.js'
 import { createStoredParts } from './storedParts.js'
 import { createWorkerRegistry, usualMemory } from './workerRegistry.js'
 
 /** Bounds that a gateway keeps; times in ms. */
-export interface GatewayBounds {
+export interface GatewayBounds extends LeavingBounds {
   readonly forwarding: ForwardingBounds
   readonly retries: RetryBounds
-  /** Time for which callers may keep the answer of the directory. */
-  readonly addressLife: number
-  /** Callers keep it up to this many times as long. */
-  readonly addressLifeFactor: number
-  /** Time from being told to leave until the process is ended from outside. */
-  readonly grace: number
   /** Part of a service's workers that may load weights at once. */
   readonly loadShare: number
 }
@@ -64,12 +60,10 @@
   readonly dump: (now: Moment) => unknown
 }
 
+/** Time between ticks, in ms. */
+export const tickInterval = 20
 /** Size of a fleet up to which instances tell each other of every long prompt; in a larger one, where messages would grow with its square, only of shared parts that a worker reads for the first time. */
 const tellingFleet = 12
-/** Time for the fleet to hear that an instance leaves, in ms. */
-const announceLag = 400
-/** Time before the end of the grace at which the last requests are given up, in ms. */
-const graceReserve = 500
 
 const sameAddress = (left: Address | undefined, right: Address | undefined): boolean =>
   left?.host === right?.host && left?.port === right?.port
@@ -95,14 +89,12 @@
   })
   const { workers, weights, loadOf, keptBy } = registry
   const stored = createStoredParts()
+  const strain = createStrain(tickInterval)
   const windows = new Map<string, RetryWindow>()
   let index: CatalogIndex | undefined
   let followed: Address | undefined
   let present: Moment = { steady: 0, wall: 0 }
   let announced = false
-  let leftAt: number | undefined
-  let frontClosed = false
-  let exiting = false
 
   const retries = (service: string): RetryWindow => {
     const known = windows.get(service) ?? createRetryWindow(bounds().retries)
@@ -111,7 +103,7 @@
   }
 
   const isReady = (now: Moment): boolean =>
-    leftAt === undefined && index !== undefined && lease.age(now) < bounds().forwarding.keys
+    !leaving.isLeaving() && index !== undefined && lease.age(now) < bounds().forwarding.keys
 
   const takeCatalog = (catalog: Catalog, source: 'store' | 'peer'): void => {
     if (index !== undefined && catalog.version <= index.catalog.version) return
@@ -135,7 +127,8 @@
     hash,
     own: now => ({
       ready: isReady(now),
-      leaving: leftAt !== undefined,
+      leaving: leaving.isLeaving(),
+      strained: strain.isStrained(),
       configuration: index?.catalog.version ?? 0,
       proofAge: lease.age(now),
       storeAge: storeLease.age(now),
@@ -250,33 +243,26 @@
     else note({ kind: 'garbledPeerMessage', from })
   }
 
-  const leave = (): void => {
-    if (leftAt !== undefined) return
-    leftAt = present.steady
-    note({ kind: 'leaving', requests: forwarding.size() })
-    fleet.announce(present)
-    rolloutLease.release(present)
-    emit({ kind: 'gateway.closing' })
-  }
+  const leaving = createLeaving({
+    id: self.id,
+    bounds,
+    requests: () => forwarding.size(),
+    announce: () => {
+      fleet.announce(present)
+      rolloutLease.release(present)
+    },
+    emit,
+    note
+  })
 
-  /** Callers may come for as long as they keep an answer of the directory that names this instance. */
-  const drain = (since: number): void => {
-    const { addressLife, addressLifeFactor, grace } = bounds()
-    const passed = present.steady - since
-    const lingered = passed >= Math.min(addressLife * addressLifeFactor + announceLag, grace / 2)
-    if (lingered && !frontClosed) {
-      frontClosed = true
-      note({ kind: 'frontClosed', requests: forwarding.size() })
-      emit({ kind: 'member.withdraw', id: self.id })
-      emit({ kind: 'gateway.closeFront' })
-    }
-    if (exiting || !frontClosed) return
-    if (forwarding.size() > 0 && passed < grace - graceReserve) return
-    exiting = true
-    emit({ kind: 'gateway.exit' })
+  const noteStrain = (): void => {
+    const before = strain.isStrained()
+    strain.noteTick(present.steady)
+    if (strain.isStrained() !== before) note({ kind: 'strainChanged', strained: !before })
   }
 
   const tick = (): void => {
+    noteStrain()
     if (!announced) {
       announced = true
       emit({ kind: 'member.announce', member: self })
@@ -284,9 +270,9 @@
     registry.expire(present.steady)
     fleet.tick(present)
     reading.tick(present)
-    if (leftAt === undefined) rollout.tick(present)
+    if (!leaving.isLeaving()) rollout.tick(present)
     forwarding.tick(present)
-    if (leftAt !== undefined) drain(leftAt)
+    leaving.tick(present.steady)
   }
 
   const dispatch = (input: GatewayInput): void => {
@@ -316,7 +302,7 @@
       case 'peer.message': return takePeerMessage(input.from, input.message)
       case 'peer.lost': return
       case 'tick': return tick()
-      case 'gateway.leave': return leave()
+      case 'gateway.leave': return leaving.begin(present.steady)
       default: assertNever(input)
     }
   }
@@ -329,8 +315,9 @@
 
   const directory = (now: Moment): DirectoryAnswer => {
     const others = fleet.serving(now)
-    const members = isReady(now) || others.length === 0 ? [self, ...others] : others
-    return { addresses: chooseFronts(self.id, members, hash), life: bounds().addressLife }
+    const own = { member: self, strained: strain.isStrained() }
+    const serving = isReady(now) || others.length === 0 ? [own, ...others] : others
+    return { addresses: chooseFronts(self.id, serving, hash), life: bounds().addressLife }
   }
 
   return {
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -50,6 +50,7 @@
   | { readonly kind: 'dependencyLost', readonly dependency: Dependency, readonly reason: string }
   | { readonly kind: 'dependencyRegained', readonly dependency: Dependency }
   | { readonly kind: 'partStoreRestarted' }
+  | { readonly kind: 'strainChanged', readonly strained: boolean }
   | { readonly kind: 'readingChanged', readonly reading: Reading }
   | { readonly kind: 'leaving', readonly requests: number }
   | { readonly kind: 'frontClosed', readonly requests: number }
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -6,7 +6,7 @@
 import { startStatusServer } from '../adapters/statusServer.js'
 import { createWorkerChannels } from '../adapters/workerChannels.js'
 import { assertNever } from '../errors.js'
-import { createGateway, type GatewayBounds } from '../gateway/gatewayMachine.js'
+import { createGateway, tickInterval, type GatewayBounds } from '../gateway/gatewayMachine.js'
 import type { GatewayEffect, GatewayInput, GatewayNote } from '../gateway/gatewayTypes.js'
 import { loadHash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
@@ -26,13 +26,11 @@
   readonly reload: (settings: GatewaySettings) => void
 }
 
-/** Time between ticks, in ms. */
-const tickInterval = 20
 const headerBytes = 16_384
 const frameLimit = 4_194_304
 /** Instances of one fleet are near; one that has no power does not answer, and is asked again soon since all may come back together. */
-const peerConnectTimeout = 400
-const peerReconnectPause = 150
+const peerConnectTimeout = 500
+const peerReconnectPause = 400
 /** Time for last bytes to leave before the process ends, in ms. */
 const flushTime = 150
 const msPerSecond = 1_000
