--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -91,8 +91,6 @@
   readonly weightVersion?: number
   /** Whether the worker vouches for the answer. */
   readonly signed: boolean
-  /** Whether the worker is leaving or closes the connection. */
-  readonly closing: boolean
 }
 
 /** Why an attempt ended without a whole answer. */
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -6,7 +6,8 @@
 import { startStatusServer } from '../adapters/statusServer.js'
 import { createWorkerChannels } from '../adapters/workerChannels.js'
 import { assertNever } from '../errors.js'
-import { createGateway, tickInterval, type GatewayBounds } from '../gateway/gatewayMachine.js'
+import { boundsOf } from '../gateway/gatewayBounds.js'
+import { createGateway, tickInterval } from '../gateway/gatewayMachine.js'
 import type { GatewayEffect, GatewayInput, GatewayNote } from '../gateway/gatewayTypes.js'
 import { loadHash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
@@ -33,12 +34,6 @@
 const peerReconnectPause = 400
 /** Time for last bytes to leave before the process ends, in ms. */
 const flushTime = 150
-const msPerSecond = 1_000
-/** Part of the time to revoke keys within which an instance without a proof still serves them. */
-const keyShare = 0.9
-/** Part of the time to apply a configuration after which an absent key or path may be a new one. */
-const absenceShare = 0.75
-
 /** The clocks of this process. */
 export const readClocks = (): Moment => ({ steady: performance.now(), wall: Date.now() })
 
@@ -47,19 +42,6 @@
   return { host: endpoint.slice(0, colon), port: Number(endpoint.slice(colon + 1)) }
 }
 
-const boundsOf = ({ configuration, retries, shutdown, addresses, weights }: GatewaySettings): GatewayBounds => ({
-  forwarding: {
-    weights: weights.apply_within,
-    keys: configuration.revoke_within * keyShare,
-    absence: configuration.apply_within * absenceShare
-  },
-  retries: { fraction: retries.fraction, slack: retries.slack, window: retries.window * msPerSecond },
-  addressLife: addresses.time_to_live,
-  addressLifeFactor: addresses.kept_times,
-  grace: shutdown.grace * msPerSecond,
-  loadShare: weights.load_share
-})
-
 const warnings: ReadonlySet<GatewayNote['kind']> = new Set(['attemptFailed', 'refused', 'brokenOff', 'workerDoubted', 'dependencyLost', 'garbledPeerMessage'])
 
 const writeNote = (logger: Logger, note: GatewayNote): void => {
