--- /dev/null
+++ b/src/admission/waitingLine.spec.ts
@@ -0,0 +1,51 @@
+import { createRandom } from '../random.js'
+import { createWaitingLine, type Waiting } from './waitingLine.js'
+
+const build = (request: number, over: Partial<Waiting> = {}): Waiting => ({ request, priority: 1, since: request, until: 1_000, ...over })
+
+describe('the waiting line', () => {
+  it('serves the most urgent first, then the oldest', () => {
+    const line = createWaitingLine()
+    for (const waiting of [build(3), build(1), build(2, { priority: 0 })]) line.add(waiting)
+    expect(line.inOrder().map(({ request }) => request)).toEqual([2, 1, 3])
+  })
+
+  it('gives back each overdue request once, and forgets the removed', () => {
+    const line = createWaitingLine()
+    line.add(build(1, { until: 100 }))
+    line.add(build(2, { until: 100 }))
+    line.add(build(3, { until: 200 }))
+    line.remove(2)
+    expect(line.nextDue()).toBe(100)
+    expect(line.overdue(100).map(({ request }) => request)).toEqual([1])
+    expect(line.overdue(150)).toEqual([])
+    expect(line.size()).toBe(1)
+  })
+
+  /** All workers are away for 150 ms while two workspaces ask, one of them ten times as often; then one place comes free each 10 ms. */
+  it.each([1, 2, 3])('keeps no request beyond its time, and starves no small workspace, in a spell without workers (seed %i)', seed => {
+    const random = createRandom(seed)
+    const line = createWaitingLine()
+    const small = new Set<number>()
+    const served: number[] = []
+    const turnedAway: number[] = []
+    let last = 0
+    for (let now = 0; now < 600; now += 10) {
+      for (let count = 0; now < 150 && count < 11; count++) {
+        last++
+        if (random.below(11) === 0) small.add(last)
+        line.add(build(last, { since: now, until: now + 150 }))
+      }
+      turnedAway.push(...line.overdue(now).map(({ request }) => request))
+      const [next] = now < 150 ? [] : line.inOrder()
+      if (next === undefined) continue
+      expect(now).toBeLessThan(next.until)
+      line.remove(next.request)
+      served.push(next.request)
+    }
+    expect(line.size()).toBe(0)
+    expect(served.length + turnedAway.length).toBe(last)
+    const shareOf = (requests: readonly number[]): number => requests.filter(request => small.has(request)).length / requests.length
+    expect(shareOf(served)).toBeGreaterThan(shareOf([...served, ...turnedAway]) / 4)
+  })
+})
