--- a/src/forwarding/placing.ts
+++ b/src/forwarding/placing.ts
@@ -4,6 +4,7 @@
 import { homePart, placeModelRequest, sharedParts, type ModelCandidate, type ModelChoice } from '../placement/modelPlacement.js'
 import { placePlainRequest } from '../placement/plainPlacement.js'
 import { noteSent, type Flight } from '../placement/workerLoad.js'
+import { isWorthStoring } from '../placement/storing.js'
 import type { Call, Dispatch, ModelDispatch, Prompt } from '../ports/forwardPort.js'
 import type { Worker } from '../workers/workersTypes.js'
 import { createEventSplitter } from './eventSplitter.js'
@@ -65,15 +66,14 @@
   const store = context.catalog()?.partStore
   const stored = context.stored()
   if (store === undefined || stored === undefined) return { version, scope: candidate.scope }
-  const all = prompt.parts.reduce((sum, { tokens }) => sum + tokens, 0)
-  if (all === 0) return { version, scope: candidate.scope }
-  const missing = stored.leadingTokens(candidate.scope, prompt.parts) < all
+  if (prompt.parts.length === 0) return { version, scope: candidate.scope }
+  const stores = candidate.outdated === 0 && isWorthStoring(stored, candidate.scope, prompt)
   // The store is always asked: a miss costs a ms, while the beliefs about what a worker keeps and what others stored are often wrong.
   return {
     version,
     scope: candidate.scope,
     ...(candidate.outdated === 0 || stored.leadingTokens(candidate.scope, prompt.parts) > 0 ? { source: store.address } : {}),
-    ...(missing && candidate.outdated === 0 ? { target: store.address } : {})
+    ...(stores ? { target: store.address } : {})
   }
 }
 
--- /dev/null
+++ b/src/placement/storing.spec.ts
@@ -0,0 +1,56 @@
+import type { Prompt } from '../ports/forwardPort.js'
+import { createRandom } from '../random.js'
+import { createKeptParts } from './keptParts.js'
+import { sharedParts } from './modelPlacement.js'
+import { isWorthStoring } from './storing.js'
+
+const scope = 's'
+const storeTokens = 800_000
+const ownTokens = 2_900
+
+/** A prompt of a general part, one of 130 particular ones, and a part of its own. */
+const buildPrompt = (number: number, particular: number): Prompt => ({
+  model: 'llm',
+  inputTokens: 9_200,
+  maxOutputTokens: 13,
+  parts: [{ id: `g${particular % 4}`, tokens: 2_500 }, { id: `p${particular}`, tokens: 3_800 }, { id: `o${number}`, tokens: ownTokens }]
+})
+
+/** Share of the shared tokens that the store has when a prompt comes, after a first minute in which it fills. */
+const play = (decide: typeof isWorthStoring, seed: number): number => {
+  const random = createRandom(seed)
+  const store = createKeptParts(storeTokens)
+  let wanted = 0
+  let found = 0
+  for (let number = 0; number < 3_000; number++) {
+    const prompt = buildPrompt(number, random.below(130))
+    const shared = sharedParts(prompt)
+    if (number > 1_000) {
+      wanted += 6_300
+      found += store.leadingTokens(scope, shared)
+    }
+    if (decide(store, scope, prompt)) store.add(scope, prompt.parts)
+  }
+  return found / wanted
+}
+
+describe('what is sent to the part store', () => {
+  it.each([1, 2, 3])('leaves the store to parts that are shared (seed %i)', seed => {
+    const found = play(isWorthStoring, seed)
+    expect(found).toBeGreaterThan(0.95)
+    expect(found).toBeGreaterThan(play(() => true, seed) + 0.1)
+  })
+
+  it('is a prompt of which a shared part is missing there', () => {
+    const store = createKeptParts(storeTokens)
+    const prompt = buildPrompt(1, 1)
+    expect(isWorthStoring(store, scope, prompt)).toBe(true)
+    store.add(scope, sharedParts(prompt))
+    expect(isWorthStoring(store, scope, prompt)).toBe(false)
+    expect(isWorthStoring(store, 'other', prompt)).toBe(true)
+  })
+
+  it('is no prompt without parts', () => {
+    expect(isWorthStoring(createKeptParts(1), scope, { model: 'llm', inputTokens: 5, maxOutputTokens: 1, parts: [] })).toBe(false)
+  })
+})
