Instances of a larger fleet tell each other what was sent to the part store

Change: the message that shared parts are read for the first time says whether they go to the store; instances for which others read believe it. A belief that is wrong ends with those that follow the store, which let it be stored again. Small fleets are as before.

--- a/src/forwarding/placing.ts
+++ b/src/forwarding/placing.ts
@@ -151,7 +151,14 @@
   const shared = sharedParts(prompt)
   const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0)
   const unreadShared = unreadTokens - (prompt.inputTokens - sharedTokens)
-  context.tellSent(worker.id, unreadTokens, model.scope, shared, unreadShared >= tellingTokens)
+  context.tellSent({
+    worker: worker.id,
+    unreadTokens,
+    scope: model.scope,
+    parts: shared,
+    stores: model.target !== undefined,
+    first: unreadShared >= tellingTokens
+  })
 }
 
 const send = (context: ForwardingContext, exchange: Exchange, target: Target, cause: SendCause, attempt: number, time: DecisionTime): void => {
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -147,7 +147,11 @@
       weightsNamed: nameWeights,
       workerLoading: (worker, time) => weights.noteLoading(worker, present.steady + time),
       workerLoaded: registry.noteLoaded,
-      workerSent: sent => registry.noteSentByPeer(sent, present.steady),
+      workerSent: sent => {
+        registry.noteSentByPeer(sent, present.steady)
+        // One that follows the store knows better.
+        if (sent.stores && reading.mode() === 'throughPeers') stored.belief()?.add(sent.scope, sent.parts)
+      },
       workerDoubted: worker => forwarding.doubt(worker, present.steady),
       workersConcluded: records => { if (reading.mode() === 'throughPeers') registry.adopt(records) },
       readerBelieves: state => reading.hear(state, present.steady),
@@ -206,8 +210,8 @@
     random,
     emit,
     note,
-    tellSent: (worker, unreadTokens, scope, parts, first) => {
-      if (first || fleet.size(present) <= tellingFleet) fleet.broadcast({ kind: 'fleet.sent', worker, unreadTokens, scope, parts: [...parts] })
+    tellSent: ({ first, parts, ...sent }) => {
+      if (first || fleet.size(present) <= tellingFleet) fleet.broadcast({ kind: 'fleet.sent', ...sent, parts: [...parts] })
     },
     tellDoubt: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
   })
