--- a/test/matrix/ordersScenario.ts
+++ b/test/matrix/ordersScenario.ts
@@ -7,8 +7,7 @@
 import type { Hash } from '../../src/hash.js'
 import { createOrders } from '../../src/orders/ordersMachine.js'
 import type { Orders } from '../../src/orders/ordersMachine.js'
-import type { DesiredModel, OrdersEffect, OrdersInput } from '../../src/orders/ordersTypes.js'
-import { modelKey } from '../../src/orders/plan.js'
+import type { OrdersEffect, OrdersInput } from '../../src/orders/ordersTypes.js'
 import type { LogEffect } from '../../src/ports/logPort.js'
 import type { Member } from '../../src/ports/membershipPort.js'
 import { createRandom } from '../../src/random.js'
@@ -17,20 +16,9 @@
 import { createFakeLog } from '../fakes/fakeLog.js'
 import { entryMember } from '../fakes/fakeEndpoints.js'
 import { createVirtualTime } from '../fakes/virtualTime.js'
-import type { Applicability, Fault, Injection, Plan, Scenario, Violation } from './matrixTypes.js'
-
-const steps = ['claimRead', 'claimAppend', 'readBack', 'verifyRead', 'loadOrder', 'unloadOrder', 'orderAnswer', 'report'] as const
-
-/** A step of the orders protocol. */
-export type OrdersStep = typeof steps[number]
-
-type OrderEffect = Extract<OrdersEffect, { kind: 'endpoint.order' }>
-
-interface Emission {
-  readonly at: number
-  readonly from: string
-  readonly effect: OrderEffect
-}
+import type { Fault, Injection, Plan, Scenario, Violation } from './matrixTypes.js'
+import { checkOrders, type Emission, type OrderEffect } from './ordersChecks.js'
+import { applicability, desiredAt, endAt, heldAtFirst, logSteps, rolloutAt, secondRolloutAt, steps, storeBound, type OrdersStep } from './ordersSetting.js'
 
 interface Node {
   readonly member: Member
@@ -41,12 +29,8 @@
 }
 
 const instanceCount = 3
-const storeBound = 2
 const tickStep = 500
-const rolloutAt = 5_000
-const secondRolloutAt = 50_500
 const reportInterval = 500
-const endAt = 240_000
 const freezeTime = 4_000
 const lapseTime = 45_000
 const lateTime = 12_000
@@ -54,36 +38,6 @@
 const outageTime = 20_000
 const restartTime = 5_000
 
-const versionAt = (now: number): string => {
-  if (now < rolloutAt) return 'v1'
-  return now < secondRolloutAt ? 'v2' : 'v3'
-}
-
-const desiredAt = (now: number): readonly DesiredModel[] => [
-  { model: 'm1', weightVersion: versionAt(now), workers: 'all' },
-  { model: 'm2', weightVersion: versionAt(now), workers: ['w0', 'w1'] }
-]
-
-const heldAtFirst = (worker: string): Array<{ model: string, weightVersion: string }> => {
-  const models = [{ model: 'm1', weightVersion: 'v1' }]
-  return worker === 'w0' || worker === 'w1' ? [...models, { model: 'm2', weightVersion: 'v1' }] : models
-}
-
-const notApplicable = (reason: string): Applicability => ({ applies: false, reason })
-
-const logSteps: readonly string[] = ['claimRead', 'claimAppend', 'readBack', 'verifyRead']
-
-const applicability = (step: string, fault: Fault): Applicability => {
-  if (fault === 'crossed') return notApplicable('answers are matched to orders by token in the adapter')
-  if (fault === 'gap' && step !== 'report') return notApplicable('only reports come as a stream that can have gaps')
-  if (fault === 'racingPublishers' && !logSteps.includes(step)) return notApplicable('only claims can race')
-  if (fault === 'restartEmpty' && logSteps.includes(step)) return notApplicable('no engine takes part in this step')
-  const reportFaults: readonly Fault[] = ['gap', 'late', 'restartEmpty', 'crash', 'freeze', 'lapsedLease', 'outage', 'herdRestart']
-  if (step === 'report' && !reportFaults.includes(fault)) return notApplicable('a report is only read')
-  if (step === 'orderAnswer' && (fault === 'cutBefore' || fault === 'lostAck')) return notApplicable('the same as cutAfter of the order')
-  return { applies: true }
-}
-
 /** Runs one case. */
 class OrdersRun {
   private readonly time = createVirtualTime(0)
@@ -131,11 +85,10 @@
       this.time.at(at, () => this.broadcast({ kind: 'orders.desired', models: desiredAt(at) }))
     }
     this.time.runUntil(endAt)
-    this.checkConvergence()
-    this.checkFences()
-    this.checkLapsed()
-    this.checkStore()
-    return this.violations
+    return [
+      ...this.violations,
+      ...checkOrders({ engines: this.engines, claims: this.log.records('orders'), emissions: this.emissions, engineRestarted: this.engineRestarted, loadsAtOnce: this.store.peak, held: this.lateOrders.size })
+    ]
   }
 
   private start (index: number): void {
@@ -363,46 +316,6 @@
       if (!held) this.violations.push({ promise: 'noColdStart', detail: `no worker holds ${model} at ${this.time.now()}` })
     }
   }
-
-  private checkConvergence (): void {
-    for (const engine of this.engines) {
-      const held = engine.models().map(modelKey).sort()
-      const wanted = desiredAt(endAt).filter(({ workers }) => workers === 'all' || workers.includes(engine.id)).map(modelKey).sort()
-      if (held.join() !== wanted.join()) {
-        this.violations.push({ promise: 'configForward', detail: `${engine.id} holds ${held.join(' ').replaceAll('\u0000', '/')} at the end` })
-      }
-    }
-  }
-
-  /** Every order that was acted on carries a number that the log gave to its sender, never an older one than before. */
-  private checkFences (): void {
-    const claims = new Map(this.log.records('orders').map(({ offset, payload }) => [offset, payload as { holder: string }]))
-    for (const { id, fenced, arrivals } of this.engines) {
-      let highest = -1
-      for (const { at, from, fence, acted } of arrivals) {
-        if (claims.get(fence)?.holder !== from) this.violations.push({ promise: 'configForward', detail: `${id} got the number ${fence} from ${from}, which did not claim it` })
-        if (!acted || !fenced) continue
-        if (fence < highest && !this.engineRestarted) this.violations.push({ promise: 'configForward', detail: `${id} acted on ${fence} after ${highest} at ${at}` })
-        highest = Math.max(highest, fence)
-      }
-    }
-  }
-
-  /** No order leaves an instance once another's claim is older than the time for which a read lets the holder act. */
-  private checkLapsed (): void {
-    for (const { at, from, effect } of this.emissions) {
-      const newer = this.log.records('orders').find(({ offset, at: claimedAt, payload }) =>
-        offset > effect.fence && (payload as { holder: string }).holder !== from && claimedAt < at - 10_000)
-      if (newer !== undefined) this.violations.push({ promise: 'configForward', detail: `${from} gave an order at ${at} with ${effect.fence}, lapsed by ${newer.offset}` })
-    }
-  }
-
-  /** Orders that the network held back are not the holder's doing. */
-  private checkStore (): void {
-    if (this.store.peak > storeBound + this.lateOrders.size) {
-      this.violations.push({ promise: 'noColdStart', detail: `${this.store.peak} loads at once` })
-    }
-  }
 }
 
 /**
