Instances that do not follow the part store send it what they have not sent themselves, as before

An instance for which others read does not hear what the store drops; with the store left to shared parts, and told by others that something is there, it never had it stored again. Change: the message of what is stored is reverted, and only instances that follow the store's events leave prompts out. Spec: a prompt whose end is new is sent where drops are not heard (failed first, the parameter did not exist). Next: a reader passes the store's changes on; with shared parts alone these are few.

--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -47,8 +47,6 @@
     worker: z.string(),
     unreadTokens: z.number(),
     scope: z.string(),
-    /** Whether the worker sends what it reads to the part store. */
-    stores: z.boolean().default(false),
     parts: z.array(z.object({ id: z.string(), tokens: z.number() }))
   }),
   /** The sender could not reach a worker. */
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -23,6 +23,8 @@
   readonly keptBy: (worker: string) => KeptParts
   /** What the part store is believed to keep; undefined while it is out of reach. */
   readonly stored: () => KeptParts | undefined
+  /** Whether that belief follows the part store's events, so that it hears of what is dropped. */
+  readonly followsStore: () => boolean
   readonly retries: (service: string) => RetryWindow
   /** Instances that share the retry budget. */
   readonly instances: () => number
@@ -30,25 +32,12 @@
   readonly random: Random
   readonly emit: (effect: ForwardEffect) => void
   readonly note: (note: ForwardNote) => void
-  /** Tells the other instances what a worker was given to read. */
-  readonly tellSent: (sent: SentPrompt) => void
+  /** Tells the other instances what a worker was given to read; `first` says that no keeper of these parts was known. */
+  readonly tellSent: (worker: string, unreadTokens: number, scope: string, parts: readonly PromptPart[], first: boolean) => void
   /** Tells the other instances that a worker may be out of reach. */
   readonly tellDoubt: (worker: string) => void
 }
 
-/** A long prompt that a worker was given to read. */
-export interface SentPrompt {
-  readonly worker: string
-  readonly unreadTokens: number
-  readonly scope: string
-  /** The shared parts. */
-  readonly parts: readonly PromptPart[]
-  /** Whether the worker sends what it reads to the part store. */
-  readonly stores: boolean
-  /** Whether no keeper of these parts was known. */
-  readonly first: boolean
-}
-
 /** Times that forwarding keeps, in ms; the first two are ages of the newest proof. */
 export interface ForwardingBounds {
   /** From here on requests with a key are turned away. */
--- a/src/forwarding/placing.ts
+++ b/src/forwarding/placing.ts
@@ -67,7 +67,7 @@
   const stored = context.stored()
   if (store === undefined || stored === undefined) return { version, scope: candidate.scope }
   if (prompt.parts.length === 0) return { version, scope: candidate.scope }
-  const stores = candidate.outdated === 0 && isWorthStoring(stored, candidate.scope, prompt)
+  const stores = candidate.outdated === 0 && isWorthStoring(stored, context.followsStore(), candidate.scope, prompt)
   // The store is always asked: a miss costs a ms, while the beliefs about what a worker keeps and what others stored are often wrong.
   return {
     version,
@@ -151,14 +151,7 @@
   const shared = sharedParts(prompt)
   const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0)
   const unreadShared = unreadTokens - (prompt.inputTokens - sharedTokens)
-  context.tellSent({
-    worker: worker.id,
-    unreadTokens,
-    scope: model.scope,
-    parts: shared,
-    stores: model.target !== undefined,
-    first: unreadShared >= tellingTokens
-  })
+  context.tellSent(worker.id, unreadTokens, model.scope, shared, unreadShared >= tellingTokens)
 }
 
 const send = (context: ForwardingContext, exchange: Exchange, target: Target, cause: SendCause, attempt: number, time: DecisionTime): void => {
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -147,11 +147,7 @@
       weightsNamed: nameWeights,
       workerLoading: (worker, time) => weights.noteLoading(worker, present.steady + time),
       workerLoaded: registry.noteLoaded,
-      workerSent: sent => {
-        registry.noteSentByPeer(sent, present.steady)
-        // One that follows the store knows better.
-        if (sent.stores && reading.mode() === 'throughPeers') stored.belief()?.add(sent.scope, sent.parts)
-      },
+      workerSent: sent => registry.noteSentByPeer(sent, present.steady),
       workerDoubted: worker => forwarding.doubt(worker, present.steady),
       workersConcluded: records => { if (reading.mode() === 'throughPeers') registry.adopt(records) },
       readerBelieves: state => reading.hear(state, present.steady),
@@ -204,14 +200,15 @@
     loadOf,
     keptBy,
     stored: stored.belief,
+    followsStore: () => reading.mode() !== 'throughPeers',
     retries,
     instances: () => fleet.size(present),
     hash,
     random,
     emit,
     note,
-    tellSent: ({ first, parts, ...sent }) => {
-      if (first || fleet.size(present) <= tellingFleet) fleet.broadcast({ kind: 'fleet.sent', ...sent, parts: [...parts] })
+    tellSent: (worker, unreadTokens, scope, parts, first) => {
+      if (first || fleet.size(present) <= tellingFleet) fleet.broadcast({ kind: 'fleet.sent', worker, unreadTokens, scope, parts: [...parts] })
     },
     tellDoubt: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
   })
--- a/src/placement/storing.spec.ts
+++ b/src/placement/storing.spec.ts
@@ -1,6 +1,6 @@
 import type { Prompt } from '../ports/forwardPort.js'
 import { createRandom } from '../random.js'
-import { createKeptParts } from './keptParts.js'
+import { createKeptParts, type KeptParts } from './keptParts.js'
 import { sharedParts } from './modelPlacement.js'
 import { isWorthStoring } from './storing.js'
 
@@ -16,8 +16,12 @@
   parts: [{ id: `g${particular % 4}`, tokens: 2_500 }, { id: `p${particular}`, tokens: 3_800 }, { id: `o${number}`, tokens: ownTokens }]
 })
 
+type Decide = (stored: KeptParts, scope: string, prompt: Prompt) => boolean
+
+const whileFollowing: Decide = (stored, within, prompt) => isWorthStoring(stored, true, within, prompt)
+
 /** Share of the shared tokens that the store has when a prompt comes, after a first minute in which it fills. */
-const play = (decide: typeof isWorthStoring, seed: number): number => {
+const play = (decide: Decide, seed: number): number => {
   const random = createRandom(seed)
   const store = createKeptParts(storeTokens)
   let wanted = 0
@@ -36,7 +40,7 @@
 
 describe('what is sent to the part store', () => {
   it.each([1, 2, 3])('leaves the store to parts that are shared (seed %i)', seed => {
-    const found = play(isWorthStoring, seed)
+    const found = play(whileFollowing, seed)
     expect(found).toBeGreaterThan(0.95)
     expect(found).toBeGreaterThan(play(() => true, seed) + 0.1)
   })
@@ -44,13 +48,22 @@
   it('is a prompt of which a shared part is missing there', () => {
     const store = createKeptParts(storeTokens)
     const prompt = buildPrompt(1, 1)
-    expect(isWorthStoring(store, scope, prompt)).toBe(true)
+    expect(whileFollowing(store, scope, prompt)).toBe(true)
+    store.add(scope, sharedParts(prompt))
+    expect(whileFollowing(store, scope, prompt)).toBe(false)
+    expect(whileFollowing(store, 'other', prompt)).toBe(true)
+  })
+
+  it('is every new prompt where it is not heard what the store drops', () => {
+    const store = createKeptParts(storeTokens)
+    const prompt = buildPrompt(1, 1)
     store.add(scope, sharedParts(prompt))
-    expect(isWorthStoring(store, scope, prompt)).toBe(false)
-    expect(isWorthStoring(store, 'other', prompt)).toBe(true)
+    expect(isWorthStoring(store, false, scope, prompt)).toBe(true)
+    store.add(scope, prompt.parts)
+    expect(isWorthStoring(store, false, scope, prompt)).toBe(false)
   })
 
   it('is no prompt without parts', () => {
-    expect(isWorthStoring(createKeptParts(1), scope, { model: 'llm', inputTokens: 5, maxOutputTokens: 1, parts: [] })).toBe(false)
+    expect(whileFollowing(createKeptParts(1), scope, { model: 'llm', inputTokens: 5, maxOutputTokens: 1, parts: [] })).toBe(false)
   })
 })
--- a/src/placement/storing.ts
+++ b/src/placement/storing.ts
@@ -3,7 +3,9 @@
  * answers the load in which every prompt ends in a long part of its own: were
  * each sent there, those would fill the store within seconds and push out the
  * shared parts, which then are read again. A worker can only send a prompt as a
- * whole, so one goes there while some of its shared parts are missing.
+ * whole, so one goes there while some of its shared parts are missing. An
+ * instance that does not hear what the store drops can't know that, and sends
+ * whatever it has not sent itself.
  */
 import type { Prompt } from '../ports/forwardPort.js'
 import type { KeptParts } from './keptParts.js'
@@ -13,11 +15,12 @@
  * Decides whether a prompt is sent to the part store.
  *
  * @param stored - what the store is believed to keep
+ * @param follows - whether that belief follows the store's events
  * @param scope - within which its parts are shared
  * @param prompt - the prompt
  */
-export const isWorthStoring = (stored: KeptParts, scope: string, prompt: Prompt): boolean => {
-  const shared = sharedParts(prompt)
-  const tokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-  return tokens > 0 && stored.leadingTokens(scope, shared) < tokens
+export const isWorthStoring = (stored: KeptParts, follows: boolean, scope: string, prompt: Prompt): boolean => {
+  const parts = follows ? sharedParts(prompt) : prompt.parts
+  const tokens = parts.reduce((sum, part) => sum + part.tokens, 0)
+  return tokens > 0 && stored.leadingTokens(scope, parts) < tokens
 }
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -68,6 +68,7 @@
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
     keptBy: worker => getOrCreate(kept, worker, () => createKeptParts(memoryTokens)),
     stored: () => undefined,
+    followsStore: () => true,
     retries: () => retryWindow,
     instances: () => 1,
     hash: options.hash,
