Store eras, workers that leave, and the Retry-After of workers

The store may come back from a copy some seconds old, with offsets given out again; a worker says in its answers that it leaves; a full worker says for how long it wants nothing.

Claims name their era, the fencing token rises with it, and nobody takes the lease in a new era before the former holder must have stopped. The list of workers keeps a leaving worker out for the rest of its lifetime and ignores records that are older than known. A worker's pause is kept; a request that would wait longer than it may is refused at once with the time that is left.

Ruled out: a fencing token of the offset alone (goes back with the copy); waiting in every new process (one read ahead of work replaces it).

--- a/src/forwarding/forwardingMachine.spec.ts
+++ b/src/forwarding/forwardingMachine.spec.ts
@@ -44,6 +44,41 @@
     expect(fake.callerView(request)).toMatchObject({ status: 502, state: 'whole' })
   })
 
+  it('go to no worker that stated in a response that it is leaving', () => {
+    const fake = build()
+    fake.arrive(buildCall(), 0)
+    const [{ attempt, dispatch: { worker } }] = fake.sends()
+    fake.head(attempt, { leaving: true }, 20)
+    fake.end(attempt, 21)
+    for (let now = 30; now < 330; now += 10) fake.arrive(buildCall(), now)
+    expect(fake.sends().slice(1).map(({ dispatch }) => dispatch.worker)).not.toContain(worker)
+    expect(fake.logEvents.filter(({ kind }) => kind === 'workerLeaving')).toHaveLength(1)
+  })
+
+  it('go to no worker that asked for a pause until it is over', () => {
+    const fake = build(undefined, deskWorkers.slice(0, 1))
+    fake.arrive(buildCall(), 0)
+    fake.head(fake.sends()[0].attempt, { status: 503, notRun: true, retryAfter: 90 }, 20)
+    fake.end(fake.sends()[0].attempt, 20)
+    fake.arrive(buildCall(), 40)
+    fake.tick(100)
+    expect(fake.sends()).toHaveLength(1)
+    fake.tick(111)
+    expect(fake.sends()).toHaveLength(2)
+  })
+
+  it('are refused at once, with the remaining time, if every worker asked for a pause longer than they may wait', () => {
+    const fake = build(undefined, deskWorkers.slice(0, 1))
+    fake.arrive(buildCall(), 0)
+    fake.head(fake.sends()[0].attempt, { status: 503, notRun: true, retryAfter: 2_000 }, 20)
+    fake.end(fake.sends()[0].attempt, 20)
+    const refused = fake.callerView(fake.arrive(buildCall(), 520))
+    expect(refused).toMatchObject({ status: 503, state: 'whole' })
+    const retryAfter = Number(refused?.headers[refused.headers.indexOf('Retry-After') + 1])
+    expect(retryAfter).toBeGreaterThanOrEqual(1.5)
+    expect(retryAfter).toBeLessThanOrEqual(2.25)
+  })
+
   it('that were never sent go to another worker without using the retry budget', () => {
     const fake = build(onceCatalog)
     fake.arrive(buildCall(), 0)
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -8,7 +8,7 @@
 import { assertNever } from '../errors.js'
 import type { Moment } from '../lease/readLease.js'
 import type { AnswerHead, Call, ForwardInput } from '../ports/forwardPort.js'
-import { noteLoadCounts, noteEnded, noteFailure, noteFirstEvent, noteSuccess } from '../placement/workerLoad.js'
+import { noteLoadCounts, noteEnded, noteFailure, noteFirstEvent, notePause, noteSuccess } from '../placement/workerLoad.js'
 import { firstEventOverhead } from '../placement/modelPlacement.js'
 import { admitRequest } from './admitRequest.js'
 import { createSuspectWorkers } from './suspectWorkers.js'
@@ -116,16 +116,18 @@
         byAttempt.set(lastAttempt, exchange)
         return
       case 'refused': return refuse(exchange, placement.refusal, time)
-      case 'noneAvailable': return enqueue(exchange, cause, time)
+      case 'noneAvailable': return enqueue(exchange, cause, placement.pausedUntil ?? time.now, time)
       default: assertNever(placement)
     }
   }
 
-  const enqueue = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
+  /** Lets a request wait for a worker, or refuses it if it could not wait long enough; no worker accepts requests before `pausedUntil` (ms). */
+  const enqueue = (exchange: Exchange, cause: SendCause, pausedUntil: number, time: DecisionTime): void => {
     const { route, arrivedAt, deadline, workspace } = exchange
     const until = Math.min(deadline, arrivedAt + maxWaitShare * route.objective)
     const hasLiveWorker = context.workers.live(exchange.service).some(({ id }) => !exchange.excluded.has(id))
     const workersExhausted = exchange.sentTo.size >= route.maxWorkers
+    if (pausedUntil > until && !workersExhausted) return refuse(exchange, { kind: 'turnedAway', wait: pausedUntil - time.now }, time)
     if (time.now >= until || workersExhausted || (!hasLiveWorker && cause !== 'first' && cause !== 'waited')) {
       refuse(exchange, workersExhausted ? { kind: 'turnedAway', wait: rejectedRetryAfter } : { kind: 'noWorker' }, time)
       return
@@ -229,11 +231,20 @@
 
   const isStream = ({ route }: Exchange, head: AnswerHead): boolean => route.kind === 'stream' && isSuccess(head.status)
 
+  /** Applies what the worker states about itself: that it is leaving, or that it wants no requests for some time. */
+  const applyWorkerNotices = ({ call: { id } }: Exchange, { worker, workerStartedAt }: Attempt, { leaving, retryAfter }: AnswerHead, now: number): void => {
+    if (leaving === true && context.workers.noteLeaving(worker, workerStartedAt)) context.log({ kind: 'workerLeaving', id, worker })
+    if (retryAfter === undefined || context.workers.get(worker)?.startedAt !== workerStartedAt) return
+    notePause(context.loadOf(worker), retryAfter, now)
+    context.log({ kind: 'workerPaused', id, worker, time: Math.round(retryAfter) })
+  }
+
   const handleHead = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
     const { now } = time
     const { call } = exchange
     attempt.head = head
     attempt.lastDataAt = now
+    applyWorkerNotices(exchange, attempt, head, now)
     if (head.requestId !== undefined && head.requestId !== call.id) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
     const load = context.loadOf(attempt.worker)
     if (head.load !== undefined) noteLoadCounts(load, head.load, now)
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -8,6 +8,8 @@
 export interface Attempt {
   readonly id: number
   readonly worker: string
+  /** Start time of the worker's lifetime that was addressed. */
+  readonly workerStartedAt: number
   readonly flight: InFlightRequest
   readonly sentAt: number
   /** Version of the weights that the worker was asked to run on; undefined if any. */
@@ -67,6 +69,10 @@
   | { readonly kind: 'answered', readonly id: string, readonly worker: string, readonly status: number, readonly after: number, readonly events: number, /** Time to the first event of a stream. */ readonly first?: number }
   | { readonly kind: 'brokenOff', readonly id: string, readonly reason: string, readonly after: number, readonly events: number }
   | { readonly kind: 'callerLeft', readonly id: string, readonly after: number, readonly events: number }
+  /** The worker stated in the response to `id` that it is leaving. */
+  | { readonly kind: 'workerLeaving', readonly id: string, readonly worker: string }
+  /** The worker asked in the response to `id` for no further requests for `time` ms. */
+  | { readonly kind: 'workerPaused', readonly id: string, readonly worker: string, readonly time: number }
   | { readonly kind: 'workerDoubted', readonly worker: string, readonly reason: SuspectReason }
   | { readonly kind: 'workerProbed', readonly worker: string, readonly reachable: boolean, readonly doubted: number }
 
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -3,7 +3,7 @@
 import { cacheScope } from '../placement/cacheScope.js'
 import { affinityPart, placeModelRequest, sharedParts, type ModelCandidate, type ModelChoice } from '../placement/modelPlacement.js'
 import { placePlainRequest } from '../placement/plainPlacement.js'
-import { noteSent, type InFlightRequest } from '../placement/workerLoad.js'
+import { isPaused, noteSent, type InFlightRequest } from '../placement/workerLoad.js'
 import { shouldStorePrompt } from '../placement/shouldStorePrompt.js'
 import type { Call, Dispatch, ModelDispatch, Prompt } from '../ports/forwardPort.js'
 import type { Worker } from '../workers/workersTypes.js'
@@ -15,8 +15,8 @@
 /** Result of an attempt to place a request on a worker. */
 export type PlacementResult =
   | { readonly kind: 'sent' }
-  /** No worker can take the request now; one may soon. */
-  | { readonly kind: 'noneAvailable' }
+  /** No worker can take the request now; one may soon, but none before `pausedUntil` (ms) if that is given, since all have asked for no requests until then. */
+  | { readonly kind: 'noneAvailable', readonly pausedUntil?: number }
   | { readonly kind: 'refused', readonly refusal: Refusal }
 
 /** The worker chosen for a request, with the estimated costs there; `expected` is the time to the response or to a stream's first event, in ms. */
@@ -181,6 +181,7 @@
   exchange.attempt = {
     id: attempt,
     worker: target.worker.id,
+    workerStartedAt: target.worker.startedAt,
     flight,
     sentAt: now,
     version: target.version,
@@ -226,7 +227,11 @@
     return { kind: 'refused', refusal: { kind: 'unprovenConfiguration' } }
   }
   const workers = eligible(context, exchange)
-  const target = chooseTarget(context, exchange, workers, now)
+  const accepting = workers.filter(({ id }) => !isPaused(context.loadOf(id), now))
+  if (accepting.length === 0 && workers.length > 0) {
+    return { kind: 'noneAvailable', pausedUntil: Math.min(...workers.map(({ id }) => context.loadOf(id).pausedUntil)) }
+  }
+  const target = chooseTarget(context, exchange, accepting, now)
   if (target === undefined) return { kind: 'noneAvailable' }
   const timeLeft = exchange.deadline - now
   if (target.expected >= timeLeft) {
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -25,6 +25,7 @@
 import { createRollout, type RolloutEvent } from '../rollout/rolloutMachine.js'
 import type { GatewayEffect, GatewayInput, GatewayLogEvent } from './gatewayTypes.js'
 import { createShutdown, type ShutdownBounds } from './shutdown.js'
+import { createStoreProof } from './storeProof.js'
 import { createStoreReader } from './storeReader.js'
 import { createPartStoreIndex } from './partStoreIndex.js'
 import { createWorkerRegistry, defaultMemoryTokens } from './workerRegistry.js'
@@ -88,6 +89,7 @@
   const lease = createReadLease()
   /** Read lease renewed only by proofs from the store itself, not by those of other instances. */
   const storeLease = createReadLease()
+  const storeProof = createStoreProof()
   const registry = createWorkerRegistry({
     catalog: () => index,
     log,
@@ -226,16 +228,23 @@
 
   const handleFeed = (input: FeedInput): void => {
     switch (input.kind) {
-      case 'feed.catalog': return applyCatalog(input.catalog, 'store')
+      case 'feed.catalog':
+        storeProof.noteCatalog(input.catalog.version)
+        return applyCatalog(input.catalog, 'store')
       case 'feed.proof':
         storeLease.renew(input.asOf)
-        return lease.renew(input.asOf)
+        if (storeProof.isValid(index?.catalog.version ?? 0, currentTime.steady)) lease.renew(input.asOf)
+        return
       case 'feed.weights': return noteAnnouncedWeights(input.model, input.version)
       case 'feed.workers': return registry.apply(input.records, input.complete, currentTime.steady)
       case 'feed.members': return emit({ kind: 'gateway.peers', members: fleet.setMembers(input.members, input.withdrawn) })
       case 'feed.parts':
         if (input.restarted) log({ kind: 'partStoreRestarted' })
         return partStore.apply(input.restarted, input.changes, isOutdatedScope)
+      case 'feed.restored':
+        storeProof.noteRestored(currentTime.steady)
+        workers.noteOutage(currentTime.steady)
+        return log({ kind: 'storeRestored', era: input.era })
       case 'feed.lost':
         if (input.dependency === 'partStore') partStore.markUnreachable()
         return log({ kind: 'dependencyLost', dependency: input.dependency, reason: input.reason })
@@ -298,6 +307,7 @@
       case 'feed.workers':
       case 'feed.members':
       case 'feed.parts':
+      case 'feed.restored':
       case 'feed.lost':
       case 'feed.regained': return handleFeed(input)
       case 'claim.records':
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -49,6 +49,7 @@
   | { readonly kind: 'weightsNamed', readonly model: string, readonly version: number }
   | { readonly kind: 'workerChanged', readonly change: Exclude<WorkerChange['kind'], 'updated'>, readonly worker: string, readonly service: string, readonly address: string }
   | { readonly kind: 'peerChanged', readonly peer: string, readonly change: string }
+  | { readonly kind: 'storeRestored', readonly era: number }
   | { readonly kind: 'dependencyLost', readonly dependency: Dependency, readonly reason: string }
   | { readonly kind: 'dependencyRegained', readonly dependency: Dependency }
   | { readonly kind: 'partStoreRestarted' }
--- a/src/gateway/workerRegistry.ts
+++ b/src/gateway/workerRegistry.ts
@@ -100,7 +100,10 @@
     const { id, service, address } = change.worker
     if (change.kind === 'updated') return
     if (change.kind === 'left') forget(id)
-    if (change.kind === 'restarted') cachedParts.delete(id)
+    if (change.kind === 'restarted') {
+      cachedParts.delete(id)
+      loadOf(id).pausedUntil = -Infinity
+    }
     log({ kind: 'workerChanged', change: change.kind, worker: id, service, address: formatAddress(address) })
   }
 
--- a/src/placement/workerLoad.ts
+++ b/src/placement/workerLoad.ts
@@ -60,6 +60,8 @@
   failures: number
   /** Time in ms since which the worker is suspected to be unreachable; it gets no new requests meanwhile. */
   suspectedSince: number | undefined
+  /** Time in ms until which the worker, being full, asked for no further requests. */
+  pausedUntil: number
   /** Time in ms at which a probe last reached the worker. */
   lastReachableAt: number | undefined
 }
@@ -87,6 +89,7 @@
   serviceTime: 0,
   failures: 0,
   suspectedSince: undefined,
+  pausedUntil: -Infinity,
   lastReachableAt: undefined
 })
 
@@ -181,5 +184,13 @@
   load.failures += smoothingFactor * (1 - load.failures)
 }
 
+/** Records that the worker asked for no further requests for `time` ms. */
+export const notePause = (load: WorkerLoad, time: number, now: number): void => {
+  load.pausedUntil = Math.max(load.pausedUntil, now + time)
+}
+
+/** Returns whether the worker has asked for no requests at this time, in ms. */
+export const isPaused = (load: WorkerLoad, now: number): boolean => now < load.pausedUntil
+
 /** Returns whether the worker is not suspected to be unreachable and may get new requests. */
 export const isPresumedReachable = (load: WorkerLoad): boolean => load.suspectedSince === undefined
--- a/src/ports/claimPort.ts
+++ b/src/ports/claimPort.ts
@@ -17,13 +17,13 @@
   readonly claim: unknown
 }
 
-/** Responses of the stream. */
+/** Responses of the stream. `era` rises when the stream was restored from a copy; offsets are valid only within one era. */
 export type ClaimInput =
   /** Records in offset order; `end` is the offset after the last of them. */
-  | { readonly kind: 'claim.records', readonly token: number, readonly records: readonly ClaimRecord[], readonly end: number }
+  | { readonly kind: 'claim.records', readonly token: number, readonly records: readonly ClaimRecord[], readonly end: number, readonly era: number }
   /** The append was accepted at the expected offset. */
-  | { readonly kind: 'claim.accepted', readonly token: number }
+  | { readonly kind: 'claim.accepted', readonly token: number, readonly era: number }
   /** The append was rejected because the stream ends at another offset. */
-  | { readonly kind: 'claim.refused', readonly token: number, readonly end: number }
+  | { readonly kind: 'claim.refused', readonly token: number, readonly end: number, readonly era: number }
   /** No response was received; an append may have been accepted. */
   | { readonly kind: 'claim.failed', readonly token: number }
--- a/src/ports/feedPort.ts
+++ b/src/ports/feedPort.ts
@@ -44,6 +44,8 @@
   | { readonly kind: 'feed.members', readonly members: readonly FleetMember[], readonly withdrawn: readonly string[] }
   /** Changes in the part store; `restarted` states that everything known about it before is void. */
   | { readonly kind: 'feed.parts', readonly restarted: boolean, readonly changes: readonly PartChange[] }
+  /** The store was restored from a copy and may lack the newest records; `era` counts its restorations. */
+  | { readonly kind: 'feed.restored', readonly era: number }
   | { readonly kind: 'feed.lost', readonly dependency: Dependency, readonly reason: string }
   | { readonly kind: 'feed.regained', readonly dependency: Dependency }
 
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -87,6 +87,10 @@
   readonly notRun: boolean
   /** Incarnation that responded, if the worker states it. */
   readonly worker?: string
+  /** Whether the worker states that it is leaving. */
+  readonly leaving?: boolean
+  /** Time for which a worker that is full asks for no further requests, in ms. */
+  readonly retryAfter?: number
   readonly load?: LoadCounts
   readonly weightVersion?: number
   /** Whether the response carries the worker's signature. */
--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -7,15 +7,22 @@
 /** Builds a stream in memory that responds without delay. */
 const buildStream = () => {
   const records: unknown[] = []
+  let era = 0
   const answer = (effect: ClaimEffect): ClaimInput => {
+    const { token } = effect
     if (effect.kind === 'claim.read') {
-      return { kind: 'claim.records', token: effect.token, records: records.slice(effect.from).map((claim, index) => ({ offset: effect.from + index, claim })), end: records.length }
+      return { kind: 'claim.records', token, records: records.slice(effect.from).map((claim, index) => ({ offset: effect.from + index, claim })), end: records.length, era }
     }
-    if (effect.at !== records.length) return { kind: 'claim.refused', token: effect.token, end: records.length }
+    if (effect.at !== records.length) return { kind: 'claim.refused', token, end: records.length, era }
     records.push(effect.claim)
-    return { kind: 'claim.accepted', token: effect.token }
+    return { kind: 'claim.accepted', token, era }
   }
-  return { records, answer }
+  /** Restores the stream from a copy that holds its first `length` records. */
+  const restore = (length: number): void => {
+    records.length = length
+    era++
+  }
+  return { records, answer, restore }
 }
 
 type Stream = ReturnType<typeof buildStream>
@@ -136,4 +143,57 @@
     const taken = acquireWithin(second, 2_000, 4_000) ?? Infinity
     expect(second.lease.fence(at(taken))).toBe(stream.records.length)
   })
+
+  it('has a higher fencing token after the stream was restored, although offsets are assigned again', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    for (let now = 0; now < 2_000; now += 50) first.acquireOrRenew(at(now))
+    stream.restore(0)
+    const taken = acquireWithin(buildInstance(stream, 'b', { canHoldLease: () => false }), 2_000, 4_000)
+    expect(taken).toBeDefined()
+    const third = buildInstance(stream, 'c', { canHoldLease: () => false })
+    const takenAgain = acquireWithin(third, 3_000, 9_000) ?? 0
+    expect(third.lease.fence(at(takenAgain))).toBeGreaterThan(2 ** 32)
+  })
+
+  it('is not acquired after a restoration that lost the claims while the former holder may still act', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    first.acquireOrRenew(at(0))
+    stream.restore(0)
+    const second = buildInstance(stream, 'b')
+    const taken = acquireWithin(second, 10, 4_000) ?? 0
+    expect(first.lease.fence(at(690))).toBe(1)
+    expect(taken).toBeGreaterThanOrEqual(900)
+    expect(first.lease.fence(at(taken))).toBeUndefined()
+  })
+
+  it('is lost by a holder whose renewal is accepted only after the stream was restored and others have claimed it', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    for (let now = 0; now < 1_000; now += 50) first.acquireOrRenew(at(now))
+    const renewals = stream.records.length
+    stream.restore(0)
+    const second = buildInstance(stream, 'b', { canHoldLease: () => false })
+    for (let now = 1_000; stream.records.length < renewals; now += 50) second.acquireOrRenew(at(now))
+    // The former holder, which was suspended, appends at an offset that the stream has reached again.
+    first.acquireOrRenew(at(9_000))
+    expect(first.lease.fence(at(9_000))).toBeUndefined()
+    second.acquireOrRenew(at(9_050))
+    first.acquireOrRenew(at(9_100))
+    expect([first, second].filter(({ lease }) => lease.fence(at(9_100)) !== undefined).length).toBeLessThanOrEqual(1)
+    expect(first.lease.fence(at(9_100))).toBeUndefined()
+  })
+
+  it('is read ahead of any work, so that nobody waits for it in a restored stream', () => {
+    const stream = buildStream()
+    stream.restore(0)
+    const first = buildInstance(stream, 'a')
+    for (let now = 0; now < 5_000; now += 50) {
+      first.lease.markIdle(at(now))
+      first.answerEffects(at(now))
+    }
+    expect(stream.records).toEqual([])
+    expect(acquireWithin(first, 5_000, 1_000)).toBe(5_000)
+  })
 })
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -8,6 +8,12 @@
  * Another instance takes over once the stream has had no new record for longer
  * than that time: by then the former holder may no longer act, whichever
  * instances consider it alive.
+ *
+ * The stream may be restored from a copy, after which offsets are assigned again
+ * and the newest claims may be missing. Each claim therefore names the era in
+ * which it was made, the fencing token rises with the era, and in a new era
+ * nobody acquires the lease before the holder of the previous one must have
+ * stopped.
  */
 import { z } from 'zod'
 import { ageOf, type Moment } from '../lease/readLease.js'
@@ -19,7 +25,9 @@
   /** Start of the holder's process. */
   incarnation: z.string(),
   /** Whether the holder gives the lease up. */
-  released: z.boolean()
+  released: z.boolean(),
+  /** Era of the stream in which the claimant made the claim. */
+  era: z.number().default(0)
 })
 
 type Claim = z.infer<typeof claimSchema>
@@ -43,7 +51,7 @@
   /** Renews the lease, or tries to acquire it when it is this instance's turn; called periodically while there is work. */
   readonly acquireOrRenew: (now: Moment) => void
   /** Records that there is no work; the wait for this instance's turn starts anew with the next work. */
-  readonly markIdle: () => void
+  readonly markIdle: (now: Moment) => void
   /** Handles the stream's response to a read or an append; responses to superseded requests are ignored. */
   readonly answer: (input: ClaimInput, now: Moment) => void
   /** Returns the fencing token if orders may be given now, else undefined. */
@@ -78,6 +86,10 @@
 const responseTimeout = 1_500
 /** Fencing token of a claim at offset 0. */
 const firstFence = 1
+/** Difference between the fencing tokens of two eras, more than the offsets of one. */
+const fencesPerEra = 2 ** 32
+/** Time without work after which an early reader reads the stream for the first time in an era, in ms, so that it need not wait when there is work. */
+const idleReadDelay = 3_000
 
 interface LatestClaim extends Claim {
   readonly fence: number
@@ -102,10 +114,13 @@
   let renewedAt: Moment | undefined
   let nextReadAt = -Infinity
   let wantedSince: number | undefined
+  let idleSince: number | undefined
+  /** Era of the latest response; undefined before the first one. */
+  let era: number | undefined
   let token = 0
 
   const isOwn = (claim: Claim | undefined): boolean =>
-    claim?.holder === self.id && claim.incarnation === self.incarnation && !claim.released
+    claim?.holder === self.id && claim.incarnation === self.incarnation && !claim.released && claim.era === era
 
   const read = (now: Moment): void => {
     token++
@@ -115,7 +130,7 @@
 
   const append = (released: boolean, now: Moment): void => {
     token++
-    const claim: Claim = { holder: self.id, incarnation: self.incarnation, released }
+    const claim: Claim = { holder: self.id, incarnation: self.incarnation, released, era: era ?? 0 }
     pending = { kind: 'append', token, sentAt: now, at: end, claim }
     emit({ kind: 'claim.append', token, at: end, claim })
   }
@@ -124,18 +139,34 @@
 
   const canHolderContinue = (): boolean => latest !== undefined && !latest.released && peers.canHoldLease(latest.holder, latest.incarnation)
 
+  /** Whether claims may be missing from the stream, since it was restored after the latest one that it holds. */
+  const mayLackClaims = (): boolean => era !== undefined && era > (latest?.era ?? 0)
+
   const mayTakeOver = (now: Moment): boolean => {
-    if (latest === undefined || latest.released) return true
+    if (!mayLackClaims() && (latest === undefined || latest.released)) return true
     const limit = canHolderContinue() ? longTakeoverDelay : takeoverDelay
     return timeWithoutRecord(now) >= limit + rankDelay * peers.rank()
   }
 
   const firstReadDelay = (rank: number): number => rankDelay * rank + (rank < earlyReaders ? 0 : longTakeoverDelay)
 
+  const isWaitingForResponse = (now: Moment): boolean => {
+    if (pending !== undefined && ageOf(pending.sentAt, now) > responseTimeout) pending = undefined
+    return pending !== undefined
+  }
+
+  const markIdle = (now: Moment): void => {
+    wantedSince = undefined
+    idleSince ??= now.steady
+    const isReadDue = endSeenAt === undefined && now.steady >= idleSince + idleReadDelay && now.steady >= nextReadAt
+    if (!isReadDue || isWaitingForResponse(now) || peers.rank() >= earlyReaders) return
+    nextReadAt = now.steady + slowReadInterval
+    read(now)
+  }
+
   const acquireOrRenew = (now: Moment): void => {
     wantedSince ??= now.steady
-    if (pending !== undefined && ageOf(pending.sentAt, now) > responseTimeout) pending = undefined
-    if (pending !== undefined) return
+    if (isWaitingForResponse(now)) return
     if (isOwn(latest)) {
       if (renewedAt === undefined || ageOf(renewedAt, now) > renewAfter) append(false, now)
       return
@@ -147,8 +178,10 @@
   }
 
   const applyClaim = (offset: number, claim: Claim): void => {
-    const isRenewal = latest !== undefined && !latest.released && latest.holder === claim.holder && latest.incarnation === claim.incarnation
-    latest = { ...claim, fence: isRenewal && latest !== undefined ? latest.fence : offset + firstFence }
+    // A claim of an earlier era that was applied late; its claimant no longer acts on it.
+    if (claim.era < (latest?.era ?? 0)) return
+    const isRenewal = latest !== undefined && !latest.released && latest.holder === claim.holder && latest.incarnation === claim.incarnation && latest.era === claim.era
+    latest = { ...claim, fence: isRenewal && latest !== undefined ? latest.fence : claim.era * fencesPerEra + offset + firstFence }
   }
 
   const applyRecords = (records: readonly ClaimRecord[]): void => {
@@ -162,7 +195,7 @@
     applyRecords(input.records)
     if (endSeenAt === undefined || input.end !== end) endSeenAt = now
     end = input.end
-    if (isOwn(latest) || mayTakeOver(now)) append(false, now)
+    if (wantedSince !== undefined && (isOwn(latest) || mayTakeOver(now))) append(false, now)
   }
 
   const handleAccepted = (at: number, claim: Claim, sentAt: Moment, now: Moment): void => {
@@ -172,10 +205,24 @@
     renewedAt = sentAt
   }
 
+  /** Forgets what was known of an earlier era; returns whether the response to `request` is still of use, as only a read of the whole stream is. */
+  const enterEra = (next: number, request: PendingRequest): boolean => {
+    const isFirst = era === undefined
+    era = next
+    if (isFirst) return true
+    latest = undefined
+    endSeenAt = undefined
+    renewedAt = undefined
+    const readWhole = request.kind === 'read' && end === 0
+    end = 0
+    return readWhole
+  }
+
   const answer = (input: ClaimInput, now: Moment): void => {
     if (pending === undefined || input.token !== pending.token) return
     const request = pending
     pending = undefined
+    if (input.kind !== 'claim.failed' && input.era !== era && !enterEra(input.era, request)) return read(now)
     switch (input.kind) {
       case 'claim.records': return handleRecords(input, now)
       case 'claim.accepted':
@@ -200,7 +247,7 @@
 
   return {
     acquireOrRenew,
-    markIdle: () => { wantedSince = undefined },
+    markIdle,
     answer,
     fence,
     holds: () => isOwn(latest),
--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -177,7 +177,7 @@
   const tick = (now: Moment): void => {
     for (const load of [...loads.values()]) checkLoad(load, now)
     const outstanding = outstandingLoads()
-    if (outstanding.length === 0) return lease.markIdle()
+    if (outstanding.length === 0) return lease.markIdle(now)
     lease.acquireOrRenew(now)
     const fence = lease.fence(now)
     if (fence !== undefined) startLoads(outstanding, fence, now)
--- a/src/workers/workersDb.spec.ts
+++ b/src/workers/workersDb.spec.ts
@@ -84,4 +84,46 @@
     db.apply([present('a', { state: 'draining' })], true, 0)
     expect(db.apply([absent('a')], false, 10_000).map(({ kind }) => kind)).toEqual(['left'])
   })
+
+  it('does not make a draining worker live again when the source is restored from a copy', () => {
+    const db = createWorkersDb()
+    db.apply([present('a', { writes: 7 })], true, 0)
+    db.apply([present('a', { writes: 9, state: 'draining' })], false, 800)
+    db.noteOutage(1_600)
+    expect(db.apply([present('a', { writes: 7 })], true, 1_600)).toEqual([])
+    db.apply([present('a', { writes: 10 })], false, 2_400)
+    expect(db.live('desk')).toEqual([])
+  })
+
+  it('does not bring back a worker that has left when the source is restored from a copy, unless it writes again', () => {
+    const db = createWorkersDb()
+    db.apply([present('a', { writes: 7 })], true, 0)
+    db.apply([absent('a')], false, 800)
+    db.noteOutage(1_600)
+    expect(db.apply([present('a', { writes: 7 })], true, 1_600)).toEqual([])
+    expect(db.apply([present('a', { writes: 8 })], false, 2_400).map(({ kind }) => kind)).toEqual(['joined'])
+  })
+
+  it('keeps a worker that is missing from a restored source for two seconds', () => {
+    const db = createWorkersDb()
+    db.apply([present('a')], true, 0)
+    db.noteOutage(800)
+    expect(db.apply([], true, 800).map(({ kind }) => kind)).toEqual(['lapsed'])
+    expect(db.live('desk')).toHaveLength(1)
+    expect(db.expire(2_800).map(({ kind }) => kind)).toEqual(['left'])
+  })
+
+  it('gives no requests to a worker that stated that it is leaving, until it has restarted', () => {
+    const db = createWorkersDb()
+    db.apply([present('a'), present('b')], true, 0)
+    const before = db.digest(hash)
+    expect(db.noteLeaving('a', 1)).toBe(true)
+    expect(db.noteLeaving('a', 1)).toBe(false)
+    expect(db.live('desk').map(({ id }) => id)).toEqual(['b'])
+    expect(db.digest(hash)).toBe(before)
+    db.apply([present('a', { writes: 3 })], false, 800)
+    expect(db.live('desk').map(({ id }) => id)).toEqual(['b'])
+    db.apply([present('a', { startedAt: 2 })], false, 1_600)
+    expect(db.live('desk')).toHaveLength(2)
+  })
 })
--- a/src/workers/workersDb.ts
+++ b/src/workers/workersDb.ts
@@ -3,7 +3,12 @@
  * the entries of live workers may expire there, so workers that are missing
  * right after the outage are kept for a short grace period in which they may
  * register again.
+ *
+ * A worker that has begun to leave never takes requests again in that lifetime.
+ * The source may be restored from a copy that still lists it as live, and the
+ * worker itself may state it in a response before the source does.
  */
+import { LRUCache } from 'lru-cache'
 import type { Hash } from '../hash.js'
 import type { Worker, WorkerRecord } from './workersTypes.js'
 
@@ -13,6 +18,9 @@
 /** Time, in ms, without a read of the source that counts as an outage in which entries may have expired. */
 const outageAfter = 1_500
 
+/** Number of departed and of leaving workers that are remembered, so that outdated records do not bring them back. */
+const maxRemembered = 2_000
+
 /** The workers known to one instance. */
 export interface WorkersDb {
   /** Applies one successful read of the source; `complete` says that the records name every worker. Returns what changed. */
@@ -26,6 +34,10 @@
   readonly applyFromPeer: (records: readonly WorkerRecord[]) => readonly WorkerChange[]
   /** Records that the source was read at that time, by this instance or by one that forwards its records. */
   readonly noteRead: (now: number) => void
+  /** Records that the source was unavailable until now, or has lost its newest records, so that entries may be missing. */
+  readonly noteOutage: (now: number) => void
+  /** Records that this lifetime of a worker has stated that it is leaving; returns whether that is new. It gets no further requests. */
+  readonly noteLeaving: (id: string, startedAt: number) => boolean
   /** Returns a 32-bit digest that is equal on two instances with the same list of workers. */
   readonly digest: (hash: Hash) => number
   readonly get: (id: string) => Worker | undefined
@@ -60,6 +72,10 @@
   const workers = new Map<string, Worker>()
   /** Ends of the grace periods, in ms, of workers that are missing from the source. */
   const graceEnds = new Map<string, number>()
+  /** Last records of workers that have left. */
+  const departed = new LRUCache<string, Worker>({ max: maxRemembered })
+  /** Start times of the workers that have stated that they are leaving, by id. */
+  const leaving = new LRUCache<string, number>({ max: maxRemembered })
   let byService = new Map<string, Worker[]>()
   let lastReadAt: number | undefined
   let outageEndedAt = -Infinity
@@ -69,7 +85,7 @@
     cachedDigest = undefined
     byService = new Map()
     for (const worker of workers.values()) {
-      if (worker.state !== 'live') continue
+      if (worker.state !== 'live' || leaving.get(worker.id) === worker.startedAt) continue
       const known = byService.get(worker.service)
       if (known === undefined) byService.set(worker.service, [worker])
       else known.push(worker)
@@ -83,15 +99,35 @@
       graceEnds.set(id, outageEndedAt + expiryGrace)
       return { kind: 'lapsed', worker }
     }
-    workers.delete(id)
+    return depart(worker)
+  }
+
+  const depart = (worker: Worker): WorkerChange => {
+    graceEnds.delete(worker.id)
+    workers.delete(worker.id)
+    departed.set(worker.id, worker)
     return { kind: 'left', worker }
   }
 
-  const add = (worker: Worker): WorkerChange => {
+  /** Whether a record is older than what is known of the worker, as records of a restored source and of instances that are behind may be. */
+  const isOutdated = ({ id, startedAt, writes }: Worker): boolean => {
+    const known = workers.get(id)
+    if (known !== undefined) return startedAt < known.startedAt || (startedAt === known.startedAt && writes < known.writes)
+    const last = departed.get(id)
+    if (last === undefined || startedAt > last.startedAt) return false
+    // A worker that returns has written its record again.
+    return startedAt < last.startedAt || (writes > 0 && writes <= last.writes)
+  }
+
+  const add = (worker: Worker): WorkerChange | undefined => {
+    if (isOutdated(worker)) return undefined
     const before = workers.get(worker.id)
+    const isLeaving = worker.state === 'draining' || (before?.state === 'draining' && before.startedAt === worker.startedAt)
+    const current: Worker = { ...worker, state: isLeaving ? 'draining' : 'live' }
     graceEnds.delete(worker.id)
-    workers.set(worker.id, worker)
-    return changeOf(before, worker)
+    departed.delete(worker.id)
+    workers.set(worker.id, current)
+    return changeOf(before, current)
   }
 
   const noteRead = (now: number): void => {
@@ -113,16 +149,17 @@
 
   const removeNow = (id: string): WorkerChange | undefined => {
     const worker = workers.get(id)
-    graceEnds.delete(id)
-    workers.delete(id)
-    return worker === undefined ? undefined : { kind: 'left', worker }
+    return worker === undefined ? undefined : depart(worker)
   }
 
-  const isOutdated = ({ id, startedAt }: Worker): boolean => startedAt < (workers.get(id)?.startedAt ?? -Infinity)
+  const applyPeerRecord = (record: WorkerRecord): WorkerChange | undefined =>
+    record.kind === 'absent' ? removeNow(record.id) : add(record.worker)
 
-  const applyPeerRecord = (record: WorkerRecord): WorkerChange | undefined => {
-    if (record.kind === 'absent') return removeNow(record.id)
-    return isOutdated(record.worker) ? undefined : add(record.worker)
+  const noteLeaving = (id: string, startedAt: number): boolean => {
+    if (leaving.get(id) === startedAt) return false
+    leaving.set(id, startedAt)
+    rebuildIndex()
+    return true
   }
 
   const applyFromPeer = (records: readonly WorkerRecord[]): readonly WorkerChange[] => {
@@ -154,6 +191,8 @@
     expire,
     applyFromPeer,
     noteRead,
+    noteOutage: now => { outageEndedAt = now },
+    noteLeaving,
     digest,
     get: id => workers.get(id),
     all: () => workers.values(),
--- a/src/workers/workersTypes.ts
+++ b/src/workers/workersTypes.ts
@@ -14,7 +14,9 @@
   state: z.enum(['live', 'draining']),
   models: z.array(heldModel).readonly(),
   /** Start of the worker in Unix ms; 0 if it was not reported. */
-  startedAt: z.number()
+  startedAt: z.number(),
+  /** Number of times that this lifetime of the worker has written its record; 0 if it was not reported. */
+  writes: z.number().default(0)
 })
 
 /** Schema of a discovery record for one id: the worker, or that there is none. */
