--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -12,6 +12,7 @@
 import type { Worker } from '../workers/workersTypes.js'
 import type { WeightsTracker } from '../workers/weightsTracker.js'
 import type { WorkersDb } from '../workers/workersDb.js'
+import { createLoadTime } from './loadTime.js'
 import type { RolloutLease } from './rolloutLease.js'
 
 /** A step of the rollout that is reported to the other instances and the log; `time` is the expected load time in ms. */
@@ -44,10 +45,8 @@
   readonly dump: () => unknown
 }
 
-/** Usual time of a load, in ms. */
-const loadTime = 600
-/** Time after an order was accepted until the worker's status is first requested, in ms. */
-const firstStatusDelay = 560
+/** Part of the expected load time after which the worker's status is first requested. */
+const firstStatusShare = 0.93
 /** Time between further status requests, in ms. */
 const statusInterval = 120
 /** Time after which a load that has not finished is ordered again, in ms. */
@@ -66,6 +65,8 @@
   readonly fence: number
   readonly expectedOrders: number
   readonly startedAt: Moment
+  /** Steady time in ms of the last status that showed the load in progress. */
+  lastBusyAt: number | undefined
   accepted: boolean
   /** Steady time in ms of the next status request. */
   nextStatusAt: number
@@ -83,6 +84,7 @@
   const orders = new Map<number, string>()
   const orderCounts = new Map<string, { readonly startedAt: number, readonly orders: number }>()
   const pausedUntil = new Map<string, number>()
+  const loadTime = createLoadTime()
   let token = 0
 
   /** Returns the number of orders that the worker has accepted since its start; undefined until it has reported it. */
@@ -125,9 +127,9 @@
   const sendOrder = ({ worker, model, version }: OutstandingLoad, expectedOrders: number, fence: number, now: Moment): void => {
     token++
     orders.set(token, worker.id)
-    loads.set(worker.id, { worker, model, version, fence, expectedOrders, startedAt: now, accepted: false, nextStatusAt: Infinity })
-    weights.noteLoading(worker.id, now.steady + loadTime)
-    notify({ kind: 'loading', worker: worker.id, model, version, time: loadTime })
+    loads.set(worker.id, { worker, model, version, fence, expectedOrders, startedAt: now, lastBusyAt: undefined, accepted: false, nextStatusAt: Infinity })
+    weights.noteLoading(worker.id, now.steady + loadTime.expected())
+    notify({ kind: 'loading', worker: worker.id, model, version, time: loadTime.expected() })
     emit({ kind: 'order.send', token, order: { worker: worker.id, address: worker.address, model, version, runs: 'goOn', holder: options.self, fence, expectedOrders } })
   }
 
@@ -190,7 +192,7 @@
       case 'accepted':
         load.accepted = true
         noteOrderCount(worker, expectedOrders + 1)
-        load.nextStatusAt = now.steady + firstStatusDelay
+        load.nextStatusAt = load.startedAt.steady + firstStatusShare * loadTime.expected()
         return
       case 'holds': return finish(load)
       case 'conflict':
@@ -214,8 +216,12 @@
 
   const handleLoadStatus = (load: Load, status: WorkerStatus, now: Moment): void => {
     const { worker, model, version } = load
-    if ((weights.held(worker, model) ?? 0) >= version) return finish(load)
+    if ((weights.held(worker, model) ?? 0) >= version) {
+      if (load.accepted) loadTime.noteLoad((load.lastBusyAt ?? load.startedAt.steady) - load.startedAt.steady, now.steady - load.startedAt.steady)
+      return finish(load)
+    }
     if (status.busy) {
+      load.lastBusyAt = now.steady
       load.accepted = true
       weights.noteLoading(worker.id, now.steady + statusInterval)
       return
