--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -36,6 +36,8 @@
 export interface FleetEvents {
   /** A peer has proved that the configuration with this version was the newest at `asOf`. */
   readonly configurationProven: (version: number, asOf: Moment) => void
+  /** A peer has a newer configuration. */
+  readonly configurationBehind: () => void
   /** A peer has sent its configuration. */
   readonly catalog: (catalog: Catalog) => void
   /** A peer has reported the newest weight version of a model. */
@@ -176,7 +178,9 @@
       if (member.id === self.id) continue
       const known = peers.get(member.id)
       if (known?.member.incarnation === member.incarnation) continue
-      peers.set(member.id, { member, heardAt: undefined, heartbeat: undefined, reportedAlive: false, deliveredAt: undefined, resetAt: -Infinity })
+      // The heartbeats of a restarted instance may arrive before its record.
+      if (known?.heartbeat?.incarnation === member.incarnation) known.member = member
+      else peers.set(member.id, { member, heardAt: undefined, heartbeat: undefined, reportedAlive: false, deliveredAt: undefined, resetAt: -Infinity })
     }
     return [...peers.values()].map(({ member }) => member)
   }
@@ -200,12 +204,14 @@
     weights: [...own.weights]
   })
 
+  const sendHeartbeat = (peer: Peer, own: OwnState, silent: string[], now: Moment): void => {
+    peer.deliveredAt ??= now
+    emit({ kind: 'peer.send', to: peer.member.id, message: buildHeartbeat(peer, own, silent, now) })
+  }
+
   const sendHeartbeats = (to: Iterable<Peer>, own: OwnState, now: Moment): void => {
     const silent = own.readFor === undefined ? [] : findSilentPeers(now)
-    for (const peer of to) {
-      peer.deliveredAt ??= now
-      emit({ kind: 'peer.send', to: peer.member.id, message: buildHeartbeat(peer, own, silent, now) })
-    }
+    for (const peer of to) sendHeartbeat(peer, own, silent, now)
     nextReaderHeartbeat = now.steady + readerHeartbeatInterval
   }
 
@@ -248,8 +254,9 @@
     else if (now.steady >= nextReaderHeartbeat) sendHeartbeatsToReaders(now)
   }
 
-  /** Requests a newer configuration from a peer. In a larger fleet the request is delayed until the store has had time to answer, so that not all instances ask the same peer. */
+  /** Requests a newer configuration, from the store and from a peer. In a larger fleet the peer is asked only after the store has had time to answer, so that not all instances ask the same peer. */
   const requestCatalog = (from: string, version: number, now: Moment): void => {
+    if (behindSince === undefined) events.configurationBehind()
     behindSince ??= now.steady
     if (peers.size >= smallFleetSize && now.steady < behindSince + storeFetchTime) return
     if (now.steady < nextCatalogRequest) return
@@ -273,6 +280,8 @@
     peer.heartbeat = heartbeat
     peer.heardAt = now
     if (heartbeat.echo !== undefined) peer.deliveredAt = heartbeat.echo
+    // The sender has not heard from this instance; in a large fleet the next regular heartbeat may be seconds away.
+    else sendHeartbeat(peer, options.own(now), [], now)
     for (const { model, version } of heartbeat.weights) events.weightsNamed(model, version)
     if (heartbeat.readFor !== undefined && isReader(peer, now)) events.readerStateReceived(heartbeat.readFor)
     applyProof(from, heartbeat, now)
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -113,23 +113,31 @@
   const isReady = (now: Moment): boolean =>
     !shutdown.isShuttingDown() && index !== undefined && lease.age(now) < bounds().forwarding.keys
 
-  const applyCatalog = (catalog: Catalog, source: 'store' | 'peer'): void => {
-    if (index !== undefined && catalog.version <= index.catalog.version) return
+  /** Returns whether the configuration is newer than the one in force. */
+  const applyCatalog = (catalog: Catalog, source: 'store' | 'peer'): boolean => {
+    if (index !== undefined && catalog.version <= index.catalog.version) return false
     index = indexCatalog(catalog)
     log({ kind: 'configurationInForce', version: catalog.version, source, proofAge: Math.round(Math.min(lease.age(currentTime), Number.MAX_SAFE_INTEGER)) })
     const { bodyBytes, idleTimeout, headerTimeout } = catalog.limits
     emit({ kind: 'gateway.limits', bodyBytes, idleTimeout, headerTimeout })
     const address = index.partStore?.address
-    if (sameAddress(address, partStoreAddress)) return
+    if (sameAddress(address, partStoreAddress)) return true
     partStoreAddress = address
     partStore.setStore(address, index.partStore?.memoryTokens ?? defaultMemoryTokens)
     emit({ kind: 'parts.follow', address })
+    return true
   }
 
-  const noteAnnouncedWeights = (model: string, version: number): void => {
-    if (weights.name(model, version, currentTime.steady)) log({ kind: 'weightsNamed', model, version })
+  /** Returns whether the version is newer than the newest known. */
+  const noteAnnouncedWeights = (model: string, version: number): boolean => {
+    const isNew = weights.name(model, version, currentTime.steady)
+    if (isNew) log({ kind: 'weightsNamed', model, version })
+    return isNew
   }
 
+  /** Informs the others at once of what this instance has read for them. */
+  const announceNews = (): void => { if (storeReader.mode() === 'forAll') fleet.announce(currentTime) }
+
   const fleet = createFleet({
     self,
     hash,
@@ -151,8 +159,9 @@
     emit,
     events: {
       configurationProven: (version, asOf) => { if (version === index?.catalog.version) lease.renew(asOf) },
-      catalog: catalog => applyCatalog(catalog, 'peer'),
-      weightsNamed: noteAnnouncedWeights,
+      configurationBehind: () => { if (storeReader.mode() === 'throughPeers') emit({ kind: 'configuration.read' }) },
+      catalog: catalog => { applyCatalog(catalog, 'peer') },
+      weightsNamed: (model, version) => { noteAnnouncedWeights(model, version) },
       workerLoading: (worker, time) => weights.noteLoading(worker, currentTime.steady + time),
       workerLoaded: registry.noteLoaded,
       peerSentToWorker: sent => registry.noteSentByPeer(sent, currentTime.steady),
@@ -230,12 +239,15 @@
     switch (input.kind) {
       case 'feed.catalog':
         storeProof.noteCatalog(input.catalog.version)
-        return applyCatalog(input.catalog, 'store')
+        if (applyCatalog(input.catalog, 'store')) announceNews()
+        return
       case 'feed.proof':
         storeLease.renew(input.asOf)
         if (storeProof.isValid(index?.catalog.version ?? 0, currentTime.steady)) lease.renew(input.asOf)
         return
-      case 'feed.weights': return noteAnnouncedWeights(input.model, input.version)
+      case 'feed.weights':
+        if (noteAnnouncedWeights(input.model, input.version)) announceNews()
+        return
       case 'feed.workers': return registry.apply(input.records, input.complete, currentTime.steady)
       case 'feed.members': return emit({ kind: 'gateway.peers', members: fleet.setMembers(input.members, input.withdrawn) })
       case 'feed.parts':
--- a/src/ports/feedPort.ts
+++ b/src/ports/feedPort.ts
@@ -55,6 +55,8 @@
   | { readonly kind: 'member.withdraw', readonly id: string }
   /** Changes how the instance reads the store. */
   | { readonly kind: 'store.read', readonly reading: StoreReadMode }
+  /** Reads the configuration and the announced weights once, although other instances read for this one. */
+  | { readonly kind: 'configuration.read' }
   /** Reads all workers once, although other instances read for this one. */
   | { readonly kind: 'workers.read' }
   /** Follows the events of the part store at this address; undefined stops following. */
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -124,6 +124,7 @@
       case 'member.announce':
       case 'member.withdraw':
       case 'store.read':
+      case 'configuration.read':
       case 'workers.read':
       case 'parts.follow':
       case 'claim.read':
