A large fleet stores fewer prompts in the part store

Cause: an instance that reads through peers stored every prompt that it had not stored itself, for its own part too: of 195 instances all but three.

--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -48,6 +48,8 @@
     kind: z.literal('fleet.sent'),
     worker: z.string(),
     unreadTokens: z.number(),
+    /** Whether the worker was asked to send the prompt to the part store. */
+    stores: z.boolean().default(false),
     scope: z.string(),
     parts: z.array(z.object({ id: z.string(), tokens: z.number() }))
   }),
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -27,6 +27,8 @@
   readonly cachedPartsOf: (worker: string) => CachedPartsEstimate
   /** Estimate of the prompt parts in the part store; undefined while the store is unreachable. */
   readonly stored: () => CachedPartsEstimate | undefined
+  /** Takes a prompt of so many tokens from this instance's part of what the fleet may send to the part store; returns false if it may not be stored. */
+  readonly takeStoreBudget: (tokens: number, now: number) => boolean
   /** Whether that estimate is updated from the part store's events, so that evicted parts are removed from it. */
   readonly followsStoreEvents: () => boolean
   /** The retry budget of a service. */
@@ -39,12 +41,26 @@
   readonly emit: (effect: ForwardEffect) => void
   /** Writes a log event. */
   readonly log: (event: ForwardLogEvent) => void
-  /** Informs the other instances of the tokens that a worker was given to prefill; `first` is true if many shared tokens are among them, so that probably no worker has these parts cached yet. */
-  readonly announceSend: (worker: string, unreadTokens: number, scope: string, parts: readonly PromptPart[], first: boolean) => void
+  /** Informs the other instances of a long prompt that was sent to a worker. */
+  readonly announceSend: (sent: SentPrompt) => void
   /** Informs the other instances that a worker may be unreachable. */
   readonly announceSuspect: (worker: string) => void
 }
 
+/** A long prompt that was sent to a worker. */
+export interface SentPrompt {
+  readonly worker: string
+  /** Tokens that the worker has to prefill. */
+  readonly unreadTokens: number
+  readonly scope: string
+  /** Its shared parts. */
+  readonly parts: readonly PromptPart[]
+  /** Whether many shared tokens are unread, so that probably no worker has these parts cached yet. */
+  readonly first: boolean
+  /** Whether the worker was asked to send the prompt to the part store. */
+  readonly stores: boolean
+}
+
 /** Time limits of forwarding, in ms; the first two are ages of the newest proof that the configuration is current. */
 export interface ForwardingBounds {
   /** Age from which requests on routes that need a key are refused. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -69,13 +69,15 @@
   return known.length === 0 ? 0 : known.reduce((sum, cost) => sum + cost, 0) / known.length
 }
 
-const modelDispatchOf = (context: ForwardingContext, choice: ModelChoice, prompt: Prompt, version: number | undefined): ModelDispatch => {
+const modelDispatchOf = (context: ForwardingContext, choice: ModelChoice, prompt: Prompt, version: number | undefined, now: number): ModelDispatch => {
   const { candidate } = choice
   const store = context.catalog()?.partStore
   const stored = context.stored()
   if (store === undefined || stored === undefined) return { version, scope: candidate.scope }
   if (prompt.parts.length === 0) return { version, scope: candidate.scope }
-  const stores = candidate.outdatedFor === 0 && shouldStorePrompt(stored, context.followsStoreEvents(), candidate.scope, prompt)
+  const followsEvents = context.followsStoreEvents()
+  const stores = candidate.outdatedFor === 0 && shouldStorePrompt(stored, followsEvents, candidate.scope, prompt) &&
+    (followsEvents || context.takeStoreBudget(prompt.inputTokens, now))
   // A worker on the newest weights always gets the store as a source: a miss costs 1 ms, while the estimates of worker caches and of parts stored by other instances are often wrong.
   return {
     version,
@@ -110,7 +112,7 @@
   if (choice === undefined || worker === undefined) return undefined
   const { expected, unreadTokens, fetchedTokens, tokensAhead, memoryTokens } = choice
   const version = versions.get(worker.id)
-  const model = modelDispatchOf(context, choice, prompt, version)
+  const model = modelDispatchOf(context, choice, prompt, version, now)
   return { worker, expected, unreadTokens, fetchedTokens, tokensAhead, memoryTokens, version, model, storesParts: model.target !== undefined }
 }
 
@@ -154,12 +156,12 @@
 /** Number of prompt tokens from which the other instances are informed of a send; also the number of shared tokens to prefill from which the shared parts count as cached by no worker. */
 const announceMinTokens = 1_000
 
-const announceLongPrompt = (context: ForwardingContext, { call: { prompt } }: Exchange, { worker, unreadTokens, model }: ChosenWorker): void => {
+const announceLongPrompt = (context: ForwardingContext, { call: { prompt } }: Exchange, { worker, unreadTokens, model, storesParts }: ChosenWorker): void => {
   if (prompt === undefined || model === undefined || prompt.inputTokens < announceMinTokens) return
   const shared = sharedParts(prompt)
   const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0)
   const unreadShared = unreadTokens - (prompt.inputTokens - sharedTokens)
-  context.announceSend(worker.id, unreadTokens, model.scope, shared, unreadShared >= announceMinTokens)
+  context.announceSend({ worker: worker.id, unreadTokens, scope: model.scope, parts: shared, first: unreadShared >= announceMinTokens, stores: storesParts })
 }
 
 const send = (context: ForwardingContext, exchange: Exchange, target: ChosenWorker, cause: SendCause, attempt: number, time: DecisionTime): void => {
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -17,6 +17,7 @@
 import type { Hash } from '../hash.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
 import { parseCacheScope } from '../placement/cacheScope.js'
+import { createStoreBudget } from '../placement/storeBudget.js'
 import { peerRequests } from '../placement/workerLoad.js'
 import type { FeedInput, FleetMember } from '../ports/feedPort.js'
 import type { PeerMessage } from '../ports/peerPort.js'
@@ -97,6 +98,7 @@
   })
   const { workers, weights, loadOf, cachedPartsOf } = registry
   const partStore = createPartStoreIndex()
+  const storeBudget = createStoreBudget()
   const lagDetector = createLagDetector(tickInterval)
   const retryBudgets = new Map<string, RetryBudget>()
   let index: CatalogIndex | undefined
@@ -164,7 +166,11 @@
       weightsNamed: (model, version) => { noteAnnouncedWeights(model, version) },
       workerLoading: (worker, time) => weights.noteLoading(worker, currentTime.steady + time),
       workerLoaded: registry.noteLoaded,
-      peerSentToWorker: sent => registry.noteSentByPeer(sent, currentTime.steady),
+      peerSentToWorker: sent => {
+        registry.noteSentByPeer(sent, currentTime.steady)
+        // An instance that follows the part store hears of it from the store itself.
+        if (sent.stores && storeReader.mode() === 'throughPeers') partStore.parts()?.add(sent.scope, sent.parts)
+      },
       workerDoubted: worker => forwarding.suspectWorker(worker, currentTime.steady),
       workerRecordsReceived: records => { if (storeReader.mode() === 'throughPeers') registry.applyFromPeer(records) },
       readerStateReceived: state => storeReader.handleReaderState(state, currentTime.steady),
@@ -224,8 +230,9 @@
     random,
     emit,
     log,
-    announceSend: (worker, unreadTokens, scope, parts, first) => {
-      if (first || fleet.size(currentTime) <= maxFleetForAllPrompts) fleet.broadcast({ kind: 'fleet.sent', worker, unreadTokens, scope, parts: [...parts] })
+    takeStoreBudget: (tokens, now) => storeBudget.take(tokens, index?.partStore?.memoryTokens ?? defaultMemoryTokens, fleet.size(currentTime), now),
+    announceSend: ({ first, parts, ...sent }) => {
+      if (first || sent.stores || fleet.size(currentTime) <= maxFleetForAllPrompts) fleet.broadcast({ kind: 'fleet.sent', ...sent, parts: [...parts] })
     },
     announceSuspect: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
   })
--- a/src/gateway/partStoreIndex.ts
+++ b/src/gateway/partStoreIndex.ts
@@ -2,8 +2,8 @@
  * Index of the prompt parts that the part store holds, as far as one instance
  * knows. An instance that follows the store updates the index from the store's
  * events. An instance that relies on others to read the store knows only the
- * parts that it stored itself; it queries the store in any case, since a miss
- * costs only 1 ms.
+ * parts that it and its peers stored, not what the store evicts; it queries the
+ * store in any case, since a miss costs only 1 ms.
  */
 import type { Address } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -70,6 +70,7 @@
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
     cachedPartsOf: worker => getOrCreate(cachedParts, worker, () => createCachedPartsEstimate(memoryTokens)),
     stored: () => undefined,
+    takeStoreBudget: () => true,
     followsStoreEvents: () => true,
     retries: () => retryBudget,
     instances: () => 1,
