Instances take turns when readers of the store are missing

Change: an instance reads for all when too few readers rank before it and those before it have had 150 ms each; a new reader says at once that it reaches the store.

Test: replay of 60 instances, changes to reading for all after one reader is lost: 6 at most now; without the turns it fails.

--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -121,7 +121,7 @@
  * it. A long poll proves only the state at the time it was sent, so the age normally rises to twice the
  * poll's wait.
  */
-const storeContactTimeout = 2_000
+export const storeContactTimeout = 2_000
 /** Minimum time between requests for a newer configuration, in ms. */
 const catalogRequestInterval = 300
 /** Minimum time between two resets of a connection, in ms. */
--- a/src/fleet/readMode.spec.ts
+++ b/src/fleet/readMode.spec.ts
@@ -1,9 +1,9 @@
 import { loadHash, type Hash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
 import type { FleetMember, StoreReadMode } from '../ports/feedPort.js'
-import { createFleet, type Fleet } from './fleetMachine.js'
+import { createFleet, storeContactTimeout, type Fleet } from './fleetMachine.js'
 import type { FleetMessage } from './fleetMessages.js'
-import { chooseReadMode, readerCount } from './readMode.js'
+import { chooseReadMode, readerCount, type ReadModeInput } from './readMode.js'
 
 let hash: Hash
 
@@ -11,19 +11,38 @@
 
 const at = (steady: number): Moment => ({ steady, wall: steady })
 
+/** Builds the input of an instance of a larger fleet with enough readers. */
+const buildInput = (overrides: Partial<ReadModeInput> = {}): ReadModeInput =>
+  ({ size: 60, higherRankedReaders: readerCount, turn: 0, readersMissingFor: 0, current: 'throughPeers', proofAge: 0, holding: false, ...overrides })
+
 describe('the read mode of an instance', () => {
   it('is forItself in a small fleet', () => {
-    expect(chooseReadMode({ size: 8, higherRankedReaders: 3, proofAge: 0, holding: false })).toBe('forItself')
+    expect(chooseReadMode(buildInput({ size: 8 }))).toBe('forItself')
   })
 
   it('is forAll if too few readers rank before it, else throughPeers', () => {
-    expect(chooseReadMode({ size: 60, higherRankedReaders: readerCount - 1, proofAge: 0, holding: false })).toBe('forAll')
-    expect(chooseReadMode({ size: 60, higherRankedReaders: readerCount, proofAge: 0, holding: false })).toBe('throughPeers')
+    expect(chooseReadMode(buildInput({ higherRankedReaders: readerCount - 1 }))).toBe('forAll')
+    expect(chooseReadMode(buildInput())).toBe('throughPeers')
   })
 
   it('is inReserve if the readers have fallen silent, and forAll if it holds the rollout lease', () => {
-    expect(chooseReadMode({ size: 60, higherRankedReaders: readerCount, proofAge: 2_700, holding: false })).toBe('inReserve')
-    expect(chooseReadMode({ size: 60, higherRankedReaders: readerCount, proofAge: 0, holding: true })).toBe('forAll')
+    expect(chooseReadMode(buildInput({ proofAge: 2_700 }))).toBe('inReserve')
+    expect(chooseReadMode(buildInput({ holding: true }))).toBe('forAll')
+  })
+})
+
+describe('an instance that finds too few readers', () => {
+  const missing = { higherRankedReaders: readerCount - 1, turn: 4 }
+
+  it('waits for its turn', () => {
+    expect(chooseReadMode(buildInput({ ...missing, readersMissingFor: 500 }))).toBe('throughPeers')
+    expect(chooseReadMode(buildInput({ ...missing, readersMissingFor: 600 }))).toBe('forAll')
+  })
+
+  it('goes on as before until then', () => {
+    expect(chooseReadMode(buildInput({ ...missing, current: 'forAll' }))).toBe('forAll')
+    expect(chooseReadMode(buildInput({ ...missing, current: 'forItself' }))).toBe('forItself')
+    expect(chooseReadMode(buildInput({ ...missing, proofAge: 2_700 }))).toBe('inReserve')
   })
 })
 
@@ -44,8 +63,10 @@
   const storeProofs = new Map<string, number>(members.map(({ id }) => [id, 0]))
   const instances = new Map<string, Fleet>()
   const queue: { readonly from: string, readonly to: string, readonly message: FleetMessage }[] = []
+  const missingSince = new Map<string, number>()
   let now = 0
   let reads = 0
+  let changesToForAll = 0
 
   for (const member of members) {
     const { id } = member
@@ -83,13 +104,15 @@
     instances.set(id, fleet)
   }
 
-  /** Each read is a long poll that returns without changes, so it proves the state at the time it was sent. */
+  /** The first read after a change of mode returns at once. Each further one is a long poll that returns without changes, so it proves the state at the time it was sent. */
   const read = (id: string): void => {
     const sentAt = sent.get(id)
-    if (sentAt !== undefined && now - sentAt < readDuration) return
+    const isFirst = now - (storeProofs.get(id) ?? 0) >= storeContactTimeout
+    if (sentAt !== undefined && now - sentAt < readDuration && !isFirst) return
     if (sentAt !== undefined && !storeUnreachable.has(id)) {
       proofs.set(id, Math.max(proofs.get(id) ?? 0, sentAt))
       storeProofs.set(id, sentAt)
+      if (isFirst && readings.get(id) === 'forAll') instances.get(id)?.announce(at(now))
     }
     sent.delete(id)
     if (readings.get(id) === 'throughPeers') return
@@ -103,12 +126,20 @@
       if (dead.has(id)) continue
       read(id)
       fleet.tick(at(now))
-      readings.set(id, chooseReadMode({
+      const higherRankedReaders = fleet.higherRankedReaders(at(now))
+      if (higherRankedReaders >= readerCount) missingSince.delete(id)
+      else if (!missingSince.has(id)) missingSince.set(id, now)
+      const next = chooseReadMode({
         size: fleet.size(at(now)),
-        higherRankedReaders: fleet.higherRankedReaders(at(now)),
+        higherRankedReaders,
+        turn: fleet.rank(at(now)) - higherRankedReaders,
+        readersMissingFor: now - (missingSince.get(id) ?? now),
+        current: readings.get(id) ?? 'forItself',
         proofAge: now - (proofs.get(id) ?? 0),
         holding: false
-      }))
+      })
+      if (next === 'forAll' && readings.get(id) !== 'forAll') changesToForAll++
+      readings.set(id, next)
     }
     for (const { from, to, message } of queue.splice(0)) {
       if (!dead.has(from) && !dead.has(to)) instances.get(to)?.receive(from, message, at(now))
@@ -131,6 +162,7 @@
       }
       return { maxProofAge, reads: (reads - before) / (time / 1_000) }
     },
+    changesToForAll: () => changesToForAll,
     currentReaders: () => liveInstances().filter(id => readings.get(id) === 'forAll'),
     countMissingPeers: (id: string) => size - 1 - (instances.get(id)?.serving(at(now)).length ?? 0)
   }
@@ -168,6 +200,16 @@
     expect(fleet.currentReaders().filter(id => !before.includes(id))).toHaveLength(readerCount)
   })
 
+  it('replaces a lost reader by few others, which take turns', () => {
+    const fleet = buildFleet(60)
+    fleet.run(6_000)
+    const before = fleet.changesToForAll()
+    fleet.dead.add(fleet.currentReaders()[0])
+    fleet.run(10_000)
+    expect(fleet.currentReaders()).toHaveLength(readerCount)
+    expect(fleet.changesToForAll() - before).toBeLessThanOrEqual(6)
+  })
+
   it('detects dead instances by the reports of the readers, sooner than by its own infrequent heartbeats', () => {
     const fleet = buildFleet(60)
     fleet.run(8_000)
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -10,7 +10,7 @@
 import { assertNever } from '../errors.js'
 import { selectDirectoryAddresses } from '../fleet/directory.js'
 import { createLagDetector } from '../fleet/lagDetector.js'
-import { createFleet } from '../fleet/fleetMachine.js'
+import { createFleet, storeContactTimeout } from '../fleet/fleetMachine.js'
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
 import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
@@ -179,7 +179,10 @@
   })
 
   const storeReader = createStoreReader({
-    readModeInput: now => ({ size: fleet.size(now), higherRankedReaders: fleet.higherRankedReaders(now), proofAge: lease.age(now), holding: rolloutLease.holds() }),
+    readModeInput: now => {
+      const higherRankedReaders = fleet.higherRankedReaders(now)
+      return { size: fleet.size(now), higherRankedReaders, turn: fleet.rank(now) - higherRankedReaders, proofAge: lease.age(now), holding: rolloutLease.holds() }
+    },
     digest: () => workers.digest(hash),
     emit,
     onModeChange: mode => log({ kind: 'readingChanged', reading: mode }),
@@ -242,6 +245,13 @@
     return scoped !== undefined && scoped.version < (weights.newest(scoped.model)?.version ?? -Infinity)
   }
 
+  /** Records a response of the store that proves the state at `asOf`. The others rely on an instance that reads for all only once they have heard that it reaches the store. */
+  const applyStoreContact = (asOf: Moment): void => {
+    const isRegained = storeLease.age(currentTime) >= storeContactTimeout
+    storeLease.renew(asOf)
+    if (isRegained && storeReader.mode() === 'forAll') fleet.announce(currentTime)
+  }
+
   const handleFeed = (input: FeedInput): void => {
     switch (input.kind) {
       case 'feed.catalog':
@@ -249,7 +259,7 @@
         if (applyCatalog(input.catalog, 'store')) announceNews()
         return
       case 'feed.proof':
-        storeLease.renew(input.asOf)
+        applyStoreContact(input.asOf)
         if (storeProof.isValid(index?.catalog.version ?? 0, currentTime.steady)) lease.renew(input.asOf)
         return
       case 'feed.weights':
--- a/src/gateway/storeReader.spec.ts
+++ b/src/gateway/storeReader.spec.ts
@@ -1,11 +1,10 @@
-import type { ReadModeInput } from '../fleet/readMode.js'
 import type { FeedEffect } from '../ports/feedPort.js'
 import { createStoreReader } from './storeReader.js'
 
 const build = () => {
   const effects: FeedEffect[] = []
   const reachable: boolean[] = []
-  const input: { now: ReadModeInput } = { now: { size: 60, higherRankedReaders: 3, proofAge: 100, holding: false } }
+  const input = { now: { size: 60, higherRankedReaders: 3, turn: 5, proofAge: 100, holding: false } }
   const reading = createStoreReader({
     readModeInput: () => input.now,
     digest: () => 7,
--- a/src/gateway/storeReader.ts
+++ b/src/gateway/storeReader.ts
@@ -4,7 +4,7 @@
  * Messages between instances may be lost. The digests then differ, and this
  * instance repairs its state by reading all workers once.
  */
-import { chooseReadMode, type ReadModeInput } from '../fleet/readMode.js'
+import { chooseReadMode, readerCount, type ReadModeInput } from '../fleet/readMode.js'
 import type { ReaderState } from '../fleet/fleetMessages.js'
 import type { Moment } from '../lease/readLease.js'
 import type { FeedEffect, StoreReadMode } from '../ports/feedPort.js'
@@ -12,7 +12,7 @@
 /** What the store reader depends on. */
 export interface StoreReaderOptions {
   /** Returns the state of the fleet and of this instance on which the read mode depends. */
-  readonly readModeInput: (now: Moment) => ReadModeInput
+  readonly readModeInput: (now: Moment) => Omit<ReadModeInput, 'current' | 'readersMissingFor'>
   /** Digest of the workers known to this instance. */
   readonly digest: () => number
   readonly emit: (effect: FeedEffect) => void
@@ -49,6 +49,8 @@
   let lastMatchAt = -Infinity
   let lastRepair = -Infinity
   let nextModeCheck = -Infinity
+  /** Since when there have been too few readers before this instance, in ms; undefined if there are enough. */
+  let readersMissingSince: number | undefined
 
   const changeMode = (next: StoreReadMode, now: number): void => {
     mode = next
@@ -68,7 +70,9 @@
     tick: now => {
       if (now.steady < nextModeCheck) return
       nextModeCheck = now.steady + modeInterval
-      const next = chooseReadMode(options.readModeInput(now))
+      const input = options.readModeInput(now)
+      readersMissingSince = input.higherRankedReaders >= readerCount ? undefined : readersMissingSince ?? now.steady
+      const next = chooseReadMode({ ...input, current: mode, readersMissingFor: now.steady - (readersMissingSince ?? now.steady) })
       if (next !== mode) changeMode(next, now.steady)
     },
     handleReaderState: ({ workers, partStore }, now) => {
