--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -1,3 +1,4 @@
+import { buildFleetEvents } from '../../test/fixtures/fleet.js'
 import { buildCatalog } from '../../test/fixtures/forwarding.js'
 import { loadHash, type Hash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
@@ -31,6 +32,7 @@
   const sent: { readonly to: string, readonly message: FleetMessage }[] = []
   const proofs: Moment[] = []
   const resets: string[] = []
+  const leaving: string[] = []
   let behind = 0
   const fleet = createFleet({
     self: buildMember('a'),
@@ -41,22 +43,14 @@
       if (effect.kind === 'peer.reset') resets.push(effect.to)
       else sent.push({ to: effect.to, message: effect.message })
     },
-    events: {
-      configurationProven: (_version, asOf) => proofs.push(asOf),
+    events: buildFleetEvents({
+      configurationProven: (_version, asOf) => { proofs.push(asOf) },
       configurationBehind: () => { behind++ },
-      catalog: () => { /* Not checked. */ },
-      weightsNamed: () => { /* Not checked. */ },
-      workerLoading: () => { /* Not checked. */ },
-      workerLoaded: () => { /* Not checked. */ },
-      workerDoubted: () => { /* Not checked. */ },
-      peerSentToWorker: () => { /* Not checked. */ },
-      workerRecordsReceived: () => { /* Not checked. */ },
-      readerStateReceived: () => { /* Not checked. */ },
-      peerChanged: () => { /* Not checked. */ }
-    }
+      workerLeaving: worker => { leaving.push(worker) }
+    })
   })
   fleet.setMembers([buildMember('a'), buildMember('b')], [])
-  return { fleet, sent, proofs, resets, behind: () => behind }
+  return { fleet, sent, proofs, resets, leaving, behind: () => behind }
 }
 
 const servingFrontsAt = (fleet: Fleet, now: number): readonly string[] => fleet.serving(at(now)).map(({ member }) => member.front)
@@ -90,6 +84,12 @@
     expect(sent).toHaveLength(1)
   })
 
+  it('passes on that a worker is leaving', () => {
+    const { fleet, leaving } = build()
+    fleet.receive('b', { kind: 'fleet.workerLeaving', worker: 'w1', startedAt: 7 }, at(0))
+    expect(leaving).toEqual(['w1'])
+  })
+
   it('reports once that it is behind, until it has caught up', () => {
     const { fleet, behind } = build(3)
     fleet.receive('b', buildHeartbeat(), at(100))
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -14,6 +14,7 @@
 import type { WorkerRecord } from '../workers/workersTypes.js'
 import type { ServingMember } from './directory.js'
 import type { FleetMessage, Heartbeat, ReaderState } from './fleetMessages.js'
+import { findLivePeers, isReader, isSilent, maxMissedHeartbeats, reachesStore, readerHeartbeatInterval, type Peer } from './peerLiveness.js'
 
 /** State of this instance that its heartbeats report; ages in ms. */
 export interface OwnState {
@@ -48,6 +49,8 @@
   readonly workerLoaded: (worker: string, model: string, version: number) => void
   /** A peer could not reach a worker. */
   readonly workerDoubted: (worker: string) => void
+  /** A worker has told a peer that this lifetime of it is leaving. */
+  readonly workerLeaving: (worker: string, startedAt: number) => void
   /** A peer has sent a worker a request with many uncached tokens. */
   readonly peerSentToWorker: (sent: Extract<FleetMessage, { kind: 'fleet.sent' }>) => void
   /** A peer that reads for others has sent changed worker records. */
@@ -96,32 +99,10 @@
   readonly dump: (now: Moment) => unknown
 }
 
-/** State kept of one peer. */
-interface Peer {
-  member: FleetMember
-  /** When its last heartbeat arrived; undefined before the first. */
-  heardAt: Moment | undefined
-  heartbeat: Heartbeat | undefined
-  /** Liveness that `peerChanged` last reported. */
-  reportedAlive: boolean
-  /** When this instance sent the last heartbeat that the peer has acknowledged by its echo; before the first echo, when it sent the first one. */
-  deliveredAt: Moment | undefined
-  /** When the connection was last reset, on the steady clock in ms. */
-  resetAt: number
-}
-
 /** Time between heartbeats in a small fleet, in ms. */
 const heartbeatInterval = 250
 /** Fleet size up to which `heartbeatInterval` applies; beyond it the interval grows in proportion, which bounds the number of heartbeats. */
 const smallFleetSize = 10
-/** Number of heartbeat intervals without a heartbeat after which a peer counts as silent. */
-const maxMissedHeartbeats = 4
-/**
- * Age of the last direct response of the store, in ms, up to which an instance counts as connected to
- * it. A long poll proves only the state at the time it was sent, so the age normally rises to twice the
- * poll's wait.
- */
-export const storeContactTimeout = 2_000
 /** Minimum time between requests for a newer configuration, in ms. */
 const catalogRequestInterval = 300
 /** Minimum time between two resets of a connection, in ms. */
@@ -130,11 +111,6 @@
 const livenessCheckInterval = 100
 /** Time within which an instance that polls the store normally receives a new configuration from it, in ms. */
 const storeFetchTime = 300
-/** Maximum time between heartbeats to and from a reader, an instance that reads the store for others, in ms; they carry its proofs and the digest of its workers. */
-const readerHeartbeatInterval = 500
-/** Time without a heartbeat after which a reader is no longer relied on, in ms. */
-const readerTimeout = 1_500
-
 /**
  * Creates an instance's view of the fleet, without members.
  *
@@ -152,22 +128,7 @@
 
   const currentHeartbeatInterval = (): number => heartbeatInterval * Math.max(1, (peers.size + 1) / smallFleetSize)
 
-  const hasHeartbeatWithin = ({ heardAt }: Peer, time: number, now: Moment): boolean =>
-    heardAt !== undefined && ageOf(heardAt, now) < time
-
-  const isReader = (peer: Peer, now: Moment): boolean =>
-    peer.heartbeat?.readFor !== undefined && !peer.heartbeat.leaving && (peer.heartbeat.storeAge ?? Infinity) < storeContactTimeout && hasHeartbeatWithin(peer, readerTimeout, now)
-
-  /** Peers that some reader reports as silent; readers get heartbeats more often than other instances, so they notice it sooner. */
-  const reportedSilent = (now: Moment): ReadonlySet<string> =>
-    new Set([...peers.values()].flatMap(peer => isReader(peer, now) ? peer.heartbeat?.readFor?.silent ?? [] : []))
-
-  const livePeers = (now: Moment): readonly Peer[] => {
-    const silent = reportedSilent(now)
-    return [...peers.values()].filter(peer =>
-      hasHeartbeatWithin(peer, currentHeartbeatInterval() * maxMissedHeartbeats, now) &&
-      (!silent.has(peer.member.id) || hasHeartbeatWithin(peer, readerHeartbeatInterval * maxMissedHeartbeats, now)))
-  }
+  const livePeers = (now: Moment): readonly Peer[] => findLivePeers([...peers.values()], currentHeartbeatInterval(), now)
 
   const ranksBefore = (left: FleetMember, right: FleetMember): boolean =>
     left.capacity === right.capacity ? hash.h32(left.id) < hash.h32(right.id) : left.capacity > right.capacity
@@ -186,7 +147,7 @@
   }
 
   const findSilentPeers = (now: Moment): string[] =>
-    [...peers.values()].filter(peer => !hasHeartbeatWithin(peer, readerHeartbeatInterval * maxMissedHeartbeats, now)).map(({ member }) => member.id)
+    [...peers.values()].filter(peer => isSilent(peer, now)).map(({ member }) => member.id)
 
   const buildHeartbeat = (peer: Peer, own: OwnState, silent: string[], now: Moment): Heartbeat => ({
     kind: 'fleet.beat',
@@ -294,6 +255,7 @@
       case 'fleet.loaded': return events.workerLoaded(message.worker, message.model, message.version)
       case 'fleet.sent': return events.peerSentToWorker(message)
       case 'fleet.doubt': return events.workerDoubted(message.worker)
+      case 'fleet.workerLeaving': return events.workerLeaving(message.worker, message.startedAt)
       case 'fleet.workers': return events.workerRecordsReceived(message.records)
       case 'fleet.wantCatalog': {
         const catalog = options.ownCatalog()
@@ -309,7 +271,7 @@
     const peer = peers.get(id)
     if (peer === undefined || !livePeers(now).includes(peer)) return false
     const { heartbeat } = peer
-    return heartbeat?.incarnation === incarnation && !heartbeat.leaving && (heartbeat.storeAge ?? Infinity) < storeContactTimeout
+    return heartbeat?.incarnation === incarnation && !heartbeat.leaving && reachesStore(peer)
   }
 
   const rank = (now: Moment): number =>
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -55,6 +55,8 @@
   }),
   /** The sender could not reach a worker. */
   z.object({ kind: z.literal('fleet.doubt'), worker: z.string() }),
+  /** A worker has stated in a response to the sender that this lifetime of it is leaving. */
+  z.object({ kind: z.literal('fleet.workerLeaving'), worker: z.string(), startedAt: z.number() }),
   /** Changed worker records from a sender that reads for others. */
   z.object({ kind: z.literal('fleet.workers'), records: z.array(workerRecordSchema) }),
   /** Requests the configuration of at least this version. */
--- a/src/fleet/readMode.spec.ts
+++ b/src/fleet/readMode.spec.ts
@@ -1,8 +1,10 @@
+import { buildFleetEvents } from '../../test/fixtures/fleet.js'
 import { loadHash, type Hash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
 import type { FleetMember, StoreReadMode } from '../ports/feedPort.js'
-import { createFleet, storeContactTimeout, type Fleet } from './fleetMachine.js'
+import { createFleet, type Fleet } from './fleetMachine.js'
 import type { FleetMessage } from './fleetMessages.js'
+import { storeContactTimeout } from './peerLiveness.js'
 import { chooseReadMode, readerCount, type ReadModeInput } from './readMode.js'
 
 let hash: Hash
@@ -86,19 +88,7 @@
       }),
       ownCatalog: () => undefined,
       emit: effect => { if (effect.kind === 'peer.send') queue.push({ from: id, to: effect.to, message: effect.message }) },
-      events: {
-        configurationProven: (_version, asOf) => proofs.set(id, Math.max(proofs.get(id) ?? 0, asOf.steady)),
-        configurationBehind: () => { /* Not checked. */ },
-        catalog: () => { /* Not checked. */ },
-        weightsNamed: () => { /* Not checked. */ },
-        workerLoading: () => { /* Not checked. */ },
-        workerLoaded: () => { /* Not checked. */ },
-        workerDoubted: () => { /* Not checked. */ },
-        peerSentToWorker: () => { /* Not checked. */ },
-        workerRecordsReceived: () => { /* Not checked. */ },
-        readerStateReceived: () => { /* Not checked. */ },
-        peerChanged: () => { /* Not checked. */ }
-      }
+      events: buildFleetEvents({ configurationProven: (_version, asOf) => { proofs.set(id, Math.max(proofs.get(id) ?? 0, asOf.steady)) } })
     })
     fleet.setMembers(members, [])
     instances.set(id, fleet)
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -43,6 +43,8 @@
   readonly log: (event: ForwardLogEvent) => void
   /** Informs the other instances of a long prompt that was sent to a worker. */
   readonly announceSend: (sent: SentPrompt) => void
+  /** Informs the other instances that a worker has stated that this lifetime of it is leaving. */
+  readonly announceLeaving: (worker: string, startedAt: number) => void
   /** Informs the other instances that a worker may be unreachable. */
   readonly announceSuspect: (worker: string) => void
 }
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -8,15 +8,16 @@
 import { assertNever } from '../errors.js'
 import type { Moment } from '../lease/readLease.js'
 import type { AnswerHead, Call, ForwardInput } from '../ports/forwardPort.js'
-import { noteLoadCounts, noteEnded, noteFailure, noteFirstEvent, notePause, noteSuccess } from '../placement/workerLoad.js'
-import { firstEventOverhead } from '../placement/modelPlacement.js'
+import { noteEnded, noteFailure, noteSuccess } from '../placement/workerLoad.js'
 import { admitRequest } from './admitRequest.js'
 import { createSuspectWorkers } from './suspectWorkers.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
 import { placeRequest } from './placeRequest.js'
 import { refusalResponse, outcomeOf, type Refusal } from './refusal.js'
-import { rejectionReason, type Rejection } from './rejection.js'
+import { rejectionReason } from './rejection.js'
+import { decideWait, rejectedRetryAfter } from './waitOrRefuse.js'
+import { applyFirstEvent, applyRejection, applyResponseState, applyWorkerNotices } from './workerNotices.js'
 import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
 
 /** Request forwarding of one instance. */
@@ -35,16 +36,10 @@
   readonly dump: () => unknown
 }
 
-/** Longest time for which a request may wait for a worker, as a fraction of its route's objective. */
-const maxWaitShare = 0.5
 /** Time, in ms, after which the requests of an unreachable worker that cannot be retried on another one are given up. */
 const unreachableLimit = 1_500
 /** Maximum number of retries of one request; after that its caller gets an error. */
 const maxRetries = 4
-/** Time, in ms, after which a worker that is full or loading weights is likely to accept requests again. */
-const rejectedRetryAfter = 120
-/** Time, in ms, for which a worker without the newest weights that rejected a request is assumed to be loading them and gets no requests. */
-const presumedLoadingTime = 250
 /** Lowest HTTP status of worker errors that are retried on another worker. */
 const firstServerError = 500
 
@@ -116,23 +111,24 @@
         byAttempt.set(lastAttempt, exchange)
         return
       case 'refused': return refuse(exchange, placement.refusal, time)
-      case 'noneAvailable': return enqueue(exchange, cause, placement.pausedUntil ?? time.now, time)
+      case 'noneAvailable': return enqueue(exchange, cause, placement.pausedUntil, time)
       default: assertNever(placement)
     }
   }
 
-  /** Lets a request wait for a worker, or refuses it if it could not wait long enough; no worker accepts requests before `pausedUntil` (ms). */
-  const enqueue = (exchange: Exchange, cause: SendCause, pausedUntil: number, time: DecisionTime): void => {
-    const { route, arrivedAt, deadline, workspace } = exchange
-    const until = Math.min(deadline, arrivedAt + maxWaitShare * route.objective)
-    const hasLiveWorker = context.workers.live(exchange.service).some(({ id }) => !exchange.excluded.has(id))
-    const workersExhausted = exchange.sentTo.size >= route.maxWorkers
-    if (pausedUntil > until && !workersExhausted) return refuse(exchange, { kind: 'turnedAway', wait: pausedUntil - time.now }, time)
-    if (time.now >= until || workersExhausted || (!hasLiveWorker && cause !== 'first' && cause !== 'waited')) {
-      refuse(exchange, workersExhausted ? { kind: 'turnedAway', wait: rejectedRetryAfter } : { kind: 'noWorker' }, time)
-      return
-    }
-    waitingQueue.add({ request: exchange.request, priority: workspace?.priority ?? route.priority, since: arrivedAt, expiresAt: until })
+  const enqueue = (exchange: Exchange, cause: SendCause, pausedUntil: number | undefined, time: DecisionTime): void => {
+    const { request, route, arrivedAt, deadline, workspace, excluded, sentTo, service } = exchange
+    const decision = decideWait({
+      arrivedAt,
+      deadline,
+      objective: route.objective,
+      workersExhausted: sentTo.size >= route.maxWorkers,
+      hasLiveWorker: context.workers.live(service).some(({ id }) => !excluded.has(id)),
+      isRetry: cause !== 'first' && cause !== 'waited',
+      pausedUntil
+    }, time.now)
+    if (decision.kind === 'refuse') return refuse(exchange, decision.refusal, time)
+    waitingQueue.add({ request, priority: workspace?.priority ?? route.priority, since: arrivedAt, expiresAt: decision.until })
   }
 
   const handleArrival = (request: number, call: Call, time: DecisionTime): void => {
@@ -178,34 +174,10 @@
     endAttempt(exchange, cancel)
   }
 
-  const applyRejection = (exchange: Exchange, attempt: Attempt, rejection: Rejection, now: number): void => {
-    const { prompt } = exchange.call
-    const worker = context.workers.get(attempt.worker)
-    switch (rejection.kind) {
-      case 'otherWorker':
-        suspectWorkers.markSuspect(attempt.worker, 'otherWorker', now)
-        exchange.excluded.add(attempt.worker)
-        exchange.sentTo.delete(attempt.worker)
-        return
-      case 'otherVersion':
-        if (worker !== undefined && prompt !== undefined) context.weights.noteHeld(worker, prompt.model, rejection.held)
-        context.weights.noteLoaded(attempt.worker)
-        context.cachedPartsOf(attempt.worker).clear()
-        return
-      case 'unavailable':
-        if (worker !== undefined && prompt !== undefined && !context.weights.holdsNewest(worker, prompt.model)) {
-          context.weights.noteLoading(attempt.worker, now + presumedLoadingTime)
-        }
-        exchange.excluded.add(attempt.worker)
-        return
-      default: assertNever(rejection)
-    }
-  }
-
   /** Retries a request that the worker states it has not run. */
   const handleRejection = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
     const rejection = rejectionReason(context, exchange, attempt, head)
-    applyRejection(exchange, attempt, rejection, time.now)
+    applyRejection(context, suspectWorkers, exchange, attempt, rejection, time.now)
     failAttempt(exchange, attempt, rejection.kind === 'unavailable' ? 'turnedAway' : rejection.kind, false, time.now)
     retry(exchange, rejection.kind === 'otherVersion' ? 'otherVersion' : 'turnedAway', { kind: 'turnedAway', wait: rejectedRetryAfter }, time)
   }
@@ -231,26 +203,15 @@
 
   const isStream = ({ route }: Exchange, head: AnswerHead): boolean => route.kind === 'stream' && isSuccess(head.status)
 
-  /** Applies what the worker states about itself: that it is leaving, or that it wants no requests for some time. */
-  const applyWorkerNotices = ({ call: { id } }: Exchange, { worker, workerStartedAt }: Attempt, { leaving, retryAfter }: AnswerHead, now: number): void => {
-    if (leaving === true && context.workers.noteLeaving(worker, workerStartedAt)) context.log({ kind: 'workerLeaving', id, worker })
-    if (retryAfter === undefined || context.workers.get(worker)?.startedAt !== workerStartedAt) return
-    notePause(context.loadOf(worker), retryAfter, now)
-    context.log({ kind: 'workerPaused', id, worker, time: Math.round(retryAfter) })
-  }
-
   const handleHead = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
     const { now } = time
     const { call } = exchange
     attempt.head = head
     attempt.lastDataAt = now
-    applyWorkerNotices(exchange, attempt, head, now)
+    applyWorkerNotices(context, exchange, attempt, head, now)
     if (head.requestId !== undefined && head.requestId !== call.id) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
-    const load = context.loadOf(attempt.worker)
-    if (head.load !== undefined) noteLoadCounts(load, head.load, now)
+    applyResponseState(context, exchange, attempt, head, now)
     if (head.notRun) return
-    const worker = context.workers.get(attempt.worker)
-    if (head.weightVersion !== undefined && worker !== undefined && call.prompt !== undefined) context.weights.noteHeld(worker, call.prompt.model, head.weightVersion)
     if (isSuccess(head.status) && !head.signed) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
     if (!isStream(exchange, head)) return
     if (exchange.headSent) return
@@ -259,16 +220,6 @@
     context.emit({ kind: 'call.open', request: exchange.request, status: head.status, headers: head.headers })
   }
 
-  const recordFirstEvent = (exchange: Exchange, attempt: Attempt, now: number): void => {
-    const load = context.loadOf(attempt.worker)
-    noteFirstEvent(load, attempt.flight, firstEventOverhead, now)
-    const { prompt } = exchange.call
-    if (prompt === undefined || attempt.scope === undefined) return
-    context.cachedPartsOf(attempt.worker).add(attempt.scope, prompt.parts)
-    const newest = context.weights.newest(prompt.model)?.version
-    if (attempt.storesParts && (newest === undefined || attempt.version === newest)) context.stored()?.add(attempt.scope, prompt.parts)
-  }
-
   const handleData = (exchange: Exchange, attempt: Attempt, bytes: Buffer, now: number): void => {
     attempt.lastDataAt = now
     const { head } = attempt
@@ -279,7 +230,7 @@
     }
     const events = attempt.splitter.push(bytes)
     if (events === undefined) return
-    if (attempt.flight.firstEventAt === undefined) recordFirstEvent(exchange, attempt, now)
+    if (attempt.flight.firstEventAt === undefined) applyFirstEvent(context, exchange, attempt, now)
     exchange.events += events.count
     exchange.firstEventAt ??= now
     if (events.lastId !== undefined) exchange.lastEventId = events.lastId
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -10,8 +10,9 @@
 import { assertNever } from '../errors.js'
 import { selectDirectoryAddresses } from '../fleet/directory.js'
 import { createLagDetector } from '../fleet/lagDetector.js'
-import { createFleet, storeContactTimeout } from '../fleet/fleetMachine.js'
+import { createFleet } from '../fleet/fleetMachine.js'
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
+import { storeContactTimeout } from '../fleet/peerLiveness.js'
 import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import type { Hash } from '../hash.js'
@@ -171,6 +172,7 @@
         // An instance that follows the part store hears of it from the store itself.
         if (sent.stores && storeReader.mode() === 'throughPeers') partStore.parts()?.add(sent.scope, sent.parts)
       },
+      workerLeaving: (worker, startedAt) => { workers.noteLeaving(worker, startedAt) },
       workerDoubted: worker => forwarding.suspectWorker(worker, currentTime.steady),
       workerRecordsReceived: records => { if (storeReader.mode() === 'throughPeers') registry.applyFromPeer(records) },
       readerStateReceived: state => storeReader.handleReaderState(state, currentTime.steady),
@@ -237,6 +239,7 @@
     announceSend: ({ first, parts, ...sent }) => {
       if (first || sent.stores || fleet.size(currentTime) <= maxFleetForAllPrompts) fleet.broadcast({ kind: 'fleet.sent', ...sent, parts: [...parts] })
     },
+    announceLeaving: (worker, startedAt) => fleet.broadcast({ kind: 'fleet.workerLeaving', worker, startedAt }),
     announceSuspect: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
   })
 
--- a/src/placement/workerLoad.ts
+++ b/src/placement/workerLoad.ts
@@ -184,9 +184,12 @@
   load.failures += smoothingFactor * (1 - load.failures)
 }
 
+/** Longest pause that a worker is granted, in ms, so that a malformed response does not shut it out for good. */
+const maxPause = 60_000
+
 /** Records that the worker asked for no further requests for `time` ms. */
 export const notePause = (load: WorkerLoad, time: number, now: number): void => {
-  load.pausedUntil = Math.max(load.pausedUntil, now + time)
+  load.pausedUntil = Math.max(load.pausedUntil, now + Math.min(time, maxPause))
 }
 
 /** Returns whether the worker has asked for no requests at this time, in ms. */
--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -185,6 +185,14 @@
     expect(first.lease.fence(at(9_100))).toBeUndefined()
   })
 
+  it('is not renewed again at once after a failure of the stream', () => {
+    const stream = buildStream()
+    const first = buildInstance({ ...stream, answer: effect => effect.kind === 'claim.append' && appends++ > 0 ? { kind: 'claim.failed', token: effect.token } : stream.answer(effect) }, 'a')
+    let appends = 0
+    for (let now = 0; now < 2_000; now += 20) first.acquireOrRenew(at(now))
+    expect(appends).toBeLessThan(20)
+  })
+
   it('is read ahead of any work, so that nobody waits for it in a restored stream', () => {
     const stream = buildStream()
     stream.restore(0)
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -78,6 +78,8 @@
 const readInterval = 250
 /** The same while the holder is alive and reaches the store, in ms. */
 const slowReadInterval = 1_000
+/** Time after a failed renewal until the next one, in ms; short enough for several within `actWindow`. */
+const appendRetryInterval = 100
 /** Additional wait per rank, in ms, so that lower ranks try first. */
 const rankDelay = 150
 /** Instances that read the stream as soon as there is work. The others wait for `longTakeoverDelay` first, so that the number of reads does not grow with the fleet. */
@@ -113,6 +115,7 @@
   let pending: PendingRequest | undefined
   let renewedAt: Moment | undefined
   let nextReadAt = -Infinity
+  let nextAppendAt = -Infinity
   let wantedSince: number | undefined
   let idleSince: number | undefined
   /** Era of the latest response; undefined before the first one. */
@@ -168,7 +171,8 @@
     wantedSince ??= now.steady
     if (isWaitingForResponse(now)) return
     if (isOwn(latest)) {
-      if (renewedAt === undefined || ageOf(renewedAt, now) > renewAfter) append(false, now)
+      const isDue = renewedAt === undefined || ageOf(renewedAt, now) > renewAfter
+      if (isDue && now.steady >= nextAppendAt) append(false, now)
       return
     }
     const firstReadAt = wantedSince + firstReadDelay(peers.rank())
@@ -233,6 +237,7 @@
         return read(now)
       case 'claim.failed':
         nextReadAt = now.steady + readInterval
+        nextAppendAt = now.steady + appendRetryInterval
     }
   }
 
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -79,6 +79,7 @@
     emit: effect => effects.push(effect),
     log: event => logEvents.push(event),
     announceSend: () => { /* There is no other instance. */ },
+    announceLeaving: () => { /* There is no other instance. */ },
     announceSuspect: () => { /* There is no other instance. */ }
   })
 
