--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -5,32 +5,29 @@
  * features request.
  */
 import { createRetryBudget, type RetryBudgetOptions, type RetryBudget } from '../admission/retryBudget.js'
-import { indexCatalog, type CatalogIndex } from '../catalog/catalogIndex.js'
-import type { Address, Catalog } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
 import { selectDirectoryAddresses } from '../fleet/directory.js'
 import { createLagDetector } from '../fleet/lagDetector.js'
 import { createFleet } from '../fleet/fleetMachine.js'
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
-import { storeContactTimeout } from '../fleet/peerLiveness.js'
 import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import type { Hash } from '../hash.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
-import { parseCacheScope } from '../placement/cacheScope.js'
 import { createStoreBudget } from '../placement/storeBudget.js'
 import { peerRequests } from '../placement/workerLoad.js'
-import type { FeedInput, FleetMember } from '../ports/feedPort.js'
+import type { FleetMember } from '../ports/feedPort.js'
 import type { PeerMessage } from '../ports/peerPort.js'
 import type { Random } from '../random.js'
 import { createRolloutLease } from '../rollout/rolloutLease.js'
 import { createRollout, type RolloutEvent } from '../rollout/rolloutMachine.js'
+import { createConfigurationInForce } from './configurationInForce.js'
+import { createFeedHandler } from './feedInputs.js'
 import type { GatewayEffect, GatewayInput, GatewayLogEvent } from './gatewayTypes.js'
 import { createShutdown, type ShutdownBounds } from './shutdown.js'
-import { createStoreProof } from './storeProof.js'
 import { createStoreReader } from './storeReader.js'
 import { createPartStoreIndex } from './partStoreIndex.js'
-import { createWorkerRegistry, defaultMemoryTokens } from './workerRegistry.js'
+import { createWorkerRegistry } from './workerRegistry.js'
 
 /** Limits and timeouts of a gateway; times in ms. */
 export interface GatewayBounds extends ShutdownBounds {
@@ -74,9 +71,6 @@
 /** Fleet size up to which instances inform each other of every long prompt. In a larger fleet, where the number of messages would grow quadratically, they do so only for shared parts that a worker prefills for the first time. */
 const maxFleetForAllPrompts = 12
 
-const sameAddress = (left: Address | undefined, right: Address | undefined): boolean =>
-  left?.host === right?.host && left?.port === right?.port
-
 /**
  * Creates the core of a gateway.
  *
@@ -91,19 +85,17 @@
   const lease = createReadLease()
   /** Read lease renewed only by proofs from the store itself, not by those of other instances. */
   const storeLease = createReadLease()
-  const storeProof = createStoreProof()
+  const partStore = createPartStoreIndex()
+  const configuration = createConfigurationInForce({ partStore, emit, log })
   const registry = createWorkerRegistry({
-    catalog: () => index,
+    catalog: configuration.index,
     log,
     publish: records => { if (storeReader.mode() === 'forAll') fleet.broadcast({ kind: 'fleet.workers', records: [...records] }) }
   })
   const { workers, weights, loadOf, cachedPartsOf } = registry
-  const partStore = createPartStoreIndex()
   const storeBudget = createStoreBudget()
   const lagDetector = createLagDetector(tickInterval)
   const retryBudgets = new Map<string, RetryBudget>()
-  let index: CatalogIndex | undefined
-  let partStoreAddress: Address | undefined
   let currentTime: Moment = { steady: 0, wall: 0 }
   let memberAnnounced = false
 
@@ -114,22 +106,7 @@
   }
 
   const isReady = (now: Moment): boolean =>
-    !shutdown.isShuttingDown() && index !== undefined && lease.age(now) < bounds().forwarding.keys
-
-  /** Returns whether the configuration is newer than the one in force. */
-  const applyCatalog = (catalog: Catalog, source: 'store' | 'peer'): boolean => {
-    if (index !== undefined && catalog.version <= index.catalog.version) return false
-    index = indexCatalog(catalog)
-    log({ kind: 'configurationInForce', version: catalog.version, source, proofAge: Math.round(Math.min(lease.age(currentTime), Number.MAX_SAFE_INTEGER)) })
-    const { bodyBytes, idleTimeout, headerTimeout } = catalog.limits
-    emit({ kind: 'gateway.limits', bodyBytes, idleTimeout, headerTimeout })
-    const address = index.partStore?.address
-    if (sameAddress(address, partStoreAddress)) return true
-    partStoreAddress = address
-    partStore.setStore(address, index.partStore?.memoryTokens ?? defaultMemoryTokens)
-    emit({ kind: 'parts.follow', address })
-    return true
-  }
+    !shutdown.isShuttingDown() && configuration.index() !== undefined && lease.age(now) < bounds().forwarding.keys
 
   /** Returns whether the version is newer than the newest known. */
   const noteAnnouncedWeights = (model: string, version: number): boolean => {
@@ -138,9 +115,6 @@
     return isNew
   }
 
-  /** Informs the others at once of what this instance has read for them. */
-  const announceNews = (): void => { if (storeReader.mode() === 'forAll') fleet.announce(currentTime) }
-
   const fleet = createFleet({
     self,
     hash,
@@ -148,7 +122,7 @@
       ready: isReady(now),
       leaving: shutdown.isShuttingDown(),
       strained: lagDetector.isLagging(),
-      configuration: index?.catalog.version ?? 0,
+      configuration: configuration.version(),
       proofAge: lease.age(now),
       storeAge: storeLease.age(now),
       holding: rolloutLease.holds(),
@@ -158,12 +132,12 @@
         return newest === undefined ? [] : [{ model, version: newest.version }]
       })
     }),
-    ownCatalog: () => index?.catalog,
+    ownCatalog: () => configuration.index()?.catalog,
     emit,
     events: {
-      configurationProven: (version, asOf) => { if (version === index?.catalog.version) lease.renew(asOf) },
+      configurationProven: (version, asOf) => { if (version === configuration.version()) lease.renew(asOf) },
       configurationBehind: () => { if (storeReader.mode() === 'throughPeers') emit({ kind: 'configuration.read' }) },
-      catalog: catalog => { applyCatalog(catalog, 'peer') },
+      catalog: catalog => { configuration.apply(catalog, 'peer', lease.age(currentTime)) },
       weightsNamed: (model, version) => { noteAnnouncedWeights(model, version) },
       workerLoading: (worker, time) => weights.noteLoading(worker, currentTime.steady + time),
       workerLoaded: registry.noteLoaded,
@@ -220,7 +194,7 @@
 
   const forwarding = createForwarding({
     dataCentre: self.dataCentre,
-    catalog: () => index,
+    catalog: configuration.index,
     lease,
     bounds: () => bounds().forwarding,
     workers,
@@ -235,7 +209,7 @@
     random,
     emit,
     log,
-    takeStoreBudget: (tokens, now) => storeBudget.take(tokens, index?.partStore?.memoryTokens ?? defaultMemoryTokens, fleet.size(currentTime), now),
+    takeStoreBudget: (tokens, now) => storeBudget.take(tokens, configuration.partStoreTokens(), fleet.size(currentTime), now),
     announceSend: ({ first, parts, ...sent }) => {
       if (first || sent.stores || fleet.size(currentTime) <= maxFleetForAllPrompts) fleet.broadcast({ kind: 'fleet.sent', ...sent, parts: [...parts] })
     },
@@ -243,47 +217,7 @@
     announceSuspect: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
   })
 
-  const isOutdatedScope = (scope: string): boolean => {
-    const scoped = parseCacheScope(scope)
-    return scoped !== undefined && scoped.version < (weights.newest(scoped.model)?.version ?? -Infinity)
-  }
-
-  /** Records a response of the store that proves the state at `asOf`. The others rely on an instance that reads for all only once they have heard that it reaches the store. */
-  const applyStoreContact = (asOf: Moment): void => {
-    const isRegained = storeLease.age(currentTime) >= storeContactTimeout
-    storeLease.renew(asOf)
-    if (isRegained && storeReader.mode() === 'forAll') fleet.announce(currentTime)
-  }
-
-  const handleFeed = (input: FeedInput): void => {
-    switch (input.kind) {
-      case 'feed.catalog':
-        storeProof.noteCatalog(input.catalog.version)
-        if (applyCatalog(input.catalog, 'store')) announceNews()
-        return
-      case 'feed.proof':
-        applyStoreContact(input.asOf)
-        if (storeProof.isValid(index?.catalog.version ?? 0, currentTime.steady)) lease.renew(input.asOf)
-        return
-      case 'feed.weights':
-        if (noteAnnouncedWeights(input.model, input.version)) announceNews()
-        return
-      case 'feed.workers': return registry.apply(input.records, input.complete, currentTime.steady)
-      case 'feed.members': return emit({ kind: 'gateway.peers', members: fleet.setMembers(input.members, input.withdrawn) })
-      case 'feed.parts':
-        if (input.restarted) log({ kind: 'partStoreRestarted' })
-        return partStore.apply(input.restarted, input.changes, isOutdatedScope)
-      case 'feed.restored':
-        storeProof.noteRestored(currentTime.steady)
-        workers.noteOutage(currentTime.steady)
-        return log({ kind: 'storeRestored', era: input.era })
-      case 'feed.lost':
-        if (input.dependency === 'partStore') partStore.markUnreachable()
-        return log({ kind: 'dependencyLost', dependency: input.dependency, reason: input.reason })
-      case 'feed.regained': return log({ kind: 'dependencyRegained', dependency: input.dependency })
-      default: assertNever(input)
-    }
-  }
+  const handleFeed = createFeedHandler({ configuration, lease, storeLease, registry, partStore, fleet, storeReader, noteAnnouncedWeights, emit, log })
 
   const handlePeerMessage = (from: string, message: PeerMessage): void => {
     const parsed = fleetMessageSchema.safeParse(message)
@@ -341,7 +275,7 @@
       case 'feed.parts':
       case 'feed.restored':
       case 'feed.lost':
-      case 'feed.regained': return handleFeed(input)
+      case 'feed.regained': return handleFeed(input, currentTime)
       case 'claim.records':
       case 'claim.accepted':
       case 'claim.refused':
@@ -377,13 +311,13 @@
       requests: forwarding.size(),
       waiting: forwarding.waiting(),
       proofAge: lease.age(now),
-      configuration: index?.catalog.version ?? 0,
+      configuration: configuration.version(),
       instances: fleet.size(now),
       workers: [...workers.all()].length
     }),
     dump: now => ({
       self,
-      configuration: index?.catalog.version,
+      configuration: configuration.version(),
       proofAge: lease.age(now),
       forwarding: forwarding.dump(),
       fleet: fleet.dump(now),
