A worker without a start time may have restarted

Records were compared by their write counts, and draining and leaving were kept, for a lifetime that is known by its start time; workers of older platforms state none, and one that restarted under its id would have stayed shut out. Now these rules hold only where there is a start time.

Test: workersDb.spec.ts, failed before.

--- a/src/workers/workersDb.spec.ts
+++ b/src/workers/workersDb.spec.ts
@@ -104,6 +104,15 @@
     expect(db.apply([present('a', { writes: 8 })], false, 2_400).map(({ kind }) => kind)).toEqual(['joined'])
   })
 
+  it('accepts a worker without a start time again after it has drained, left or stated that it is leaving, since it may have restarted', () => {
+    const db = createWorkersDb()
+    db.apply([present('a', { startedAt: 0, writes: 7, state: 'draining' }), present('b', { startedAt: 0, writes: 7 })], true, 0)
+    db.noteLeaving('b', 0)
+    db.apply([absent('b')], false, 800)
+    db.apply([present('a', { startedAt: 0, writes: 1 }), present('b', { startedAt: 0, writes: 1 })], false, 1_600)
+    expect(db.live('desk').map(({ id }) => id).sort()).toEqual(['a', 'b'])
+  })
+
   it('keeps a worker that is missing from a restored source for two seconds', () => {
     const db = createWorkersDb()
     db.apply([present('a')], true, 0)
--- a/src/workers/workersDb.ts
+++ b/src/workers/workersDb.ts
@@ -67,6 +67,9 @@
   return { kind: 'updated', worker, differs: fingerprintOf(before) !== fingerprintOf(worker) }
 }
 
+/** Whether two records are of the same lifetime of a worker, as far as is known: without a start time it may have restarted. */
+const isSameLifetime = (left: Worker, right: Worker): boolean => left.startedAt > 0 && left.startedAt === right.startedAt
+
 /** Creates an empty list of workers. */
 export const createWorkersDb = (): WorkersDb => {
   const workers = new Map<string, Worker>()
@@ -106,23 +109,25 @@
     graceEnds.delete(worker.id)
     workers.delete(worker.id)
     departed.set(worker.id, worker)
+    if (worker.startedAt === 0) leaving.delete(worker.id)
     return { kind: 'left', worker }
   }
 
   /** Whether a record is older than what is known of the worker, as records of a restored source and of instances that are behind may be. */
-  const isOutdated = ({ id, startedAt, writes }: Worker): boolean => {
+  const isOutdated = (worker: Worker): boolean => {
+    const { id, startedAt, writes } = worker
     const known = workers.get(id)
-    if (known !== undefined) return startedAt < known.startedAt || (startedAt === known.startedAt && writes < known.writes)
+    if (known !== undefined) return startedAt < known.startedAt || (isSameLifetime(worker, known) && writes < known.writes)
     const last = departed.get(id)
-    if (last === undefined || startedAt > last.startedAt) return false
+    if (last === undefined) return false
     // A worker that returns has written its record again.
-    return startedAt < last.startedAt || (writes > 0 && writes <= last.writes)
+    return startedAt < last.startedAt || (isSameLifetime(worker, last) && writes > 0 && writes <= last.writes)
   }
 
   const add = (worker: Worker): WorkerChange | undefined => {
     if (isOutdated(worker)) return undefined
     const before = workers.get(worker.id)
-    const isLeaving = worker.state === 'draining' || (before?.state === 'draining' && before.startedAt === worker.startedAt)
+    const isLeaving = worker.state === 'draining' || (before?.state === 'draining' && isSameLifetime(before, worker))
     const current: Worker = { ...worker, state: isLeaving ? 'draining' : 'live' }
     graceEnds.delete(worker.id)
     departed.delete(worker.id)
