--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -88,8 +88,8 @@
 const responseTimeout = 1_500
 /** Fencing token of a claim at offset 0. */
 const firstFence = 1
-/** Difference between the fencing tokens of two eras, more than the offsets of one. */
-const fencesPerEra = 2 ** 32
+/** Difference between the fencing tokens of two eras: more than the offsets of one, and small enough that the tokens of many eras fit into 32 bits. */
+const fencesPerEra = 2 ** 24
 /** Time without work after which an early reader reads the stream for the first time in an era, in ms, so that it need not wait when there is work. */
 const idleReadDelay = 3_000
 
