Workers' limits are read, logged and counted

Callers saw nothing; a worker that named a limit got requests as before, and no line said whether an instance had heard the limit.

No request is placed differently yet.

--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -8,6 +8,7 @@
 import type { ForwardEffect, PromptPart } from '../ports/forwardPort.js'
 import type { Random } from '../random.js'
 import type { WeightsTracker } from '../workers/weightsTracker.js'
+import type { StatedLimits } from '../workerLimits/statedLimits.js'
 import type { WorkersDb } from '../workers/workersDb.js'
 import type { ForwardLogEvent } from './forwardingTypes.js'
 
@@ -22,6 +23,8 @@
   readonly workers: WorkersDb
   /** Which version of the weights each worker is known to hold. */
   readonly weights: WeightsTracker
+  /** The limits that workers have stated. */
+  readonly limits: StatedLimits
   readonly loadOf: (worker: string) => WorkerLoad
   /** Estimate of the prompt parts in a worker's cache. */
   readonly cachedPartsOf: (worker: string) => CachedPartsEstimate
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -17,7 +17,7 @@
 import { refusalResponse, outcomeOf, type Refusal } from './refusal.js'
 import { rejectionReason } from './rejection.js'
 import { decideWait, rejectedRetryAfter } from './waitOrRefuse.js'
-import { applyFirstEvent, applyRejection, applyResponseState, applyWorkerNotices } from './workerNotices.js'
+import { applyFirstEvent, applyLimit, applyRejection, applyResponseState, applyWorkerNotices } from './workerNotices.js'
 import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
 
 /** Request forwarding of one instance. */
@@ -210,6 +210,7 @@
     attempt.lastDataAt = now
     applyWorkerNotices(context, exchange, attempt, head, now)
     if (head.requestId !== undefined && head.requestId !== call.id) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
+    applyLimit(context, exchange, attempt, head, now)
     applyResponseState(context, exchange, attempt, head, now)
     if (head.notRun) return
     if (isSuccess(head.status) && !head.signed) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -73,6 +73,10 @@
   | { readonly kind: 'workerLeaving', readonly id: string, readonly worker: string }
   /** The worker asked in the response to `id` for no further requests for `time` ms. */
   | { readonly kind: 'workerPaused', readonly id: string, readonly worker: string, readonly time: number }
+  /** The worker stated in the response to `id` that it takes `limit` requests a second from all instances together. */
+  | { readonly kind: 'workerLimited', readonly id: string, readonly worker: string, readonly limit: number }
+  /** The response to `id` no longer states the worker's limit. */
+  | { readonly kind: 'workerUnlimited', readonly id: string, readonly worker: string }
   | { readonly kind: 'workerDoubted', readonly worker: string, readonly reason: SuspectReason }
   | { readonly kind: 'workerProbed', readonly worker: string, readonly reachable: boolean, readonly doubted: number }
 
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -61,7 +61,7 @@
   /** Whether the instance accepts requests: the proof of its configuration is recent enough to accept keys, and it is not shutting down. */
   readonly isReady: (now: Moment) => boolean
   /** Current values for the metrics; `proofAge` in ms. */
-  readonly gauges: (now: Moment) => { readonly requests: number, readonly waiting: number, readonly proofAge: number, readonly configuration: number, readonly instances: number, readonly workers: number }
+  readonly gauges: (now: Moment) => { readonly requests: number, readonly waiting: number, readonly proofAge: number, readonly configuration: number, readonly instances: number, readonly workers: number, readonly limitedWorkers: number }
   /** State of all features, for diagnosis. */
   readonly dump: (now: Moment) => unknown
 }
@@ -92,7 +92,7 @@
     log,
     publish: records => { if (storeReader.mode() === 'forAll') fleet.broadcast({ kind: 'fleet.workers', records: [...records] }) }
   })
-  const { workers, weights, loadOf, cachedPartsOf } = registry
+  const { workers, weights, limits, loadOf, cachedPartsOf } = registry
   const storeBudget = createStoreBudget()
   const lagDetector = createLagDetector(tickInterval)
   const retryBudgets = new Map<string, RetryBudget>()
@@ -199,6 +199,7 @@
     bounds: () => bounds().forwarding,
     workers,
     weights,
+    limits,
     loadOf,
     cachedPartsOf,
     stored: partStore.parts,
@@ -313,7 +314,8 @@
       proofAge: lease.age(now),
       configuration: configuration.version(),
       instances: fleet.size(now),
-      workers: [...workers.all()].length
+      workers: [...workers.all()].length,
+      limitedWorkers: limits.all().length
     }),
     dump: now => ({
       self,
--- a/src/gateway/workerRegistry.ts
+++ b/src/gateway/workerRegistry.ts
@@ -10,6 +10,7 @@
 import { tokenCostOf } from '../placement/modelPlacement.js'
 import { createWorkerLoad, notePeerSent, type WorkerLoad } from '../placement/workerLoad.js'
 import { createWeightsTracker, type WeightsTracker } from '../workers/weightsTracker.js'
+import { createStatedLimits, type StatedLimits } from '../workerLimits/statedLimits.js'
 import { createWorkersDb, type WorkerChange, type WorkersDb } from '../workers/workersDb.js'
 import type { WorkerRecord } from '../workers/workersTypes.js'
 import type { GatewayLogEvent } from './gatewayTypes.js'
@@ -26,6 +27,8 @@
 export interface WorkerRegistry {
   readonly workers: WorkersDb
   readonly weights: WeightsTracker
+  /** Limits that workers have stated. */
+  readonly limits: StatedLimits
   /** Load of a worker; created on first use. */
   readonly loadOf: (worker: string) => WorkerLoad
   /** Estimate of the prompt parts in a worker's cache; created on first use. */
@@ -70,6 +73,7 @@
 export const createWorkerRegistry = ({ catalog, log, publish }: RegistryOptions): WorkerRegistry => {
   const workers = createWorkersDb()
   const weights = createWeightsTracker()
+  const limits = createStatedLimits()
   const loads = new Map<string, WorkerLoad>()
   const cachedParts = new Map<string, CachedPartsEstimate>()
 
@@ -94,6 +98,7 @@
     loads.delete(worker)
     cachedParts.delete(worker)
     weights.forget(worker)
+    limits.forget(worker)
   }
 
   const applyChange = (change: WorkerChange): void => {
@@ -116,6 +121,7 @@
   return {
     workers,
     weights,
+    limits,
     loadOf,
     cachedPartsOf,
     apply: (records, complete, now) => handleChanges(workers.apply(records, complete, now)),
@@ -132,6 +138,6 @@
       notePeerSent(load, unreadTokens, tokenCostOf(load, 0), now)
       cachedPartsOf(worker).add(scope, parts)
     },
-    dump: () => [...workers.all()].map(worker => ({ ...worker, flights: loads.get(worker.id)?.flights.size ?? 0, tokenCost: loads.get(worker.id)?.tokenCost, failures: loads.get(worker.id)?.failures }))
+    dump: () => [...workers.all()].map(worker => ({ ...worker, flights: loads.get(worker.id)?.flights.size ?? 0, limit: limits.get(worker.id, worker.startedAt)?.perSecond, tokenCost: loads.get(worker.id)?.tokenCost, failures: loads.get(worker.id)?.failures }))
   }
 }
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -20,6 +20,8 @@
   readonly instances: number
   /** Known workers. */
   readonly workers: number
+  /** Workers that state a limit. */
+  readonly limitedWorkers: number
   /** Log lines that were dropped. */
   readonly droppedLines: number
 }
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -76,6 +76,11 @@
   readonly slots: number
 }
 
+/** What a response states of the number of requests that its worker takes from all instances together; `unreadable` leaves what was stated before in force. */
+export type LimitStatement =
+  | { readonly kind: 'perSecond', readonly requests: number }
+  | { readonly kind: 'unreadable' }
+
 /** The head of a worker's response. */
 export interface AnswerHead {
   readonly status: number
@@ -91,6 +96,8 @@
   readonly leaving?: boolean
   /** Time for which a worker that is full asks for no further requests, in ms. */
   readonly retryAfter?: number
+  /** The worker's limit, if the response states one. */
+  readonly limit?: LimitStatement
   readonly load?: LoadCounts
   readonly weightVersion?: number
   /** Whether the response carries the worker's signature. */
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -11,6 +11,7 @@
 import type { AnswerHead, Call, Dispatch, ForwardEffect } from '../../src/ports/forwardPort.js'
 import { createRandom } from '../../src/random.js'
 import { createWeightsTracker } from '../../src/workers/weightsTracker.js'
+import { createStatedLimits } from '../../src/workerLimits/statedLimits.js'
 import { createWorkersDb } from '../../src/workers/workersDb.js'
 import type { Worker } from '../../src/workers/workersTypes.js'
 
@@ -48,6 +49,7 @@
   const cachedParts = new Map<string, CachedPartsEstimate>()
   const workers = createWorkersDb()
   const weights = createWeightsTracker()
+  const limits = createStatedLimits()
   const lease = createReadLease()
   const retryBudget = createRetryBudget({ fraction: 0.2, slack: 50, window: 10_000 })
   const index = options.catalog === undefined ? undefined : indexCatalog(options.catalog)
@@ -67,6 +69,7 @@
     bounds: () => ({ keys: 4_500, absence: 1_500, weights: 8_000 }),
     workers,
     weights,
+    limits,
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
     cachedPartsOf: worker => getOrCreate(cachedParts, worker, () => createCachedPartsEstimate(memoryTokens)),
     stored: () => undefined,
