--- /dev/null
+++ b/test/fakes/fakeGateways.ts
@@ -0,0 +1,269 @@
+/**
+ * A fleet of gateways in virtual time: complete cores of instances, a network
+ * between them, and workers that stream events, state limits and record every
+ * request that reaches them. The store answers every instance at once.
+ */
+import type { Catalog } from '../../src/catalog/catalogTypes.js'
+import { createGateway, tickInterval, type Gateway } from '../../src/gateway/gatewayMachine.js'
+import type { GatewayEffect, GatewayInput, GatewayLogEvent } from '../../src/gateway/gatewayTypes.js'
+import type { Hash } from '../../src/hash.js'
+import type { Moment } from '../../src/lease/readLease.js'
+import type { FleetMember } from '../../src/ports/feedPort.js'
+import type { AnswerHead, Call, Dispatch } from '../../src/ports/forwardPort.js'
+import type { PeerMessage } from '../../src/ports/peerPort.js'
+import { createRandom } from '../../src/random.js'
+import type { Worker } from '../../src/workers/workersTypes.js'
+import { createFakeNetwork, type FakeNetwork } from './fakeNetwork.js'
+import { createVirtualTime, type VirtualTime } from './virtualTime.js'
+
+/** A request that reached a worker; `at` in ms. */
+export interface WorkerArrival {
+  readonly call: string
+  readonly worker: string
+  readonly instance: string
+  readonly at: number
+  readonly resumed: boolean
+}
+
+/** An event of a stream that a caller received. */
+export interface ReceivedEvent {
+  readonly worker: string
+  readonly id: string
+}
+
+/** A request of a caller, and what the caller has received. */
+export interface FakeCall {
+  readonly call: Call
+  readonly instance: string
+  readonly events: ReceivedEvent[]
+  /** Status of the response; undefined before it. */
+  status: number | undefined
+  headers: readonly string[]
+  /** Whether the response is complete, or has been cut off. */
+  state: 'open' | 'whole' | 'broken'
+}
+
+/** Options of the fleet. */
+export interface FakeGatewaysOptions {
+  readonly hash: Hash
+  readonly instances: number
+  readonly catalog: Catalog
+  readonly workers: readonly Worker[]
+  readonly seed?: number
+  /** Whether the network counts bytes. */
+  readonly countBytes?: boolean
+  /** What the worker states in its responses in addition to their usual heads. */
+  readonly statements?: (worker: Worker, now: number) => Partial<AnswerHead>
+  /** Number of events in a stream. */
+  readonly streamEvents?: number
+}
+
+/** A fleet in virtual time; all times in ms. */
+export interface FakeGateways {
+  readonly time: VirtualTime
+  readonly network: FakeNetwork
+  readonly arrivals: readonly WorkerArrival[]
+  readonly logEvents: readonly { readonly instance: string, readonly at: number, readonly event: GatewayLogEvent }[]
+  readonly live: () => readonly string[]
+  readonly send: (instance: string, call: Call) => FakeCall
+  /** Ends an instance at once; its callers' responses break off. */
+  readonly kill: (instance: string) => void
+  /** Starts an instance that was killed, without state. */
+  readonly start: (instance: string) => void
+  /** Stops reading the store at an instance, or reads it again. */
+  readonly setStoreReachable: (instance: string, reachable: boolean) => void
+  /** Announces a worker, or a change of it. */
+  readonly register: (worker: Worker) => void
+  /** Ends a worker at once; its streams break off and its record is removed. */
+  readonly endWorker: (worker: string) => void
+}
+
+const storeReadInterval = 500 // ms
+const workerDelay = 1 // ms
+const eventInterval = 40 // ms
+
+interface Running {
+  readonly gateway: Gateway
+  readonly calls: Map<number, FakeCall>
+  readonly attempts: Map<number, Dispatch>
+  lastRequest: number
+}
+
+const buildMember = (id: string, starts: number): FleetMember =>
+  ({ id, incarnation: `${id}-${starts}`, dataCentre: 'a', front: `${id}:80`, peer: { host: id, port: 90 }, capacity: 1 })
+
+/**
+ * Creates the fleet and starts its instances, which are called `n0`, `n1` and so on.
+ *
+ * @param options - size, configuration, workers and what these state
+ */
+export const createFakeGateways = (options: FakeGatewaysOptions): FakeGateways => {
+  const { hash, catalog, streamEvents = 10 } = options
+  const time = createVirtualTime()
+  const network = createFakeNetwork(time, createRandom(options.seed ?? 1), options.countBytes)
+  const running = new Map<string, Running>()
+  const starts = new Map<string, number>()
+  const storeCutOff = new Set<string>()
+  const workers = new Map(options.workers.map(worker => [worker.id, worker]))
+  const arrivals: WorkerArrival[] = []
+  const logEvents: { instance: string, at: number, event: GatewayLogEvent }[] = []
+
+  const moment = (): Moment => ({ steady: time.now(), wall: time.now() })
+
+  const input = (instance: string, event: GatewayInput): void => {
+    const node = running.get(instance)
+    if (node === undefined) return
+    for (const effect of node.gateway.handle(event, moment())) perform(instance, node, effect)
+  }
+
+  /** Passes an event to an instance unless it has ended or given the attempt up. */
+  const inputOfAttempt = (instance: string, node: Running, attempt: number, event: GatewayInput): void => {
+    if (running.get(instance) === node && node.attempts.has(attempt)) input(instance, event)
+  }
+
+  const fail = (instance: string, node: Running, attempt: number, failure: 'unsent' | 'cut'): void => {
+    inputOfAttempt(instance, node, attempt, { kind: 'attempt.failed', attempt, failure })
+    node.attempts.delete(attempt)
+  }
+
+  const headOf = (worker: Worker, call: Call): AnswerHead =>
+    ({ status: 200, headers: ['Worker', worker.id], notRun: false, signed: true, requestId: call.id, weightVersion: worker.models[0]?.version, ...options.statements?.(worker, time.now()) })
+
+  const runAt = (instance: string, node: Running, attempt: number, { call, worker: id, resumeAfter }: Dispatch): void => {
+    const worker = workers.get(id)
+    if (worker === undefined) return fail(instance, node, attempt, 'unsent')
+    arrivals.push({ call: call.id, worker: id, instance, at: time.now(), resumed: resumeAfter !== undefined })
+    const head = headOf(worker, call)
+    const isAlive = (): boolean => workers.get(id)?.startedAt === worker.startedAt
+    const sendEvent = (event: number): void => {
+      if (!isAlive()) return fail(instance, node, attempt, 'cut')
+      if (event > streamEvents || head.notRun) {
+        inputOfAttempt(instance, node, attempt, { kind: 'attempt.ended', attempt })
+        node.attempts.delete(attempt)
+        return
+      }
+      inputOfAttempt(instance, node, attempt, { kind: 'attempt.data', attempt, bytes: Buffer.from(`id: ${event}\ndata: ${id}\n\n`) })
+      time.after(eventInterval, () => sendEvent(event + 1))
+    }
+    time.after(eventInterval, () => {
+      inputOfAttempt(instance, node, attempt, { kind: 'attempt.head', attempt, head })
+      sendEvent(Number(resumeAfter ?? 0) + 1)
+    })
+  }
+
+  const perform = (instance: string, node: Running, effect: GatewayEffect): void => {
+    switch (effect.kind) {
+      case 'peer.send': return network.send({ from: instance, to: effect.to, message: effect.message })
+      case 'gateway.note': logEvents.push({ instance, at: time.now(), event: effect.note }); return
+      case 'attempt.send':
+        node.attempts.set(effect.attempt, effect.dispatch)
+        time.after(workerDelay, () => runAt(instance, node, effect.attempt, effect.dispatch))
+        return
+      case 'attempt.cancel': node.attempts.delete(effect.attempt); return
+      case 'worker.probe': time.after(workerDelay, () => input(instance, { kind: 'worker.probed', worker: effect.worker, reachable: workers.has(effect.worker) })); return
+      case 'call.open':
+      case 'call.answer':
+      case 'call.write':
+      case 'call.end':
+      case 'call.abort': return answer(node, effect)
+      default:
+    }
+  }
+
+  const answer = (node: Running, effect: Extract<GatewayEffect, { kind: `call.${string}` }>): void => {
+    const received = node.calls.get(effect.request)
+    if (received === undefined) return
+    switch (effect.kind) {
+      case 'call.open':
+        received.status = effect.status
+        return
+      case 'call.write':
+        for (const match of effect.bytes.toString().matchAll(/id: (\d+)\ndata: (.*)\n/g)) received.events.push({ id: match[1], worker: match[2] })
+        return
+      case 'call.answer':
+        received.status = effect.status
+        received.headers = effect.headers
+        received.state = 'whole'
+        return
+      case 'call.end': received.state = 'whole'; return
+      case 'call.abort': received.state = 'broken'
+    }
+  }
+
+  let membersNow: readonly FleetMember[] = []
+
+  const readStore = (instance: string): void => {
+    if (storeCutOff.has(instance)) return
+    input(instance, { kind: 'feed.members', members: membersNow, withdrawn: [] })
+    input(instance, { kind: 'feed.catalog', catalog })
+    input(instance, { kind: 'feed.proof', asOf: moment() })
+    input(instance, { kind: 'feed.workers', records: [...workers.values()].map(worker => ({ kind: 'present', worker })), complete: true })
+  }
+
+  const every = (instance: string, node: Running, interval: number, action: () => void): void => {
+    if (running.get(instance) !== node) return
+    action()
+    time.after(interval, () => every(instance, node, interval, action))
+  }
+
+  const start = (id: string): void => {
+    const count = (starts.get(id) ?? 0) + 1
+    starts.set(id, count)
+    membersNow = [...starts].map(([member, memberStarts]) => buildMember(member, memberStarts))
+    const gateway = createGateway({
+      self: buildMember(id, count),
+      bounds: () => ({
+        forwarding: { keys: 4_500, absence: 1_500, weights: 8_000 },
+        retries: { fraction: 0.2, slack: 50, window: 10_000 },
+        addressLife: 800,
+        addressLifeFactor: 3,
+        grace: 8_000,
+        loadShare: 0.286
+      }),
+      hash,
+      random: createRandom(count + hash.h32(id))
+    })
+    const node: Running = { gateway, calls: new Map(), attempts: new Map(), lastRequest: 0 }
+    running.set(id, node)
+    network.join(id, (from, message: PeerMessage) => input(id, { kind: 'peer.message', from, message }))
+    every(id, node, storeReadInterval, () => readStore(id))
+    every(id, node, tickInterval, () => input(id, { kind: 'tick' }))
+  }
+
+  const kill = (id: string): void => {
+    const node = running.get(id)
+    running.delete(id)
+    network.leave(id)
+    for (const received of node?.calls.values() ?? []) if (received.state === 'open') received.state = 'broken'
+  }
+
+  const send = (instance: string, call: Call): FakeCall => {
+    const received: FakeCall = { call, instance, events: [], status: undefined, headers: [], state: 'open' }
+    const node = running.get(instance)
+    if (node === undefined) return { ...received, state: 'broken' }
+    node.lastRequest++
+    node.calls.set(node.lastRequest, received)
+    input(instance, { kind: 'call.arrived', request: node.lastRequest, call })
+    return received
+  }
+
+  for (let index = 0; index < options.instances; index++) starts.set(`n${index}`, 0)
+  for (const id of [...starts.keys()]) start(id)
+
+  return {
+    time,
+    network,
+    arrivals,
+    logEvents,
+    live: () => [...running.keys()],
+    send,
+    kill,
+    start,
+    setStoreReachable: (instance, reachable) => {
+      if (reachable) storeCutOff.delete(instance)
+      else storeCutOff.add(instance)
+    },
+    register: worker => { workers.set(worker.id, worker) },
+    endWorker: worker => { workers.delete(worker) }
+  }
+}
