Instances keep together to the limit that a worker states

Class: a number that a worker states for all instances together had no owner. Honouring it in each instance alone would have been the next fault of the class: 60 instances with a burst of one each are over the limit.

Change: one instance per limited worker, chosen by rendezvous hashing over the live instances, grants permits; a request that is best sent there waits for the answer (one round trip) and goes elsewhere if it is denied. A denied instance does without the worker for the time that its turn takes, so questions follow the limit and not the traffic. Ways weighed: equal parts (a part of 1/7 a second with a burst of one each is near the rule at 7 instances and far over it at 60), loans as in src/limits (each entry owns an equal part, which is below one request at 60), fixed holders (callers of the other instances get nothing from a lone worker). A granter in a minority of the instances grants that part of the limit. The limit is told to all when it begins or ends, goes with each question, and holds for one lifetime of the worker; a rejection without it or an unreadable one leaves it in force.

--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -56,6 +56,25 @@
 const servingFrontsAt = (fleet: Fleet, now: number): readonly string[] => fleet.serving(at(now)).map(({ member }) => member.front)
 
 describe('the fleet', () => {
+  it('counts silent instances among the known ones for a minute', () => {
+    const { fleet } = build()
+    expect(fleet.liveShare(at(0))).toBe(0.5)
+    fleet.receive('b', buildHeartbeat(), at(50_000))
+    expect(fleet.liveShare(at(50_100))).toBe(1)
+    expect(fleet.liveShare(at(70_000))).toBe(0.5)
+    expect(fleet.liveShare(at(110_100))).toBe(1)
+  })
+
+  it('gives each key to the same live instance everywhere, and none to one that is leaving', () => {
+    const { fleet } = build()
+    const keys = ['k1', 'k2', 'k3', 'k4', 'k5', 'k6']
+    expect(keys.map(key => fleet.ownerOf(key, at(0)))).toEqual(keys.map(() => 'a'))
+    fleet.receive('b', buildHeartbeat(), at(100))
+    expect(new Set(keys.map(key => fleet.ownerOf(key, at(200))))).toEqual(new Set(['a', 'b']))
+    fleet.receive('b', buildHeartbeat({ leaving: true }), at(300))
+    expect(keys.map(key => fleet.ownerOf(key, at(310)))).toEqual(keys.map(() => 'a'))
+  })
+
   it('lists only instances that send heartbeats, are ready and are not leaving', () => {
     const { fleet } = build()
     expect(servingFrontsAt(fleet, 0)).toEqual([])
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -5,10 +5,12 @@
  * store; their liveness comes from heartbeats between the instances, since the
  * store may be unavailable or reject single instances.
  */
+import { rendezvousScore } from '../addresses/rendezvous.js'
 import type { Catalog } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
 import type { Hash } from '../hash.js'
 import { ageOf, earlier, type Moment } from '../lease/readLease.js'
+import type { LimitMessage } from '../workerLimits/workerLimits.js'
 import type { FleetMember } from '../ports/feedPort.js'
 import type { PeerEffect, PeerReset } from '../ports/peerPort.js'
 import type { WorkerRecord } from '../workers/workersTypes.js'
@@ -53,6 +55,8 @@
   readonly workerLeaving: (worker: string, startedAt: number) => void
   /** A peer has sent a worker a request with many uncached tokens. */
   readonly peerSentToWorker: (sent: Extract<FleetMessage, { kind: 'fleet.sent' }>) => void
+  /** A peer has sent a message about the limit of a worker. */
+  readonly limitMessage: (from: string, message: LimitMessage) => void
   /** A peer that reads for others has sent changed worker records. */
   readonly workerRecordsReceived: (records: readonly WorkerRecord[]) => void
   /** A peer that reads for others and recently reached the store has reported its state. */
@@ -85,6 +89,12 @@
   readonly announce: (now: Moment) => void
   /** Sends a message to all peers. */
   readonly broadcast: (message: FleetMessage) => void
+  /** Sends a message to one peer. */
+  readonly send: (to: string, message: FleetMessage) => void
+  /** Returns the live instance that is responsible for a key, by rendezvous hashing; one that is leaving only if there is no other. */
+  readonly ownerOf: (key: string, now: Moment) => string
+  /** Fraction of the instances that were live within the last minute that are live now; those that this instance could not hear yet count, too. */
+  readonly liveShare: (now: Moment) => number
   /** Returns the other instances that are alive, ready and not leaving. */
   readonly serving: (now: Moment) => readonly ServingMember[]
   /** Number of live instances, including this one. */
@@ -111,6 +121,8 @@
 const livenessCheckInterval = 100
 /** Time within which an instance that polls the store normally receives a new configuration from it, in ms. */
 const storeFetchTime = 300
+/** Time for which an instance that has fallen silent counts among those that may be live elsewhere, in ms; instances that were killed keep their records. */
+const memberMemory = 60_000
 /**
  * Creates an instance's view of the fleet, without members.
  *
@@ -125,6 +137,7 @@
   let nextLivenessCheck = -Infinity
   let nextCatalogRequest = -Infinity
   let behindSince: number | undefined
+  let startedAt: Moment | undefined
 
   const currentHeartbeatInterval = (): number => heartbeatInterval * Math.max(1, (peers.size + 1) / smallFleetSize)
 
@@ -206,6 +219,7 @@
   }
 
   const tick = (now: Moment): void => {
+    startedAt ??= now
     if (now.steady >= nextLivenessCheck) {
       nextLivenessCheck = now.steady + livenessCheckInterval
       reportLivenessChanges(now)
@@ -256,6 +270,9 @@
       case 'fleet.sent': return events.peerSentToWorker(message)
       case 'fleet.doubt': return events.workerDoubted(message.worker)
       case 'fleet.workerLeaving': return events.workerLeaving(message.worker, message.startedAt)
+      case 'fleet.workerLimit':
+      case 'fleet.permitRequest':
+      case 'fleet.permitDecision': return events.limitMessage(from, message)
       case 'fleet.workers': return events.workerRecordsReceived(message.records)
       case 'fleet.wantCatalog': {
         const catalog = options.ownCatalog()
@@ -277,6 +294,21 @@
   const rank = (now: Moment): number =>
     livePeers(now).filter(({ member, heartbeat }) => heartbeat?.leaving === false && ranksBefore(member, self)).length
 
+  const ownerOf = (key: string, now: Moment): string => {
+    const staying = livePeers(now).filter(({ heartbeat }) => heartbeat?.leaving === false).map(({ member }) => member.id)
+    const candidates = options.own(now).leaving && staying.length > 0 ? staying : [self.id, ...staying]
+    const keyHash = hash.h32(key)
+    const scoreOf = (id: string): number => rendezvousScore(keyHash, hash.h32(id))
+    return candidates.reduce((best, id) => scoreOf(id) > scoreOf(best) ? id : best)
+  }
+
+  const liveShare = (now: Moment): number => {
+    startedAt ??= now
+    const mayHaveBeenUnheard = ageOf(startedAt, now) < memberMemory
+    const recent = [...peers.values()].filter(({ heardAt }) => heardAt === undefined ? mayHaveBeenUnheard : ageOf(heardAt, now) < memberMemory)
+    return (livePeers(now).length + 1) / (recent.length + 1)
+  }
+
   const higherRankedReaders = (now: Moment): number =>
     [...peers.values()].filter(peer => isReader(peer, now) && ranksBefore(peer.member, self)).length
 
@@ -285,6 +317,9 @@
     receive,
     tick,
     announce,
+    send: (to, message) => emit({ kind: 'peer.send', to, message }),
+    ownerOf,
+    liveShare,
     broadcast: message => { for (const to of peers.keys()) emit({ kind: 'peer.send', to, message }) },
     serving: now => livePeers(now).flatMap(({ member, heartbeat }) => heartbeat?.ready === true && !heartbeat.leaving ? [{ member, strained: heartbeat.strained }] : []),
     size: now => livePeers(now).length + 1,
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -36,6 +36,11 @@
   weights: z.array(z.object({ model: z.string(), version: z.number() }))
 })
 
+const permitDecisionSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('granted'), count: z.number().int().min(1) }),
+  z.object({ kind: z.literal('denied'), wait: z.number().min(0) })
+])
+
 /** Schema of all messages between instances. */
 export const fleetMessageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
@@ -57,6 +62,12 @@
   z.object({ kind: z.literal('fleet.doubt'), worker: z.string() }),
   /** A worker has stated in a response to the sender that this lifetime of it is leaving. */
   z.object({ kind: z.literal('fleet.workerLeaving'), worker: z.string(), startedAt: z.number() }),
+  /** A lifetime of a worker takes `perSecond` requests a second from all instances together, or states no limit any more; `age` of the statement in ms. */
+  z.object({ kind: z.literal('fleet.workerLimit'), worker: z.string(), startedAt: z.number(), perSecond: z.number().min(0).optional(), age: z.number().min(0) }),
+  /** Asks the instance that grants the permits of a limited worker for some; `perSecond` and `age` as the sender knows the limit. */
+  z.object({ kind: z.literal('fleet.permitRequest'), worker: z.string(), startedAt: z.number(), perSecond: z.number().min(0), age: z.number().min(0), priority: z.number() }),
+  /** The answer; `wait` in ms. */
+  z.object({ kind: z.literal('fleet.permitDecision'), worker: z.string(), startedAt: z.number(), decision: permitDecisionSchema }),
   /** Changed worker records from a sender that reads for others. */
   z.object({ kind: z.literal('fleet.workers'), records: z.array(workerRecordSchema) }),
   /** Requests the configuration of at least this version. */
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -13,7 +13,7 @@
 import { createSuspectWorkers } from './suspectWorkers.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
-import { placeRequest } from './placeRequest.js'
+import { placeRequest, priorityOf, type PlacementResult } from './placeRequest.js'
 import { refusalResponse, outcomeOf, type Refusal } from './refusal.js'
 import { rejectionReason } from './rejection.js'
 import { decideWait, rejectedRetryAfter } from './waitOrRefuse.js'
@@ -26,6 +26,8 @@
   readonly handle: (input: ForwardInput, moment: Moment) => void
   /** Ends requests whose deadline has passed, checks attempts in progress and tries to place waiting requests. */
   readonly tick: (moment: Moment) => void
+  /** Tries to place waiting requests, as their workers may accept them now. */
+  readonly placeWaiting: (moment: Moment) => void
   /** Number of requests in progress, waiting ones included. */
   readonly size: () => number
   /** Number of requests that wait for a worker of any service. */
@@ -104,6 +106,7 @@
 
   const tryPlacement = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
     lastAttempt++
+    exchange.awaitsPermitFor = undefined
     const placement = placeRequest(context, exchange, cause, lastAttempt, time)
     switch (placement.kind) {
       case 'sent':
@@ -111,13 +114,20 @@
         byAttempt.set(lastAttempt, exchange)
         return
       case 'refused': return refuse(exchange, placement.refusal, time)
-      case 'noneAvailable': return enqueue(exchange, cause, placement.pausedUntil, time)
+      case 'awaitsPermit':
+        exchange.awaitsPermitFor = cause
+        return waitingQueue.add({ request: exchange.request, priority: priorityOf(exchange), since: exchange.arrivedAt, expiresAt: exchange.deadline })
+      case 'noneAvailable': return enqueue(exchange, cause, placement, time)
       default: assertNever(placement)
     }
   }
 
-  const enqueue = (exchange: Exchange, cause: SendCause, pausedUntil: number | undefined, time: DecisionTime): void => {
-    const { request, route, arrivedAt, deadline, workspace, excluded, sentTo, service } = exchange
+  /** Number of waiting requests of the same service that come before this one. */
+  const countBefore = (exchange: Exchange): number =>
+    waitingQueue.inOrder().filter(({ request, priority }) => request !== exchange.request && priority <= priorityOf(exchange) && exchanges.get(request)?.service === exchange.service).length
+
+  const enqueue = (exchange: Exchange, cause: SendCause, { pausedUntil, interval = 0 }: Extract<PlacementResult, { kind: 'noneAvailable' }>, time: DecisionTime): void => {
+    const { request, route, arrivedAt, deadline, excluded, sentTo, service } = exchange
     const decision = decideWait({
       arrivedAt,
       deadline,
@@ -125,10 +135,10 @@
       workersExhausted: sentTo.size >= route.maxWorkers,
       hasLiveWorker: context.workers.live(service).some(({ id }) => !excluded.has(id)),
       isRetry: cause !== 'first' && cause !== 'waited',
-      pausedUntil
+      pausedUntil: pausedUntil === undefined || interval === 0 ? pausedUntil : pausedUntil + countBefore(exchange) * interval
     }, time.now)
     if (decision.kind === 'refuse') return refuse(exchange, decision.refusal, time)
-    waitingQueue.add({ request, priority: workspace?.priority ?? route.priority, since: arrivedAt, expiresAt: decision.until })
+    waitingQueue.add({ request, priority: priorityOf(exchange), since: arrivedAt, expiresAt: decision.until })
   }
 
   const handleArrival = (request: number, call: Call, time: DecisionTime): void => {
@@ -149,6 +159,7 @@
       retryCount: 0,
       mayHaveRun: false,
       attempt: undefined,
+      awaitsPermitFor: undefined,
       headSent: false,
       lastEventId: undefined,
       events: 0,
@@ -349,6 +360,13 @@
     retry(exchange, stalled ? 'resume' : 'silent', { kind: 'broken' }, time)
   }
 
+  const placeWaiting = (time: DecisionTime): void => {
+    for (const { request } of waitingQueue.inOrder()) {
+      const exchange = exchanges.get(request)
+      if (exchange !== undefined) tryPlacement(exchange, exchange.awaitsPermitFor ?? 'waited', time)
+    }
+  }
+
   const tick = (moment: Moment): void => {
     const time = { now: moment.steady, moment }
     suspectWorkers.tick(time.now)
@@ -360,15 +378,13 @@
       const exchange = exchanges.get(request)
       if (exchange !== undefined) refuse(exchange, { kind: 'noWorker' }, time)
     }
-    for (const { request } of waitingQueue.inOrder()) {
-      const exchange = exchanges.get(request)
-      if (exchange !== undefined) tryPlacement(exchange, 'waited', time)
-    }
+    placeWaiting(time)
   }
 
   return {
     handle,
     tick,
+    placeWaiting: moment => placeWaiting({ now: moment.steady, moment }),
     size: () => exchanges.size,
     waiting: waitingQueue.size,
     suspectWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'peer', now),
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -51,6 +51,8 @@
   mayHaveRun: boolean
   /** The attempt in progress; undefined while the request waits for a worker. */
   attempt: Attempt | undefined
+  /** Why the request is to be sent once the permit for which it waits has been granted or denied; undefined if it waits for none. */
+  awaitsPermitFor: SendCause | undefined
   /** Whether the head of a streamed response has been sent to the caller. */
   headSent: boolean
   /** Id of the last event that was sent to the caller. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -1,9 +1,10 @@
 /** Chooses the service and the worker for a request and sends the request to it. */
 import type { ModelPurpose, Route } from '../catalog/catalogTypes.js'
+import { assertNever } from '../errors.js'
 import { cacheScope } from '../placement/cacheScope.js'
 import { affinityPart, placeModelRequest, sharedParts, type ModelCandidate, type ModelChoice } from '../placement/modelPlacement.js'
 import { placePlainRequest } from '../placement/plainPlacement.js'
-import { isPaused, noteSent, type InFlightRequest } from '../placement/workerLoad.js'
+import { noteSent, type InFlightRequest } from '../placement/workerLoad.js'
 import { shouldStorePrompt } from '../placement/shouldStorePrompt.js'
 import type { Call, Dispatch, ModelDispatch, Prompt } from '../ports/forwardPort.js'
 import type { Worker } from '../workers/workersTypes.js'
@@ -15,8 +16,10 @@
 /** Result of an attempt to place a request on a worker. */
 export type PlacementResult =
   | { readonly kind: 'sent' }
-  /** No worker can take the request now; one may soon, but none before `pausedUntil` (ms) if that is given, since all have asked for no requests until then. */
-  | { readonly kind: 'noneAvailable', readonly pausedUntil?: number }
+  /** No worker can take the request now; one may soon, but none before `pausedUntil` (ms) if that is given, since all have asked for no requests until then or are at their limits. `interval` is the time, in ms, for which this instance then waits for each further request. */
+  | { readonly kind: 'noneAvailable', readonly pausedUntil?: number, readonly interval?: number }
+  /** The best worker has a limit, and the instance that grants its permits has been asked for one. */
+  | { readonly kind: 'awaitsPermit' }
   | { readonly kind: 'refused', readonly refusal: Refusal }
 
 /** The worker chosen for a request, with the estimated costs there; `expected` is the time to the response or to a stream's first event, in ms. */
@@ -63,6 +66,19 @@
   return context.workers.live(service).filter(({ id }) => !excluded.has(id) && (sentTo.has(id) || liveCount < route.maxWorkers))
 }
 
+/** Time, in ms, from which the worker accepts a request of this instance; not after `now` if it does at once. */
+const acceptsFrom = (context: ForwardingContext, worker: Worker, now: number): number => {
+  const { pausedUntil } = context.loadOf(worker.id)
+  const permit = context.limits.permitFor(worker, now)
+  return permit.kind === 'denied' ? Math.max(pausedUntil, permit.until) : pausedUntil
+}
+
+/** Mean time between the permits that this instance gets for limited workers, in ms, if all instances have the same share; 0 if one worker has no limit. */
+const permitInterval = (context: ForwardingContext, workers: readonly Worker[]): number => {
+  const total = workers.reduce((sum, worker) => sum + (context.limits.perSecond(worker) ?? Infinity), 0)
+  return Number.isFinite(total) && total > 0 ? context.instances() * msPerSecond / total : 0
+}
+
 /** Mean prefill time per token of the workers for which it has been measured, in ms; 0 if there are none. */
 const meanTokenCost = (context: ForwardingContext, workers: readonly Worker[]): number => {
   const known = workers.map(({ id }) => context.loadOf(id).tokenCost).filter(cost => cost > 0)
@@ -136,8 +152,11 @@
   return plainTarget(context, workers, now)
 }
 
+/** Priority of a request; 0 is the highest. */
+export const priorityOf = ({ workspace, route }: Exchange): number => workspace?.priority ?? route.priority
+
 /** Priority sent to the worker, limited to its ten levels of 0 to 9. */
-const workerPriority = (exchange: Exchange): number => Math.max(0, Math.min(9, exchange.workspace?.priority ?? exchange.route.priority))
+const workerPriority = (exchange: Exchange): number => Math.max(0, Math.min(9, priorityOf(exchange)))
 
 const dispatchOf = (exchange: Exchange, target: ChosenWorker, now: number): Dispatch => {
   const { call, workspace, lastEventId, deadline } = exchange
@@ -153,6 +172,7 @@
   }
 }
 
+const msPerSecond = 1_000
 /** Number of prompt tokens from which the other instances are informed of a send; also the number of shared tokens to prefill from which the shared parts count as cached by no worker. */
 const announceMinTokens = 1_000
 
@@ -229,9 +249,9 @@
     return { kind: 'refused', refusal: { kind: 'unprovenConfiguration' } }
   }
   const workers = eligible(context, exchange)
-  const accepting = workers.filter(({ id }) => !isPaused(context.loadOf(id), now))
+  const accepting = workers.filter(worker => acceptsFrom(context, worker, now) <= now)
   if (accepting.length === 0 && workers.length > 0) {
-    return { kind: 'noneAvailable', pausedUntil: Math.min(...workers.map(({ id }) => context.loadOf(id).pausedUntil)) }
+    return { kind: 'noneAvailable', pausedUntil: Math.min(...workers.map(worker => acceptsFrom(context, worker, now))), interval: permitInterval(context, workers) }
   }
   const target = chooseTarget(context, exchange, accepting, now)
   if (target === undefined) return { kind: 'noneAvailable' }
@@ -239,6 +259,16 @@
   if (target.expected >= timeLeft) {
     return { kind: 'refused', refusal: { kind: 'overloaded', wait: Math.max(0, target.expected - timeLeft / 2) } }
   }
-  send(context, exchange, target, cause, attempt, time)
-  return { kind: 'sent' }
+  const permit = context.limits.take(target.worker, priorityOf(exchange), now)
+  switch (permit.kind) {
+    case 'unlimited':
+    case 'held':
+      send(context, exchange, target, cause, attempt, time)
+      return { kind: 'sent' }
+    case 'wanted':
+    case 'asked': return { kind: 'awaitsPermit' }
+    // Without this worker, which accepts none for now.
+    case 'denied': return placeRequest(context, exchange, cause, attempt, time)
+    default: return assertNever(permit)
+  }
 }
--- a/src/forwarding/workerNotices.ts
+++ b/src/forwarding/workerNotices.ts
@@ -35,21 +35,12 @@
   context.log({ kind: 'workerPaused', id, worker, time: Math.round(retryAfter) })
 }
 
-/**
- * Applies what a response states of the worker's limit. Only a request that was
- * run shows that a limit is no longer stated; a rejection need not repeat it.
- * Parameters as for `applyWorkerNotices`.
- */
+/** Applies what a response states of the worker's limit; parameters as for `applyWorkerNotices`. */
 export const applyLimit = (context: ForwardingContext, { call: { id } }: Exchange, { worker, workerStartedAt, sentAt }: Attempt, { limit, notRun, signed }: AnswerHead, now: number): void => {
-  if (limit?.kind === 'unreadable' || context.workers.get(worker)?.startedAt !== workerStartedAt) return
-  if (limit === undefined) {
-    if (notRun || !signed) return
-    const change = context.limits.withdraw(worker, workerStartedAt, sentAt)
-    if (change !== 'none') context.log({ kind: 'workerUnlimited', id, worker })
-    return
-  }
-  const change = context.limits.state({ worker, startedAt: workerStartedAt, perSecond: limit.requests, statedAt: now })
-  if (change !== 'none') context.log({ kind: 'workerLimited', id, worker, limit: limit.requests })
+  if (context.workers.get(worker)?.startedAt !== workerStartedAt) return
+  const change = context.limits.applyResponse({ worker, startedAt: workerStartedAt, sentAt, ran: signed && !notRun, statement: limit }, now)
+  if (change === 'withdrawn') context.log({ kind: 'workerUnlimited', id, worker })
+  else if (change !== 'none' && limit?.kind === 'perSecond') context.log({ kind: 'workerLimited', id, worker, limit: limit.requests })
 }
 
 /** Applies the load counts and the version of the weights in the head of a response to the request; parameters as for `applyWorkerNotices`. */
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -21,6 +21,7 @@
 import type { Random } from '../random.js'
 import { createRolloutLease } from '../rollout/rolloutLease.js'
 import { createRollout, type RolloutEvent } from '../rollout/rolloutMachine.js'
+import { createWorkerLimits } from '../workerLimits/workerLimits.js'
 import { createConfigurationInForce } from './configurationInForce.js'
 import { createFeedHandler } from './feedInputs.js'
 import type { GatewayEffect, GatewayInput, GatewayLogEvent } from './gatewayTypes.js'
@@ -92,7 +93,7 @@
     log,
     publish: records => { if (storeReader.mode() === 'forAll') fleet.broadcast({ kind: 'fleet.workers', records: [...records] }) }
   })
-  const { workers, weights, limits, loadOf, cachedPartsOf } = registry
+  const { workers, weights, loadOf, cachedPartsOf } = registry
   const storeBudget = createStoreBudget()
   const lagDetector = createLagDetector(tickInterval)
   const retryBudgets = new Map<string, RetryBudget>()
@@ -150,10 +151,25 @@
       workerDoubted: worker => forwarding.suspectWorker(worker, currentTime.steady),
       workerRecordsReceived: records => { if (storeReader.mode() === 'throughPeers') registry.applyFromPeer(records) },
       readerStateReceived: state => storeReader.handleReaderState(state, currentTime.steady),
-      peerChanged: (peer, change) => log({ kind: 'peerChanged', peer, change })
+      limitMessage: (from, message) => limits.receive(from, message, currentTime.steady),
+      peerChanged: (peer, change) => {
+        if (change === 'alive') limits.tell(peer, currentTime.steady)
+        log({ kind: 'peerChanged', peer, change })
+      }
     }
   })
 
+  const limits = createWorkerLimits({
+    self: self.id,
+    stated: registry.limits,
+    granterOf: worker => fleet.ownerOf(worker, currentTime),
+    instances: () => fleet.size(currentTime),
+    liveShare: () => fleet.liveShare(currentTime),
+    send: fleet.send,
+    broadcast: fleet.broadcast,
+    onDecision: () => forwarding.placeWaiting(currentTime)
+  })
+
   const storeReader = createStoreReader({
     readModeInput: now => {
       const higherRankedReaders = fleet.higherRankedReaders(now)
@@ -315,7 +331,7 @@
       configuration: configuration.version(),
       instances: fleet.size(now),
       workers: [...workers.all()].length,
-      limitedWorkers: limits.all().length
+      limitedWorkers: registry.limits.all().length
     }),
     dump: now => ({
       self,
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -12,6 +12,7 @@
 import { createRandom } from '../../src/random.js'
 import { createWeightsTracker } from '../../src/workers/weightsTracker.js'
 import { createStatedLimits } from '../../src/workerLimits/statedLimits.js'
+import { createWorkerLimits } from '../../src/workerLimits/workerLimits.js'
 import { createWorkersDb } from '../../src/workers/workersDb.js'
 import type { Worker } from '../../src/workers/workersTypes.js'
 
@@ -49,7 +50,16 @@
   const cachedParts = new Map<string, CachedPartsEstimate>()
   const workers = createWorkersDb()
   const weights = createWeightsTracker()
-  const limits = createStatedLimits()
+  const limits = createWorkerLimits({
+    self: 'a',
+    stated: createStatedLimits(),
+    granterOf: () => 'a',
+    instances: () => 1,
+    liveShare: () => 1,
+    send: () => { /* There is no other instance. */ },
+    broadcast: () => { /* There is no other instance. */ },
+    onDecision: () => { /* There is no other instance. */ }
+  })
   const lease = createReadLease()
   const retryBudget = createRetryBudget({ fraction: 0.2, slack: 50, window: 10_000 })
   const index = options.catalog === undefined ? undefined : indexCatalog(options.catalog)
--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -76,6 +76,8 @@
   readonly register: (worker: Worker) => void
   /** Ends a worker at once; its streams break off and its record is removed. */
   readonly endWorker: (worker: string) => void
+  /** Ends a worker and starts it anew under its id; its streams break off. */
+  readonly restartWorker: (worker: string) => void
 }
 
 const storeReadInterval = 500 // ms
@@ -264,6 +266,10 @@
       else storeCutOff.add(instance)
     },
     register: worker => { workers.set(worker.id, worker) },
-    endWorker: worker => { workers.delete(worker) }
+    endWorker: worker => { workers.delete(worker) },
+    restartWorker: id => {
+      const worker = workers.get(id)
+      if (worker !== undefined) workers.set(id, { ...worker, startedAt: worker.startedAt + 1 })
+    }
   }
 }
--- a/test/fleets/limitedWorkerPlay.ts
+++ b/test/fleets/limitedWorkerPlay.ts
@@ -14,6 +14,8 @@
   readonly load: number
   readonly workers?: number
   readonly end?: number
+  /** When the worker states its limit no longer. */
+  readonly until?: number
   /** Schedules faults. */
   readonly disturb?: (fleet: FakeGateways) => void
   /** Whether the network counts bytes. */
@@ -63,7 +65,7 @@
  * @returns what reached the limited worker
  */
 export const playLimitedWorker = (options: LimitedWorkerOptions): LimitedWorkerReport => {
-  const { hash, instances, perSecond, load, workers = 4, end = 20_000, countBytes = false } = options
+  const { hash, instances, perSecond, load, workers = 4, end = 20_000, until = Infinity, countBytes = false } = options
   const random = createRandom(7)
   const calls: FakeCall[] = []
   const fleet = createFakeGateways({
@@ -71,7 +73,7 @@
     instances,
     catalog: buildCatalog(),
     workers: Array.from({ length: workers }, (_, index) => buildModelWorker(`w${index + 1}`)),
-    statements: ({ id }, now) => id === limitedWorker && now >= statedAt ? { limit: { kind: 'perSecond', requests: perSecond } } : {},
+    statements: ({ id }, now) => id === limitedWorker && now >= statedAt && now < until ? { limit: { kind: 'perSecond', requests: perSecond } } : {},
     countBytes
   })
   const sendNext = (count: number): void => {
