A worker's software version and what a request resumes are read and logged

The lines could not tell whether a stream that went on elsewhere was one that its client had taken up (hypothesis 1) or one that met a worker with a stale record (3).

Change: the version of a worker's record and the Resumes of a request are decoded; the line sent names both. No request is placed differently yet.

--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -226,6 +226,8 @@
     unread: target.unreadTokens,
     fetched: target.fetchedTokens,
     ...(target.version === undefined ? {} : { version: target.version }),
+    ...(target.worker.softwareVersion === undefined ? {} : { software: target.worker.softwareVersion }),
+    ...(exchange.call.resumes === undefined ? {} : { resumes: exchange.call.resumes }),
     configuration: context.catalog()?.catalog.version ?? 0,
     proofAge: Math.round(context.lease.age(moment))
   })
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -33,6 +33,8 @@
   readonly prompt?: Prompt
   /** Id of the last event that the caller received; set when it resumes a stream. */
   readonly resumeAfter?: string
+  /** Id of the caller's attempt that brought the first event of the stream that it resumes. */
+  readonly resumes?: string
   readonly body: Buffer
 }
 
--- a/src/workers/workersDb.ts
+++ b/src/workers/workersDb.ts
@@ -57,8 +57,8 @@
   | { readonly kind: 'left', readonly worker: Worker }
 
 /** Returns the properties that users of a worker depend on as one string. */
-const fingerprintOf = ({ id, startedAt, state, service, address: { host, port }, slots, models }: Worker): string =>
-  [id, startedAt, state, service, host, port, slots, ...models.map(({ name, version }) => `${name}=${version}`)].join('|')
+const fingerprintOf = ({ id, startedAt, state, service, address: { host, port }, slots, models, softwareVersion = '' }: Worker): string =>
+  [id, startedAt, state, service, host, port, slots, softwareVersion, ...models.map(({ name, version }) => `${name}=${version}`)].join('|')
 
 const changeOf = (before: Worker | undefined, worker: Worker): WorkerChange => {
   if (before === undefined) return { kind: 'joined', worker }
--- a/src/workers/workersTypes.ts
+++ b/src/workers/workersTypes.ts
@@ -13,6 +13,8 @@
   slots: z.number(),
   state: z.enum(['live', 'draining']),
   models: z.array(heldModel).readonly(),
+  /** Version of the worker's software; undefined if it was not reported. Streams of two versions do not fit together. */
+  softwareVersion: z.string().optional(),
   /** Start of the worker in Unix ms; 0 if it was not reported. */
   startedAt: z.number(),
   /** Number of times that this lifetime of the worker has written its record; 0 if it was not reported. */
