A stream goes on only at the software version that began it

Cause: nothing said on which version a stream began. Class: work that is continued elsewhere named too few of the versions that have to agree.

Change: an exchange is bound to the version of the worker that brought its first event. While a service runs several versions, or an instance has just started, each stream that begins is told to three instances chosen by rendezvous hashing of its id; one that is to resume a stream asks these before it sends the request. Where no instance knows the stream, it began on the only version that all that answered have seen for 20 s, if there is one; else the request is refused at once (unknownOrigin, 503, not run). An instance that hears no other refuses. Nothing is spent while a service runs one version. Ways weighed: telling all instances of each stream (grows with their number), an event id with the version (the worker's bytes must stay as they are), choosing the version by a hash of the id (changes with the set of versions).

--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -68,11 +68,11 @@
   it('gives each key to the same live instance everywhere, and none to one that is leaving', () => {
     const { fleet } = build()
     const keys = ['k1', 'k2', 'k3', 'k4', 'k5', 'k6']
-    expect(keys.map(key => fleet.ownerOf(key, at(0)))).toEqual(keys.map(() => 'a'))
+    expect(keys.map(key => fleet.ownersOf(key, 1, at(0))[0])).toEqual(keys.map(() => 'a'))
     fleet.receive('b', buildHeartbeat(), at(100))
-    expect(new Set(keys.map(key => fleet.ownerOf(key, at(200))))).toEqual(new Set(['a', 'b']))
+    expect(new Set(keys.map(key => fleet.ownersOf(key, 1, at(200))[0]))).toEqual(new Set(['a', 'b']))
     fleet.receive('b', buildHeartbeat({ leaving: true }), at(300))
-    expect(keys.map(key => fleet.ownerOf(key, at(310)))).toEqual(keys.map(() => 'a'))
+    expect(keys.map(key => fleet.ownersOf(key, 1, at(310))[0])).toEqual(keys.map(() => 'a'))
   })
 
   it('lists only instances that send heartbeats, are ready and are not leaving', () => {
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -10,6 +10,7 @@
 import { assertNever } from '../errors.js'
 import type { Hash } from '../hash.js'
 import { ageOf, earlier, type Moment } from '../lease/readLease.js'
+import type { StreamMessage } from '../streamOrigins/streamOrigins.js'
 import type { LimitMessage } from '../workerLimits/workerLimits.js'
 import type { FleetMember } from '../ports/feedPort.js'
 import type { PeerEffect, PeerReset } from '../ports/peerPort.js'
@@ -57,6 +58,8 @@
   readonly peerSentToWorker: (sent: Extract<FleetMessage, { kind: 'fleet.sent' }>) => void
   /** A peer has sent a message about the limit of a worker. */
   readonly limitMessage: (from: string, message: LimitMessage) => void
+  /** A peer has sent a message about the origin of streams. */
+  readonly streamMessage: (from: string, message: StreamMessage) => void
   /** A peer that reads for others has sent changed worker records. */
   readonly workerRecordsReceived: (records: readonly WorkerRecord[]) => void
   /** A peer that reads for others and recently reached the store has reported its state. */
@@ -91,8 +94,10 @@
   readonly broadcast: (message: FleetMessage) => void
   /** Sends a message to one peer. */
   readonly send: (to: string, message: FleetMessage) => void
-  /** Returns the live instance that is responsible for a key, by rendezvous hashing; one that is leaving only if there is no other. */
-  readonly ownerOf: (key: string, now: Moment) => string
+  /** Returns the live instances that are responsible for a key, by rendezvous hashing, the first one first; one that is leaving only if there is no other. */
+  readonly ownersOf: (key: string, count: number, now: Moment) => readonly string[]
+  /** Whether other instances are known, live or not. */
+  readonly hasPeers: () => boolean
   /** Fraction of the instances that were live within the last minute that are live now; those that this instance could not hear yet count, too. */
   readonly liveShare: (now: Moment) => number
   /** Returns the other instances that are alive, ready and not leaving. */
@@ -273,6 +278,9 @@
       case 'fleet.workerLimit':
       case 'fleet.permitRequest':
       case 'fleet.permitDecision': return events.limitMessage(from, message)
+      case 'fleet.streams':
+      case 'fleet.streamQuestion':
+      case 'fleet.streamAnswer': return events.streamMessage(from, message)
       case 'fleet.workers': return events.workerRecordsReceived(message.records)
       case 'fleet.wantCatalog': {
         const catalog = options.ownCatalog()
@@ -294,12 +302,15 @@
   const rank = (now: Moment): number =>
     livePeers(now).filter(({ member, heartbeat }) => heartbeat?.leaving === false && ranksBefore(member, self)).length
 
-  const ownerOf = (key: string, now: Moment): string => {
+  const ownersOf = (key: string, count: number, now: Moment): readonly string[] => {
     const staying = livePeers(now).filter(({ heartbeat }) => heartbeat?.leaving === false).map(({ member }) => member.id)
     const candidates = options.own(now).leaving && staying.length > 0 ? staying : [self.id, ...staying]
     const keyHash = hash.h32(key)
-    const scoreOf = (id: string): number => rendezvousScore(keyHash, hash.h32(id))
-    return candidates.reduce((best, id) => scoreOf(id) > scoreOf(best) ? id : best)
+    return candidates
+      .map(id => ({ id, score: rendezvousScore(keyHash, hash.h32(id)) }))
+      .sort((left, right) => right.score - left.score)
+      .slice(0, count)
+      .map(({ id }) => id)
   }
 
   const liveShare = (now: Moment): number => {
@@ -318,7 +329,8 @@
     tick,
     announce,
     send: (to, message) => emit({ kind: 'peer.send', to, message }),
-    ownerOf,
+    ownersOf,
+    hasPeers: () => peers.size > 0,
     liveShare,
     broadcast: message => { for (const to of peers.keys()) emit({ kind: 'peer.send', to, message }) },
     serving: now => livePeers(now).flatMap(({ member, heartbeat }) => heartbeat?.ready === true && !heartbeat.leaving ? [{ member, strained: heartbeat.strained }] : []),
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -1,6 +1,7 @@
 /** Schemas of the messages between the instances of a fleet. */
 import { z } from 'zod'
 import { catalogSchema } from '../catalog/catalogTypes.js'
+import { streamOriginSchema } from '../streamOrigins/streamOriginsTypes.js'
 import { workerRecordSchema } from '../workers/workersTypes.js'
 
 const momentSchema = z.object({ steady: z.number(), wall: z.number() })
@@ -68,6 +69,12 @@
   z.object({ kind: z.literal('fleet.permitRequest'), worker: z.string(), startedAt: z.number(), perSecond: z.number().min(0), age: z.number().min(0), priority: z.number() }),
   /** The answer; `wait` in ms. */
   z.object({ kind: z.literal('fleet.permitDecision'), worker: z.string(), startedAt: z.number(), decision: permitDecisionSchema }),
+  /** Streams that have begun at the sender, for instances that are to know where. */
+  z.object({ kind: z.literal('fleet.streams'), streams: z.array(z.object({ id: z.string(), origin: streamOriginSchema })) }),
+  /** Asks where a stream began. */
+  z.object({ kind: z.literal('fleet.streamQuestion'), id: z.string(), service: z.string(), workspace: z.string().optional() }),
+  /** Where it began, if the sender knows, and which versions of the service's software it has seen lately; `complete` as in `VersionSummary`. */
+  z.object({ kind: z.literal('fleet.streamAnswer'), id: z.string(), origin: streamOriginSchema.optional(), versions: z.array(z.string()), complete: z.boolean() }),
   /** Changed worker records from a sender that reads for others. */
   z.object({ kind: z.literal('fleet.workers'), records: z.array(workerRecordSchema) }),
   /** Requests the configuration of at least this version. */
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -8,6 +8,7 @@
 import type { ForwardEffect, PromptPart } from '../ports/forwardPort.js'
 import type { Random } from '../random.js'
 import type { WeightsTracker } from '../workers/weightsTracker.js'
+import type { StreamOrigins } from '../streamOrigins/streamOrigins.js'
 import type { WorkerLimits } from '../workerLimits/workerLimits.js'
 import type { WorkersDb } from '../workers/workersDb.js'
 import type { ForwardLogEvent } from './forwardingTypes.js'
@@ -25,6 +26,8 @@
   readonly weights: WeightsTracker
   /** The limits that workers have stated, and the permits to send to these. */
   readonly limits: Pick<WorkerLimits, 'permitFor' | 'take' | 'applyResponse' | 'perSecond'>
+  /** Where streams began. */
+  readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'end' | 'lookUp' | 'fits'>
   readonly loadOf: (worker: string) => WorkerLoad
   /** Estimate of the prompt parts in a worker's cache. */
   readonly cachedPartsOf: (worker: string) => CachedPartsEstimate
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -18,6 +18,7 @@
 import { rejectionReason } from './rejection.js'
 import { decideWait, rejectedRetryAfter } from './waitOrRefuse.js'
 import { applyFirstEvent, applyLimit, applyRejection, applyResponseState, applyWorkerNotices } from './workerNotices.js'
+import { fitsOrigin, noteStreamEvent } from './streamContinuation.js'
 import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
 
 /** Request forwarding of one instance. */
@@ -87,14 +88,15 @@
     if (cancel) context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
   }
 
-  const removeExchange = (exchange: Exchange): void => {
+  const removeExchange = (exchange: Exchange, whole: boolean, now: number): void => {
+    if (exchange.streamBegun) context.streamOrigins.end(exchange.call.id, whole, now)
     exchanges.delete(exchange.request)
     waitingQueue.remove(exchange.request)
   }
 
   const refuse = (exchange: Exchange, refusal: Refusal, { now, moment }: DecisionTime): void => {
     const { request, call } = exchange
-    removeExchange(exchange)
+    removeExchange(exchange, false, now)
     if (exchange.headSent) {
       context.log({ kind: 'brokenOff', id: call.id, reason: refusal.kind, after: elapsed(exchange, now), events: exchange.events })
       context.emit({ kind: 'call.abort', request })
@@ -106,7 +108,7 @@
 
   const tryPlacement = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
     lastAttempt++
-    exchange.awaitsPermitFor = undefined
+    exchange.awaitsPeerFor = undefined
     const placement = placeRequest(context, exchange, cause, lastAttempt, time)
     switch (placement.kind) {
       case 'sent':
@@ -114,8 +116,8 @@
         byAttempt.set(lastAttempt, exchange)
         return
       case 'refused': return refuse(exchange, placement.refusal, time)
-      case 'awaitsPermit':
-        exchange.awaitsPermitFor = cause
+      case 'awaitsPeer':
+        exchange.awaitsPeerFor = cause
         return waitingQueue.add({ request: exchange.request, priority: priorityOf(exchange), since: exchange.arrivedAt, expiresAt: exchange.deadline })
       case 'noneAvailable': return enqueue(exchange, cause, placement, time)
       default: assertNever(placement)
@@ -133,7 +135,7 @@
       deadline,
       objective: route.objective,
       workersExhausted: sentTo.size >= route.maxWorkers,
-      hasLiveWorker: context.workers.live(service).some(({ id }) => !excluded.has(id)),
+      hasLiveWorker: context.workers.live(service).some(worker => !excluded.has(worker.id) && fitsOrigin(context, exchange, worker, time.now)),
       isRetry: cause !== 'first' && cause !== 'waited',
       pausedUntil: pausedUntil === undefined || interval === 0 ? pausedUntil : pausedUntil + countBefore(exchange) * interval
     }, time.now)
@@ -159,7 +161,9 @@
       retryCount: 0,
       mayHaveRun: false,
       attempt: undefined,
-      awaitsPermitFor: undefined,
+      awaitsPeerFor: undefined,
+      origin: undefined,
+      streamBegun: false,
       headSent: false,
       lastEventId: undefined,
       events: 0,
@@ -243,6 +247,7 @@
     const events = attempt.splitter.push(bytes)
     if (events === undefined) return
     if (attempt.flight.firstEventAt === undefined) applyFirstEvent(context, exchange, attempt, now)
+    noteStreamEvent(context, exchange, attempt, now)
     exchange.events += events.count
     exchange.firstEventAt ??= now
     if (events.lastId !== undefined) exchange.lastEventId = events.lastId
@@ -254,7 +259,7 @@
     const isBuffered = !isStream(exchange, head)
     noteSuccess(load, isBuffered && isSuccess(head.status) ? now - attempt.sentAt : undefined)
     endAttempt(exchange, false)
-    removeExchange(exchange)
+    removeExchange(exchange, true, now)
     context.log({ kind: 'answered', id: exchange.call.id, worker: attempt.worker, status: head.status, after: elapsed(exchange, now), events: exchange.events, ...(exchange.firstEventAt === undefined ? {} : { first: Math.round(exchange.firstEventAt - exchange.arrivedAt) }) })
     if (isBuffered) context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body: Buffer.concat(attempt.body) })
     else context.emit({ kind: 'call.end', request: exchange.request })
@@ -272,15 +277,17 @@
     complete(exchange, attempt, head, time.now)
   }
 
-  const canRetry = ({ route, sentTo, service, retryCount }: Exchange, now: number): boolean =>
-    retryCount < maxRetries && sentTo.size < route.maxWorkers &&
-    context.workers.live(service).some(({ id }) => !sentTo.has(id)) &&
-    context.retries(service).canTake(context.instances(), now)
+  const canRetry = (exchange: Exchange, now: number): boolean => {
+    const { route, sentTo, service, retryCount } = exchange
+    if (retryCount >= maxRetries || sentTo.size >= route.maxWorkers) return false
+    const hasOther = context.workers.live(service).some(worker => !sentTo.has(worker.id) && fitsOrigin(context, exchange, worker, now))
+    return hasOther && context.retries(service).canTake(context.instances(), now)
+  }
 
   const handleCallerLeft = (exchange: Exchange, now: number): void => {
     context.log({ kind: 'callerLeft', id: exchange.call.id, after: elapsed(exchange, now), events: exchange.events })
     endAttempt(exchange, true)
-    removeExchange(exchange)
+    removeExchange(exchange, false, now)
   }
 
   const handleAttempt = (input: Extract<ForwardInput, { readonly attempt: number }>, time: DecisionTime): void => {
@@ -363,7 +370,7 @@
   const placeWaiting = (time: DecisionTime): void => {
     for (const { request } of waitingQueue.inOrder()) {
       const exchange = exchanges.get(request)
-      if (exchange !== undefined) tryPlacement(exchange, exchange.awaitsPermitFor ?? 'waited', time)
+      if (exchange !== undefined) tryPlacement(exchange, exchange.awaitsPeerFor ?? 'waited', time)
     }
   }
 
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -2,6 +2,7 @@
 import type { Route, Workspace } from '../catalog/catalogTypes.js'
 import type { AnswerHead, Call } from '../ports/forwardPort.js'
 import type { InFlightRequest } from '../placement/workerLoad.js'
+import type { StreamOrigin } from '../streamOrigins/streamOriginsTypes.js'
 import type { EventSplitter } from './eventSplitter.js'
 
 /** One attempt to run a request on a worker. */
@@ -10,6 +11,8 @@
   readonly worker: string
   /** Start time of the worker's lifetime that was addressed. */
   readonly workerStartedAt: number
+  /** Version of the worker's software; undefined if it reports none. */
+  readonly softwareVersion: string | undefined
   readonly flight: InFlightRequest
   readonly sentAt: number
   /** Version of the weights that the worker was asked to run on; undefined if any. */
@@ -37,7 +40,8 @@
   readonly call: Call
   readonly route: Route
   readonly workspace: Workspace | undefined
-  readonly service: string
+  /** Service that gets the request; a request that resumes a stream stays with the one that began it. */
+  service: string
   readonly arrivedAt: number
   /** When the caller has to have a final response. */
   readonly deadline: number
@@ -51,8 +55,12 @@
   mayHaveRun: boolean
   /** The attempt in progress; undefined while the request waits for a worker. */
   attempt: Attempt | undefined
-  /** Why the request is to be sent once the permit for which it waits has been granted or denied; undefined if it waits for none. */
-  awaitsPermitFor: SendCause | undefined
+  /** Why the request is to be sent once the other instance that was asked has answered; undefined if none was. */
+  awaitsPeerFor: SendCause | undefined
+  /** Where its stream began, also if that was in an earlier attempt of its caller; undefined before the first event. */
+  origin: StreamOrigin | undefined
+  /** Whether an event of the stream has arrived in this attempt of the caller. */
+  streamBegun: boolean
   /** Whether the head of a streamed response has been sent to the caller. */
   headSent: boolean
   /** Id of the last event that was sent to the caller. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -12,14 +12,15 @@
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Exchange, SendCause } from './forwardingTypes.js'
 import type { Refusal } from './refusal.js'
+import { bindToOrigin, fitsOrigin } from './streamContinuation.js'
 
 /** Result of an attempt to place a request on a worker. */
 export type PlacementResult =
   | { readonly kind: 'sent' }
   /** No worker can take the request now; one may soon, but none before `pausedUntil` (ms) if that is given, since all have asked for no requests until then or are at their limits. `interval` is the time, in ms, for which this instance then waits for each further request. */
   | { readonly kind: 'noneAvailable', readonly pausedUntil?: number, readonly interval?: number }
-  /** The best worker has a limit, and the instance that grants its permits has been asked for one. */
-  | { readonly kind: 'awaitsPermit' }
+  /** Another instance has been asked where the stream began, or for a permit of the best worker, which has a limit. */
+  | { readonly kind: 'awaitsPeer' }
   | { readonly kind: 'refused', readonly refusal: Refusal }
 
 /** The worker chosen for a request, with the estimated costs there; `expected` is the time to the response or to a stream's first event, in ms. */
@@ -60,10 +61,10 @@
 }
 
 /** The workers to which the request may be sent. Those that already received it stay eligible; others are added only while fewer than the route's `maxWorkers` known workers received it. */
-const eligible = (context: ForwardingContext, exchange: Exchange): readonly Worker[] => {
+const eligible = (context: ForwardingContext, exchange: Exchange, now: number): readonly Worker[] => {
   const { sentTo, excluded, route, service } = exchange
   const liveCount = [...sentTo].filter(id => context.workers.get(id) !== undefined).length
-  return context.workers.live(service).filter(({ id }) => !excluded.has(id) && (sentTo.has(id) || liveCount < route.maxWorkers))
+  return context.workers.live(service).filter(worker => !excluded.has(worker.id) && (sentTo.has(worker.id) || liveCount < route.maxWorkers) && fitsOrigin(context, exchange, worker, now))
 }
 
 /** Time, in ms, from which the worker accepts a request of this instance; not after `now` if it does at once. */
@@ -204,6 +205,7 @@
     id: attempt,
     worker: target.worker.id,
     workerStartedAt: target.worker.startedAt,
+    softwareVersion: target.worker.softwareVersion,
     flight,
     sentAt: now,
     version: target.version,
@@ -250,7 +252,13 @@
   if (exchange.workspace !== undefined && context.lease.age(moment) >= context.bounds().keys) {
     return { kind: 'refused', refusal: { kind: 'unprovenConfiguration' } }
   }
-  const workers = eligible(context, exchange)
+  const continuation = bindToOrigin(context, exchange, now)
+  if (continuation === 'asked') return { kind: 'awaitsPeer' }
+  if (continuation === 'unknown') return { kind: 'refused', refusal: { kind: 'unknownOrigin' } }
+  if (continuation === 'bound' && !context.workers.live(exchange.service).some(worker => fitsOrigin(context, exchange, worker, now))) {
+    return { kind: 'refused', refusal: { kind: 'noWorker' } }
+  }
+  const workers = eligible(context, exchange, now)
   const accepting = workers.filter(worker => acceptsFrom(context, worker, now) <= now)
   if (accepting.length === 0 && workers.length > 0) {
     return { kind: 'noneAvailable', pausedUntil: Math.min(...workers.map(worker => acceptsFrom(context, worker, now))), interval: permitInterval(context, workers) }
@@ -268,7 +276,7 @@
       send(context, exchange, target, cause, attempt, time)
       return { kind: 'sent' }
     case 'wanted':
-    case 'asked': return { kind: 'awaitsPermit' }
+    case 'asked': return { kind: 'awaitsPeer' }
     // Without this worker, which accepts none for now.
     case 'denied': return placeRequest(context, exchange, cause, attempt, time)
     default: return assertNever(permit)
--- a/src/forwarding/refusal.ts
+++ b/src/forwarding/refusal.ts
@@ -16,6 +16,8 @@
   | { readonly kind: 'unreadable', readonly problem: CallProblem }
   /** The service has no worker that could take the request. */
   | { readonly kind: 'noWorker' }
+  /** It is not known which software version began the stream that the request resumes, so that no worker may go on with it. */
+  | { readonly kind: 'unknownOrigin' }
   /** No worker is expected to respond in time; `wait` is in ms. */
   | { readonly kind: 'overloaded', readonly wait: number }
   /** A worker rejected the request and it may be sent to no other; `wait` is in ms. */
@@ -49,6 +51,7 @@
     case 'noConfiguration':
     case 'unprovenConfiguration':
     case 'noWorker':
+    case 'unknownOrigin':
     case 'overloaded':
     case 'turnedAway':
     case 'lateUnsent': return 503
@@ -66,6 +69,7 @@
     case 'noConfiguration':
     case 'unprovenConfiguration': return configurationRetryAfter
     case 'noWorker':
+    case 'unknownOrigin':
     case 'lateUnsent': return workerRetryAfter
     case 'overloaded':
     case 'turnedAway': return refusal.wait
--- /dev/null
+++ b/src/forwarding/streamContinuation.ts
@@ -0,0 +1,67 @@
+/** Keeps a stream at the software version that began it, over retries and over the attempts of its caller. */
+import type { Route } from '../catalog/catalogTypes.js'
+import type { Call } from '../ports/forwardPort.js'
+import type { StreamOrigin } from '../streamOrigins/streamOriginsTypes.js'
+import type { Worker } from '../workers/workersTypes.js'
+import type { ForwardingContext } from './forwardingContext.js'
+import type { Attempt, Exchange } from './forwardingTypes.js'
+
+/** What is known of the stream that a request resumes. */
+export type Continuation = 'free' | 'bound' | 'asked' | 'unknown'
+
+/** Whether a request resumes a stream that an earlier attempt of its caller began. */
+export const isResumption = (route: Route, { resumeAfter, resumes }: Call): boolean =>
+  route.kind === 'stream' && (resumeAfter !== undefined || resumes !== undefined)
+
+/**
+ * Binds a request that resumes a stream to the software version that began it.
+ *
+ * @param context - state of the instance
+ * @param exchange - the request; its origin and service are set once they are known
+ * @param now - present time, in ms
+ * @returns `free` if it resumes none; `asked` while other instances are being asked; `unknown` if it may not be sent
+ */
+export const bindToOrigin = (context: ForwardingContext, exchange: Exchange, now: number): Continuation => {
+  const { call, route, workspace, service } = exchange
+  if (exchange.origin !== undefined) return 'bound'
+  if (!isResumption(route, call)) return 'free'
+  const lookup = context.streamOrigins.lookUp({ stream: call.resumes, service, workspace: workspace?.name }, now)
+  if (lookup.kind !== 'known') return lookup.kind
+  exchange.origin = lookup.origin
+  // A route's services share its requests; the stream goes on at the one that began it.
+  if (route.targets.some(target => target.service === lookup.origin.service)) exchange.service = lookup.origin.service
+  return 'bound'
+}
+
+/** Whether the request may be sent to the worker as far as its stream's origin is concerned; `now` in ms. */
+export const fitsOrigin = (context: ForwardingContext, { origin }: Exchange, worker: Worker, now: number): boolean =>
+  origin === undefined || context.streamOrigins.fits(origin, worker, now)
+
+const originOf = ({ service, workspace }: Exchange, worker: string, startedAt: number, version: string | undefined): StreamOrigin => ({
+  service,
+  worker,
+  startedAt,
+  ...(workspace === undefined ? {} : { workspace: workspace.name }),
+  ...(version === undefined ? {} : { version })
+})
+
+/**
+ * Records where a stream began when an event of it arrives. A worker that has
+ * started anew since the request was sent, but before its record said so, sent the
+ * events in its new lifetime, since the end of the old one cut its connections.
+ *
+ * @param context - state of the instance
+ * @param exchange - the request
+ * @param attempt - the attempt that brought the event
+ * @param now - present time, in ms
+ */
+export const noteStreamEvent = (context: ForwardingContext, exchange: Exchange, attempt: Attempt, now: number): void => {
+  const current = context.workers.get(attempt.worker)
+  const startedAt = current?.startedAt ?? attempt.workerStartedAt
+  const isRestarted = exchange.origin?.worker === attempt.worker && exchange.origin.startedAt !== startedAt
+  if (exchange.streamBegun && !isRestarted) return
+  exchange.streamBegun = true
+  const version = current === undefined ? attempt.softwareVersion : current.softwareVersion
+  exchange.origin = originOf(exchange, attempt.worker, startedAt, version)
+  context.streamOrigins.begin(exchange.call.id, exchange.origin, now)
+}
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -21,6 +21,7 @@
 import type { Random } from '../random.js'
 import { createRolloutLease } from '../rollout/rolloutLease.js'
 import { createRollout, type RolloutEvent } from '../rollout/rolloutMachine.js'
+import { createStreamOrigins } from '../streamOrigins/streamOrigins.js'
 import { createWorkerLimits } from '../workerLimits/workerLimits.js'
 import { createConfigurationInForce } from './configurationInForce.js'
 import { createFeedHandler } from './feedInputs.js'
@@ -151,6 +152,7 @@
       workerDoubted: worker => forwarding.suspectWorker(worker, currentTime.steady),
       workerRecordsReceived: records => { if (storeReader.mode() === 'throughPeers') registry.applyFromPeer(records) },
       readerStateReceived: state => storeReader.handleReaderState(state, currentTime.steady),
+      streamMessage: (from, message) => streamOrigins.receive(from, message, currentTime.steady),
       limitMessage: (from, message) => limits.receive(from, message, currentTime.steady),
       peerChanged: (peer, change) => {
         if (change === 'alive') limits.tell(peer, currentTime.steady)
@@ -162,7 +164,7 @@
   const limits = createWorkerLimits({
     self: self.id,
     stated: registry.limits,
-    granterOf: worker => fleet.ownerOf(worker, currentTime),
+    granterOf: worker => fleet.ownersOf(worker, 1, currentTime)[0],
     instances: () => fleet.size(currentTime),
     liveShare: () => fleet.liveShare(currentTime),
     send: fleet.send,
@@ -170,6 +172,14 @@
     onDecision: () => forwarding.placeWaiting(currentTime)
   })
 
+  const streamOrigins = createStreamOrigins({
+    self: self.id,
+    keepersOf: (stream, count) => fleet.ownersOf(stream, count, currentTime),
+    hasPeers: fleet.hasPeers,
+    send: fleet.send,
+    onAnswer: () => forwarding.placeWaiting(currentTime)
+  })
+
   const storeReader = createStoreReader({
     readModeInput: now => {
       const higherRankedReaders = fleet.higherRankedReaders(now)
@@ -216,6 +226,7 @@
     workers,
     weights,
     limits,
+    streamOrigins,
     loadOf,
     cachedPartsOf,
     stored: partStore.parts,
@@ -267,6 +278,7 @@
       emit({ kind: 'member.announce', member: self })
     }
     registry.expire(currentTime.steady)
+    streamOrigins.observe(workers.all(), currentTime)
     fleet.tick(currentTime)
     storeReader.tick(currentTime)
     if (!shutdown.isShuttingDown()) rollout.tick(currentTime)
--- /dev/null
+++ b/src/streamOrigins/streamOrigins.spec.ts
@@ -0,0 +1,121 @@
+import { buildWorker } from '../../test/fixtures/forwarding.js'
+import type { Moment } from '../lease/readLease.js'
+import { createStreamOrigins, type StreamMessage, type StreamOrigins } from './streamOrigins.js'
+import { versionMemory } from './versionHistory.js'
+
+const at = (steady: number): Moment => ({ steady, wall: steady + 1_000_000 })
+
+/** Instances that deliver each other's messages at once, unless these are held back. */
+const buildInstances = (ids: readonly string[]) => {
+  const origins = new Map<string, StreamOrigins>()
+  const sent: StreamMessage[] = []
+  const cutOff = new Set<string>()
+  let now = 0
+  for (const self of ids) {
+    origins.set(self, createStreamOrigins({
+      self,
+      keepersOf: (_stream, count) => ids.slice(-count),
+      hasPeers: () => ids.length > 1,
+      send: (to, message) => {
+        sent.push(message)
+        if (!cutOff.has(self) && !cutOff.has(to)) origins.get(to)?.receive(self, message, now)
+      },
+      onAnswer: () => { /* The test looks it up again. */ }
+    }))
+  }
+  const observe = (versions: readonly (string | undefined)[], time: number): void => {
+    now = time
+    const workers = versions.map((softwareVersion, index) => buildWorker(`w${index}`, { service: 'model', softwareVersion, startedAt: 1_000_000 }))
+    for (const instance of origins.values()) instance.observe(workers, at(time))
+  }
+  const lookUp = (instance: string, stream: string | undefined, workspace?: string) => {
+    const resumption = { stream, service: 'model', workspace }
+    const first = origins.get(instance)?.lookUp(resumption, now)
+    return first?.kind === 'asked' ? origins.get(instance)?.lookUp(resumption, now) : first
+  }
+  const begin = (instance: string, stream: string, version: string | undefined, workspace?: string): void =>
+    origins.get(instance)?.begin(stream, { service: 'model', worker: 'w0', startedAt: 1_000_000, ...(version === undefined ? {} : { version }), ...(workspace === undefined ? {} : { workspace }) }, now)
+  return { origins, sent, cutOff, observe, lookUp, begin, wait: (time: number) => { now = time } }
+}
+
+const ids = ['a', 'b', 'c', 'd', 'e']
+const late = versionMemory + 15_000
+
+describe('where a stream began', () => {
+  it('is known at another instance after the first one is gone, while a service runs several versions', () => {
+    const { observe, begin, lookUp, cutOff } = buildInstances(ids)
+    observe(['v1', 'v2'], 0)
+    begin('a', 's1', 'v2')
+    cutOff.add('a')
+    expect(lookUp('b', 's1')).toMatchObject({ kind: 'known', origin: { version: 'v2' } })
+  })
+
+  it('costs no message while a service has run one version for long, and follows from that', () => {
+    const { observe, begin, lookUp, sent } = buildInstances(ids)
+    observe(['v1'], 0)
+    observe(['v1'], late)
+    begin('a', 's1', 'v1')
+    expect(sent).toEqual([])
+    expect(lookUp('b', 's1')).toEqual({ kind: 'known', origin: { service: 'model', version: 'v1' } })
+    expect(lookUp('b', undefined)).toMatchObject({ kind: 'known' })
+  })
+
+  it('is told of streams in progress when a second version appears', () => {
+    const { observe, begin, lookUp, cutOff } = buildInstances(ids)
+    observe(['v1'], 0)
+    observe(['v1'], late)
+    begin('a', 's1', 'v1')
+    observe(['v1', 'v2'], late + 300)
+    cutOff.add('a')
+    expect(lookUp('b', 's1')).toMatchObject({ kind: 'known', origin: { version: 'v1' } })
+  })
+
+  it('stays unknown if several versions are in use and no instance knows it, or if it belongs to another workspace', () => {
+    const { observe, begin, lookUp } = buildInstances(ids)
+    observe(['v1', 'v2'], 0)
+    begin('a', 's1', 'v1', 'listings')
+    expect(lookUp('b', 'never-begun')).toEqual({ kind: 'unknown' })
+    expect(lookUp('b', undefined)).toEqual({ kind: 'unknown' })
+    expect(lookUp('b', 's1', 'sales')).toEqual({ kind: 'unknown' })
+    expect(lookUp('a', 's1', 'sales')).toEqual({ kind: 'unknown' })
+    expect(lookUp('b', 's1', 'listings')).toMatchObject({ kind: 'known' })
+  })
+
+  it('stays unknown to an instance that reaches no other, whatever it has seen itself', () => {
+    const { observe, cutOff, origins, wait } = buildInstances(ids)
+    observe(['v1'], 0)
+    observe(['v1'], late)
+    cutOff.add('a')
+    const resumption = { stream: 's1', service: 'model', workspace: undefined }
+    expect(origins.get('a')?.lookUp(resumption, late)).toEqual({ kind: 'asked' })
+    wait(late + 260)
+    expect(origins.get('a')?.lookUp(resumption, late + 260)).toEqual({ kind: 'unknown' })
+  })
+
+  it('stays unknown while every instance has just started and a worker has, too', () => {
+    const { observe, lookUp } = buildInstances(ids)
+    observe(['v1'], 5_000)
+    expect(lookUp('b', 's1')).toEqual({ kind: 'unknown' })
+  })
+
+  it('is the only version in use if instances have just started before workers that have run for long', () => {
+    const { observe, lookUp } = buildInstances(ids)
+    observe(['v1'], versionMemory + 100)
+    expect(lookUp('b', 's1')).toMatchObject({ kind: 'known', origin: { version: 'v1' } })
+  })
+
+  it('is the same lifetime of a worker that reports no version, unless none of its service does', () => {
+    const { observe, begin, lookUp, origins } = buildInstances(ids)
+    const begun = buildWorker('w0', { service: 'model', startedAt: 1_000_000 })
+    const other = buildWorker('w1', { service: 'model', startedAt: 1_000_000 })
+    observe([undefined, 'v1'], 0)
+    begin('a', 's1', undefined)
+    const lookup = lookUp('b', 's1')
+    const fits = (worker: typeof begun, now: number) => lookup?.kind === 'known' && origins.get('b')?.fits(lookup.origin, worker, now)
+    expect(fits(begun, 0)).toBe(true)
+    expect(fits(other, 0)).toBe(false)
+    expect(fits({ ...begun, startedAt: 1_000_001 }, 0)).toBe(false)
+    observe([undefined], versionMemory + 100)
+    expect(fits(other, versionMemory + 200)).toBe(true)
+  })
+})
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -11,6 +11,7 @@
 import type { AnswerHead, Call, Dispatch, ForwardEffect } from '../../src/ports/forwardPort.js'
 import { createRandom } from '../../src/random.js'
 import { createWeightsTracker } from '../../src/workers/weightsTracker.js'
+import { createStreamOrigins } from '../../src/streamOrigins/streamOrigins.js'
 import { createStatedLimits } from '../../src/workerLimits/statedLimits.js'
 import { createWorkerLimits } from '../../src/workerLimits/workerLimits.js'
 import { createWorkersDb } from '../../src/workers/workersDb.js'
@@ -60,6 +61,13 @@
     broadcast: () => { /* There is no other instance. */ },
     onDecision: () => { /* There is no other instance. */ }
   })
+  const streamOrigins = createStreamOrigins({
+    self: 'a',
+    keepersOf: () => ['a'],
+    hasPeers: () => false,
+    send: () => { /* There is no other instance. */ },
+    onAnswer: () => { /* There is no other instance. */ }
+  })
   const lease = createReadLease()
   const retryBudget = createRetryBudget({ fraction: 0.2, slack: 50, window: 10_000 })
   const index = options.catalog === undefined ? undefined : indexCatalog(options.catalog)
@@ -80,6 +88,7 @@
     workers,
     weights,
     limits,
+    streamOrigins,
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
     cachedPartsOf: worker => getOrCreate(cachedParts, worker, () => createCachedPartsEstimate(memoryTokens)),
     stored: () => undefined,
