A proof from the echo of an earlier incarnation's heartbeat is not taken

Cause: a peer that has not heard the new incarnation yet echoes the last heartbeat of the earlier one. Its time on the steady clock counts from the start of the earlier process, so the proof lay in the future of the new one; every later proof was older and was dropped, until the new process had run as long as the earlier one had. The logs show it: the age of the proof was 4,557 ms at 0.2 s after the start and grew to 18,128 ms. Load was ruled out: the instance answered at once, with the configuration from the store.

Change: a heartbeat says whose heartbeat it echoes; an echo of another incarnation is none. From a peer of the version before, which does not say so, an echo in the future is none. Its test failed before.

--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -56,6 +56,15 @@
 const servingFrontsAt = (fleet: Fleet, now: number): readonly string[] => fleet.serving(at(now)).map(({ member }) => member.front)
 
 describe('the fleet', () => {
+  it('takes no proof from the echo of a heartbeat that an earlier incarnation sent', () => {
+    const { fleet, proofs } = build()
+    fleet.receive('b', buildHeartbeat({ echo: at(8_000), echoOf: 'a-0', proofAge: 100 }), at(300))
+    fleet.receive('b', buildHeartbeat({ echo: at(8_000), proofAge: 100 }), at(310))
+    expect(proofs).toEqual([])
+    fleet.receive('b', buildHeartbeat({ echo: at(200), echoOf: 'a-1', proofAge: 100 }), at(320))
+    expect(proofs).toEqual([at(100)])
+  })
+
   it('counts silent instances among the known ones for a minute', () => {
     const { fleet } = build()
     expect(fleet.liveShare(at(0))).toBe(0.5)
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -174,7 +174,7 @@
     leaving: own.leaving,
     strained: own.strained,
     sentAt: now,
-    ...(peer.heartbeat === undefined ? {} : { echo: peer.heartbeat.sentAt }),
+    ...(peer.heartbeat === undefined ? {} : { echo: peer.heartbeat.sentAt, echoOf: peer.heartbeat.incarnation }),
     configuration: own.configuration,
     ...(Number.isFinite(own.proofAge) ? { proofAge: own.proofAge } : {}),
     ...(Number.isFinite(own.storeAge) ? { storeAge: own.storeAge } : {}),
@@ -253,9 +253,14 @@
     events.configurationProven(own, earlier(heartbeat.echo, heartbeat.proofAge))
   }
 
-  const handleHeartbeat = (from: string, heartbeat: Heartbeat, now: Moment): void => {
+  /** Whether the echo is of a heartbeat of this incarnation. An older version of the program does not say whose it is; then it must not lie in the future. */
+  const isOwnEcho = ({ echo, echoOf }: Heartbeat, now: Moment): boolean =>
+    echo !== undefined && (echoOf === undefined ? echo.steady <= now.steady : echoOf === self.incarnation)
+
+  const handleHeartbeat = (from: string, received: Heartbeat, now: Moment): void => {
     const peer = peers.get(from)
     if (peer === undefined) return
+    const heartbeat = isOwnEcho(received, now) ? received : { ...received, echo: undefined }
     if (heartbeat.leaving && peer.heartbeat?.leaving !== true) events.peerChanged(from, 'leaving')
     peer.heartbeat = heartbeat
     peer.heardAt = now
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -17,6 +17,8 @@
   sentAt: momentSchema,
   /** `sentAt` of the last heartbeat that the sender received from the receiver. */
   echo: momentSchema.optional(),
+  /** Incarnation of the receiver that sent that heartbeat; the clocks of an earlier one are not those of the receiver. */
+  echoOf: z.string().optional(),
   /** Version of the sender's configuration; 0 if it has none. */
   configuration: z.number(),
   /** Age of the sender's proof that this version is the newest, in ms. */
