--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -1,4 +1,5 @@
 import { buildCall, buildCatalog, buildWorker } from '../../test/fixtures/forwarding.js'
+import { buildGatewayBounds } from '../../test/fixtures/gateway.js'
 import { loadHash, type Hash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
 import { createRandom } from '../random.js'
@@ -15,14 +16,7 @@
   const effects: { readonly at: number, readonly effect: GatewayEffect }[] = []
   const gateway = createGateway({
     self: { id: 'a', incarnation: 'a-1', dataCentre: 'a', front: '10.0.0.1:80', peer: { host: '10.0.0.1', port: 90 }, capacity: 1 },
-    bounds: () => ({
-      forwarding: { keys: 4_500, absence: 1_500, weights: 8_000 },
-      retries: { fraction: 0.2, slack: 50, window: 10_000 },
-      addressLife: 800,
-      addressLifeFactor: 3,
-      grace: 8_000,
-      loadShare: 0.286
-    }),
+    bounds: buildGatewayBounds,
     hash,
     random: createRandom(1)
   })
--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -13,6 +13,7 @@
 import type { PeerMessage } from '../../src/ports/peerPort.js'
 import { createRandom } from '../../src/random.js'
 import type { Worker } from '../../src/workers/workersTypes.js'
+import { buildGatewayBounds } from '../fixtures/gateway.js'
 import { createFakeNetwork, type FakeNetwork } from './fakeNetwork.js'
 import { createVirtualTime, type VirtualTime } from './virtualTime.js'
 
@@ -214,14 +215,7 @@
     membersNow = [...starts].map(([member, memberStarts]) => buildMember(member, memberStarts))
     const gateway = createGateway({
       self: buildMember(id, count),
-      bounds: () => ({
-        forwarding: { keys: 4_500, absence: 1_500, weights: 8_000 },
-        retries: { fraction: 0.2, slack: 50, window: 10_000 },
-        addressLife: 800,
-        addressLifeFactor: 3,
-        grace: 8_000,
-        loadShare: 0.286
-      }),
+      bounds: buildGatewayBounds,
       hash,
       random: createRandom(count + hash.h32(id))
     })
