Lines of an attempt say how long its worker was quiet and who ended it

A stream that was broken off could not be told from one whose live attempt this instance had given up. attemptFailed says for how long the worker had sent nothing (quiet) and whether this instance ended the attempt while its connection was open (givenUp); brokenOff names why and where its last attempt ended.

--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -98,7 +98,7 @@
     const { request, call } = exchange
     removeExchange(exchange, false, now)
     if (exchange.headSent) {
-      context.log({ kind: 'brokenOff', id: call.id, reason: refusal.kind, after: elapsed(exchange, now), events: exchange.events })
+      context.log({ kind: 'brokenOff', id: call.id, reason: refusal.kind, after: elapsed(exchange, now), events: exchange.events, ...(exchange.lastFailure === undefined ? {} : { lastAttempt: exchange.lastFailure.reason, worker: exchange.lastFailure.worker }) })
       context.emit({ kind: 'call.abort', request })
       return
     }
@@ -161,6 +161,7 @@
       retryCount: 0,
       mayHaveRun: false,
       attempt: undefined,
+      lastFailure: undefined,
       awaitsPeerFor: undefined,
       origin: undefined,
       streamBegun: false,
@@ -185,7 +186,9 @@
   }
 
   const failAttempt = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
-    context.log({ kind: 'attemptFailed', id: exchange.call.id, worker: attempt.worker, reason, after: Math.round(now - attempt.sentAt) })
+    const { worker, sentAt, lastDataAt } = attempt
+    context.log({ kind: 'attemptFailed', id: exchange.call.id, worker, reason, after: Math.round(now - sentAt), quiet: Math.round(now - lastDataAt), givenUp: cancel })
+    exchange.lastFailure = { worker, reason }
     endAttempt(exchange, cancel)
   }
 
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -34,6 +34,12 @@
   silent: boolean
 }
 
+/** An attempt that ended without a usable response. */
+export interface FailedAttempt {
+  readonly worker: string
+  readonly reason: AttemptEnd
+}
+
 /** One request of a caller, until its response is complete. */
 export interface Exchange {
   readonly request: number
@@ -55,6 +61,8 @@
   mayHaveRun: boolean
   /** The attempt in progress; undefined while the request waits for a worker. */
   attempt: Attempt | undefined
+  /** The last attempt that ended without a usable response; undefined if none did. */
+  lastFailure: FailedAttempt | undefined
   /** Why the request is to be sent once the other instance that was asked has answered; undefined if none was. */
   awaitsPeerFor: SendCause | undefined
   /** Where its stream began, also if that was in an earlier attempt of its caller; undefined before the first event. */
@@ -74,10 +82,10 @@
 /** A log event of forwarding; each is one log line. */
 export type ForwardLogEvent =
   | { readonly kind: 'sent', readonly id: string, readonly worker: string, readonly cause: SendCause, readonly expected: number, readonly flights: number, readonly unread: number, readonly fetched: number, readonly version?: number, /** Version of the worker's software. */ readonly software?: string, /** Id of the attempt whose stream the caller resumes. */ readonly resumes?: string, readonly configuration: number, readonly proofAge: number }
-  | { readonly kind: 'attemptFailed', readonly id: string, readonly worker: string, readonly reason: AttemptEnd, readonly after: number }
+  | { readonly kind: 'attemptFailed', readonly id: string, readonly worker: string, readonly reason: AttemptEnd, readonly after: number, /** Time since the worker last sent anything for it. */ readonly quiet: number, /** Whether this instance ended the attempt although its connection was open. */ readonly givenUp: boolean }
   | { readonly kind: 'refused', readonly id: string, readonly reason: string, readonly outcome: string, readonly after: number, readonly configuration: number, readonly proofAge: number }
   | { readonly kind: 'answered', readonly id: string, readonly worker: string, readonly status: number, readonly after: number, readonly events: number, /** Time to the first event of a stream. */ readonly first?: number }
-  | { readonly kind: 'brokenOff', readonly id: string, readonly reason: string, readonly after: number, readonly events: number }
+  | { readonly kind: 'brokenOff', readonly id: string, readonly reason: string, readonly after: number, readonly events: number, /** Why its last attempt ended, and at which worker. */ readonly lastAttempt?: AttemptEnd, readonly worker?: string }
   | { readonly kind: 'callerLeft', readonly id: string, readonly after: number, readonly events: number }
   /** The worker stated in the response to `id` that it is leaving. */
   | { readonly kind: 'workerLeaving', readonly id: string, readonly worker: string }
