A silent worker's attempt is kept until a second one has brought something

Cause: silence was taken for failure. After 0.9 s without data in a stream, 0.45 s without a head, or at the first failed probe, the attempt was cancelled and the request sent elsewhere; if that worker rejected it, cut it, could not be reached or none was free, the caller's answer was broken off although the first worker would have gone on. A request that may run only once was given up after its worker had been unreachable for 1.5 s.

Change: a request has at most two attempts. While the current one is silent a second one is made at another worker, and the one that first brings a complete event or a complete plain response is kept, the other cancelled at once, so that no request goes on at two workers. If the current one fails, the second takes over. Second attempts use at most half of the retry budget and are made at most every 250 ms.

--- a/src/admission/retryBudget.ts
+++ b/src/admission/retryBudget.ts
@@ -20,8 +20,8 @@
 export interface RetryBudget {
   /** Counts a request, which raises the budget. */
   readonly recordRequest: (now: number) => void
-  /** Whether the budget allows another retry. */
-  readonly canTake: (instances: number, now: number) => boolean
+  /** Whether the budget allows another retry; `share` is the fraction of it that may be used, all by default. */
+  readonly canTake: (instances: number, now: number, share?: number) => boolean
   /** Takes one retry from the budget; returns false if none is left. */
   readonly take: (instances: number, now: number) => boolean
   /** Retries taken in the current window. */
@@ -70,8 +70,8 @@
   const requests = createCounter(window)
   const retries = createCounter(window)
 
-  const canTake = (instances: number, now: number): boolean =>
-    retries.sum(now) + 1 <= safetyFactor * (fraction * requests.sum(now) + slack / Math.max(1, instances))
+  const canTake = (instances: number, now: number, share = 1): boolean =>
+    retries.sum(now) + 1 <= share * safetyFactor * (fraction * requests.sum(now) + slack / Math.max(1, instances))
 
   const take = (instances: number, now: number): boolean => {
     if (!canTake(instances, now)) return false
--- /dev/null
+++ b/src/forwarding/attemptInputs.ts
@@ -0,0 +1,168 @@
+/**
+ * Handles what arrives for the attempts of requests: heads, bodies, ends and
+ * failures. A response that is complete and valid goes to the caller; after any
+ * other end the request goes on with its second attempt, is retried, or is refused.
+ */
+import { assertNever } from '../errors.js'
+import { noteFailure, noteSuccess } from '../placement/workerLoad.js'
+import type { AnswerHead, ForwardInput } from '../ports/forwardPort.js'
+import type { AttemptsInProgress } from './attemptsInProgress.js'
+import type { CallerResponses } from './callerResponses.js'
+import { isRetryable, isServerError, isStream, isSuccess } from './exchangeKind.js'
+import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
+import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
+import type { Refusal } from './refusal.js'
+import { rejectionReason } from './rejection.js'
+import type { SecondAttempts } from './secondAttempts.js'
+import { noteStreamEvent } from './streamContinuation.js'
+import type { SuspectWorkers } from './suspectWorkers.js'
+import { rejectedRetryAfter } from './waitOrRefuse.js'
+import { applyFirstEvent, applyLimit, applyRejection, applyResponseState, applyWorkerNotices } from './workerNotices.js'
+
+/** An input that belongs to an attempt. */
+export type AttemptInput = Extract<ForwardInput, { readonly attempt: number }>
+
+/** What the handling depends on. */
+export interface AttemptInputsOptions {
+  readonly context: ForwardingContext
+  readonly suspectWorkers: SuspectWorkers
+  readonly attempts: AttemptsInProgress
+  readonly seconds: SecondAttempts
+  readonly responses: CallerResponses
+  /** Retries a request if the retry budget allows it, else refuses it with `fallback`. */
+  readonly retry: (exchange: Exchange, cause: SendCause, fallback: Refusal, time: DecisionTime) => void
+  /** Sends a request that reached no worker to another one. */
+  readonly placeAgain: (exchange: Exchange, time: DecisionTime) => void
+  /** Whether a retry would be sent now. */
+  readonly canRetry: (exchange: Exchange, now: number) => boolean
+}
+
+/** The handling of inputs of attempts. */
+export interface AttemptInputs {
+  readonly handle: (input: AttemptInput, time: DecisionTime) => void
+  /** Ends an attempt that failed after the worker may have run the request; `cancel` closes its connection. */
+  readonly handleLostAttempt: (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, time: DecisionTime) => void
+}
+
+/**
+ * Creates the handling of inputs of attempts.
+ *
+ * @param options - state of the instance and the steps that follow the end of an attempt
+ */
+export const createAttemptInputs = ({ context, suspectWorkers, attempts, seconds, responses, retry, placeAgain, canRetry }: AttemptInputsOptions): AttemptInputs => {
+  const isSecond = (exchange: Exchange, attempt: Attempt): boolean => exchange.second === attempt
+
+  const handleRejection = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
+    const rejection = rejectionReason(context, exchange, attempt, head)
+    const reason = rejection.kind === 'unavailable' ? 'turnedAway' : rejection.kind
+    applyRejection(context, suspectWorkers, exchange, attempt, rejection, time.now)
+    const wasSecond = isSecond(exchange, attempt)
+    attempts.fail(exchange, attempt, reason, false, time.now)
+    if (wasSecond || seconds.takeOver(exchange)) return
+    retry(exchange, rejection.kind === 'otherVersion' ? 'otherVersion' : 'turnedAway', { kind: 'turnedAway', wait: rejectedRetryAfter }, time)
+  }
+
+  const handleLostAttempt = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, time: DecisionTime): void => {
+    exchange.mayHaveRun = true
+    noteFailure(context.loadOf(attempt.worker))
+    if (isSecond(exchange, attempt)) return seconds.drop(exchange, attempt, reason, cancel, time.now)
+    attempts.fail(exchange, attempt, reason, cancel, time.now)
+    if (!isRetryable(exchange)) return responses.refuse(exchange, { kind: 'broken' }, time)
+    exchange.excluded.add(attempt.worker)
+    if (seconds.takeOver(exchange)) return
+    retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
+  }
+
+  const handleUnsent = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
+    const wasSecond = isSecond(exchange, attempt)
+    attempts.fail(exchange, attempt, 'unsent', false, time.now)
+    suspectWorkers.markSuspect(attempt.worker, 'unreachable', time.now)
+    exchange.excluded.add(attempt.worker)
+    exchange.sentTo.delete(attempt.worker)
+    if (wasSecond || seconds.takeOver(exchange)) return
+    if (time.now >= exchange.deadline) responses.refuse(exchange, { kind: 'lateUnsent' }, time)
+    else placeAgain(exchange, time)
+  }
+
+  const handleHead = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
+    const { now } = time
+    const { call } = exchange
+    attempt.head = head
+    attempt.lastDataAt = now
+    applyWorkerNotices(context, exchange, attempt, head, now)
+    if (head.requestId !== undefined && head.requestId !== call.id) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
+    applyLimit(context, exchange, attempt, head, now)
+    applyResponseState(context, exchange, attempt, head, now)
+    if (head.notRun) return
+    if (isSuccess(head.status) && !head.signed) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
+    if (!isStream(exchange, head) || exchange.headSent || isSecond(exchange, attempt)) return
+    responses.open(exchange, head)
+  }
+
+  /** Makes the attempt that has brought something the only one of its request. */
+  const settleOn = (exchange: Exchange, attempt: Attempt, now: number): void => {
+    if (isSecond(exchange, attempt)) seconds.prefer(exchange, now)
+    else seconds.cancel(exchange)
+  }
+
+  const handleData = (exchange: Exchange, attempt: Attempt, bytes: Buffer, now: number): void => {
+    attempt.lastDataAt = now
+    attempt.silent = false
+    const { head } = attempt
+    if (head === undefined) return
+    if (!isStream(exchange, head) || head.notRun) {
+      attempt.body.push(bytes)
+      return
+    }
+    const events = attempt.splitter.push(bytes)
+    if (events === undefined) return
+    settleOn(exchange, attempt, now)
+    if (attempt.flight.firstEventAt === undefined) applyFirstEvent(context, exchange, attempt, now)
+    noteStreamEvent(context, exchange, attempt, now)
+    exchange.events += events.count
+    exchange.firstEventAt ??= now
+    if (events.lastId !== undefined) exchange.lastEventId = events.lastId
+    context.emit({ kind: 'call.write', request: exchange.request, bytes: events.bytes })
+  }
+
+  const complete = (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number): void => {
+    settleOn(exchange, attempt, now)
+    const isPlainSuccess = !isStream(exchange, head) && isSuccess(head.status)
+    if (isServerError(head.status)) noteFailure(context.loadOf(attempt.worker))
+    noteSuccess(context.loadOf(attempt.worker), isPlainSuccess ? now - attempt.sentAt : undefined)
+    responses.complete(exchange, attempt, head, now)
+  }
+
+  /** Whether another attempt may still bring a better response than an error. */
+  const hasAlternative = (exchange: Exchange, attempt: Attempt, now: number): boolean =>
+    isSecond(exchange, attempt) || exchange.second !== undefined || canRetry(exchange, now)
+
+  const handleEnd = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
+    const { head } = attempt
+    if (head === undefined) return handleLostAttempt(exchange, attempt, 'garbled', false, time)
+    if (head.notRun) return handleRejection(exchange, attempt, head, time)
+    if (isStream(exchange, head) && attempt.splitter.hasPartialEvent()) return handleLostAttempt(exchange, attempt, 'partialEvent', false, time)
+    const isRetryableError = isServerError(head.status) && isRetryable(exchange) && !exchange.headSent
+    if (isRetryableError && hasAlternative(exchange, attempt, time.now)) return handleLostAttempt(exchange, attempt, 'failedAnswer', false, time)
+    if (exchange.headSent && !isStream(exchange, head)) return handleLostAttempt(exchange, attempt, 'failedAnswer', false, time)
+    complete(exchange, attempt, head, time.now)
+  }
+
+  const handle = (input: AttemptInput, time: DecisionTime): void => {
+    const found = attempts.find(input.attempt)
+    if (found === undefined) return
+    const { exchange, attempt } = found
+    switch (input.kind) {
+      case 'attempt.head': return handleHead(exchange, attempt, input.head, time)
+      case 'attempt.data': return handleData(exchange, attempt, input.bytes, time.now)
+      case 'attempt.ended': return handleEnd(exchange, attempt, time)
+      case 'attempt.failed':
+        if (input.failure === 'unsent') return handleUnsent(exchange, attempt, time)
+        if (attempt.head?.notRun === true) return handleRejection(exchange, attempt, attempt.head, time)
+        return handleLostAttempt(exchange, attempt, input.failure, false, time)
+      default: assertNever(input)
+    }
+  }
+
+  return { handle, handleLostAttempt }
+}
--- /dev/null
+++ b/src/forwarding/attemptsInProgress.ts
@@ -0,0 +1,76 @@
+/**
+ * The attempts of one instance that have not ended. A request has at most two:
+ * its current attempt and, while that one is silent, a second one at another worker.
+ */
+import { noteEnded } from '../placement/workerLoad.js'
+import type { ForwardingContext } from './forwardingContext.js'
+import type { Attempt, AttemptEnd, Exchange } from './forwardingTypes.js'
+
+/** An attempt and the request that it belongs to. */
+export interface ExchangeAttempt {
+  readonly exchange: Exchange
+  readonly attempt: Attempt
+}
+
+/** The attempts in progress; times in ms. */
+export interface AttemptsInProgress {
+  /** Returns the id of the next attempt. */
+  readonly nextId: () => number
+  /** Adds the current attempt of a request. */
+  readonly begin: (exchange: Exchange, attempt: Attempt) => void
+  /** Adds the second attempt of a request. */
+  readonly beginSecond: (exchange: Exchange, attempt: Attempt) => void
+  readonly find: (id: number) => ExchangeAttempt | undefined
+  /** Removes an attempt; `cancel` also closes its connection. */
+  readonly end: (exchange: Exchange, attempt: Attempt, cancel: boolean) => void
+  /** Removes an attempt that brought no usable response; `cancel` also closes its connection. */
+  readonly fail: (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number) => void
+  /** Cancels all attempts of a request. */
+  readonly cancelAll: (exchange: Exchange) => void
+}
+
+/**
+ * Creates the table of attempts, which is empty.
+ *
+ * @param context - state and outputs of the instance
+ */
+export const createAttemptsInProgress = (context: Pick<ForwardingContext, 'loadOf' | 'emit' | 'log'>): AttemptsInProgress => {
+  const attempts = new Map<number, ExchangeAttempt>()
+  let lastId = 0
+
+  const end = (exchange: Exchange, attempt: Attempt, cancel: boolean): void => {
+    noteEnded(context.loadOf(attempt.worker), attempt.flight)
+    attempts.delete(attempt.id)
+    if (exchange.attempt === attempt) exchange.attempt = undefined
+    if (exchange.second === attempt) exchange.second = undefined
+    if (cancel) context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
+  }
+
+  const fail = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
+    const { worker, sentAt, lastDataAt } = attempt
+    context.log({ kind: 'attemptFailed', id: exchange.call.id, worker, reason, after: Math.round(now - sentAt), quiet: Math.round(now - lastDataAt), givenUp: cancel })
+    if (exchange.attempt === attempt) exchange.lastFailure = { worker, reason }
+    end(exchange, attempt, cancel)
+  }
+
+  return {
+    nextId: () => {
+      lastId++
+      return lastId
+    },
+    begin: (exchange, attempt) => {
+      exchange.attempt = attempt
+      attempts.set(attempt.id, { exchange, attempt })
+    },
+    beginSecond: (exchange, attempt) => {
+      exchange.second = attempt
+      attempts.set(attempt.id, { exchange, attempt })
+    },
+    find: id => attempts.get(id),
+    end,
+    fail,
+    cancelAll: exchange => {
+      for (const attempt of [exchange.attempt, exchange.second]) if (attempt !== undefined) end(exchange, attempt, true)
+    }
+  }
+}
--- /dev/null
+++ b/src/forwarding/exchangeKind.ts
@@ -0,0 +1,18 @@
+/** What the route of a request and the head of a response say about how they are handled. */
+import type { AnswerHead } from '../ports/forwardPort.js'
+import type { Exchange } from './forwardingTypes.js'
+
+/** Lowest HTTP status of worker errors that are retried on another worker. */
+const firstServerError = 500
+
+/** Whether the status is a success. */
+export const isSuccess = (status: number): boolean => status >= 200 && status < 300
+
+/** Whether the status is an error of the worker, after which another worker may be tried. */
+export const isServerError = (status: number): boolean => status >= firstServerError
+
+/** Whether the request may run on another worker although a worker may have run it already. */
+export const isRetryable = ({ route }: Exchange): boolean => route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
+
+/** Whether the body of the response is passed on event by event. */
+export const isStream = ({ route }: Exchange, head: AnswerHead): boolean => route.kind === 'stream' && isSuccess(head.status)
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -7,19 +7,22 @@
 import { createWaitingQueue } from '../admission/waitingQueue.js'
 import { assertNever } from '../errors.js'
 import type { Moment } from '../lease/readLease.js'
-import type { AnswerHead, Call, ForwardInput } from '../ports/forwardPort.js'
-import { noteEnded, noteFailure, noteSuccess } from '../placement/workerLoad.js'
+import type { Call, ForwardInput } from '../ports/forwardPort.js'
+import { noteFailure } from '../placement/workerLoad.js'
 import { admitRequest } from './admitRequest.js'
+import { createAttemptInputs } from './attemptInputs.js'
+import { createAttemptsInProgress } from './attemptsInProgress.js'
+import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
+import { createCallerResponses } from './callerResponses.js'
 import { createSuspectWorkers } from './suspectWorkers.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
-import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
+import type { Attempt, Exchange, SendCause } from './forwardingTypes.js'
 import { placeRequest, priorityOf, type PlacementResult } from './placeRequest.js'
-import { refusalResponse, outcomeOf, type Refusal } from './refusal.js'
-import { rejectionReason } from './rejection.js'
-import { decideWait, rejectedRetryAfter } from './waitOrRefuse.js'
-import { applyFirstEvent, applyLimit, applyRejection, applyResponseState, applyWorkerNotices } from './workerNotices.js'
-import { fitsOrigin, noteStreamEvent } from './streamContinuation.js'
-import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
+import type { Refusal } from './refusal.js'
+import { maxRetries } from './retryLimits.js'
+import { createSecondAttempts } from './secondAttempts.js'
+import { decideWait } from './waitOrRefuse.js'
+import { fitsOrigin } from './streamContinuation.js'
 
 /** Request forwarding of one instance. */
 export interface Forwarding {
@@ -39,17 +42,8 @@
   readonly dump: () => unknown
 }
 
-/** Time, in ms, after which the requests of an unreachable worker that cannot be retried on another one are given up. */
-const unreachableLimit = 1_500
-/** Maximum number of retries of one request; after that its caller gets an error. */
-const maxRetries = 4
-/** Lowest HTTP status of worker errors that are retried on another worker. */
-const firstServerError = 500
-
-const isSuccess = (status: number): boolean => status >= 200 && status < 300
-
-/** Whether the request may run on another worker although a worker may have run it already. */
-const isRetryable = ({ route }: Exchange): boolean => route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
+/** Time, in ms, for which a worker that is not listed any more has to be unreachable before its requests are given up. */
+const goneAfter = 1_500
 
 /**
  * Creates the request forwarding of one instance, without requests.
@@ -58,64 +52,22 @@
  */
 export const createForwarding = (context: ForwardingContext): Forwarding => {
   const exchanges = new Map<number, Exchange>()
-  const byAttempt = new Map<number, Exchange>()
   const waitingQueue = createWaitingQueue()
-  const suspectWorkers = createSuspectWorkers(context)
-  let lastAttempt = 0
-
-  const elapsed = (exchange: Exchange, now: number): number => Math.round(now - exchange.arrivedAt)
-
-  const sendRefusal = (request: number, id: string, refusal: Refusal, after: number, moment: Moment): void => {
-    const answer = refusalResponse(refusal, context.random.unit())
-    context.log({
-      kind: 'refused',
-      id,
-      reason: refusal.kind,
-      outcome: outcomeOf(refusal),
-      after,
-      configuration: context.catalog()?.catalog.version ?? 0,
-      proofAge: Math.round(Math.min(context.lease.age(moment), Number.MAX_SAFE_INTEGER))
-    })
-    context.emit({ kind: 'call.answer', request, ...answer })
-  }
-
-  const endAttempt = (exchange: Exchange, cancel: boolean): void => {
-    const { attempt } = exchange
-    if (attempt === undefined) return
-    noteEnded(context.loadOf(attempt.worker), attempt.flight)
-    byAttempt.delete(attempt.id)
-    exchange.attempt = undefined
-    if (cancel) context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
-  }
-
-  const removeExchange = (exchange: Exchange, whole: boolean, now: number): void => {
-    if (exchange.streamBegun) context.streamOrigins.end(exchange.call.id, whole, now)
-    exchanges.delete(exchange.request)
-    waitingQueue.remove(exchange.request)
-  }
-
-  const refuse = (exchange: Exchange, refusal: Refusal, { now, moment }: DecisionTime): void => {
-    const { request, call } = exchange
-    removeExchange(exchange, false, now)
-    if (exchange.headSent) {
-      context.log({ kind: 'brokenOff', id: call.id, reason: refusal.kind, after: elapsed(exchange, now), events: exchange.events, ...(exchange.lastFailure === undefined ? {} : { lastAttempt: exchange.lastFailure.reason, worker: exchange.lastFailure.worker }) })
-      context.emit({ kind: 'call.abort', request })
-      return
-    }
-    const accurateRefusal = exchange.mayHaveRun && outcomeOf(refusal) === 'not_run' ? { kind: 'broken' } as const : refusal
-    sendRefusal(request, call.id, accurateRefusal, elapsed(exchange, now), moment)
-  }
+  const hasRequestsAt = (worker: string): boolean =>
+    [...exchanges.values()].some(({ attempt, second }) => attempt?.worker === worker || second?.worker === worker)
+  const suspectWorkers = createSuspectWorkers({ ...context, hasRequestsAt })
+  const attempts = createAttemptsInProgress(context)
+  const responses = createCallerResponses(context, exchanges, waitingQueue, attempts)
+  const seconds = createSecondAttempts(context, attempts, responses)
 
   const tryPlacement = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
-    lastAttempt++
     exchange.awaitsPeerFor = undefined
-    const placement = placeRequest(context, exchange, cause, lastAttempt, time)
+    const placement = placeRequest(context, exchange, cause, attempts.nextId(), time)
     switch (placement.kind) {
       case 'sent':
         waitingQueue.remove(exchange.request)
-        byAttempt.set(lastAttempt, exchange)
-        return
-      case 'refused': return refuse(exchange, placement.refusal, time)
+        return attempts.begin(exchange, placement.attempt)
+      case 'refused': return responses.refuse(exchange, placement.refusal, time)
       case 'awaitsPeer':
         exchange.awaitsPeerFor = cause
         return waitingQueue.add({ request: exchange.request, priority: priorityOf(exchange), since: exchange.arrivedAt, expiresAt: exchange.deadline })
@@ -139,14 +91,14 @@
       isRetry: cause !== 'first' && cause !== 'waited',
       pausedUntil: pausedUntil === undefined || interval === 0 ? pausedUntil : pausedUntil + countBefore(exchange) * interval
     }, time.now)
-    if (decision.kind === 'refuse') return refuse(exchange, decision.refusal, time)
+    if (decision.kind === 'refuse') return responses.refuse(exchange, decision.refusal, time)
     waitingQueue.add({ request, priority: priorityOf(exchange), since: arrivedAt, expiresAt: decision.until })
   }
 
   const handleArrival = (request: number, call: Call, time: DecisionTime): void => {
     const { now, moment } = time
     const admission = admitRequest(context, call, time)
-    if (admission.kind === 'refused') return sendRefusal(request, call.id, admission.refusal, 0, moment)
+    if (admission.kind === 'refused') return responses.sendRefusal(request, call.id, admission.refusal, 0, moment)
     const { route, workspace, service } = admission
     const exchange: Exchange = {
       request,
@@ -161,6 +113,8 @@
       retryCount: 0,
       mayHaveRun: false,
       attempt: undefined,
+      second: undefined,
+      nextSecondAt: now,
       lastFailure: undefined,
       awaitsPeerFor: undefined,
       origin: undefined,
@@ -180,106 +134,11 @@
     const { now } = time
     const allowed = exchange.retryCount < maxRetries && now < exchange.deadline &&
       context.retries(exchange.service).take(context.instances(), now)
-    if (!allowed) return refuse(exchange, fallback, time)
+    if (!allowed) return responses.refuse(exchange, fallback, time)
     exchange.retryCount++
     tryPlacement(exchange, cause, time)
   }
 
-  const failAttempt = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
-    const { worker, sentAt, lastDataAt } = attempt
-    context.log({ kind: 'attemptFailed', id: exchange.call.id, worker, reason, after: Math.round(now - sentAt), quiet: Math.round(now - lastDataAt), givenUp: cancel })
-    exchange.lastFailure = { worker, reason }
-    endAttempt(exchange, cancel)
-  }
-
-  /** Retries a request that the worker states it has not run. */
-  const handleRejection = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
-    const rejection = rejectionReason(context, exchange, attempt, head)
-    applyRejection(context, suspectWorkers, exchange, attempt, rejection, time.now)
-    failAttempt(exchange, attempt, rejection.kind === 'unavailable' ? 'turnedAway' : rejection.kind, false, time.now)
-    retry(exchange, rejection.kind === 'otherVersion' ? 'otherVersion' : 'turnedAway', { kind: 'turnedAway', wait: rejectedRetryAfter }, time)
-  }
-
-  /** Ends an attempt that failed after the worker may have run the request; retries the request if that is allowed. */
-  const handleLostAttempt = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, time: DecisionTime): void => {
-    exchange.mayHaveRun = true
-    noteFailure(context.loadOf(attempt.worker))
-    failAttempt(exchange, attempt, reason, cancel, time.now)
-    if (!isRetryable(exchange)) return refuse(exchange, { kind: 'broken' }, time)
-    exchange.excluded.add(attempt.worker)
-    retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
-  }
-
-  const handleUnsent = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
-    failAttempt(exchange, attempt, 'unsent', false, time.now)
-    suspectWorkers.markSuspect(attempt.worker, 'unreachable', time.now)
-    exchange.excluded.add(attempt.worker)
-    exchange.sentTo.delete(attempt.worker)
-    if (time.now >= exchange.deadline) refuse(exchange, { kind: 'lateUnsent' }, time)
-    else tryPlacement(exchange, 'unsent', time)
-  }
-
-  const isStream = ({ route }: Exchange, head: AnswerHead): boolean => route.kind === 'stream' && isSuccess(head.status)
-
-  const handleHead = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
-    const { now } = time
-    const { call } = exchange
-    attempt.head = head
-    attempt.lastDataAt = now
-    applyWorkerNotices(context, exchange, attempt, head, now)
-    if (head.requestId !== undefined && head.requestId !== call.id) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
-    applyLimit(context, exchange, attempt, head, now)
-    applyResponseState(context, exchange, attempt, head, now)
-    if (head.notRun) return
-    if (isSuccess(head.status) && !head.signed) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
-    if (!isStream(exchange, head)) return
-    if (exchange.headSent) return
-    exchange.headSent = true
-    exchange.mayHaveRun = true
-    context.emit({ kind: 'call.open', request: exchange.request, status: head.status, headers: head.headers })
-  }
-
-  const handleData = (exchange: Exchange, attempt: Attempt, bytes: Buffer, now: number): void => {
-    attempt.lastDataAt = now
-    const { head } = attempt
-    if (head === undefined) return
-    if (!isStream(exchange, head) || head.notRun) {
-      attempt.body.push(bytes)
-      return
-    }
-    const events = attempt.splitter.push(bytes)
-    if (events === undefined) return
-    if (attempt.flight.firstEventAt === undefined) applyFirstEvent(context, exchange, attempt, now)
-    noteStreamEvent(context, exchange, attempt, now)
-    exchange.events += events.count
-    exchange.firstEventAt ??= now
-    if (events.lastId !== undefined) exchange.lastEventId = events.lastId
-    context.emit({ kind: 'call.write', request: exchange.request, bytes: events.bytes })
-  }
-
-  const complete = (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number): void => {
-    const load = context.loadOf(attempt.worker)
-    const isBuffered = !isStream(exchange, head)
-    noteSuccess(load, isBuffered && isSuccess(head.status) ? now - attempt.sentAt : undefined)
-    endAttempt(exchange, false)
-    removeExchange(exchange, true, now)
-    context.log({ kind: 'answered', id: exchange.call.id, worker: attempt.worker, status: head.status, after: elapsed(exchange, now), events: exchange.events, ...(exchange.firstEventAt === undefined ? {} : { first: Math.round(exchange.firstEventAt - exchange.arrivedAt) }) })
-    if (isBuffered) context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body: Buffer.concat(attempt.body) })
-    else context.emit({ kind: 'call.end', request: exchange.request })
-  }
-
-  const handleEnd = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
-    const { head } = attempt
-    if (head === undefined) return handleLostAttempt(exchange, attempt, 'garbled', false, time)
-    if (head.notRun) return handleRejection(exchange, attempt, head, time)
-    if (isStream(exchange, head) && attempt.splitter.hasPartialEvent()) return handleLostAttempt(exchange, attempt, 'partialEvent', false, time)
-    const isRetryableError = head.status >= firstServerError && isRetryable(exchange) && !exchange.headSent
-    if (isRetryableError && canRetry(exchange, time.now)) return handleLostAttempt(exchange, attempt, 'failedAnswer', false, time)
-    if (exchange.headSent && !isStream(exchange, head)) return handleLostAttempt(exchange, attempt, 'failedAnswer', false, time)
-    if (head.status >= firstServerError) noteFailure(context.loadOf(attempt.worker))
-    complete(exchange, attempt, head, time.now)
-  }
-
   const canRetry = (exchange: Exchange, now: number): boolean => {
     const { route, sentTo, service, retryCount } = exchange
     if (retryCount >= maxRetries || sentTo.size >= route.maxWorkers) return false
@@ -287,43 +146,34 @@
     return hasOther && context.retries(service).canTake(context.instances(), now)
   }
 
-  const handleCallerLeft = (exchange: Exchange, now: number): void => {
-    context.log({ kind: 'callerLeft', id: exchange.call.id, after: elapsed(exchange, now), events: exchange.events })
-    endAttempt(exchange, true)
-    removeExchange(exchange, false, now)
-  }
+  const inputs = createAttemptInputs({
+    context,
+    suspectWorkers,
+    attempts,
+    seconds,
+    responses,
+    retry,
+    canRetry,
+    placeAgain: (exchange, time) => tryPlacement(exchange, 'unsent', time)
+  })
 
-  const handleAttempt = (input: Extract<ForwardInput, { readonly attempt: number }>, time: DecisionTime): void => {
-    const exchange = byAttempt.get(input.attempt)
-    const attempt = exchange?.attempt
-    if (exchange === undefined || attempt?.id !== input.attempt) return
-    switch (input.kind) {
-      case 'attempt.head': return handleHead(exchange, attempt, input.head, time)
-      case 'attempt.data': return handleData(exchange, attempt, input.bytes, time.now)
-      case 'attempt.ended': return handleEnd(exchange, attempt, time)
-      case 'attempt.failed':
-        if (input.failure === 'unsent') return handleUnsent(exchange, attempt, time)
-        if (attempt.head?.notRun === true) return handleRejection(exchange, attempt, attempt.head, time)
-        return handleLostAttempt(exchange, attempt, input.failure, false, time)
-      default: assertNever(input)
-    }
-  }
+  /** Whether the worker's lifetime that got the attempt is not listed any more. */
+  const isUnlisted = ({ worker, workerStartedAt }: Attempt): boolean => context.workers.get(worker)?.startedAt !== workerStartedAt
 
-  /** Retries a request of an unreachable worker on another one; if that is not possible, gives it up after `unreachableLimit`; `suspectedFor` in ms. */
-  const leaveUnreachableWorker = (exchange: Exchange, attempt: Attempt, suspectedFor: number, time: DecisionTime): void => {
+  /** Tries another worker for a request of an unreachable one, which may be silent and go on; gives the attempt up once the worker is not listed either. */
+  const handleUnreachableWorker = (exchange: Exchange, attempt: Attempt, suspectedFor: number, time: DecisionTime): void => {
     if (hasRecentData(attempt, time.now)) return
-    if (isRetryable(exchange) && canRetry(exchange, time.now)) return handleLostAttempt(exchange, attempt, 'silent', true, time)
-    if (suspectedFor < unreachableLimit) return
-    exchange.mayHaveRun = true
-    failAttempt(exchange, attempt, 'silent', true, time.now)
-    refuse(exchange, { kind: 'broken' }, time)
+    if (exchange.attempt === attempt) seconds.begin(exchange, attempt, exchange.events > 0 ? 'resume' : 'silent', time)
+    if (suspectedFor >= goneAfter && isUnlisted(attempt)) inputs.handleLostAttempt(exchange, attempt, 'silent', true, time)
   }
 
   const handleProbe = (worker: string, reachable: boolean, time: DecisionTime): void => {
     const suspectedFor = suspectWorkers.handleProbeResult(worker, reachable, time.now)
     if (suspectedFor === undefined) return
     for (const exchange of exchanges.values()) {
-      if (exchange.attempt?.worker === worker) leaveUnreachableWorker(exchange, exchange.attempt, suspectedFor, time)
+      for (const attempt of [exchange.attempt, exchange.second]) {
+        if (attempt?.worker === worker) handleUnreachableWorker(exchange, attempt, suspectedFor, time)
+      }
     }
   }
 
@@ -331,27 +181,23 @@
     const time = { now: moment.steady, moment }
     switch (input.kind) {
       case 'call.arrived': return handleArrival(input.request, input.call, time)
-      case 'call.unreadable': return sendRefusal(input.request, 'none', { kind: 'unreadable', problem: input.problem }, 0, moment)
+      case 'call.unreadable': return responses.sendRefusal(input.request, 'none', { kind: 'unreadable', problem: input.problem }, 0, moment)
       case 'call.left': {
         const exchange = exchanges.get(input.request)
-        if (exchange !== undefined) handleCallerLeft(exchange, time.now)
+        if (exchange !== undefined) responses.abandon(exchange, time.now)
         return
       }
       case 'worker.probed': return handleProbe(input.worker, input.reachable, time)
-      default: return handleAttempt(input, time)
+      default: return inputs.handle(input, time)
     }
   }
 
   const expire = (exchange: Exchange, time: DecisionTime): void => {
-    const sent = exchange.attempt !== undefined
-    if (exchange.attempt !== undefined) {
-      exchange.mayHaveRun = true
-      endAttempt(exchange, true)
-    }
-    refuse(exchange, sent || exchange.mayHaveRun ? { kind: 'late' } : { kind: 'lateUnsent' }, time)
+    if (exchange.attempt !== undefined) exchange.mayHaveRun = true
+    responses.refuse(exchange, exchange.mayHaveRun ? { kind: 'late' } : { kind: 'lateUnsent' }, time)
   }
 
-  /** Suspects the worker of a late, silent or stalled attempt; retries the request on another worker if that is allowed. */
+  /** Suspects the worker of a late, silent or stalled attempt; a silent or stalled one gets a second attempt beside it. */
   const checkProgress = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
     const { now } = time
     if (!attempt.doubted && isLate(attempt, now)) {
@@ -359,15 +205,13 @@
       suspectWorkers.markSuspect(attempt.worker, 'silent', now)
     }
     const stalled = isStalled(exchange, attempt, now)
-    if (attempt.silent || (!stalled && !isSilent(attempt, now))) return
-    attempt.silent = true
-    noteFailure(context.loadOf(attempt.worker))
-    suspectWorkers.markSuspect(attempt.worker, 'silent', now)
-    if (!isRetryable(exchange) || !canRetry(exchange, now)) return
-    exchange.mayHaveRun = true
-    failAttempt(exchange, attempt, 'silent', true, now)
-    exchange.excluded.add(attempt.worker)
-    retry(exchange, stalled ? 'resume' : 'silent', { kind: 'broken' }, time)
+    if (!stalled && !isSilent(attempt, now)) return
+    if (!attempt.silent) {
+      attempt.silent = true
+      noteFailure(context.loadOf(attempt.worker))
+      suspectWorkers.markSuspect(attempt.worker, 'silent', now)
+    }
+    seconds.begin(exchange, attempt, stalled ? 'resume' : 'silent', time)
   }
 
   const placeWaiting = (time: DecisionTime): void => {
@@ -386,7 +230,7 @@
     }
     for (const { request } of waitingQueue.removeExpired(time.now)) {
       const exchange = exchanges.get(request)
-      if (exchange !== undefined) refuse(exchange, { kind: 'noWorker' }, time)
+      if (exchange !== undefined) responses.refuse(exchange, { kind: 'noWorker' }, time)
     }
     placeWaiting(time)
   }
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -30,7 +30,7 @@
   lastDataAt: number
   /** Whether the worker has been suspected because this attempt was late. */
   doubted: boolean
-  /** Whether the attempt has been counted as a failure because it was silent or stalled. */
+  /** Whether the attempt has been counted as a failure because it was silent or stalled; until data arrive again. */
   silent: boolean
 }
 
@@ -61,6 +61,10 @@
   mayHaveRun: boolean
   /** The attempt in progress; undefined while the request waits for a worker. */
   attempt: Attempt | undefined
+  /** The attempt at another worker while the current one is silent. */
+  second: Attempt | undefined
+  /** Earliest time of another second attempt. */
+  nextSecondAt: number
   /** The last attempt that ended without a usable response; undefined if none did. */
   lastFailure: FailedAttempt | undefined
   /** Why the request is to be sent once the other instance that was asked has answered; undefined if none was. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -10,13 +10,13 @@
 import type { Worker } from '../workers/workersTypes.js'
 import { createEventSplitter } from './eventSplitter.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
-import type { Exchange, SendCause } from './forwardingTypes.js'
+import type { Attempt, Exchange, SendCause } from './forwardingTypes.js'
 import type { Refusal } from './refusal.js'
 import { bindToOrigin, fitsOrigin } from './streamContinuation.js'
 
 /** Result of an attempt to place a request on a worker. */
 export type PlacementResult =
-  | { readonly kind: 'sent' }
+  | { readonly kind: 'sent', readonly attempt: Attempt }
   /** No worker can take the request now; one may soon, but none before `pausedUntil` (ms) if that is given, since all have asked for no requests until then or are at their limits. `interval` is the time, in ms, for which this instance then waits for each further request. */
   | { readonly kind: 'noneAvailable', readonly pausedUntil?: number, readonly interval?: number }
   /** Another instance has been asked where the stream began, or for a permit of the best worker, which has a limit. */
@@ -185,7 +185,7 @@
   context.announceSend({ worker: worker.id, unreadTokens, scope: model.scope, parts: shared, first: unreadShared >= announceMinTokens, stores: storesParts })
 }
 
-const send = (context: ForwardingContext, exchange: Exchange, target: ChosenWorker, cause: SendCause, attempt: number, time: DecisionTime): void => {
+const send = (context: ForwardingContext, exchange: Exchange, target: ChosenWorker, cause: SendCause, attempt: number, time: DecisionTime): Attempt => {
   const { now, moment } = time
   const load = context.loadOf(target.worker.id)
   const flight: InFlightRequest = {
@@ -201,7 +201,7 @@
   }
   noteSent(load, flight)
   exchange.sentTo.add(target.worker.id)
-  exchange.attempt = {
+  const sent: Attempt = {
     id: attempt,
     worker: target.worker.id,
     workerStartedAt: target.worker.startedAt,
@@ -235,13 +235,14 @@
   })
   announceLongPrompt(context, exchange, target)
   context.emit({ kind: 'attempt.send', attempt, dispatch: dispatchOf(exchange, target, now) })
+  return sent
 }
 
 /**
  * Sends a request to the best eligible worker by expected response time.
  *
  * @param context - state of the instance
- * @param exchange - a request without an attempt in progress
+ * @param exchange - a request without an attempt in progress, or with a silent one
  * @param cause - why the request is sent, for the log
  * @param attempt - number of the new attempt
  * @param time - present time
@@ -273,8 +274,7 @@
   switch (permit.kind) {
     case 'unlimited':
     case 'held':
-      send(context, exchange, target, cause, attempt, time)
-      return { kind: 'sent' }
+      return { kind: 'sent', attempt: send(context, exchange, target, cause, attempt, time) }
     case 'wanted':
     case 'asked': return { kind: 'awaitsPeer' }
     // Without this worker, which accepts none for now.
--- /dev/null
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -0,0 +1,101 @@
+import { createFakeForwarding } from '../../test/fakes/fakeForwarding.js'
+import { buildCall, buildCatalog, buildRoute, buildWorker } from '../../test/fixtures/forwarding.js'
+import { loadHash, type Hash } from '../hash.js'
+
+let hash: Hash
+
+beforeAll(async () => { hash = await loadHash() })
+
+const workerIds = Array.from({ length: 6 }, (_, index) => `m${index + 1}`)
+
+const build = () => createFakeForwarding({
+  hash,
+  catalog: buildCatalog({ routes: [buildRoute({ host: 'model.example', pathPrefix: '/model/', kind: 'stream', resumable: true, timeout: 5_000, objective: 500, maxWorkers: 3, targets: [{ service: 'model', weight: 1 }] })] }),
+  workers: workerIds.map(id => buildWorker(id, { service: 'model', slots: 8, models: [{ name: 'llm', version: 1 }] }))
+})
+
+const buildModelCall = (id: string) => buildCall({ id, host: 'model.example', path: '/model/x', prompt: { model: 'llm', inputTokens: 900, maxOutputTokens: 50, parts: [{ id: 'a1', tokens: 500 }, { id, tokens: 400 }] } })
+
+const event = (id: number): string => `id: ${id}\ndata: t\n\n`
+
+/** A stream that has brought one event at 20 ms, and whose worker is silent until a second attempt is made at 940 ms. */
+const playSilence = () => {
+  const fake = build()
+  const request = fake.arrive(buildModelCall('c1'), 0)
+  fake.head(fake.sends()[0].attempt, { headers: ['X-Run', 'first'] }, 20)
+  fake.data(fake.sends()[0].attempt, event(1), 20)
+  fake.tick(940)
+  const [first, second] = fake.sends().map(({ attempt }) => attempt)
+  return { fake, request, first, second }
+}
+
+describe('second attempts', () => {
+  it('are cancelled when the first one goes on, which keeps the stream', () => {
+    const { fake, request, first, second } = playSilence()
+    fake.head(second, {}, 950)
+    fake.data(first, event(2), 960)
+    expect(fake.cancelled()).toEqual([second])
+    fake.data(second, event(2), 961)
+    fake.end(first, 970)
+    expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
+  })
+
+  it('take over when the first one is cut, without a further retry', () => {
+    const { fake, request, first, second } = playSilence()
+    fake.fail(first, 'cut', 950)
+    expect(fake.sends()).toHaveLength(2)
+    fake.head(second, { headers: ['X-Run', 'second'] }, 960)
+    fake.data(second, event(2), 961)
+    fake.end(second, 962)
+    expect(fake.callerView(request)).toEqual({ status: 200, headers: ['X-Run', 'first'], text: event(1) + event(2), state: 'whole' })
+  })
+
+  it('are made again at other workers while the first one stays silent, and at no worker twice', () => {
+    const { fake, second } = playSilence()
+    fake.head(second, { status: 503, notRun: true }, 950)
+    fake.end(second, 950)
+    for (let now = 960; now < 2_000; now += 20) fake.tick(now)
+    const workers = fake.sends().map(({ dispatch }) => dispatch.worker)
+    expect(workers).toHaveLength(3)
+    expect(new Set(workers).size).toBe(3)
+  })
+
+  it('begin a stream with the head of the attempt that brought its first event', () => {
+    const fake = build()
+    const request = fake.arrive(buildModelCall('c1'), 0)
+    for (let now = 20; now < 2_000 && fake.sends().length < 2; now += 20) fake.tick(now)
+    const [first, second] = fake.sends().map(({ attempt }) => attempt)
+    fake.head(second, { headers: ['X-Run', 'second'] }, 2_000)
+    expect(fake.callerView(request)).toBeUndefined()
+    fake.data(second, event(1), 2_001)
+    expect(fake.cancelled()).toEqual([first])
+    expect(fake.callerView(request)).toEqual({ status: 200, headers: ['X-Run', 'second'], text: event(1), state: 'open' })
+  })
+
+  it('end with their request at its deadline and when its caller leaves', () => {
+    const atDeadline = playSilence()
+    atDeadline.fake.tick(5_000)
+    expect(atDeadline.fake.cancelled()).toEqual([atDeadline.first, atDeadline.second])
+    const left = playSilence()
+    left.fake.leave(left.request, 960)
+    expect(left.fake.cancelled()).toEqual([left.first, left.second])
+  })
+
+  it('leave half of the retry budget to requests whose attempt has failed', () => {
+    const fake = build()
+    const count = 200
+    for (let index = 0; index < count; index++) fake.arrive(buildModelCall(`c${index}`), 0)
+    const firsts = fake.sends().map(({ attempt }) => attempt)
+    for (const attempt of firsts) {
+      fake.head(attempt, {}, 20)
+      fake.data(attempt, event(1), 20)
+    }
+    for (let now = 940; now < 1_900; now += 20) fake.tick(now)
+    const budget = 0.75 * (0.2 * count + 50)
+    const seconds = fake.sends().length - count
+    expect(seconds).toBeGreaterThan(0)
+    expect(seconds).toBeLessThanOrEqual(budget / 2)
+    for (const attempt of firsts.slice(0, 20)) fake.fail(attempt, 'cut', 1_900)
+    expect(fake.logEvents.filter(({ kind }) => kind === 'brokenOff')).toEqual([])
+  })
+})
--- /dev/null
+++ b/src/forwarding/secondAttempts.ts
@@ -0,0 +1,92 @@
+/**
+ * Second attempts of requests whose worker is silent. A silent worker may be about
+ * to go on, and only its connection holds what it has made, so the current attempt
+ * is kept until a second one at another worker has brought something: a complete
+ * event of a stream, or a complete plain response. Whichever attempt is first to do
+ * so is the request's only one from then on, and the other is cancelled at once.
+ */
+import { noteFailure } from '../placement/workerLoad.js'
+import type { AttemptsInProgress } from './attemptsInProgress.js'
+import { isSilent } from './attemptTimeouts.js'
+import type { CallerResponses } from './callerResponses.js'
+import { isRetryable, isStream } from './exchangeKind.js'
+import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
+import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
+import { placeRequest } from './placeRequest.js'
+import { maxRetries } from './retryLimits.js'
+
+/** The second attempts of one instance; times in ms. */
+export interface SecondAttempts {
+  /** Sends a request whose worker is silent to another worker, too, if its route, the retry budget and the workers allow it. */
+  readonly begin: (exchange: Exchange, current: Attempt, cause: SendCause, time: DecisionTime) => void
+  /** Ends a second attempt that brought no usable response, or none in time. */
+  readonly drop: (exchange: Exchange, second: Attempt, reason: AttemptEnd, cancel: boolean, now: number) => void
+  /** Ends a second attempt that is not needed any more, as the current one goes on. */
+  readonly cancel: (exchange: Exchange) => void
+  /** Makes the second attempt, which has brought something, the current one, and cancels that. */
+  readonly prefer: (exchange: Exchange, now: number) => void
+  /** Makes the second attempt the current one after that has failed; returns false if there is none. */
+  readonly takeOver: (exchange: Exchange) => boolean
+}
+
+/** Least time between two second attempts of one request, in ms. */
+const minInterval = 250
+/** Share of the retry budget that second attempts may use; the rest is kept for requests whose attempt has failed. */
+const budgetShare = 0.5
+
+/**
+ * Creates the second attempts of one instance.
+ *
+ * @param context - state and outputs of the instance
+ * @param attempts - the attempts in progress
+ * @param responses - responses to callers
+ */
+export const createSecondAttempts = (context: ForwardingContext, attempts: AttemptsInProgress, responses: Pick<CallerResponses, 'open'>): SecondAttempts => {
+  const drop = (exchange: Exchange, second: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
+    exchange.excluded.add(second.worker)
+    attempts.fail(exchange, second, reason, cancel, now)
+  }
+
+  const isAllowed = (exchange: Exchange, now: number): boolean =>
+    isRetryable(exchange) && exchange.retryCount < maxRetries && now >= exchange.nextSecondAt &&
+    context.retries(exchange.service).canTake(context.instances(), now, budgetShare)
+
+  const begin = (exchange: Exchange, current: Attempt, cause: SendCause, time: DecisionTime): void => {
+    const { now } = time
+    const { second } = exchange
+    if (second !== undefined && !isSilent(second, now)) return
+    if (second !== undefined) {
+      noteFailure(context.loadOf(second.worker))
+      drop(exchange, second, 'silent', true, now)
+    }
+    if (!isAllowed(exchange, now)) return
+    exchange.nextSecondAt = now + minInterval
+    exchange.excluded.add(current.worker)
+    const placement = placeRequest(context, exchange, cause, attempts.nextId(), time)
+    if (placement.kind !== 'sent') return
+    context.retries(exchange.service).take(context.instances(), now)
+    exchange.retryCount++
+    exchange.mayHaveRun = true
+    attempts.beginSecond(exchange, placement.attempt)
+  }
+
+  const takeOver = (exchange: Exchange): boolean => {
+    const { second } = exchange
+    if (second === undefined) return false
+    exchange.second = undefined
+    exchange.attempt = second
+    if (second.head !== undefined && isStream(exchange, second.head) && !exchange.headSent) responses.open(exchange, second.head)
+    return true
+  }
+
+  return {
+    begin,
+    drop,
+    cancel: exchange => { if (exchange.second !== undefined) attempts.end(exchange, exchange.second, true) },
+    prefer: (exchange, now) => {
+      if (exchange.attempt !== undefined) attempts.fail(exchange, exchange.attempt, 'silent', true, now)
+      takeOver(exchange)
+    },
+    takeOver
+  }
+}
--- a/src/forwarding/suspectWorkers.ts
+++ b/src/forwarding/suspectWorkers.ts
@@ -8,6 +8,7 @@
  * suspicion is not sent, since every instance that received it would open a
  * connection that the worker has to serve.
  */
+import type { Address } from '../catalog/catalogTypes.js'
 import type { ForwardingContext } from './forwardingContext.js'
 import type { SuspectReason } from './forwardingTypes.js'
 
@@ -22,7 +23,10 @@
 }
 
 /** The part of the forwarding context that failure detection needs. */
-export type SuspectWorkersContext = Pick<ForwardingContext, 'workers' | 'loadOf' | 'emit' | 'log' | 'announceSuspect'>
+export type SuspectWorkersContext = Pick<ForwardingContext, 'workers' | 'loadOf' | 'emit' | 'log' | 'announceSuspect'> & {
+  /** Whether the instance has requests at a worker; such a worker is probed also while it is not listed. */
+  readonly hasRequestsAt: (worker: string) => boolean
+}
 
 /** Time from the first failed probe of a worker to the next, in ms; doubled after each further failure. */
 const initialProbeDelay = 100
@@ -37,6 +41,7 @@
 /** State of one suspect worker; all times in ms. */
 interface Suspicion {
   readonly since: number
+  readonly address: Address
   /** When the other instances are informed; infinite once they have been, and for suspicions that came from them. */
   announceAt: number
   /** Time of the next probe; infinite while one is in progress. */
@@ -55,10 +60,9 @@
   const suspicions = new Map<string, Suspicion>()
 
   const probe = (worker: string, suspicion: Suspicion): void => {
-    const address = context.workers.get(worker)?.address
     suspicion.nextProbeAt = Infinity
-    if (address === undefined) suspicions.delete(worker)
-    else context.emit({ kind: 'worker.probe', worker, address })
+    if (context.workers.get(worker) === undefined && !context.hasRequestsAt(worker)) suspicions.delete(worker)
+    else context.emit({ kind: 'worker.probe', worker, address: suspicion.address })
   }
 
   const announce = (worker: string, suspicion: Suspicion): void => {
@@ -79,8 +83,9 @@
     (reason === 'silent' || reason === 'peer') && now - (context.loadOf(worker).lastReachableAt ?? -Infinity) < recentlyReachedTime
 
   const markSuspect = (worker: string, reason: SuspectReason, now: number): void => {
-    if (suspicions.has(worker) || context.workers.get(worker) === undefined || wasReachedRecently(worker, reason, now)) return
-    const suspicion: Suspicion = { since: now, nextProbeAt: now, probeDelay: initialProbeDelay, announceAt: announceTime(reason, now) }
+    const address = context.workers.get(worker)?.address
+    if (suspicions.has(worker) || address === undefined || wasReachedRecently(worker, reason, now)) return
+    const suspicion: Suspicion = { since: now, address, nextProbeAt: now, probeDelay: initialProbeDelay, announceAt: announceTime(reason, now) }
     suspicions.set(worker, suspicion)
     context.loadOf(worker).suspectedSince = now
     context.log({ kind: 'workerDoubted', worker, reason })
