A stream that has begun is not lost to one rejection

What callers saw: a stream whose worker broke off was broken off, too, when the next worker rejected it or none was free at that moment, although its caller would have waited for the next event. Cause: the wait for a worker was bounded by half of the objective from the request's arrival, which a begun stream has mostly passed, and a worker that had rejected it was never tried again.

A stream that has begun waits for up to 1.5 s since its last event, and a worker that rejected it may be tried again after 120 ms, within the limits of retries and of the route's workers. Other requests are as before.

--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -8,6 +8,7 @@
 import type { AnswerHead, ForwardInput } from '../ports/forwardPort.js'
 import type { AttemptsInProgress } from './attemptsInProgress.js'
 import type { CallerResponses } from './callerResponses.js'
+import { exclude } from './exclusions.js'
 import { isRetryable, isServerError, isStream, isSuccess } from './exchangeKind.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
@@ -68,7 +69,7 @@
     if (isSecond(exchange, attempt)) return seconds.drop(exchange, attempt, reason, cancel, time.now)
     attempts.fail(exchange, attempt, reason, cancel, time.now)
     if (!isRetryable(exchange)) return responses.refuse(exchange, { kind: 'broken' }, time)
-    exchange.excluded.add(attempt.worker)
+    exclude(exchange, attempt.worker)
     if (seconds.takeOver(exchange)) return
     retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
   }
@@ -77,7 +78,7 @@
     const wasSecond = isSecond(exchange, attempt)
     attempts.fail(exchange, attempt, 'unsent', false, time.now)
     suspectWorkers.markSuspect(attempt.worker, 'unreachable', time.now)
-    exchange.excluded.add(attempt.worker)
+    exclude(exchange, attempt.worker)
     exchange.sentTo.delete(attempt.worker)
     if (wasSecond || seconds.takeOver(exchange)) return
     if (time.now >= exchange.deadline) responses.refuse(exchange, { kind: 'lateUnsent' }, time)
@@ -121,6 +122,7 @@
     noteStreamEvent(context, exchange, attempt, now)
     exchange.events += events.count
     exchange.firstEventAt ??= now
+    exchange.lastEventAt = now
     if (events.lastId !== undefined) exchange.lastEventId = events.lastId
     context.emit({ kind: 'call.write', request: exchange.request, bytes: events.bytes })
   }
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -14,6 +14,7 @@
 import { createAttemptsInProgress } from './attemptsInProgress.js'
 import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
 import { createCallerResponses } from './callerResponses.js'
+import { isExcludedForGood } from './exclusions.js'
 import { createSuspectWorkers } from './suspectWorkers.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange, SendCause } from './forwardingTypes.js'
@@ -81,13 +82,15 @@
     waitingQueue.inOrder().filter(({ request, priority }) => request !== exchange.request && priority <= priorityOf(exchange) && exchanges.get(request)?.service === exchange.service).length
 
   const enqueue = (exchange: Exchange, cause: SendCause, { pausedUntil, interval = 0 }: Extract<PlacementResult, { kind: 'noneAvailable' }>, time: DecisionTime): void => {
-    const { request, route, arrivedAt, deadline, excluded, sentTo, service } = exchange
+    const { request, route, arrivedAt, deadline, sentTo, service, lastEventAt } = exchange
+    const hasBegun = exchange.headSent && lastEventAt !== undefined
     const decision = decideWait({
       arrivedAt,
       deadline,
       objective: route.objective,
-      workersExhausted: sentTo.size >= route.maxWorkers,
-      hasLiveWorker: context.workers.live(service).some(worker => !excluded.has(worker.id) && fitsOrigin(context, exchange, worker, time.now)),
+      lastEventAt: hasBegun ? lastEventAt : undefined,
+      workersExhausted: !hasBegun && sentTo.size >= route.maxWorkers,
+      hasLiveWorker: context.workers.live(service).some(worker => !isExcludedForGood(exchange, worker.id) && fitsOrigin(context, exchange, worker, time.now)),
       isRetry: cause !== 'first' && cause !== 'waited',
       pausedUntil: pausedUntil === undefined || interval === 0 ? pausedUntil : pausedUntil + countBefore(exchange) * interval
     }, time.now)
@@ -109,7 +112,7 @@
       arrivedAt: now,
       deadline: now + Math.min(call.patience ?? Infinity, route.timeout),
       sentTo: new Set(),
-      excluded: new Set(),
+      excluded: new Map(),
       retryCount: 0,
       mayHaveRun: false,
       attempt: undefined,
@@ -122,7 +125,8 @@
       headSent: false,
       lastEventId: undefined,
       events: 0,
-      firstEventAt: undefined
+      firstEventAt: undefined,
+      lastEventAt: undefined
     }
     exchanges.set(request, exchange)
     context.retries(service).recordRequest(now)
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -53,8 +53,8 @@
   readonly deadline: number
   /** Ids of the workers that received the request; an id stands for one lifetime of a worker. */
   readonly sentTo: Set<string>
-  /** Ids of the workers that are not tried again, as they rejected the request, failed or could not be reached. */
-  readonly excluded: Set<string>
+  /** The workers that are not tried again, as they rejected the request, failed or could not be reached, and until when they are not; infinite for good. */
+  readonly excluded: Map<string, number>
   /** Number of retries after an attempt that reached a worker, at least in part. */
   retryCount: number
   /** Whether a worker may have run the request. */
@@ -81,6 +81,8 @@
   events: number
   /** When the first event was sent to the caller. */
   firstEventAt: number | undefined
+  /** When the last event was sent to the caller. */
+  lastEventAt: number | undefined
 }
 
 /** A log event of forwarding; each is one log line. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -9,6 +9,7 @@
 import type { Call, Dispatch, ModelDispatch, Prompt } from '../ports/forwardPort.js'
 import type { Worker } from '../workers/workersTypes.js'
 import { createEventSplitter } from './eventSplitter.js'
+import { isExcluded } from './exclusions.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange, SendCause } from './forwardingTypes.js'
 import type { Refusal } from './refusal.js'
@@ -62,9 +63,9 @@
 
 /** The workers to which the request may be sent. Those that already received it stay eligible; others are added only while fewer than the route's `maxWorkers` known workers received it. */
 const eligible = (context: ForwardingContext, exchange: Exchange, now: number): readonly Worker[] => {
-  const { sentTo, excluded, route, service } = exchange
+  const { sentTo, route, service } = exchange
   const liveCount = [...sentTo].filter(id => context.workers.get(id) !== undefined).length
-  return context.workers.live(service).filter(worker => !excluded.has(worker.id) && (sentTo.has(worker.id) || liveCount < route.maxWorkers) && fitsOrigin(context, exchange, worker, now))
+  return context.workers.live(service).filter(worker => !isExcluded(exchange, worker.id, now) && (sentTo.has(worker.id) || liveCount < route.maxWorkers) && fitsOrigin(context, exchange, worker, now))
 }
 
 /** Time, in ms, from which the worker accepts a request of this instance; not after `now` if it does at once. */
--- a/src/forwarding/secondAttempts.ts
+++ b/src/forwarding/secondAttempts.ts
@@ -10,6 +10,7 @@
 import { isSilent } from './attemptTimeouts.js'
 import type { CallerResponses } from './callerResponses.js'
 import { isRetryable, isStream } from './exchangeKind.js'
+import { exclude } from './exclusions.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
 import { placeRequest } from './placeRequest.js'
@@ -43,7 +44,7 @@
  */
 export const createSecondAttempts = (context: ForwardingContext, attempts: AttemptsInProgress, responses: Pick<CallerResponses, 'open'>): SecondAttempts => {
   const drop = (exchange: Exchange, second: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
-    exchange.excluded.add(second.worker)
+    exclude(exchange, second.worker)
     attempts.fail(exchange, second, reason, cancel, now)
   }
 
@@ -61,7 +62,7 @@
     }
     if (!isAllowed(exchange, now)) return
     exchange.nextSecondAt = now + minInterval
-    exchange.excluded.add(current.worker)
+    exclude(exchange, current.worker)
     const placement = placeRequest(context, exchange, cause, attempts.nextId(), time)
     if (placement.kind !== 'sent') return
     context.retries(exchange.service).take(context.instances(), now)
--- a/src/forwarding/waitOrRefuse.ts
+++ b/src/forwarding/waitOrRefuse.ts
@@ -3,7 +3,9 @@
  * instance or is refused. The load pattern is a service of which all workers are
  * unavailable for moments (they load weights, restart, or asked for a pause):
  * waiting bridges the moment, but a request that could not be served in time
- * anyway is refused at once, so that its caller can return when there is room.
+ * anyway is refused at once, so that its caller can return when there is room. A
+ * stream that has begun cannot be refused, only broken off, so it waits for as long
+ * as its caller does.
  */
 import type { Refusal } from './refusal.js'
 
@@ -13,6 +15,8 @@
   readonly deadline: number
   /** Time within which a response is on time. */
   readonly objective: number
+  /** When the caller got the last event of a stream that has begun; undefined for other requests. */
+  readonly lastEventAt: number | undefined
   /** Whether the request has reached as many workers as its route allows. */
   readonly workersExhausted: boolean
   /** Whether the service has a live worker that has not rejected the request. */
@@ -30,6 +34,8 @@
 
 /** Longest time for which a request may wait for a worker, as a fraction of its route's objective. */
 const maxWaitShare = 0.5
+/** Longest pause, in ms, in a stream that waits for a worker to go on with it; callers give a stream up after 2 s. */
+const maxStreamPause = 1_500
 /** Time, in ms, after which a worker that is full or loading weights is likely to accept requests again. */
 export const rejectedRetryAfter = 120
 
@@ -39,8 +45,8 @@
  * @param input - the request and the state of its service
  * @param now - present time, in ms
  */
-export const decideWait = ({ arrivedAt, deadline, objective, workersExhausted, hasLiveWorker, isRetry, pausedUntil }: WaitInput, now: number): WaitDecision => {
-  const until = Math.min(deadline, arrivedAt + maxWaitShare * objective)
+export const decideWait = ({ arrivedAt, deadline, objective, lastEventAt, workersExhausted, hasLiveWorker, isRetry, pausedUntil }: WaitInput, now: number): WaitDecision => {
+  const until = Math.min(deadline, lastEventAt === undefined ? arrivedAt + maxWaitShare * objective : lastEventAt + maxStreamPause)
   if (workersExhausted) return { kind: 'refuse', refusal: { kind: 'turnedAway', wait: rejectedRetryAfter } }
   if (pausedUntil !== undefined && pausedUntil > until) return { kind: 'refuse', refusal: { kind: 'turnedAway', wait: pausedUntil - now } }
   if (now >= until || (!hasLiveWorker && isRetry)) return { kind: 'refuse', refusal: { kind: 'noWorker' } }
--- a/src/forwarding/workerNotices.ts
+++ b/src/forwarding/workerNotices.ts
@@ -8,6 +8,7 @@
 import { firstEventOverhead } from '../placement/modelPlacement.js'
 import { noteFirstEvent, noteLoadCounts, notePause } from '../placement/workerLoad.js'
 import type { AnswerHead } from '../ports/forwardPort.js'
+import { exclude, excludeAfterRejection } from './exclusions.js'
 import type { ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange } from './forwardingTypes.js'
 import type { Rejection } from './rejection.js'
@@ -67,7 +68,7 @@
   switch (rejection.kind) {
     case 'otherWorker':
       suspectWorkers.markSuspect(attempt.worker, 'otherWorker', now)
-      exchange.excluded.add(attempt.worker)
+      exclude(exchange, attempt.worker)
       exchange.sentTo.delete(attempt.worker)
       return
     case 'otherVersion':
@@ -79,7 +80,7 @@
       if (worker !== undefined && prompt !== undefined && !context.weights.holdsNewest(worker, prompt.model)) {
         context.weights.noteLoading(attempt.worker, now + presumedLoadingTime)
       }
-      exchange.excluded.add(attempt.worker)
+      excludeAfterRejection(exchange, attempt.worker, now)
       return
     default: assertNever(rejection)
   }
