Requests of a worker that cannot be reached may use the whole retry budget

Second attempts were held to half of the retry budget also where a probe had not reached the worker. A lost machine is listed for some seconds, in which callers leave their streams, so that its requests need the budget that a merely silent worker's do not.

--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -167,7 +167,7 @@
   /** Tries another worker for a request of an unreachable one, which may be silent and go on; gives the attempt up once the worker is not listed either. */
   const handleUnreachableWorker = (exchange: Exchange, attempt: Attempt, suspectedFor: number, time: DecisionTime): void => {
     if (hasRecentData(attempt, time.now)) return
-    if (exchange.attempt === attempt) seconds.begin(exchange, attempt, exchange.events > 0 ? 'resume' : 'silent', time)
+    if (exchange.attempt === attempt) seconds.begin(exchange, attempt, 'unreachable', time)
     if (suspectedFor >= goneAfter && isUnlisted(attempt)) inputs.handleLostAttempt(exchange, attempt, 'silent', true, time)
   }
 
@@ -208,14 +208,13 @@
       attempt.doubted = true
       suspectWorkers.markSuspect(attempt.worker, 'silent', now)
     }
-    const stalled = isStalled(exchange, attempt, now)
-    if (!stalled && !isSilent(attempt, now)) return
+    if (!isStalled(exchange, attempt, now) && !isSilent(attempt, now)) return
     if (!attempt.silent) {
       attempt.silent = true
       noteFailure(context.loadOf(attempt.worker))
       suspectWorkers.markSuspect(attempt.worker, 'silent', now)
     }
-    seconds.begin(exchange, attempt, stalled ? 'resume' : 'silent', time)
+    seconds.begin(exchange, attempt, 'silent', time)
   }
 
   const placeWaiting = (time: DecisionTime): void => {
--- a/src/forwarding/secondAttempts.ts
+++ b/src/forwarding/secondAttempts.ts
@@ -12,14 +12,17 @@
 import { isRetryable, isStream } from './exchangeKind.js'
 import { exclude } from './exclusions.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
-import type { Attempt, AttemptEnd, Exchange, SendCause } from './forwardingTypes.js'
+import type { Attempt, AttemptEnd, Exchange } from './forwardingTypes.js'
 import { placeRequest } from './placeRequest.js'
 import { maxRetries } from './retryLimits.js'
 
+/** What speaks against the current attempt: its worker only sends nothing, or a probe does not reach it either. */
+export type SilenceEvidence = 'silent' | 'unreachable'
+
 /** The second attempts of one instance; times in ms. */
 export interface SecondAttempts {
   /** Sends a request whose worker is silent to another worker, too, if its route, the retry budget and the workers allow it. */
-  readonly begin: (exchange: Exchange, current: Attempt, cause: SendCause, time: DecisionTime) => void
+  readonly begin: (exchange: Exchange, current: Attempt, evidence: SilenceEvidence, time: DecisionTime) => void
   /** Ends a second attempt that brought no usable response, or none in time. */
   readonly drop: (exchange: Exchange, second: Attempt, reason: AttemptEnd, cancel: boolean, now: number) => void
   /** Ends a second attempt that is not needed any more, as the current one goes on. */
@@ -32,8 +35,8 @@
 
 /** Least time between two second attempts of one request, in ms. */
 const minInterval = 250
-/** Share of the retry budget that second attempts may use; the rest is kept for requests whose attempt has failed. */
-const budgetShare = 0.5
+/** Share of the retry budget that second attempts beside silent workers may use; the rest is kept for requests whose attempt has failed or whose worker is out of reach. */
+const silentBudgetShare = 0.5
 
 /**
  * Creates the second attempts of one instance.
@@ -48,11 +51,11 @@
     attempts.fail(exchange, second, reason, cancel, now)
   }
 
-  const isAllowed = (exchange: Exchange, now: number): boolean =>
+  const isAllowed = (exchange: Exchange, evidence: SilenceEvidence, now: number): boolean =>
     isRetryable(exchange) && exchange.retryCount < maxRetries && now >= exchange.nextSecondAt &&
-    context.retries(exchange.service).canTake(context.instances(), now, budgetShare)
+    context.retries(exchange.service).canTake(context.instances(), now, evidence === 'silent' ? silentBudgetShare : 1)
 
-  const begin = (exchange: Exchange, current: Attempt, cause: SendCause, time: DecisionTime): void => {
+  const begin = (exchange: Exchange, current: Attempt, evidence: SilenceEvidence, time: DecisionTime): void => {
     const { now } = time
     const { second } = exchange
     if (second !== undefined && !isSilent(second, now)) return
@@ -60,9 +63,10 @@
       noteFailure(context.loadOf(second.worker))
       drop(exchange, second, 'silent', true, now)
     }
-    if (!isAllowed(exchange, now)) return
+    if (!isAllowed(exchange, evidence, now)) return
     exchange.nextSecondAt = now + minInterval
     exclude(exchange, current.worker)
+    const cause = exchange.events > 0 ? 'resume' : 'silent'
     const placement = placeRequest(context, exchange, cause, attempts.nextId(), time)
     if (placement.kind !== 'sent') return
     context.retries(exchange.service).take(context.instances(), now)
