A second attempt that begins and then stops is cancelled and replaced

A second attempt is now overdue by what it has brought, and one of a stream that has begun is cancelled 300 ms after its head unless an event has come; the first attempt is kept. The two tests failed before (2 sends instead of 3, nothing cancelled).

--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -89,6 +89,7 @@
     const { now } = time
     const { call } = exchange
     attempt.head = head
+    attempt.headAt = now
     attempt.lastDataAt = now
     applyWorkerNotices(context, exchange, attempt, head, now)
     if (head.requestId !== undefined && head.requestId !== call.id) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
--- a/src/forwarding/attemptTimeouts.ts
+++ b/src/forwarding/attemptTimeouts.ts
@@ -27,14 +27,22 @@
 export const isLate = ({ lastDataAt, flight }: Attempt, now: number): boolean =>
   now - lastDataAt > Math.max(lateAfterMin, lateAfterFactor * flight.expected)
 
+/**
+ * Whether the attempt should have brought something by now.
+ *
+ * @param attempt - the attempt
+ * @param now - present time, in ms
+ */
+export const isOverdue = ({ sentAt, flight }: Attempt, now: number): boolean =>
+  now - sentAt > Math.max(silentAfterMin, silentAfterFactor * flight.expected)
+
 /**
  * Whether no response has begun for so long that the request should go to another worker.
  *
  * @param attempt - the attempt
  * @param now - present time, in ms
  */
-export const isSilent = ({ head, sentAt, flight }: Attempt, now: number): boolean =>
-  head === undefined && now - sentAt > Math.max(silentAfterMin, silentAfterFactor * flight.expected)
+export const isSilent = (attempt: Attempt, now: number): boolean => attempt.head === undefined && isOverdue(attempt, now)
 
 /**
  * Whether a stream that the caller already receives has had no data for so long that it should be resumed on another worker.
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -204,6 +204,7 @@
   /** Suspects the worker of a late, silent or stalled attempt; a silent or stalled one gets a second attempt beside it. */
   const checkProgress = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
     const { now } = time
+    seconds.check(exchange, now)
     if (!attempt.doubted && isLate(attempt, now)) {
       attempt.doubted = true
       suspectWorkers.markSuspect(attempt.worker, 'silent', now)
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -23,6 +23,8 @@
   readonly storesParts: boolean
   /** Head of the response, once received. */
   head: AnswerHead | undefined
+  /** When the head was received. */
+  headAt: number | undefined
   /** Received body of a response that is not streamed. */
   readonly body: Buffer[]
   readonly splitter: EventSplitter
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -213,6 +213,7 @@
     scope: target.model?.scope,
     storesParts: target.storesParts,
     head: undefined,
+    headAt: undefined,
     body: [],
     splitter: createEventSplitter(),
     lastDataAt: now,
--- a/src/forwarding/secondAttempts.spec.ts
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -62,6 +62,20 @@
     expect(new Set([current, ...others]).size).toBeLessThanOrEqual(3)
   })
 
+  it.each([['a head', ''], ['half an event', 'id: 2\nda']])('that send %s and then nothing are cancelled within 400 ms and replaced', (_name, text) => {
+    const { fake, request, second } = playSilence()
+    fake.head(second, {}, 960)
+    if (text !== '') fake.data(second, text, 960)
+    for (let now = 980; now <= 1_360; now += 20) fake.tick(now)
+    expect(fake.cancelled()).toEqual([second])
+    for (let now = 1_380; now < 1_700 && fake.sends().length < 3; now += 20) fake.tick(now)
+    const third = fake.sends()[2].attempt
+    fake.head(third, {}, 1_700)
+    fake.data(third, event(2), 1_700)
+    fake.end(third, 1_700)
+    expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
+  })
+
   it('begin a stream with the head of the attempt that brought its first event', () => {
     const fake = build()
     const request = fake.arrive(buildModelCall('c1'), 0)
--- a/src/forwarding/secondAttempts.ts
+++ b/src/forwarding/secondAttempts.ts
@@ -7,7 +7,7 @@
  */
 import { noteFailure } from '../placement/workerLoad.js'
 import type { AttemptsInProgress } from './attemptsInProgress.js'
-import { isSilent } from './attemptTimeouts.js'
+import { isOverdue } from './attemptTimeouts.js'
 import type { CallerResponses } from './callerResponses.js'
 import { isRetryable, isStream } from './exchangeKind.js'
 import { exclude } from './exclusions.js'
@@ -23,6 +23,8 @@
 export interface SecondAttempts {
   /** Sends a request whose worker is silent to another worker, too, if its route, the retry budget and the workers allow it. */
   readonly begin: (exchange: Exchange, current: Attempt, evidence: SilenceEvidence, time: DecisionTime) => void
+  /** Ends a second attempt whose worker has begun to run the request and does not go on. */
+  readonly check: (exchange: Exchange, now: number) => void
   /** Ends a second attempt that brought no usable response, or none in time. */
   readonly drop: (exchange: Exchange, second: Attempt, reason: AttemptEnd, cancel: boolean, now: number) => void
   /** Ends a second attempt that is not needed any more, as the current one goes on. */
@@ -35,6 +37,8 @@
 
 /** Least time between two second attempts of one request, in ms. */
 const minInterval = 250
+/** Longest time, in ms, for which two workers may run one stream: from the head of the second attempt's response to its first event. */
+const maxOverlap = 300
 /** Share of the retry budget that second attempts beside silent workers may use; the rest is kept for requests whose attempt has failed or whose worker is out of reach. */
 const silentBudgetShare = 0.5
 
@@ -51,6 +55,14 @@
     attempts.fail(exchange, second, reason, cancel, now)
   }
 
+  const check = (exchange: Exchange, now: number): void => {
+    const { second } = exchange
+    if (second?.head === undefined || second.head.notRun || !isStream(exchange, second.head)) return
+    if (now - (second.headAt ?? now) < maxOverlap) return
+    noteFailure(context.loadOf(second.worker))
+    drop(exchange, second, 'silent', true, now)
+  }
+
   const isAllowed = (exchange: Exchange, evidence: SilenceEvidence, now: number): boolean =>
     isRetryable(exchange) && exchange.retryCount < maxRetries && now >= exchange.nextSecondAt &&
     context.retries(exchange.service).canTake(context.instances(), now, evidence === 'silent' ? silentBudgetShare : 1)
@@ -58,7 +70,7 @@
   const begin = (exchange: Exchange, current: Attempt, evidence: SilenceEvidence, time: DecisionTime): void => {
     const { now } = time
     const { second } = exchange
-    if (second !== undefined && !isSilent(second, now)) return
+    if (second !== undefined && !isOverdue(second, now)) return
     if (second !== undefined) {
       noteFailure(context.loadOf(second.worker))
       drop(exchange, second, 'silent', true, now)
@@ -86,6 +98,7 @@
 
   return {
     begin,
+    check,
     drop,
     cancel: exchange => { if (exchange.second !== undefined) attempts.end(exchange, exchange.second, true) },
     prefer: (exchange, now) => {
