A silent second attempt is kept while nothing can replace it

A second attempt that was silent itself was cancelled before it was known whether another could be made; if the first one was then cut, the stream was broken off although the second would have gone on. The replacement is placed first, without the workers that have the request, and only then the former second attempt is dropped. The test failed before (broken off) and passes.

--- a/src/forwarding/exclusions.ts
+++ b/src/forwarding/exclusions.ts
@@ -13,6 +13,18 @@
   excluded.set(worker, headSent ? now + rejectedRetryAfter : Infinity)
 }
 
+/** Places the request while the workers that have its attempts are left out. */
+export const withoutWorkers = <Result>({ excluded }: Exchange, workers: readonly string[], place: () => Result): Result => {
+  const before = workers.map(worker => [worker, excluded.get(worker)] as const)
+  for (const worker of workers) excluded.set(worker, Infinity)
+  const result = place()
+  for (const [worker, until] of before) {
+    if (until === undefined) excluded.delete(worker)
+    else excluded.set(worker, until)
+  }
+  return result
+}
+
 /** Whether the worker is not tried at this time, in ms. */
 export const isExcluded = ({ excluded }: Exchange, worker: string, now: number): boolean => now < (excluded.get(worker) ?? -Infinity)
 
--- a/src/forwarding/secondAttempts.spec.ts
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -8,10 +8,10 @@
 
 const workerIds = Array.from({ length: 6 }, (_, index) => `m${index + 1}`)
 
-const build = () => createFakeForwarding({
+const build = (workers = workerIds.length) => createFakeForwarding({
   hash,
   catalog: buildCatalog({ routes: [buildRoute({ host: 'model.example', pathPrefix: '/model/', kind: 'stream', resumable: true, timeout: 5_000, objective: 500, maxWorkers: 3, targets: [{ service: 'model', weight: 1 }] })] }),
-  workers: workerIds.map(id => buildWorker(id, { service: 'model', slots: 8, models: [{ name: 'llm', version: 1 }] }))
+  workers: workerIds.slice(0, workers).map(id => buildWorker(id, { service: 'model', slots: 8, models: [{ name: 'llm', version: 1 }] }))
 })
 
 const buildModelCall = (id: string) => buildCall({ id, host: 'model.example', path: '/model/x', prompt: { model: 'llm', inputTokens: 900, maxOutputTokens: 50, parts: [{ id: 'a1', tokens: 500 }, { id, tokens: 400 }] } })
@@ -76,6 +76,20 @@
     expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
   })
 
+  it('that are silent, too, are kept while nothing can replace them', () => {
+    const fake = build(2)
+    const request = fake.arrive(buildModelCall('c1'), 0)
+    fake.head(fake.sends()[0].attempt, {}, 20)
+    fake.data(fake.sends()[0].attempt, event(1), 20)
+    for (let now = 40; now <= 1_600; now += 20) fake.tick(now)
+    const [first, second] = fake.sends().map(({ attempt }) => attempt)
+    fake.fail(first, 'cut', 1_610)
+    fake.head(second, {}, 1_650)
+    fake.data(second, event(2), 1_650)
+    fake.end(second, 1_650)
+    expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
+  })
+
   it('begin a stream with the head of the attempt that brought its first event', () => {
     const fake = build()
     const request = fake.arrive(buildModelCall('c1'), 0)
--- a/src/forwarding/secondAttempts.ts
+++ b/src/forwarding/secondAttempts.ts
@@ -10,7 +10,7 @@
 import { isOverdue } from './attemptTimeouts.js'
 import type { CallerResponses } from './callerResponses.js'
 import { isRetryable, isStream } from './exchangeKind.js'
-import { exclude } from './exclusions.js'
+import { exclude, withoutWorkers } from './exclusions.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange } from './forwardingTypes.js'
 import { placeRequest } from './placeRequest.js'
@@ -71,16 +71,16 @@
     const { now } = time
     const { second } = exchange
     if (second !== undefined && !isOverdue(second, now)) return
-    if (second !== undefined) {
-      noteFailure(context.loadOf(second.worker))
-      drop(exchange, second, 'silent', true, now)
-    }
     if (!isAllowed(exchange, evidence, now)) return
     exchange.nextSecondAt = now + minInterval
-    exclude(exchange, current.worker)
+    const inUse = [current, second].flatMap(attempt => attempt === undefined ? [] : [attempt.worker])
     const cause = exchange.events > 0 ? 'resume' : 'silent'
-    const placement = placeRequest(context, exchange, cause, attempts.nextId(), time)
+    const placement = withoutWorkers(exchange, inUse, () => placeRequest(context, exchange, cause, attempts.nextId(), time))
     if (placement.kind !== 'sent') return
+    if (second !== undefined) {
+      noteFailure(context.loadOf(second.worker))
+      drop(exchange, second, 'silent', true, now)
+    }
     context.retries(exchange.service).take(context.instances(), now)
     exchange.retryCount++
     exchange.mayHaveRun = true
