--- a/src/forwarding/secondAttempts.spec.ts
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -90,6 +90,21 @@
     expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
   })
 
+  it('do not keep a silent worker from getting the request again for the new weights that it then states', () => {
+    const fake = build(1)
+    const request = fake.arrive(buildModelCall('c1'), 0)
+    const { attempt: first } = fake.sends()[0]
+    fake.weights.name('llm', 2, 100)
+    for (let now = 20; now < 620; now += 20) fake.tick(now)
+    fake.head(first, { status: 421, notRun: true, weightVersion: 2 }, 620)
+    fake.end(first, 620)
+    const again = fake.sends()[1].attempt
+    fake.head(again, {}, 700)
+    fake.data(again, event(1), 700)
+    fake.end(again, 700)
+    expect(fake.callerView(request)).toMatchObject({ text: event(1), state: 'whole' })
+  })
+
   it('begin a stream with the head of the attempt that brought its first event', () => {
     const fake = build()
     const request = fake.arrive(buildModelCall('c1'), 0)
