Second attempts do not use up the retries of a request

They are counted apart; one that takes over after a failure counts as the retry that it replaces. The retry budget of the service is charged as before. The test failed before (broken off) and passes.

--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -80,6 +80,7 @@
     suspectWorkers.markSuspect(attempt.worker, 'unreachable', time.now)
     exclude(exchange, attempt.worker)
     exchange.sentTo.delete(attempt.worker)
+    if (wasSecond) exchange.secondCount--
     if (wasSecond || seconds.takeOver(exchange)) return
     if (time.now >= exchange.deadline) responses.refuse(exchange, { kind: 'lateUnsent' }, time)
     else placeAgain(exchange, time)
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -117,6 +117,7 @@
       mayHaveRun: false,
       attempt: undefined,
       second: undefined,
+      secondCount: 0,
       nextSecondAt: now,
       lastFailure: undefined,
       awaitsPeerFor: undefined,
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -65,6 +65,8 @@
   attempt: Attempt | undefined
   /** The attempt at another worker while the current one is silent. */
   second: Attempt | undefined
+  /** Number of second attempts that were sent. */
+  secondCount: number
   /** Earliest time of another second attempt. */
   nextSecondAt: number
   /** The last attempt that ended without a usable response; undefined if none did. */
--- a/src/forwarding/secondAttempts.spec.ts
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -1,5 +1,6 @@
 import { createFakeForwarding } from '../../test/fakes/fakeForwarding.js'
 import { buildCall, buildCatalog, buildRoute, buildWorker } from '../../test/fixtures/forwarding.js'
+import type { Route } from '../catalog/catalogTypes.js'
 import { loadHash, type Hash } from '../hash.js'
 
 let hash: Hash
@@ -8,9 +9,9 @@
 
 const workerIds = Array.from({ length: 6 }, (_, index) => `m${index + 1}`)
 
-const build = (workers = workerIds.length) => createFakeForwarding({
+const build = (workers = workerIds.length, overrides: Partial<Route> = {}) => createFakeForwarding({
   hash,
-  catalog: buildCatalog({ routes: [buildRoute({ host: 'model.example', pathPrefix: '/model/', kind: 'stream', resumable: true, timeout: 5_000, objective: 500, maxWorkers: 3, targets: [{ service: 'model', weight: 1 }] })] }),
+  catalog: buildCatalog({ routes: [buildRoute({ host: 'model.example', pathPrefix: '/model/', kind: 'stream', resumable: true, timeout: 5_000, objective: 500, maxWorkers: 3, targets: [{ service: 'model', weight: 1 }], ...overrides })] }),
   workers: workerIds.slice(0, workers).map(id => buildWorker(id, { service: 'model', slots: 8, models: [{ name: 'llm', version: 1 }] }))
 })
 
@@ -105,6 +106,24 @@
     expect(fake.callerView(request)).toMatchObject({ text: event(1), state: 'whole' })
   })
 
+  it('do not use up the retries of a request whose first attempt is cut later', () => {
+    const fake = build(workerIds.length, { maxWorkers: 6 })
+    const request = fake.arrive(buildModelCall('c1'), 0)
+    fake.head(fake.sends()[0].attempt, {}, 20)
+    fake.data(fake.sends()[0].attempt, event(1), 20)
+    for (let now = 40; now <= 2_400; now += 20) {
+      fake.tick(now)
+      const { attempt } = fake.sends()[fake.sends().length - 1]
+      if (fake.sends().length > 1 && fake.sends().length < 6) fake.fail(attempt, 'unsent', now)
+    }
+    fake.fail(fake.sends()[0].attempt, 'cut', 2_410)
+    const last = fake.sends()[fake.sends().length - 1].attempt
+    fake.head(last, {}, 2_420)
+    fake.data(last, event(2), 2_420)
+    fake.end(last, 2_420)
+    expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
+  })
+
   it('begin a stream with the head of the attempt that brought its first event', () => {
     const fake = build()
     const request = fake.arrive(buildModelCall('c1'), 0)
--- a/src/forwarding/secondAttempts.ts
+++ b/src/forwarding/secondAttempts.ts
@@ -14,7 +14,7 @@
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange } from './forwardingTypes.js'
 import { placeRequest } from './placeRequest.js'
-import { maxRetries } from './retryLimits.js'
+import { maxSecondAttempts } from './retryLimits.js'
 
 /** What speaks against the current attempt: its worker only sends nothing, or a probe does not reach it either. */
 export type SilenceEvidence = 'silent' | 'unreachable'
@@ -64,7 +64,7 @@
   }
 
   const isAllowed = (exchange: Exchange, evidence: SilenceEvidence, now: number): boolean =>
-    isRetryable(exchange) && exchange.retryCount < maxRetries && now >= exchange.nextSecondAt &&
+    isRetryable(exchange) && exchange.secondCount < maxSecondAttempts && now >= exchange.nextSecondAt &&
     context.retries(exchange.service).canTake(context.instances(), now, evidence === 'silent' ? silentBudgetShare : 1)
 
   const begin = (exchange: Exchange, current: Attempt, evidence: SilenceEvidence, time: DecisionTime): void => {
@@ -82,7 +82,7 @@
       drop(exchange, second, 'silent', true, now)
     }
     context.retries(exchange.service).take(context.instances(), now)
-    exchange.retryCount++
+    exchange.secondCount++
     exchange.mayHaveRun = true
     attempts.beginSecond(exchange, placement.attempt)
   }
@@ -92,6 +92,8 @@
     if (second === undefined) return false
     exchange.second = undefined
     exchange.attempt = second
+    // It takes the place of a retry.
+    exchange.retryCount++
     if (second.head !== undefined && isStream(exchange, second.head) && !exchange.headSent) responses.open(exchange, second.head)
     return true
   }
