--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -79,7 +79,7 @@
     attempts.fail(exchange, attempt, 'unsent', false, time.now)
     suspectWorkers.markSuspect(attempt.worker, 'unreachable', time.now)
     exclude(exchange, attempt.worker)
-    exchange.sentTo.delete(attempt.worker)
+    if (attempt.isFirstThere) exchange.sentTo.delete(attempt.worker)
     if (wasSecond) exchange.secondCount--
     if (wasSecond || seconds.takeOver(exchange)) return
     if (time.now >= exchange.deadline) responses.refuse(exchange, { kind: 'lateUnsent' }, time)
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -13,6 +13,8 @@
   readonly workerStartedAt: number
   /** Version of the worker's software; undefined if it reports none. */
   readonly softwareVersion: string | undefined
+  /** Whether the request had not been sent to the worker before. */
+  readonly isFirstThere: boolean
   readonly flight: InFlightRequest
   readonly sentAt: number
   /** Version of the weights that the worker was asked to run on; undefined if any. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -201,12 +201,14 @@
     firstEventAt: undefined
   }
   noteSent(load, flight)
+  const isFirstThere = !exchange.sentTo.has(target.worker.id)
   exchange.sentTo.add(target.worker.id)
   const sent: Attempt = {
     id: attempt,
     worker: target.worker.id,
     workerStartedAt: target.worker.startedAt,
     softwareVersion: target.worker.softwareVersion,
+    isFirstThere,
     flight,
     sentAt: now,
     version: target.version,
--- a/src/forwarding/secondAttempts.spec.ts
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -124,6 +124,22 @@
     expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
   })
 
+  it('that were not sent do not make a worker forgotten that an earlier one has reached', () => {
+    const fake = build(5, { maxWorkers: 2 })
+    fake.arrive(buildModelCall('c1'), 0)
+    const { attempt: first } = fake.sends()[0]
+    fake.head(first, {}, 20)
+    fake.data(first, event(1), 20)
+    for (let now = 40; now < 980; now += 20) fake.tick(now)
+    fake.data(first, event(2), 980)
+    for (let now = 1_000; now < 5_000; now += 20) {
+      fake.tick(now)
+      if (fake.sends().length === 3) fake.fail(fake.sends()[2].attempt, 'unsent', now)
+    }
+    const reached = fake.sends().filter((_, index) => index !== 2).map(({ dispatch }) => dispatch.worker)
+    expect(new Set(reached).size).toBe(2)
+  })
+
   it('begin a stream with the head of the attempt that brought its first event', () => {
     const fake = build()
     const request = fake.arrive(buildModelCall('c1'), 0)
--- a/src/forwarding/workerNotices.ts
+++ b/src/forwarding/workerNotices.ts
@@ -69,7 +69,7 @@
     case 'otherWorker':
       suspectWorkers.markSuspect(attempt.worker, 'otherWorker', now)
       exclude(exchange, attempt.worker)
-      exchange.sentTo.delete(attempt.worker)
+      if (attempt.isFirstThere) exchange.sentTo.delete(attempt.worker)
       return
     case 'otherVersion':
       if (worker !== undefined && prompt !== undefined) context.weights.noteHeld(worker, prompt.model, rejection.held)
