An empty second stream does not complete a stream that has begun

A second attempt that ended with a success and no event completed the caller's stream, and the events that the silent first worker still had were lost. Only an attempt that has brought events, or the only one left, says that a stream is complete.

--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -148,6 +148,8 @@
     if (isStream(exchange, head) && attempt.splitter.hasPartialEvent()) return handleLostAttempt(exchange, attempt, 'partialEvent', false, time)
     const isRetryableError = isServerError(head.status) && isRetryable(exchange) && !exchange.headSent
     if (isRetryableError && hasAlternative(exchange, attempt, time.now)) return handleLostAttempt(exchange, attempt, 'failedAnswer', false, time)
+    // Only the attempt that brought events can say that the stream is complete.
+    if (isSecond(exchange, attempt) && isStream(exchange, head)) return handleLostAttempt(exchange, attempt, 'failedAnswer', false, time)
     if (exchange.headSent && !isStream(exchange, head)) return handleLostAttempt(exchange, attempt, 'failedAnswer', false, time)
     complete(exchange, attempt, head, time.now)
   }
--- a/src/forwarding/secondAttempts.spec.ts
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -140,6 +140,15 @@
     expect(new Set(reached).size).toBe(2)
   })
 
+  it('that end without an event do not complete a stream whose first worker is silent', () => {
+    const { fake, request, first, second } = playSilence()
+    fake.head(second, {}, 960)
+    fake.end(second, 960)
+    fake.data(first, event(2), 1_060)
+    fake.end(first, 1_070)
+    expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
+  })
+
   it('begin a stream with the head of the attempt that brought its first event', () => {
     const fake = build()
     const request = fake.arrive(buildModelCall('c1'), 0)
