The worker of a late second attempt is suspected, too

Only current attempts were checked for lateness, so that the worker of a silent second one was neither probed nor kept from getting more requests. The test failed before and passes.

--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -202,14 +202,18 @@
     responses.refuse(exchange, exchange.mayHaveRun ? { kind: 'late' } : { kind: 'lateUnsent' }, time)
   }
 
+  const suspectIfLate = (attempt: Attempt, now: number): void => {
+    if (attempt.doubted || !isLate(attempt, now)) return
+    attempt.doubted = true
+    suspectWorkers.markSuspect(attempt.worker, 'silent', now)
+  }
+
   /** Suspects the worker of a late, silent or stalled attempt; a silent or stalled one gets a second attempt beside it. */
   const checkProgress = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
     const { now } = time
     seconds.check(exchange, now)
-    if (!attempt.doubted && isLate(attempt, now)) {
-      attempt.doubted = true
-      suspectWorkers.markSuspect(attempt.worker, 'silent', now)
-    }
+    suspectIfLate(attempt, now)
+    if (exchange.second !== undefined) suspectIfLate(exchange.second, now)
     if (!isStalled(exchange, attempt, now) && !isSilent(attempt, now)) return
     if (!attempt.silent) {
       attempt.silent = true
--- a/src/forwarding/secondAttempts.spec.ts
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -149,6 +149,13 @@
     expect(fake.callerView(request)).toMatchObject({ text: event(1) + event(2), state: 'whole' })
   })
 
+  it('that are late make their workers suspect', () => {
+    const { fake } = playSilence()
+    for (let now = 960; now < 1_500; now += 20) fake.tick(now)
+    const suspected = fake.logEvents.flatMap(logged => logged.kind === 'workerDoubted' ? [logged.worker] : [])
+    expect(suspected).toContain(fake.sends()[1].dispatch.worker)
+  })
+
   it('begin a stream with the head of the attempt that brought its first event', () => {
     const fake = build()
     const request = fake.arrive(buildModelCall('c1'), 0)
