A begun stream waits where a worker may come, and only there

A begun stream that is bound to a software version was broken off at once while the entry of its only other worker was missing for a moment; one that had reached all workers of its route was held for 1.5 s for nothing; and a second attempt of other requests that was rejected for being full was not made there again although the first was kept. A begun stream now waits if its route allows a further worker or one that rejected it may take it again, and is ended at once otherwise; a second attempt may be made again after 120 ms. The three tests failed before and pass.

--- a/src/forwarding/exclusions.ts
+++ b/src/forwarding/exclusions.ts
@@ -1,16 +1,24 @@
 /** The workers that a request is not sent to again, as they rejected it, failed or could not be reached. */
-import type { Exchange } from './forwardingTypes.js'
+import type { ForwardingContext } from './forwardingContext.js'
+import type { Attempt, Exchange } from './forwardingTypes.js'
 import { rejectedRetryAfter } from './waitOrRefuse.js'
 
 /** Does not send the request to the worker again. */
 export const exclude = ({ excluded }: Exchange, worker: string): void => { excluded.set(worker, Infinity) }
 
 /**
- * Does not send the request to a worker that has rejected it. A stream that has
- * begun may go there again after a pause, since its caller loses it otherwise.
+ * Does not send the request to the worker of an attempt that it has rejected. A
+ * stream that has begun may go there again after a pause, since its caller loses it
+ * otherwise; so may a second attempt, since the current one is kept meanwhile.
  */
-export const excludeAfterRejection = ({ excluded, headSent }: Exchange, worker: string, now: number): void => {
-  excluded.set(worker, headSent ? now + rejectedRetryAfter : Infinity)
+export const excludeAfterRejection = ({ excluded, headSent, second }: Exchange, attempt: Attempt, now: number): void => {
+  excluded.set(attempt.worker, headSent || attempt === second ? now + rejectedRetryAfter : Infinity)
+}
+
+/** Whether a stream that has begun may still go on: at a worker that may take it again, or at a further one if its route allows more. */
+export const mayFindWorker = (context: Pick<ForwardingContext, 'workers'>, exchange: Exchange): boolean => {
+  const listed = [...exchange.sentTo].filter(id => context.workers.get(id) !== undefined)
+  return listed.length < exchange.route.maxWorkers || listed.some(id => !isExcludedForGood(exchange, id))
 }
 
 /** Places the request while the workers that have its attempts are left out. */
--- a/src/forwarding/forwardingMachine.spec.ts
+++ b/src/forwarding/forwardingMachine.spec.ts
@@ -221,6 +221,32 @@
     expect(fake.callerView(request)).toMatchObject({ text: sseEvent(1) + sseEvent(2), state: 'whole' })
   })
 
+  it('that have begun wait for a worker whose entry is missing for a moment', () => {
+    const fake = buildModel()
+    const request = fake.arrive(modelCall, 0)
+    const [{ attempt, dispatch: { worker } }] = fake.sends()
+    const other = worker === 'm1' ? 'm2' : 'm1'
+    fake.head(attempt, {}, 20)
+    fake.data(attempt, sseEvent(1), 20)
+    for (const readAt of [100, 200, 300]) fake.workers.noteRead(readAt)
+    for (const id of ['m1', 'm2']) fake.workers.apply([{ kind: 'absent', id }], false, 400)
+    fake.fail(attempt, 'cut', 420)
+    expect(fake.callerView(request)).toMatchObject({ state: 'open' })
+    fake.workers.apply([{ kind: 'present', worker: buildWorker(other, { service: 'model', slots: 8, models: [{ name: 'llm', version: 1 }], startedAt: 2, writes: 9 }) }], false, 700)
+    fake.tick(720)
+    expect(fake.sends()).toHaveLength(2)
+  })
+
+  it('that have begun are ended at once when the last worker that their route allows has failed', () => {
+    const fake = build(buildCatalog({ routes: [buildRoute({ host: 'model.example', pathPrefix: '/model/', kind: 'stream', resumable: true, maxWorkers: 2, targets: [{ service: 'model', weight: 1 }] })] }), ['m1', 'm2', 'm3'].map(id => buildWorker(id, { service: 'model', slots: 8, models: [{ name: 'llm', version: 1 }] })))
+    const request = fake.arrive(modelCall, 0)
+    fake.head(fake.sends()[0].attempt, {}, 20)
+    fake.data(fake.sends()[0].attempt, sseEvent(1), 20)
+    fake.fail(fake.sends()[0].attempt, 'cut', 40)
+    fake.fail(fake.sends()[1].attempt, 'cut', 60)
+    expect(fake.callerView(request)).toMatchObject({ state: 'broken' })
+  })
+
   it('that have begun wait no longer for a worker than their callers wait for an event', () => {
     const fake = buildModel()
     const request = fake.arrive(modelCall, 0)
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -14,7 +14,7 @@
 import { createAttemptsInProgress } from './attemptsInProgress.js'
 import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
 import { createCallerResponses } from './callerResponses.js'
-import { isExcludedForGood } from './exclusions.js'
+import { isExcludedForGood, mayFindWorker } from './exclusions.js'
 import { createSuspectWorkers } from './suspectWorkers.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange, SendCause } from './forwardingTypes.js'
@@ -89,7 +89,7 @@
       deadline,
       objective: route.objective,
       lastEventAt: hasBegun ? lastEventAt : undefined,
-      workersExhausted: !hasBegun && sentTo.size >= route.maxWorkers,
+      workersExhausted: hasBegun ? !mayFindWorker(context, exchange) : sentTo.size >= route.maxWorkers,
       hasLiveWorker: context.workers.live(service).some(worker => !isExcludedForGood(exchange, worker.id) && fitsOrigin(context, exchange, worker, time.now)),
       isRetry: cause !== 'first' && cause !== 'waited',
       pausedUntil: pausedUntil === undefined || interval === 0 ? pausedUntil : pausedUntil + countBefore(exchange) * interval
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -261,7 +261,7 @@
   if (continuation === 'asked') return { kind: 'awaitsPeer' }
   if (continuation === 'unknown') return { kind: 'refused', refusal: { kind: 'unknownOrigin' } }
   if (continuation === 'bound' && !context.workers.live(exchange.service).some(worker => fitsOrigin(context, exchange, worker, now))) {
-    return { kind: 'refused', refusal: { kind: 'noWorker' } }
+    return exchange.headSent ? { kind: 'noneAvailable' } : { kind: 'refused', refusal: { kind: 'noWorker' } }
   }
   const workers = eligible(context, exchange, now)
   const accepting = workers.filter(worker => acceptsFrom(context, worker, now) <= now)
--- a/src/forwarding/secondAttempts.spec.ts
+++ b/src/forwarding/secondAttempts.spec.ts
@@ -156,6 +156,17 @@
     expect(suspected).toContain(fake.sends()[1].dispatch.worker)
   })
 
+  it('are made again after a while at a worker that was full', () => {
+    const fake = build(2)
+    fake.arrive(buildModelCall('c1'), 0)
+    for (let now = 20; now < 700; now += 20) fake.tick(now)
+    const { attempt: second } = fake.sends()[1]
+    fake.head(second, { status: 503, notRun: true }, 700)
+    fake.end(second, 700)
+    for (let now = 720; now < 1_200; now += 20) fake.tick(now)
+    expect(fake.sends()).toHaveLength(3)
+  })
+
   it('begin a stream with the head of the attempt that brought its first event', () => {
     const fake = build()
     const request = fake.arrive(buildModelCall('c1'), 0)
--- a/src/forwarding/waitOrRefuse.ts
+++ b/src/forwarding/waitOrRefuse.ts
@@ -49,6 +49,6 @@
   const until = Math.min(deadline, lastEventAt === undefined ? arrivedAt + maxWaitShare * objective : lastEventAt + maxStreamPause)
   if (workersExhausted) return { kind: 'refuse', refusal: { kind: 'turnedAway', wait: rejectedRetryAfter } }
   if (pausedUntil !== undefined && pausedUntil > until) return { kind: 'refuse', refusal: { kind: 'turnedAway', wait: pausedUntil - now } }
-  if (now >= until || (!hasLiveWorker && isRetry)) return { kind: 'refuse', refusal: { kind: 'noWorker' } }
+  if (now >= until || (!hasLiveWorker && isRetry && lastEventAt === undefined)) return { kind: 'refuse', refusal: { kind: 'noWorker' } }
   return { kind: 'wait', until }
 }
--- a/src/forwarding/workerNotices.ts
+++ b/src/forwarding/workerNotices.ts
@@ -80,7 +80,7 @@
       if (worker !== undefined && prompt !== undefined && !context.weights.holdsNewest(worker, prompt.model)) {
         context.weights.noteLoading(attempt.worker, now + presumedLoadingTime)
       }
-      excludeAfterRejection(exchange, attempt.worker, now)
+      excludeAfterRejection(exchange, attempt, now)
       return
     default: assertNever(rejection)
   }
