Each end of a caller's connection has a typed reason

A request whose connection ended before it was passed on, or while its complete answer was being sent, had no line; a caller that left could not be told from one whose connection this instance had closed (backlog, keep-alive, time limit of the headers, bytes that are no HTTP, shutdown).

`call.left` now carries the caller's id, how far the request had come (reading, read, open, sending) and why its connection ended. It is emitted once for each request without its whole answer, also for one that the core never saw or has finished: the core logs these as `cutOff`, the others as `callerLeft`, both with the reason. Counters: wasabireel_callers_left_total by reason, wasabireel_cut_off_total by stage and reason, and wasabireel_caller_connections_closed_total by reason, which has no lines. At most one line for each request.

`timeout` and `clientError` of the server are handled here to note the reason; they respond and close as before. Behaviour towards callers is unchanged.

Existing tests: the two places that build a `call.left` by hand (the gateway's spec and the fake of forwarding) state its new fields; nothing else.

--- /dev/null
+++ b/src/adapters/callerConnections.ts
@@ -0,0 +1,75 @@
+/** Connections of callers and why each of them ended. The reason that is noted first holds. */
+import type { Server } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
+import type { ConnectionEnd } from '../ports/forwardPort.js'
+
+/** The connections of a server. */
+export interface CallerConnections {
+  /** Notes why a connection ends. */
+  readonly noteEnd: (socket: Duplex, end: ConnectionEnd) => void
+  /** Why a connection ended, or `unknown`. */
+  readonly endOf: (socket: Duplex) => ConnectionEnd
+  /** Notes the reason and destroys the connection. */
+  readonly destroy: (socket: Duplex, end: ConnectionEnd) => void
+  /** All connections that are not closed yet. */
+  readonly all: () => Iterable<Socket>
+}
+
+/** Responses to what could not be read, by the error's code. */
+const errorStatusLines: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+const defaultErrorStatusLine = '400 Bad Request'
+
+const endOfError = (code: string | undefined): ConnectionEnd => {
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return 'headerTimeout'
+  if (code === 'HPE_INVALID_EOF_STATE') return 'callerClosed'
+  return code?.startsWith('HPE_') === true ? 'malformed' : 'callerReset'
+}
+
+/** Whether bytes of a response have been sent that an error response would mix with. */
+const hasSentHead = (socket: Duplex): boolean =>
+  (socket as Duplex & { readonly _httpMessage?: { readonly headersSent: boolean } })._httpMessage?.headersSent === true
+
+/**
+ * Follows the connections of a server, and closes those that are idle for too long or unreadable.
+ *
+ * @param server - the server, which is not listening yet
+ * @param onClosed - called for each closed connection
+ */
+export const followCallerConnections = (server: Server, onClosed: (end: ConnectionEnd) => void): CallerConnections => {
+  const open = new Set<Socket>()
+  const ends = new WeakMap<Duplex, ConnectionEnd>()
+
+  const noteEnd = (socket: Duplex, end: ConnectionEnd): void => {
+    if (!ends.has(socket)) ends.set(socket, end)
+  }
+  const endOf = (socket: Duplex): ConnectionEnd => ends.get(socket) ?? 'unknown'
+  const destroy = (socket: Duplex, end: ConnectionEnd): void => {
+    noteEnd(socket, end)
+    socket.destroy()
+  }
+
+  server.on('connection', socket => {
+    open.add(socket)
+    socket.on('end', () => noteEnd(socket, 'callerClosed'))
+    socket.on('close', () => {
+      open.delete(socket)
+      onClosed(endOf(socket))
+    })
+  })
+  server.on('timeout', socket => destroy(socket, 'idleTimeout'))
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    const end = endOfError(error.code)
+    noteEnd(socket, end)
+    if (end !== 'callerReset' && socket.writable && !hasSentHead(socket)) {
+      socket.write(`HTTP/1.1 ${errorStatusLines[error.code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
+    }
+    socket.destroy()
+  })
+
+  return { noteEnd, endOf, destroy, all: () => open }
+}
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -4,8 +4,9 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
-import type { WireCodec } from '../ports/platformPort.js'
+import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
+import type { RawCall, WireCodec } from '../ports/platformPort.js'
+import { followCallerConnections } from './callerConnections.js'
 
 /** Effects on requests of callers. */
 export type CallEffect = Extract<ForwardEffect, { readonly request: number }>
@@ -18,6 +19,8 @@
   readonly headerBytes: number
   /** Decodes a received request. */
   readonly decode: WireCodec['decodeCall']
+  /** Called for each closed connection. */
+  readonly onConnectionClosed?: (end: ConnectionEnd) => void
 }
 
 /** Limits from the configuration. */
@@ -57,9 +60,18 @@
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304])
 
 interface OpenRequest {
+  readonly message: IncomingMessage
   readonly response: ServerResponse
   readonly method: string
-  finished: boolean
+  /** `ended` once the whole response has been sent or the end has been reported. */
+  stage: CallStage | 'ended'
+}
+
+const noBody = Buffer.alloc(0)
+
+const stageAfter = (effect: CallEffect, { stage }: OpenRequest): OpenRequest['stage'] => {
+  if (effect.kind === 'call.abort') return 'ended'
+  return effect.kind === 'call.answer' || effect.kind === 'call.end' ? 'sending' : stage
 }
 
 /**
@@ -89,50 +101,68 @@
   let listenerClosed = false
   let lastRequest = 0
 
+  const headOf = ({ message, method }: OpenRequest): RawCall => ({ method, target: message.url ?? '/', headers: message.rawHeaders })
+
+  const idOf = (openRequest: OpenRequest): string =>
+    options.decode(headOf(openRequest), noBody).match(call => call.id, () => 'none')
+
+  /** Reports that the connection of a request ended before the whole response was sent. */
+  const reportLeft = (request: number, openRequest: OpenRequest): void => {
+    const { stage, message } = openRequest
+    if (stage === 'ended') return
+    openRequest.stage = 'ended'
+    emit({ kind: 'call.left', request, id: idOf(openRequest), stage, reason: connections.endOf(message.socket) })
+  }
+
   const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
     lastRequest++
     const request = lastRequest
     const chunks: Buffer[] = []
     let size = 0
-    let bodyDone = false
-    let delivered = false
-    const openRequest: OpenRequest = { response, method: message.method ?? '', finished: false }
+    const openRequest: OpenRequest = { message, response, method: message.method ?? '', stage: 'reading' }
     openRequests.set(request, openRequest)
 
     const rejectBody = (): void => {
-      bodyDone = true
-      delivered = true
+      openRequest.stage = 'open'
       response.shouldKeepAlive = false
       emit({ kind: 'call.unreadable', request, problem: { kind: 'bodyTooLarge', limit: limits.bodyBytes } })
     }
 
     message.on('data', (chunk: Buffer) => {
-      if (bodyDone) return
+      if (openRequest.stage !== 'reading') return
       size += chunk.length
       if (size > limits.bodyBytes) return rejectBody()
       chunks.push(chunk)
     })
     const deliver = (): void => {
-      if (message.socket.readableEnded || message.socket.destroyed) return emit({ kind: 'call.left', request })
-      const head = { method: openRequest.method, target: message.url ?? '/', headers: message.rawHeaders }
-      options.decode(head, chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)).match(
+      if (openRequest.stage !== 'read') return
+      if (message.socket.readableEnded || message.socket.destroyed) return reportLeft(request, openRequest)
+      openRequest.stage = 'open'
+      options.decode(headOf(openRequest), chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)).match(
         call => emit({ kind: 'call.arrived', request, call }),
         problem => emit({ kind: 'call.unreadable', request, problem })
       )
-      delivered = true
     }
     message.on('end', () => {
-      if (bodyDone) return
-      bodyDone = true
+      if (openRequest.stage !== 'reading') return
+      openRequest.stage = 'read'
       afterNextRead(deliver)
     })
     message.on('error', () => { /* Handled by the close event that follows. */ })
     response.on('error', () => { /* Handled by the close event that follows. */ })
+    response.on('finish', () => {
+      // It is emitted for a destroyed connection, too.
+      if (message.socket.destroyed) return
+      openRequest.stage = 'ended'
+      if (!response.shouldKeepAlive) connections.noteEnd(message.socket, 'lastResponse')
+    })
     response.on('close', () => {
       // A response whose headers were sent before the shutdown had no `Connection: close`, so the caller may keep the connection open.
-      if (listenerClosed) message.socket.destroySoon()
       openRequests.delete(request)
-      if (delivered && !openRequest.finished) emit({ kind: 'call.left', request })
+      reportLeft(request, openRequest)
+      if (!listenerClosed || message.socket.destroyed) return
+      connections.noteEnd(message.socket, 'shutdown')
+      message.socket.destroySoon()
     })
   }
 
@@ -145,6 +175,7 @@
     headersTimeout: limits.headerTimeout,
     requestTimeout: 0
   }, handleRequest)
+  const connections = followCallerConnections(server, end => options.onConnectionClosed?.(end))
 
   const writeHead = ({ response }: OpenRequest, status: number, headers: readonly string[]): void => {
     if (closing) response.shouldKeepAlive = false
@@ -155,19 +186,25 @@
     const { status, headers, body } = effect
     const bodiless = bodilessStatuses.has(status) || openRequest.method === 'HEAD'
     const length = bodiless || hasHeader(headers, 'content-length') ? [] : ['Content-Length', String(body.length)]
-    openRequest.finished = true
     writeHead(openRequest, status, [...headers, ...length])
     openRequest.response.end(bodiless ? undefined : body)
   }
 
   const write = (openRequest: OpenRequest, bytes: Buffer): void => {
-    if (openRequest.response.writableLength > backlogLimit) openRequest.response.destroy()
-    else openRequest.response.write(bytes)
+    const { message, response } = openRequest
+    if (response.writableLength <= backlogLimit) {
+      response.write(bytes)
+      return
+    }
+    connections.noteEnd(message.socket, 'backlog')
+    response.destroy()
   }
 
   const perform = (effect: CallEffect): void => {
     const openRequest = openRequests.get(effect.request)
-    if (openRequest === undefined || openRequest.response.destroyed) return
+    if (openRequest === undefined) return
+    openRequest.stage = stageAfter(effect, openRequest)
+    if (openRequest.response.destroyed) return
     switch (effect.kind) {
       case 'call.answer': return answer(openRequest, effect)
       case 'call.open':
@@ -176,11 +213,10 @@
         return
       case 'call.write': return write(openRequest, effect.bytes)
       case 'call.end':
-        openRequest.finished = true
         openRequest.response.end()
         return
       case 'call.abort':
-        openRequest.finished = true
+        connections.noteEnd(openRequest.message.socket, 'aborted')
         openRequest.response.destroy()
     }
   }
@@ -204,11 +240,13 @@
     closeListener: () => {
       listenerClosed = true
       server.close()
-      server.closeIdleConnections()
+      for (const socket of connections.all()) {
+        if (socket.destroyed) connections.noteEnd(socket, 'shutdown')
+      }
     },
     destroy: () => {
       server.close()
-      server.closeAllConnections()
+      for (const socket of connections.all()) connections.destroy(socket, 'shutdown')
     }
   }
 }
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -7,7 +7,7 @@
 import { createWaitingQueue } from '../admission/waitingQueue.js'
 import { assertNever } from '../errors.js'
 import type { Moment } from '../lease/readLease.js'
-import type { AnswerHead, Call, ForwardInput } from '../ports/forwardPort.js'
+import type { AnswerHead, Call, ConnectionEnd, ForwardInput } from '../ports/forwardPort.js'
 import { noteEnded, noteFailure, noteSuccess } from '../placement/workerLoad.js'
 import { admitRequest } from './admitRequest.js'
 import { createSuspectWorkers } from './suspectWorkers.js'
@@ -284,8 +284,8 @@
     return hasOther && context.retries(service).canTake(context.instances(), now)
   }
 
-  const handleCallerLeft = (exchange: Exchange, now: number): void => {
-    context.log({ kind: 'callerLeft', id: exchange.call.id, after: elapsed(exchange, now), events: exchange.events })
+  const handleCallerLeft = (exchange: Exchange, reason: ConnectionEnd, now: number): void => {
+    context.log({ kind: 'callerLeft', id: exchange.call.id, reason, after: elapsed(exchange, now), events: exchange.events })
     endAttempt(exchange, true)
     removeExchange(exchange, false, now)
   }
@@ -331,7 +331,7 @@
       case 'call.unreadable': return sendRefusal(input.request, 'none', { kind: 'unreadable', problem: input.problem }, 0, moment)
       case 'call.left': {
         const exchange = exchanges.get(input.request)
-        if (exchange !== undefined) handleCallerLeft(exchange, time.now)
+        if (exchange !== undefined) handleCallerLeft(exchange, input.reason, time.now)
         return
       }
       case 'worker.probed': return handleProbe(input.worker, input.reachable, time)
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -1,6 +1,6 @@
 /** State of the requests that an instance forwards, and their log events. Times are in ms of the steady clock. */
 import type { Route, Workspace } from '../catalog/catalogTypes.js'
-import type { AnswerHead, Call } from '../ports/forwardPort.js'
+import type { AnswerHead, Call, ConnectionEnd } from '../ports/forwardPort.js'
 import type { InFlightRequest } from '../placement/workerLoad.js'
 import type { StreamOrigin } from '../streamOrigins/streamOriginsTypes.js'
 import type { EventSplitter } from './eventSplitter.js'
@@ -78,7 +78,7 @@
   | { readonly kind: 'refused', readonly id: string, readonly reason: string, readonly outcome: string, readonly after: number, readonly configuration: number, readonly proofAge: number }
   | { readonly kind: 'answered', readonly id: string, readonly worker: string, readonly status: number, readonly after: number, readonly events: number, /** Time to the first event of a stream. */ readonly first?: number }
   | { readonly kind: 'brokenOff', readonly id: string, readonly reason: string, readonly after: number, readonly events: number }
-  | { readonly kind: 'callerLeft', readonly id: string, readonly after: number, readonly events: number }
+  | { readonly kind: 'callerLeft', readonly id: string, readonly reason: ConnectionEnd, readonly after: number, readonly events: number }
   /** The worker stated in the response to `id` that it is leaving. */
   | { readonly kind: 'workerLeaving', readonly id: string, readonly worker: string }
   /** The worker asked in the response to `id` for no further requests for `time` ms. */
--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -53,7 +53,7 @@
     send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: 1_000_000 }) }, 90)
     send({ kind: 'gateway.leave' }, 100)
     run(120, 700)
-    send({ kind: 'call.left', request: 1 }, 710)
+    send({ kind: 'call.left', request: 1, id: 'r1', stage: 'open', reason: 'callerClosed' }, 710)
     run(720, 3_500)
     expect(firstAt('gateway.exit')).toBe(firstAt('gateway.closeFront'))
   })
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -290,12 +290,14 @@
     switch (input.kind) {
       case 'call.arrived':
       case 'call.unreadable':
-      case 'call.left':
       case 'attempt.head':
       case 'attempt.data':
       case 'attempt.ended':
       case 'attempt.failed':
       case 'worker.probed': return forwarding.handle(input, currentTime)
+      case 'call.left':
+        if (input.stage === 'open') return forwarding.handle(input, currentTime)
+        return log({ kind: 'cutOff', id: input.id, stage: input.stage, reason: input.reason })
       case 'feed.catalog':
       case 'feed.proof':
       case 'feed.weights':
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -3,7 +3,7 @@
 import type { ForwardLogEvent } from '../forwarding/forwardingTypes.js'
 import type { ClaimEffect, ClaimInput } from '../ports/claimPort.js'
 import type { Dependency, FeedEffect, FeedInput, FleetMember, StoreReadMode } from '../ports/feedPort.js'
-import type { ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
+import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { OrderEffect, OrderInput } from '../ports/orderPort.js'
 import type { PeerEffect, PeerInput, PeerReset, Tick } from '../ports/peerPort.js'
 import type { RolloutEvent } from '../rollout/rolloutMachine.js'
@@ -45,6 +45,8 @@
 export type GatewayLogEvent =
   | ForwardLogEvent
   | RolloutEvent
+  /** The connection of a request ended while the request was not in the core: before it was delivered, or after its response was complete. */
+  | { readonly kind: 'cutOff', readonly id: string, readonly stage: CallStage, readonly reason: ConnectionEnd }
   | { readonly kind: 'configurationInForce', readonly version: number, readonly source: 'store' | 'peer', readonly proofAge: number }
   | { readonly kind: 'weightsNamed', readonly model: string, readonly version: number }
   | { readonly kind: 'workerChanged', readonly change: Exclude<WorkerChange['kind'], 'updated'>, readonly worker: string, readonly service: string, readonly address: string }
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 /** Prometheus metrics of a gateway: counters of log events, a latency histogram and gauges of the current state. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { GatewayLogEvent } from '../gateway/gatewayTypes.js'
+import type { ConnectionEnd } from '../ports/forwardPort.js'
 
 /** Histogram bucket bounds, in seconds. */
 const answerTimeBuckets = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 2, 5, 15]
@@ -33,6 +34,8 @@
   readonly countEvent: (event: GatewayLogEvent) => void
   /** Counts a connection opened to a worker. */
   readonly connectionOpened: () => void
+  /** Counts a connection of a caller that was closed. */
+  readonly callerConnectionClosed: (reason: ConnectionEnd) => void
   /** Counts a failed call to the platform or a malformed record, by kind. */
   readonly platformError: (kind: string) => void
 }
@@ -51,7 +54,9 @@
   const refusals = new Counter({ name: 'wasabireel_refusals_total', help: 'Requests that got no worker\'s answer by reason and outcome.', labelNames: ['reason', 'outcome'], registers })
   const brokenAnswers = new Counter({ name: 'wasabireel_broken_answers_total', help: 'Answers broken off midway by reason.', labelNames: ['reason'], registers })
   const answerTimes = new Histogram({ name: 'wasabireel_answer_seconds', help: 'Time from arrival to the end of the answer by status.', labelNames: ['status'], buckets: answerTimeBuckets, registers })
-  const callersLeft = new Counter({ name: 'wasabireel_callers_left_total', help: 'Callers that left before the end of the answer.', registers })
+  const callersLeft = new Counter({ name: 'wasabireel_callers_left_total', help: 'Callers that left before the end of the answer by reason.', labelNames: ['reason'], registers })
+  const cutOffs = new Counter({ name: 'wasabireel_cut_off_total', help: 'Requests whose connection ended before they were delivered, or before their complete answer was sent, by stage and reason.', labelNames: ['stage', 'reason'], registers })
+  const callerConnections = new Counter({ name: 'wasabireel_caller_connections_closed_total', help: 'Closed connections of callers by reason.', labelNames: ['reason'], registers })
   const stateChanges = new Counter({ name: 'wasabireel_changes_total', help: 'Changes of belief by kind.', labelNames: ['kind'], registers })
   const connections = new Counter({ name: 'wasabireel_worker_connections_total', help: 'Connections opened to workers.', registers })
   const platformErrors = new Counter({ name: 'wasabireel_platform_troubles_total', help: 'Failed calls and malformed records by kind.', labelNames: ['kind'], registers })
@@ -73,7 +78,8 @@
       case 'refused': return refusals.inc({ reason: event.reason, outcome: event.outcome })
       case 'brokenOff': return brokenAnswers.inc({ reason: event.reason })
       case 'answered': return answerTimes.observe({ status: String(event.status) }, event.after / msPerSecond)
-      case 'callerLeft': return callersLeft.inc()
+      case 'callerLeft': return callersLeft.inc({ reason: event.reason })
+      case 'cutOff': return cutOffs.inc({ stage: event.stage, reason: event.reason })
       default: stateChanges.inc({ kind: event.kind })
     }
   }
@@ -82,6 +88,7 @@
     registry,
     countEvent,
     connectionOpened: () => connections.inc(),
+    callerConnectionClosed: reason => callerConnections.inc({ reason }),
     platformError: kind => platformErrors.inc({ kind })
   }
 }
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -115,11 +115,37 @@
   /** The bytes are not a valid response, or respond to another request. */
   | 'garbled'
 
+/** Why a connection of a caller ended. */
+export type ConnectionEnd =
+  /** The caller closed the connection or its sending side; the two cannot be told apart. */
+  | 'callerClosed'
+  /** The connection was reset, or its other side no longer responds. */
+  | 'callerReset'
+  /** The caller does not read its response. */
+  | 'backlog'
+  /** No request came within the keep-alive timeout. */
+  | 'idleTimeout'
+  /** The headers of a request were not complete in time. */
+  | 'headerTimeout'
+  /** What the caller sent is not HTTP, or its headers are too large. */
+  | 'malformed'
+  /** Its last response, which announced the end of the connection, has been sent. */
+  | 'lastResponse'
+  /** A response was aborted. */
+  | 'aborted'
+  /** The instance is shutting down. */
+  | 'shutdown'
+  | 'unknown'
+
+/** How far a request has come: its body is being read, it has been read, the core has it, or its response is being sent to the end. */
+export type CallStage = 'reading' | 'read' | 'open' | 'sending'
+
 /** Inputs of the forwarding core. */
 export type ForwardInput =
   | { readonly kind: 'call.arrived', readonly request: number, readonly call: Call }
   | { readonly kind: 'call.unreadable', readonly request: number, readonly problem: CallProblem }
-  | { readonly kind: 'call.left', readonly request: number }
+  /** The connection ended before the whole response was sent; `id` is the caller's id, or `none`. */
+  | { readonly kind: 'call.left', readonly request: number, readonly id: string, readonly stage: CallStage, readonly reason: ConnectionEnd }
   | { readonly kind: 'attempt.head', readonly attempt: number, readonly head: AnswerHead }
   | { readonly kind: 'attempt.data', readonly attempt: number, readonly bytes: Buffer }
   | { readonly kind: 'attempt.ended', readonly attempt: number }
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -83,7 +83,7 @@
     for (const effect of gateway.handle(input, readClocks())) perform(effect)
   }
 
-  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall }, receive)
+  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall, onConnectionClosed: metrics.callerConnectionClosed }, receive)
   const channels = createWorkerChannels({ codec: platform.codec, emit: receive, onConnectionOpened: metrics.connectionOpened })
   const peers = createPeerTcp({ id: instance.id, incarnation, host: instance.host, port: listen.peer_port, frameLimit, connectTimeout: peerConnectTimeout, reconnectDelay: peerReconnectDelay }, {
     emit: receive,
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -147,7 +147,7 @@
     data: (attempt: number, text: string, now: number): void => forwarding.handle({ kind: 'attempt.data', attempt, bytes: Buffer.from(text) }, momentAt(now)),
     end: (attempt: number, now: number): void => forwarding.handle({ kind: 'attempt.ended', attempt }, momentAt(now)),
     fail: (attempt: number, failure: 'unsent' | 'cut' | 'garbled', now: number): void => forwarding.handle({ kind: 'attempt.failed', attempt, failure }, momentAt(now)),
-    leave: (request: number, now: number): void => forwarding.handle({ kind: 'call.left', request }, momentAt(now)),
+    leave: (request: number, now: number): void => forwarding.handle({ kind: 'call.left', request, id: `r${request}`, stage: 'open', reason: 'callerClosed' }, momentAt(now)),
     tick: (now: number): void => forwarding.tick(momentAt(now)),
     probed: (worker: string, reachable: boolean, now: number): void => forwarding.handle({ kind: 'worker.probed', worker, reachable }, momentAt(now)),
     probes: (): readonly string[] => effects.flatMap(effect => effect.kind === 'worker.probe' ? [effect.worker] : []),
