A caller that leaves ends each of its requests, also queued ones

What callers saw: nothing. A caller that sent two requests on one connection without waiting and then closed it left the second one in progress: its worker went on, its place in the tables was never given back, and a shutdown waited for it until the end of the grace period.

Cause: Node's server closes only the response that is being sent. Responses that wait for it on the same connection get no `close`, and the report that the caller had left was tied to that event.

Change: the requests of each connection are kept, and end with it.

The test failed before: of two open requests of a closed connection one was reported.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -1,4 +1,7 @@
-/** Connections of callers and why each of them ended. The reason that is noted first holds. */
+/**
+ * Connections of callers, the requests that are open on each, and why each of them
+ * ended. The reason that is noted first holds.
+ */
 import type { Server } from 'node:http'
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
@@ -6,6 +9,10 @@
 
 /** The connections of a server. */
 export interface CallerConnections {
+  /** Adds a request of a connection. */
+  readonly addRequest: (socket: Socket, request: number) => void
+  /** Removes a request whose response has been sent or that has ended. */
+  readonly removeRequest: (socket: Socket, request: number) => void
   /** Notes why a connection ends. */
   readonly noteEnd: (socket: Duplex, end: ConnectionEnd) => void
   /** Why a connection ended, or `unknown`. */
@@ -16,6 +23,14 @@
   readonly all: () => Iterable<Socket>
 }
 
+interface Connection {
+  /** Open requests, in the order of their arrival. */
+  readonly requests: Set<number>
+}
+
+/** What is called for each closed connection: its open requests and why it ended. */
+export type ConnectionClosed = (requests: Iterable<number>, end: ConnectionEnd) => void
+
 /** Responses to what could not be read, by the error's code. */
 const errorStatusLines: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -40,8 +55,8 @@
  * @param server - the server, which is not listening yet
  * @param onClosed - called for each closed connection
  */
-export const followCallerConnections = (server: Server, onClosed: (end: ConnectionEnd) => void): CallerConnections => {
-  const open = new Set<Socket>()
+export const followCallerConnections = (server: Server, onClosed: ConnectionClosed): CallerConnections => {
+  const open = new Map<Socket, Connection>()
   const ends = new WeakMap<Duplex, ConnectionEnd>()
 
   const noteEnd = (socket: Duplex, end: ConnectionEnd): void => {
@@ -54,11 +69,12 @@
   }
 
   server.on('connection', socket => {
-    open.add(socket)
+    const connection: Connection = { requests: new Set() }
+    open.set(socket, connection)
     socket.on('end', () => noteEnd(socket, 'callerClosed'))
     socket.on('close', () => {
       open.delete(socket)
-      onClosed(endOf(socket))
+      onClosed(connection.requests, endOf(socket))
     })
   })
   server.on('timeout', socket => destroy(socket, 'idleTimeout'))
@@ -71,5 +87,12 @@
     socket.destroy()
   })
 
-  return { noteEnd, endOf, destroy, all: () => open }
+  return {
+    addRequest: (socket, request) => open.get(socket)?.requests.add(request),
+    removeRequest: (socket, request) => open.get(socket)?.requests.delete(request),
+    noteEnd,
+    endOf,
+    destroy,
+    all: () => open.keys()
+  }
 }
--- a/src/adapters/callerEnds.spec.ts
+++ b/src/adapters/callerEnds.spec.ts
@@ -35,6 +35,15 @@
     expect(fixture.inputs.filter(({ kind }) => kind === 'call.arrived')).toEqual([])
   })
 
+  it('is reported for each request of a connection, also for one that follows an open one', async () => {
+    const caller = await fixture.open()
+    caller.socket.write(requestText('first') + requestText('second'))
+    await Promise.all(['first', 'second'].map(fixture.arrived))
+    caller.socket.destroy()
+    await waitFor(() => fixture.ends.length === 1)
+    expect(fixture.inputs.filter(({ kind }) => kind === 'call.left')).toMatchObject([{ id: 'first', stage: 'open' }, { id: 'second', stage: 'open' }])
+  })
+
   it('is the backlog of a caller that does not read', async () => {
     const socket = await fixture.openPaused()
     socket.write(requestText('slow'))
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -106,7 +106,7 @@
   const idOf = (openRequest: OpenRequest): string =>
     options.decode(headOf(openRequest), noBody).match(call => call.id, () => 'none')
 
-  /** Reports that the connection of a request ended before the whole response was sent. */
+  /** Reports a request whose connection ended before its whole response was sent. */
   const reportLeft = (request: number, openRequest: OpenRequest): void => {
     const { stage, message } = openRequest
     if (stage === 'ended') return
@@ -114,6 +114,19 @@
     emit({ kind: 'call.left', request, id: idOf(openRequest), stage, reason: connections.endOf(message.socket) })
   }
 
+  const end = (request: number): void => {
+    const openRequest = openRequests.get(request)
+    if (openRequest === undefined) return
+    openRequests.delete(request)
+    reportLeft(request, openRequest)
+  }
+
+  /** Ends the requests of a closed connection. The server does not close responses that were waiting for the one before them. */
+  const endAll = (requests: Iterable<number>, reason: ConnectionEnd): void => {
+    for (const request of requests) end(request)
+    options.onConnectionClosed?.(reason)
+  }
+
   const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
     lastRequest++
     const request = lastRequest
@@ -121,6 +134,7 @@
     let size = 0
     const openRequest: OpenRequest = { message, response, method: message.method ?? '', stage: 'reading' }
     openRequests.set(request, openRequest)
+    connections.addRequest(message.socket, request)
 
     const rejectBody = (): void => {
       openRequest.stage = 'open'
@@ -158,8 +172,8 @@
     })
     response.on('close', () => {
       // A response whose headers were sent before the shutdown had no `Connection: close`, so the caller may keep the connection open.
-      openRequests.delete(request)
-      reportLeft(request, openRequest)
+      connections.removeRequest(message.socket, request)
+      end(request)
       if (!listenerClosed || message.socket.destroyed) return
       connections.noteEnd(message.socket, 'shutdown')
       message.socket.destroySoon()
@@ -175,7 +189,7 @@
     headersTimeout: limits.headerTimeout,
     requestTimeout: 0
   }, handleRequest)
-  const connections = followCallerConnections(server, end => options.onConnectionClosed?.(end))
+  const connections = followCallerConnections(server, endAll)
 
   const writeHead = ({ response }: OpenRequest, status: number, headers: readonly string[]): void => {
     if (closing) response.shouldKeepAlive = false
