Closing the listener does not cut answers and requests

What callers saw: beside a planned shutdown, an answer that was being read slowly ended before its end, and a request sent on an idle connection at that moment got a reset instead of an answer or a refusal.

Cause: `close()` of Node's HTTP server destroys each connection that it counts as idle: also one whose response has been given whole while bytes of it wait for the caller, and one at which the next request has arrived but has not been read.

Change: only the listener is closed. Connections without open requests are closed after the sockets have been read once more, and only if nothing came; the others close after their response, as before.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -6,6 +6,7 @@
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
 import type { ConnectionEnd } from '../ports/forwardPort.js'
+import { afterNextRead } from './nextRead.js'
 
 /** The connections of a server. */
 export interface CallerConnections {
@@ -19,13 +20,17 @@
   readonly endOf: (socket: Duplex) => ConnectionEnd
   /** Notes the reason and destroys the connection. */
   readonly destroy: (socket: Duplex, end: ConnectionEnd) => void
-  /** All connections that are not closed yet. */
-  readonly all: () => Iterable<Socket>
+  /** Closes the connections without requests that have carried some, unless the next request has arrived. */
+  readonly closeIdle: () => void
+  /** Closes all connections. */
+  readonly destroyAll: (end: ConnectionEnd) => void
 }
 
 interface Connection {
   /** Open requests, in the order of their arrival. */
   readonly requests: Set<number>
+  /** Number of bytes that had been read when the last request ended; undefined before the first one. */
+  readAtLastEnd: number | undefined
 }
 
 /** What is called for each closed connection: its open requests and why it ended. */
@@ -68,8 +73,23 @@
     socket.destroy()
   }
 
+  const removeRequest = (socket: Socket, request: number): void => {
+    const connection = open.get(socket)
+    if (connection === undefined) return
+    connection.requests.delete(request)
+    connection.readAtLastEnd = socket.bytesRead
+  }
+
+  const closeIdle = (): void => {
+    afterNextRead(() => {
+      for (const [socket, { requests, readAtLastEnd }] of open) {
+        if (requests.size === 0 && socket.bytesRead === readAtLastEnd) destroy(socket, 'shutdown')
+      }
+    })
+  }
+
   server.on('connection', socket => {
-    const connection: Connection = { requests: new Set() }
+    const connection: Connection = { requests: new Set(), readAtLastEnd: undefined }
     open.set(socket, connection)
     socket.on('end', () => noteEnd(socket, 'callerClosed'))
     socket.on('close', () => {
@@ -89,10 +109,11 @@
 
   return {
     addRequest: (socket, request) => open.get(socket)?.requests.add(request),
-    removeRequest: (socket, request) => open.get(socket)?.requests.delete(request),
+    removeRequest,
     noteEnd,
     endOf,
     destroy,
-    all: () => open.keys()
+    closeIdle,
+    destroyAll: end => { for (const socket of open.keys()) destroy(socket, end) }
   }
 }
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -3,10 +3,11 @@
  * and passed to the core; the core's responses are sent byte for byte.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { Server, type AddressInfo } from 'node:net'
 import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { RawCall, WireCodec } from '../ports/platformPort.js'
 import { followCallerConnections } from './callerConnections.js'
+import { afterNextRead } from './nextRead.js'
 
 /** Effects on requests of callers. */
 export type CallEffect = Extract<ForwardEffect, { readonly request: number }>
@@ -74,13 +75,6 @@
   return effect.kind === 'call.answer' || effect.kind === 'call.end' ? 'sending' : stage
 }
 
-/**
- * Calls `callback` after the sockets have been read once more. After the process
- * was blocked, a request and the close of its connection may be pending together;
- * the delay lets the close be handled first.
- */
-const afterNextRead = (callback: () => void): void => { setImmediate(() => setImmediate(callback)) }
-
 const hasHeader = (headers: readonly string[], name: string): boolean =>
   headers.some((header, index) => index % 2 === 0 && header.toLowerCase() === name)
 
@@ -253,14 +247,13 @@
     setClosing: () => { closing = true },
     closeListener: () => {
       listenerClosed = true
-      server.close()
-      for (const socket of connections.all()) {
-        if (socket.destroyed) connections.noteEnd(socket, 'shutdown')
-      }
+      // The method of the HTTP server would also close connections whose response has been given whole but not sent.
+      Server.prototype.close.call(server)
+      connections.closeIdle()
     },
     destroy: () => {
       server.close()
-      for (const socket of connections.all()) connections.destroy(socket, 'shutdown')
+      connections.destroyAll('shutdown')
     }
   }
 }
