A connection is not closed while another of its requests is open

What callers saw: a caller that sends requests without waiting for the response to the one before lost those that came after the first response of a shutdown, although they had been read and sent to workers. A request that followed a response with `Connection: close` was passed on to a worker, and its response never sent.

Cause: each response of a closing instance announced the end of its connection and ended it; and after the listener was closed, any ended response closed its connection.

Change: only the response to the newest request of a connection announces the end. A connection is closed once no request of it is open.

The tests failed before: the second of two requests got no response, once after `Connection: close`, once after a response begun before the shutdown; and a request after the announcement was passed on.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -14,6 +14,14 @@
   readonly addRequest: (socket: Socket, request: number) => void
   /** Removes a request whose response has been sent or that has ended. */
   readonly removeRequest: (socket: Socket, request: number) => void
+  /** Whether the request is the newest of its connection, after which the connection may be closed. */
+  readonly isNewest: (socket: Socket, request: number) => boolean
+  /** Whether requests of the connection are open. */
+  readonly hasRequests: (socket: Socket) => boolean
+  /** Notes that the response to the request announces the end of the connection. */
+  readonly announceEnd: (socket: Socket, request: number) => void
+  /** Whether the request came after one whose response announced the end of the connection. */
+  readonly isAfterEnd: (socket: Socket, request: number) => boolean
   /** Notes why a connection ends. */
   readonly noteEnd: (socket: Duplex, end: ConnectionEnd) => void
   /** Why a connection ended, or `unknown`. */
@@ -31,6 +39,9 @@
   readonly requests: Set<number>
   /** Number of bytes that had been read when the last request ended; undefined before the first one. */
   readAtLastEnd: number | undefined
+  newest: number
+  /** Request whose response announces the end of the connection. */
+  last: number
 }
 
 /** What is called for each closed connection: its open requests and why it ended. */
@@ -73,6 +84,13 @@
     socket.destroy()
   }
 
+  const addRequest = (socket: Socket, request: number): void => {
+    const connection = open.get(socket)
+    if (connection === undefined) return
+    connection.requests.add(request)
+    connection.newest = request
+  }
+
   const removeRequest = (socket: Socket, request: number): void => {
     const connection = open.get(socket)
     if (connection === undefined) return
@@ -89,7 +107,7 @@
   }
 
   server.on('connection', socket => {
-    const connection: Connection = { requests: new Set(), readAtLastEnd: undefined }
+    const connection: Connection = { requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity }
     open.set(socket, connection)
     socket.on('end', () => noteEnd(socket, 'callerClosed'))
     socket.on('close', () => {
@@ -108,8 +126,15 @@
   })
 
   return {
-    addRequest: (socket, request) => open.get(socket)?.requests.add(request),
+    addRequest,
     removeRequest,
+    isNewest: (socket, request) => open.get(socket)?.newest === request,
+    hasRequests: socket => (open.get(socket)?.requests.size ?? 0) > 0,
+    announceEnd: (socket, request) => {
+      const connection = open.get(socket)
+      if (connection !== undefined) connection.last = Math.min(connection.last, request)
+    },
+    isAfterEnd: (socket, request) => request > (open.get(socket)?.last ?? 0),
     noteEnd,
     endOf,
     destroy,
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -121,6 +121,11 @@
     options.onConnectionClosed?.(reason)
   }
 
+  const announceEnd = (request: number, { message, response }: OpenRequest): void => {
+    response.shouldKeepAlive = false
+    connections.announceEnd(message.socket, request)
+  }
+
   const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
     lastRequest++
     const request = lastRequest
@@ -132,7 +137,7 @@
 
     const rejectBody = (): void => {
       openRequest.stage = 'open'
-      response.shouldKeepAlive = false
+      announceEnd(request, openRequest)
       emit({ kind: 'call.unreadable', request, problem: { kind: 'bodyTooLarge', limit: limits.bodyBytes } })
     }
 
@@ -145,6 +150,7 @@
     const deliver = (): void => {
       if (openRequest.stage !== 'read') return
       if (message.socket.readableEnded || message.socket.destroyed) return reportLeft(request, openRequest)
+      if (connections.isAfterEnd(message.socket, request)) return
       openRequest.stage = 'open'
       options.decode(headOf(openRequest), chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)).match(
         call => emit({ kind: 'call.arrived', request, call }),
@@ -168,7 +174,7 @@
       // A response whose headers were sent before the shutdown had no `Connection: close`, so the caller may keep the connection open.
       connections.removeRequest(message.socket, request)
       end(request)
-      if (!listenerClosed || message.socket.destroyed) return
+      if (!listenerClosed || message.socket.destroyed || connections.hasRequests(message.socket)) return
       connections.noteEnd(message.socket, 'shutdown')
       message.socket.destroySoon()
     })
@@ -185,16 +191,17 @@
   }, handleRequest)
   const connections = followCallerConnections(server, endAll)
 
-  const writeHead = ({ response }: OpenRequest, status: number, headers: readonly string[]): void => {
-    if (closing) response.shouldKeepAlive = false
+  const writeHead = (request: number, openRequest: OpenRequest, status: number, headers: readonly string[]): void => {
+    const { message, response } = openRequest
+    if (closing && connections.isNewest(message.socket, request)) announceEnd(request, openRequest)
     response.writeHead(status, [...headers])
   }
 
   const answer = (openRequest: OpenRequest, effect: Extract<CallEffect, { kind: 'call.answer' }>): void => {
-    const { status, headers, body } = effect
+    const { request, status, headers, body } = effect
     const bodiless = bodilessStatuses.has(status) || openRequest.method === 'HEAD'
     const length = bodiless || hasHeader(headers, 'content-length') ? [] : ['Content-Length', String(body.length)]
-    writeHead(openRequest, status, [...headers, ...length])
+    writeHead(request, openRequest, status, [...headers, ...length])
     openRequest.response.end(bodiless ? undefined : body)
   }
 
@@ -216,7 +223,7 @@
     switch (effect.kind) {
       case 'call.answer': return answer(openRequest, effect)
       case 'call.open':
-        writeHead(openRequest, effect.status, withoutLength(effect.headers))
+        writeHead(effect.request, openRequest, effect.status, withoutLength(effect.headers))
         openRequest.response.flushHeaders()
         return
       case 'call.write': return write(openRequest, effect.bytes)
