An expired keep-alive timer does not cut a request that has arrived

What callers saw: after the process had been suspended or blocked, a request sent on a connection that had been idle ended with a reset, without an answer or a refusal.

Cause: timers run before sockets are read. The keep-alive timer had expired meanwhile, and the server destroyed the connection with the request in it.

Change: the connection is closed after the sockets have been read once more, and only if nothing came.

The test failed before: the second request of a connection was never read, and its connection closed, after the process had been blocked for 1.1 s.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -98,6 +98,14 @@
     connection.readAtLastEnd = socket.bytesRead
   }
 
+  /** Calls `close` unless something that had arrived at the connection is read first. */
+  const closeUnlessRead = (socket: Socket, close: () => void): void => {
+    const readBefore = socket.bytesRead
+    afterNextRead(() => {
+      if (socket.bytesRead === readBefore) close()
+    })
+  }
+
   const closeIdle = (): void => {
     afterNextRead(() => {
       for (const [socket, { requests, readAtLastEnd }] of open) {
@@ -115,7 +123,7 @@
       onClosed(connection.requests, endOf(socket))
     })
   })
-  server.on('timeout', socket => destroy(socket, 'idleTimeout'))
+  server.on('timeout', socket => closeUnlessRead(socket, () => destroy(socket, 'idleTimeout')))
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const end = endOfError(error.code)
     noteEnd(socket, end)
