An expired header timeout does not refuse a request that has arrived

What callers saw: a whole request on a new connection was refused with 408 after the process had been suspended or blocked for longer than the header timeout.

Cause: the same order as with the keep-alive timer: the check of the headers' time limit ran before the sockets were read.

Change: the refusal waits until the sockets have been read once more; a request whose headers are complete by then is handled.

The test failed before: the caller got 408 although its request had arrived.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -106,6 +106,15 @@
     })
   }
 
+  /** Responds to what could not be read, and closes the connection. */
+  const rejectUnreadable = (socket: Socket, code: string | undefined): void => {
+    const end = endOfError(code)
+    if (end !== 'callerReset' && socket.writable && !hasSentHead(socket)) {
+      socket.write(`HTTP/1.1 ${errorStatusLines[code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
+    }
+    destroy(socket, end)
+  }
+
   const closeIdle = (): void => {
     afterNextRead(() => {
       for (const [socket, { requests, readAtLastEnd }] of open) {
@@ -118,19 +127,21 @@
     const connection: Connection = { requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity }
     open.set(socket, connection)
     socket.on('end', () => noteEnd(socket, 'callerClosed'))
+    socket.on('error', (error: NodeJS.ErrnoException) => noteEnd(socket, endOfError(error.code)))
     socket.on('close', () => {
       open.delete(socket)
       onClosed(connection.requests, endOf(socket))
     })
   })
   server.on('timeout', socket => closeUnlessRead(socket, () => destroy(socket, 'idleTimeout')))
-  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    const end = endOfError(error.code)
-    noteEnd(socket, end)
-    if (end !== 'callerReset' && socket.writable && !hasSentHead(socket)) {
-      socket.write(`HTTP/1.1 ${errorStatusLines[error.code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
-    }
-    socket.destroy()
+  server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+    const socket = stream as Socket
+    const reject = (): void => rejectUnreadable(socket, error.code)
+    if (endOfError(error.code) !== 'headerTimeout') return reject()
+    const newestBefore = open.get(socket)?.newest
+    afterNextRead(() => {
+      if (open.get(socket)?.newest === newestBefore) reject()
+    })
   })
 
   return {
--- a/src/adapters/frontTimeouts.spec.ts
+++ b/src/adapters/frontTimeouts.spec.ts
@@ -35,6 +35,18 @@
     expect(fixture.ends).toEqual(['idleTimeout'])
   })
 
+  it('does not refuse a request that arrived on a new connection while the process was suspended', async () => {
+    fixture.front.setLimits(limits)
+    const caller = await fixture.open()
+    const later = await fixture.open()
+    later.socket.write(requestText('later'))
+    await fixture.arrived('later')
+    caller.socket.write(requestText('whole', 'abc'))
+    suspend(suspension)
+    await waitFor(() => fixture.inputs.length === 2 || caller.isClosed())
+    expect(fixture.inputs).toMatchObject([{ call: { id: 'later' } }, { call: { id: 'whole' } }])
+  })
+
   it('refuses a request whose headers do not arrive in time', async () => {
     fixture.front.setLimits(limits)
     const caller = await fixture.open()
