A connection stays open for the keep-alive timeout that was announced on it

What callers saw: a connection was closed while its caller could still use it by the `Keep-Alive` of its last response, so that the next request met a reset.

Cause: a response announces the timeout in force when its request was read, and the connection was closed by the one in force when the response ended: lowered in between, the connection lasted 3 s where 10 s had been announced. A raised timeout did not reach connections that were idle already.

Change: an idle connection lasts for the timeout that its last response announced, or for the present one if that is longer. A lowered timeout holds from the next response of a connection on.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -10,6 +10,8 @@
 
 /** The connections of a server. */
 export interface CallerConnections {
+  /** Sets the keep-alive timeout, in ms. An idle connection keeps a longer one that was announced on it. */
+  readonly setKeepAlive: (time: number) => void
   /** Adds a request of a connection. */
   readonly addRequest: (socket: Socket, request: number) => void
   /** Removes a request whose response has been sent or that has ended. */
@@ -42,8 +44,13 @@
   newest: number
   /** Request whose response announces the end of the connection. */
   last: number
+  /** Keep-alive timeout that the newest response announces, in ms. */
+  keepAlive: number
 }
 
+/** Time beyond its keep-alive timeout after which an idle connection is closed, in ms. */
+const keepAliveMargin = 1_000
+
 /** What is called for each closed connection: its open requests and why it ended. */
 export type ConnectionClosed = (requests: Iterable<number>, end: ConnectionEnd) => void
 
@@ -84,11 +91,28 @@
     socket.destroy()
   }
 
+  const isIdle = ({ requests, readAtLastEnd }: Connection): boolean => requests.size === 0 && readAtLastEnd !== undefined
+
+  /** Keeps an idle connection for the timeout that was announced on it, or for the present one if it is longer. */
+  const extendKeepAlive = (socket: Socket, connection: Connection): void => {
+    if (!isIdle(connection)) return
+    connection.keepAlive = Math.max(connection.keepAlive, server.keepAliveTimeout)
+    if (connection.keepAlive > 0) socket.setTimeout(connection.keepAlive + keepAliveMargin)
+  }
+
+  const setKeepAlive = (time: number): void => {
+    server.keepAliveTimeout = time
+    for (const [socket, connection] of open) {
+      if (connection.keepAlive < time) extendKeepAlive(socket, connection)
+    }
+  }
+
   const addRequest = (socket: Socket, request: number): void => {
     const connection = open.get(socket)
     if (connection === undefined) return
     connection.requests.add(request)
     connection.newest = request
+    connection.keepAlive = server.keepAliveTimeout
   }
 
   const removeRequest = (socket: Socket, request: number): void => {
@@ -96,6 +120,7 @@
     if (connection === undefined) return
     connection.requests.delete(request)
     connection.readAtLastEnd = socket.bytesRead
+    extendKeepAlive(socket, connection)
   }
 
   /** Calls `close` unless something that had arrived at the connection is read first. */
@@ -117,14 +142,14 @@
 
   const closeIdle = (): void => {
     afterNextRead(() => {
-      for (const [socket, { requests, readAtLastEnd }] of open) {
-        if (requests.size === 0 && socket.bytesRead === readAtLastEnd) destroy(socket, 'shutdown')
+      for (const [socket, connection] of open) {
+        if (isIdle(connection) && socket.bytesRead === connection.readAtLastEnd) destroy(socket, 'shutdown')
       }
     })
   }
 
   server.on('connection', socket => {
-    const connection: Connection = { requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity }
+    const connection: Connection = { requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity, keepAlive: server.keepAliveTimeout }
     open.set(socket, connection)
     socket.on('end', () => noteEnd(socket, 'callerClosed'))
     socket.on('error', (error: NodeJS.ErrnoException) => noteEnd(socket, endOfError(error.code)))
@@ -133,7 +158,10 @@
       onClosed(connection.requests, endOf(socket))
     })
   })
-  server.on('timeout', socket => closeUnlessRead(socket, () => destroy(socket, 'idleTimeout')))
+  server.on('timeout', socket => {
+    const connection = open.get(socket)
+    if (connection !== undefined && isIdle(connection)) closeUnlessRead(socket, () => destroy(socket, 'idleTimeout'))
+  })
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
     const socket = stream as Socket
     const reject = (): void => rejectUnreadable(socket, error.code)
@@ -145,6 +173,7 @@
   })
 
   return {
+    setKeepAlive,
     addRequest,
     removeRequest,
     isNewest: (socket, request) => open.get(socket)?.newest === request,
--- /dev/null
+++ b/src/adapters/frontLimits.spec.ts
@@ -0,0 +1,68 @@
+import { Socket } from 'node:net'
+import { startFront, requestText, type FrontFixture, type TestCaller } from '../../test/fixtures/front.js'
+import { waitFor } from '../../test/fakes/waitFor.js'
+
+let fixture: FrontFixture
+
+beforeEach(async () => { fixture = await startFront() })
+afterEach(() => {
+  jest.restoreAllMocks()
+  fixture.close()
+})
+
+const loose = { bodyBytes: 100, idleTimeout: 10_000, headerTimeout: 3_000 }
+const strict = { bodyBytes: 10, idleTimeout: 2_000, headerTimeout: 1_000 }
+
+/** Records the keep-alive timeouts of connections, in ms; 0 while a request is open. */
+const recordTimeouts = (): () => readonly number[] => {
+  const spy = jest.spyOn(Socket.prototype, 'setTimeout')
+  return () => spy.mock.calls.map(([time]) => time)
+}
+
+/** Sends a request and answers it. */
+const exchange = async (caller: TestCaller, id: string): Promise<void> => {
+  caller.socket.write(requestText(id))
+  fixture.answer(await fixture.arrived(id), id)
+  await waitFor(() => caller.text().endsWith(id))
+}
+
+describe('a front server whose keep-alive timeout changes', () => {
+  it('keeps a connection for as long as its last response announced, although the timeout was lowered before it', async () => {
+    fixture.front.setLimits(loose)
+    const timeouts = recordTimeouts()
+    const caller = await fixture.open()
+    caller.socket.write(requestText('first'))
+    const request = await fixture.arrived('first')
+    fixture.front.setLimits(strict)
+    fixture.answer(request, 'first')
+    await waitFor(() => caller.text().endsWith('first'))
+    expect(caller.text()).toContain('Keep-Alive: timeout=10\r\n')
+    expect(timeouts().at(-1)).toBeGreaterThanOrEqual(loose.idleTimeout)
+  })
+
+  it('keeps a connection that is idle already for as long as a raised timeout says', async () => {
+    fixture.front.setLimits(strict)
+    const timeouts = recordTimeouts()
+    await exchange(await fixture.open(), 'first')
+    fixture.front.setLimits(loose)
+    expect(timeouts().at(-1)).toBeGreaterThanOrEqual(loose.idleTimeout)
+  })
+
+  it('leaves the timeout of an idle connection when it is lowered', async () => {
+    fixture.front.setLimits(loose)
+    const timeouts = recordTimeouts()
+    await exchange(await fixture.open(), 'first')
+    fixture.front.setLimits(strict)
+    expect(timeouts().at(-1)).toBeGreaterThanOrEqual(loose.idleTimeout)
+  })
+
+  it('uses the lowered timeout after the next response', async () => {
+    fixture.front.setLimits(loose)
+    const timeouts = recordTimeouts()
+    const caller = await fixture.open()
+    await exchange(caller, 'first')
+    fixture.front.setLimits(strict)
+    await exchange(caller, 'second')
+    expect(timeouts().at(-1)).toBeLessThan(loose.idleTimeout)
+  })
+})
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -238,7 +238,7 @@
 
   const setLimits = (next: FrontLimits): void => {
     limits = next
-    server.keepAliveTimeout = next.idleTimeout
+    connections.setKeepAlive(next.idleTimeout)
     server.headersTimeout = next.headerTimeout
   }
 
