A request is read under the size limit in force when it began

What callers saw: a body within the limit was refused as too large because the limit was lowered while the body was on its way.

Cause: each piece of a body was held against the present limit.

Change: a request may be as long as when its headers were read, or as the present limit allows if that is higher.

--- a/src/adapters/frontLimits.spec.ts
+++ b/src/adapters/frontLimits.spec.ts
@@ -66,3 +66,39 @@
     expect(timeouts().at(-1)).toBeLessThan(loose.idleTimeout)
   })
 })
+
+describe('a front server whose size limit changes', () => {
+  /** Begins a request with a body of 50 bytes, of which 20 are missing. */
+  const beginLong = async (): Promise<TestCaller> => {
+    const caller = await fixture.open()
+    const other = await fixture.open()
+    caller.socket.write(requestText('long', 'x'.repeat(50)).slice(0, -20))
+    await exchange(other, 'other')
+    return caller
+  }
+
+  it('reads a request under the limit in force when it began, although it is lowered', async () => {
+    fixture.front.setLimits(loose)
+    const caller = await beginLong()
+    fixture.front.setLimits(strict)
+    caller.socket.write('x'.repeat(20))
+    await waitFor(() => fixture.inputs.length === 2)
+    expect(fixture.inputs[1]).toMatchObject({ kind: 'call.arrived', call: { id: 'long' } })
+  })
+
+  it('reads a request under a limit that is raised while it is read', async () => {
+    fixture.front.setLimits({ ...strict, bodyBytes: 40 })
+    const caller = await beginLong()
+    fixture.front.setLimits(loose)
+    caller.socket.write('x'.repeat(20))
+    await waitFor(() => fixture.inputs.length === 2)
+    expect(fixture.inputs[1]).toMatchObject({ kind: 'call.arrived', call: { id: 'long' } })
+  })
+
+  it('applies a lowered limit to the next request', async () => {
+    fixture.front.setLimits(loose)
+    fixture.front.setLimits(strict)
+    await beginLong()
+    expect(fixture.inputs[0]).toMatchObject({ kind: 'call.unreadable', problem: { kind: 'bodyTooLarge', limit: strict.bodyBytes } })
+  })
+})
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -135,16 +135,20 @@
     openRequests.set(request, openRequest)
     connections.addRequest(message.socket, request)
 
+    const { bodyBytes } = limits
+    /** A request may be as long as when it began, or as it may be now. */
+    const bodyLimit = (): number => Math.max(bodyBytes, limits.bodyBytes)
+
     const rejectBody = (): void => {
       openRequest.stage = 'open'
       announceEnd(request, openRequest)
-      emit({ kind: 'call.unreadable', request, problem: { kind: 'bodyTooLarge', limit: limits.bodyBytes } })
+      emit({ kind: 'call.unreadable', request, problem: { kind: 'bodyTooLarge', limit: bodyLimit() } })
     }
 
     message.on('data', (chunk: Buffer) => {
       if (openRequest.stage !== 'reading') return
       size += chunk.length
-      if (size > limits.bodyBytes) return rejectBody()
+      if (size > bodyLimit()) return rejectBody()
       chunks.push(chunk)
     })
     const deliver = (): void => {
