Headers are read under the time limit in force when they began

What callers saw: a request whose headers were on their way was refused with 408, or its connection closed, because the header timeout was lowered.

Cause: the check at an interval holds all headers that are being read against the present timeout.

Change: while connections are open, a lowered timeout holds once the one before it has passed; until then the one before it stays in force. A raised one holds at once.

The test failed before: headers begun under a timeout of 3 s were refused at the first check after it had been lowered to 1 ms.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -12,6 +12,8 @@
 export interface CallerConnections {
   /** Sets the keep-alive timeout, in ms. An idle connection keeps a longer one that was announced on it. */
   readonly setKeepAlive: (time: number) => void
+  /** Sets the time limit for receiving headers, in ms. A lower one holds once the one before has passed, as headers may be on their way. */
+  readonly setHeaderTimeout: (time: number) => void
   /** Adds a request of a connection. */
   readonly addRequest: (socket: Socket, request: number) => void
   /** Removes a request whose response has been sent or that has ended. */
@@ -81,6 +83,8 @@
 export const followCallerConnections = (server: Server, onClosed: ConnectionClosed): CallerConnections => {
   const open = new Map<Socket, Connection>()
   const ends = new WeakMap<Duplex, ConnectionEnd>()
+  let headerTimeout = server.headersTimeout
+  let lowering: NodeJS.Timeout | undefined
 
   const noteEnd = (socket: Duplex, end: ConnectionEnd): void => {
     if (!ends.has(socket)) ends.set(socket, end)
@@ -107,6 +111,18 @@
     }
   }
 
+  const setHeaderTimeout = (time: number): void => {
+    if (time === headerTimeout) return
+    headerTimeout = time
+    clearTimeout(lowering)
+    if (open.size === 0 || time >= server.headersTimeout) {
+      server.headersTimeout = time
+      return
+    }
+    lowering = setTimeout(() => { server.headersTimeout = time }, server.headersTimeout)
+    lowering.unref()
+  }
+
   const addRequest = (socket: Socket, request: number): void => {
     const connection = open.get(socket)
     if (connection === undefined) return
@@ -174,6 +190,7 @@
 
   return {
     setKeepAlive,
+    setHeaderTimeout,
     addRequest,
     removeRequest,
     isNewest: (socket, request) => open.get(socket)?.newest === request,
--- a/src/adapters/frontLimits.spec.ts
+++ b/src/adapters/frontLimits.spec.ts
@@ -1,5 +1,5 @@
 import { Socket } from 'node:net'
-import { startFront, requestText, type FrontFixture, type TestCaller } from '../../test/fixtures/front.js'
+import { startFront, requestText, suspend, type FrontFixture, type TestCaller } from '../../test/fixtures/front.js'
 import { waitFor } from '../../test/fakes/waitFor.js'
 
 let fixture: FrontFixture
@@ -13,6 +13,9 @@
 const loose = { bodyBytes: 100, idleTimeout: 10_000, headerTimeout: 3_000 }
 const strict = { bodyBytes: 10, idleTimeout: 2_000, headerTimeout: 1_000 }
 
+/** Longer than the interval at which the server checks header timeouts, in ms. */
+const checkInterval = 1_100
+
 /** Records the keep-alive timeouts of connections, in ms; 0 while a request is open. */
 const recordTimeouts = (): () => readonly number[] => {
   const spy = jest.spyOn(Socket.prototype, 'setTimeout')
@@ -102,3 +105,29 @@
     expect(fixture.inputs[0]).toMatchObject({ kind: 'call.unreadable', problem: { kind: 'bodyTooLarge', limit: strict.bodyBytes } })
   })
 })
+
+describe('a front server whose header timeout is lowered', () => {
+  it('goes on reading headers that began before, under the timeout in force then', async () => {
+    fixture.front.setLimits(loose)
+    const caller = await fixture.open()
+    await exchange(caller, 'first')
+    const text = requestText('second')
+    caller.socket.write(text.slice(0, 10))
+    await exchange(await fixture.open(), 'other')
+    fixture.front.setLimits({ ...loose, headerTimeout: 1 })
+    suspend(checkInterval)
+    await exchange(await fixture.open(), 'another')
+    caller.socket.write(text.slice(10))
+    await waitFor(() => fixture.inputs.length === 4 || caller.isClosed())
+    expect(fixture.inputs[3]).toMatchObject({ kind: 'call.arrived', call: { id: 'second' } })
+  })
+
+  it('applies the lowered timeout once the timeout before it has passed', async () => {
+    fixture.front.setLimits({ ...loose, headerTimeout: 100 })
+    const caller = await fixture.open()
+    fixture.front.setLimits({ ...loose, headerTimeout: 1 })
+    await waitFor(() => fixture.ends.length === 1)
+    expect(fixture.ends).toEqual(['headerTimeout'])
+    expect(caller.text()).toMatch(/^HTTP\/1.1 408 /)
+  })
+})
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -243,7 +243,7 @@
   const setLimits = (next: FrontLimits): void => {
     limits = next
     connections.setKeepAlive(next.idleTimeout)
-    server.headersTimeout = next.headerTimeout
+    connections.setHeaderTimeout(next.headerTimeout)
   }
 
   const listen = (): Promise<number> => new Promise((resolve, reject) => {
