A shutdown waits for requests that are read and responses that are sent

What callers saw: beside a planned shutdown, an answer that was being read slowly was cut 150 ms after its last byte had been given to the server, and a request whose body was on its way ended without an answer.

Cause: the process ended once the core had no request in progress. The core does not know requests that are being read, nor responses that it has completed and that wait for their callers.

Change: the process ends once the front has no such request, at the latest half a second before the grace period ends, as before. The core goes on meanwhile and answers what is read to its end.

The tests of `flushed` and of the effect's `within` did not exist before.

Existing test: the gateway's spec also states how long the exit may wait.

--- a/src/adapters/frontClosing.spec.ts
+++ b/src/adapters/frontClosing.spec.ts
@@ -93,3 +93,40 @@
     expect(await fixture.left('second')).toMatchObject({ stage: 'read', reason: 'lastResponse' })
   })
 })
+
+describe('the responses of a front server', () => {
+  const isFlushed = (): () => boolean => {
+    let flushed = false
+    fixture.front.flushed().then(() => { flushed = true }, () => { /* It does not reject. */ })
+    return () => flushed
+  }
+
+  it('are not flushed while a request is being read or its caller is still reading the response', async () => {
+    const socket = await fixture.openPaused()
+    const other = await fixture.open()
+    socket.write(requestText('slow', 'abc').slice(0, -1))
+    other.socket.write(requestText('other'))
+    await fixture.arrived('other')
+    const flushed = isFlushed()
+    fixture.front.closeListener()
+    fixture.answer(await fixture.arrived('other'), 'done')
+    await waitFor(() => other.isClosed())
+    expect(flushed()).toBe(false)
+    socket.write('c')
+    fixture.answer(await fixture.arrived('slow'), hugeBody)
+    await waitFor(() => socket.readableLength > 0)
+    expect(flushed()).toBe(false)
+    socket.resume()
+    await waitFor(flushed)
+  })
+
+  it('are flushed once their callers have left', async () => {
+    const caller = await fixture.open()
+    caller.socket.write(requestText('left'))
+    await fixture.arrived('left')
+    const flushed = isFlushed()
+    caller.socket.destroy()
+    await waitFor(flushed)
+    expect(await fixture.left('left')).toMatchObject({ reason: 'callerClosed' })
+  })
+})
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -46,6 +46,8 @@
   readonly setClosing: () => void
   /** Stops accepting connections and closes idle ones; the others are closed after their response. */
   readonly closeListener: () => void
+  /** Resolves once no request is being read or answered; requests that come later delay it. */
+  readonly flushed: () => Promise<void>
   /** Stops listening and closes all connections at once. */
   readonly destroy: () => void
 }
@@ -90,6 +92,7 @@
  */
 export const createFrontServer = (options: FrontServerOptions, emit: (input: ForwardInput) => void): FrontServer => {
   const openRequests = new Map<number, OpenRequest>()
+  const flushWaiters: (() => void)[] = []
   let limits = defaultLimits
   let closing = false
   let listenerClosed = false
@@ -113,6 +116,12 @@
     if (openRequest === undefined) return
     openRequests.delete(request)
     reportLeft(request, openRequest)
+    if (openRequests.size > 0) return
+    for (const resolve of flushWaiters.splice(0)) resolve()
+  }
+
+  const flushed = async (): Promise<void> => {
+    while (openRequests.size > 0) await new Promise<void>(resolve => flushWaiters.push(resolve))
   }
 
   /** Ends the requests of a closed connection. The server does not close responses that were waiting for the one before them. */
@@ -262,6 +271,7 @@
       Server.prototype.close.call(server)
       connections.closeIdle()
     },
+    flushed,
     destroy: () => {
       server.close()
       connections.destroyAll('shutdown')
--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -31,7 +31,7 @@
   send({ kind: 'feed.catalog', catalog: buildCatalog() }, 0)
   send({ kind: 'feed.proof', asOf: at(0) }, 0)
   send({ kind: 'feed.workers', records: [{ kind: 'present', worker: buildWorker('w1') }], complete: true }, 0)
-  return { gateway, send, run, firstAt }
+  return { gateway, send, run, firstAt, effects }
 }
 
 describe('a gateway that shuts down', () => {
@@ -49,13 +49,15 @@
   })
 
   it('exits when its requests have ended', () => {
-    const { send, run, firstAt } = build()
+    const { send, run, firstAt, effects } = build()
     send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: 1_000_000 }) }, 90)
     send({ kind: 'gateway.leave' }, 100)
     run(120, 700)
     send({ kind: 'call.left', request: 1, id: 'r1', stage: 'open', reason: 'callerClosed' }, 710)
     run(720, 3_500)
     expect(firstAt('gateway.exit')).toBe(firstAt('gateway.closeFront'))
+    const exits = effects.filter(({ effect }) => effect.kind === 'gateway.exit')
+    expect(exits.map(({ at, effect }) => effect.kind === 'gateway.exit' ? at + effect.within : 0)).toEqual([100 + 8_000 - 500])
   })
 
   it('does not claim the rollout lease', () => {
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -36,8 +36,8 @@
   | { readonly kind: 'gateway.closing' }
   /** Stops accepting connections from callers, and closes idle ones. */
   | { readonly kind: 'gateway.closeFront' }
-  /** Ends the process. */
-  | { readonly kind: 'gateway.exit' }
+  /** Ends the process once no request of a caller is being read or answered, at the latest after `within` ms. */
+  | { readonly kind: 'gateway.exit', readonly within: number }
   /** Writes a log event and counts it for the metrics. */
   | { readonly kind: 'gateway.note', readonly note: GatewayLogEvent }
 
--- a/src/gateway/shutdown.ts
+++ b/src/gateway/shutdown.ts
@@ -2,8 +2,8 @@
  * Graceful shutdown of an instance, without interrupting requests. The instance
  * announces the shutdown at once and accepts callers for as long as they may have
  * its address cached, up to half of the grace period. It then closes the listener
- * for callers (the front), and exits when its requests have ended, or shortly
- * before the grace period ends.
+ * for callers (the front), and exits when its requests have ended and their
+ * responses have been sent, or shortly before the grace period ends.
  */
 import type { GatewayEffect, GatewayLogEvent } from './gatewayTypes.js'
 
@@ -74,9 +74,10 @@
     const addressesExpired = elapsed >= Math.min(addressLife * addressLifeFactor + announceDelay, grace / 2)
     if (addressesExpired && !frontClosed) closeFront()
     if (!frontClosed) return
-    if (requests() > 0 && elapsed < grace - graceReserve) return
+    const within = Math.max(0, grace - graceReserve - elapsed)
+    if (requests() > 0 && within > 0) return
     exiting = true
-    emit({ kind: 'gateway.exit' })
+    emit({ kind: 'gateway.exit', within })
   }
 
   return { begin, isShuttingDown: () => startedAt !== undefined, tick }
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -44,6 +44,8 @@
 /** Reads the monotonic clock and the wall clock of this process, both in ms. */
 export const readClocks = (): Moment => ({ steady: performance.now(), wall: Date.now() })
 
+const delay = (time: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, time) })
+
 const splitHostPort = (endpoint: string): { readonly host: string, readonly port: number } => {
   const colon = endpoint.lastIndexOf(':')
   return { host: endpoint.slice(0, colon), port: Number(endpoint.slice(colon + 1)) }
@@ -95,9 +97,10 @@
   let resolveEnded: () => void = () => { /* Replaced by the promise below. */ }
   const ended = new Promise<void>(resolve => { resolveEnded = resolve })
 
-  const exit = async (): Promise<void> => {
+  const exit = async (within: number): Promise<void> => {
+    await Promise.race([front.flushed(), delay(within)])
     clearInterval(timer)
-    await new Promise(resolve => { setTimeout(resolve, flushDelay) })
+    await delay(flushDelay)
     front.destroy()
     peers.close()
     for (const server of servers) {
@@ -136,7 +139,7 @@
       case 'gateway.closing': return front.setClosing()
       case 'gateway.closeFront': return front.closeListener()
       case 'gateway.exit':
-        exit()
+        exit(effect.within)
         return
       case 'gateway.note':
         metrics.countEvent(effect.note)
