--- /dev/null
+++ b/src/adapters/callerConnections.ts
@@ -0,0 +1,209 @@
+/**
+ * Connections of callers, the requests that are open on each, and why each of them
+ * ended. The reason that is noted first holds.
+ */
+import type { Server } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
+import type { ConnectionEnd } from '../ports/forwardPort.js'
+import { afterNextRead } from './nextRead.js'
+
+/** The connections of a server. */
+export interface CallerConnections {
+  /** Sets the keep-alive timeout, in ms. An idle connection keeps a longer one that was announced on it. */
+  readonly setKeepAlive: (time: number) => void
+  /** Sets the time limit for receiving headers, in ms. A lower one holds once the one before has passed, as headers may be on their way. */
+  readonly setHeaderTimeout: (time: number) => void
+  /** Adds a request of a connection. */
+  readonly addRequest: (socket: Socket, request: number) => void
+  /** Removes a request whose response has been sent or that has ended. */
+  readonly removeRequest: (socket: Socket, request: number) => void
+  /** Whether the request is the newest of its connection, after which the connection may be closed. */
+  readonly isNewest: (socket: Socket, request: number) => boolean
+  /** Whether requests of the connection are open. */
+  readonly hasRequests: (socket: Socket) => boolean
+  /** Notes that the response to the request announces the end of the connection. */
+  readonly announceEnd: (socket: Socket, request: number) => void
+  /** Whether the request came after one whose response announced the end of the connection. */
+  readonly isAfterEnd: (socket: Socket, request: number) => boolean
+  /** Notes why a connection ends. */
+  readonly noteEnd: (socket: Duplex, end: ConnectionEnd) => void
+  /** Why a connection ended, or `unknown`. */
+  readonly endOf: (socket: Duplex) => ConnectionEnd
+  /** Notes the reason and destroys the connection. */
+  readonly destroy: (socket: Duplex, end: ConnectionEnd) => void
+  /** Closes the connections without requests that have carried some, unless the next request has arrived. */
+  readonly closeIdle: () => void
+  /** Closes all connections. */
+  readonly destroyAll: (end: ConnectionEnd) => void
+}
+
+interface Connection {
+  /** Open requests, in the order of their arrival. */
+  readonly requests: Set<number>
+  /** Number of bytes that had been read when the last request ended; undefined before the first one. */
+  readAtLastEnd: number | undefined
+  newest: number
+  /** Request whose response announces the end of the connection. */
+  last: number
+  /** Keep-alive timeout that the newest response announces, in ms. */
+  keepAlive: number
+}
+
+/** Time beyond its keep-alive timeout after which an idle connection is closed, in ms. */
+const keepAliveMargin = 1_000
+
+/** What is called for each closed connection: its open requests and why it ended. */
+export type ConnectionClosed = (requests: Iterable<number>, end: ConnectionEnd) => void
+
+/** Responses to what could not be read, by the error's code. */
+const errorStatusLines: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+const defaultErrorStatusLine = '400 Bad Request'
+
+const endOfError = (code: string | undefined): ConnectionEnd => {
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return 'headerTimeout'
+  if (code === 'HPE_INVALID_EOF_STATE') return 'callerClosed'
+  return code?.startsWith('HPE_') === true ? 'malformed' : 'callerReset'
+}
+
+/** Whether bytes of a response have been sent that an error response would mix with. */
+const hasSentHead = (socket: Duplex): boolean =>
+  (socket as Duplex & { readonly _httpMessage?: { readonly headersSent: boolean } })._httpMessage?.headersSent === true
+
+/**
+ * Follows the connections of a server, and closes those that are idle for too long or unreadable.
+ *
+ * @param server - the server, which is not listening yet
+ * @param onClosed - called for each closed connection
+ */
+export const followCallerConnections = (server: Server, onClosed: ConnectionClosed): CallerConnections => {
+  const open = new Map<Socket, Connection>()
+  const ends = new WeakMap<Duplex, ConnectionEnd>()
+  let headerTimeout = server.headersTimeout
+  let lowering: NodeJS.Timeout | undefined
+
+  const noteEnd = (socket: Duplex, end: ConnectionEnd): void => {
+    if (!ends.has(socket)) ends.set(socket, end)
+  }
+  const endOf = (socket: Duplex): ConnectionEnd => ends.get(socket) ?? 'unknown'
+  const destroy = (socket: Duplex, end: ConnectionEnd): void => {
+    noteEnd(socket, end)
+    socket.destroy()
+  }
+
+  const isIdle = ({ requests, readAtLastEnd }: Connection): boolean => requests.size === 0 && readAtLastEnd !== undefined
+
+  /** Keeps an idle connection for the timeout that was announced on it, or for the present one if it is longer. */
+  const extendKeepAlive = (socket: Socket, connection: Connection): void => {
+    if (!isIdle(connection)) return
+    connection.keepAlive = Math.max(connection.keepAlive, server.keepAliveTimeout)
+    if (connection.keepAlive > 0) socket.setTimeout(connection.keepAlive + keepAliveMargin)
+  }
+
+  const setKeepAlive = (time: number): void => {
+    server.keepAliveTimeout = time
+    for (const [socket, connection] of open) {
+      if (connection.keepAlive < time) extendKeepAlive(socket, connection)
+    }
+  }
+
+  const setHeaderTimeout = (time: number): void => {
+    if (time === headerTimeout) return
+    headerTimeout = time
+    clearTimeout(lowering)
+    if (open.size === 0 || time >= server.headersTimeout) {
+      server.headersTimeout = time
+      return
+    }
+    lowering = setTimeout(() => { server.headersTimeout = time }, server.headersTimeout)
+    lowering.unref()
+  }
+
+  const addRequest = (socket: Socket, request: number): void => {
+    const connection = open.get(socket)
+    if (connection === undefined) return
+    connection.requests.add(request)
+    connection.newest = request
+    connection.keepAlive = server.keepAliveTimeout
+  }
+
+  const removeRequest = (socket: Socket, request: number): void => {
+    const connection = open.get(socket)
+    if (connection === undefined) return
+    connection.requests.delete(request)
+    connection.readAtLastEnd = socket.bytesRead
+    extendKeepAlive(socket, connection)
+  }
+
+  /** Calls `close` unless something that had arrived at the connection is read first. */
+  const closeUnlessRead = (socket: Socket, close: () => void): void => {
+    const readBefore = socket.bytesRead
+    afterNextRead(() => {
+      if (socket.bytesRead === readBefore) close()
+    })
+  }
+
+  /** Responds to what could not be read, and closes the connection. */
+  const rejectUnreadable = (socket: Socket, code: string | undefined): void => {
+    const end = endOfError(code)
+    if (end !== 'callerReset' && socket.writable && !hasSentHead(socket)) {
+      socket.write(`HTTP/1.1 ${errorStatusLines[code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
+    }
+    destroy(socket, end)
+  }
+
+  const closeIdle = (): void => {
+    afterNextRead(() => {
+      for (const [socket, connection] of open) {
+        if (isIdle(connection) && socket.bytesRead === connection.readAtLastEnd) destroy(socket, 'shutdown')
+      }
+    })
+  }
+
+  server.on('connection', socket => {
+    const connection: Connection = { requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity, keepAlive: server.keepAliveTimeout }
+    open.set(socket, connection)
+    socket.on('end', () => noteEnd(socket, 'callerClosed'))
+    socket.on('error', (error: NodeJS.ErrnoException) => noteEnd(socket, endOfError(error.code)))
+    socket.on('close', () => {
+      open.delete(socket)
+      onClosed(connection.requests, endOf(socket))
+    })
+  })
+  server.on('timeout', socket => {
+    const connection = open.get(socket)
+    if (connection !== undefined && isIdle(connection)) closeUnlessRead(socket, () => destroy(socket, 'idleTimeout'))
+  })
+  server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+    const socket = stream as Socket
+    const reject = (): void => rejectUnreadable(socket, error.code)
+    if (endOfError(error.code) !== 'headerTimeout') return reject()
+    const newestBefore = open.get(socket)?.newest
+    afterNextRead(() => {
+      if (open.get(socket)?.newest === newestBefore) reject()
+    })
+  })
+
+  return {
+    setKeepAlive,
+    setHeaderTimeout,
+    addRequest,
+    removeRequest,
+    isNewest: (socket, request) => open.get(socket)?.newest === request,
+    hasRequests: socket => (open.get(socket)?.requests.size ?? 0) > 0,
+    announceEnd: (socket, request) => {
+      const connection = open.get(socket)
+      if (connection !== undefined) connection.last = Math.min(connection.last, request)
+    },
+    isAfterEnd: (socket, request) => request > (open.get(socket)?.last ?? 0),
+    noteEnd,
+    endOf,
+    destroy,
+    closeIdle,
+    destroyAll: end => { for (const socket of open.keys()) destroy(socket, end) }
+  }
+}
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -3,9 +3,11 @@
  * and passed to the core; the core's responses are sent byte for byte.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
-import type { ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
-import type { WireCodec } from '../ports/platformPort.js'
+import { Server, type AddressInfo } from 'node:net'
+import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
+import type { RawCall, WireCodec } from '../ports/platformPort.js'
+import { followCallerConnections } from './callerConnections.js'
+import { afterNextRead } from './nextRead.js'
 
 /** Effects on requests of callers. */
 export type CallEffect = Extract<ForwardEffect, { readonly request: number }>
@@ -18,6 +20,8 @@
   readonly headerBytes: number
   /** Decodes a received request. */
   readonly decode: WireCodec['decodeCall']
+  /** Called for each closed connection. */
+  readonly onConnectionClosed?: (end: ConnectionEnd) => void
 }
 
 /** Limits from the configuration. */
@@ -42,6 +46,8 @@
   readonly setClosing: () => void
   /** Stops accepting connections and closes idle ones; the others are closed after their response. */
   readonly closeListener: () => void
+  /** Resolves once no request is being read or answered; requests that come later delay it. */
+  readonly flushed: () => Promise<void>
   /** Stops listening and closes all connections at once. */
   readonly destroy: () => void
 }
@@ -57,17 +63,19 @@
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304])
 
 interface OpenRequest {
+  readonly message: IncomingMessage
   readonly response: ServerResponse
   readonly method: string
-  finished: boolean
+  /** `ended` once the whole response has been sent or the end has been reported. */
+  stage: CallStage | 'ended'
 }
 
-/**
- * Calls `callback` after the sockets have been read once more. After the process
- * was blocked, a request and the close of its connection may be pending together;
- * the delay lets the close be handled first.
- */
-const afterNextRead = (callback: () => void): void => { setImmediate(() => setImmediate(callback)) }
+const noBody = Buffer.alloc(0)
+
+const stageAfter = (effect: CallEffect, { stage }: OpenRequest): OpenRequest['stage'] => {
+  if (effect.kind === 'call.abort') return 'ended'
+  return effect.kind === 'call.answer' || effect.kind === 'call.end' ? 'sending' : stage
+}
 
 const hasHeader = (headers: readonly string[], name: string): boolean =>
   headers.some((header, index) => index % 2 === 0 && header.toLowerCase() === name)
@@ -84,55 +92,104 @@
  */
 export const createFrontServer = (options: FrontServerOptions, emit: (input: ForwardInput) => void): FrontServer => {
   const openRequests = new Map<number, OpenRequest>()
+  const flushWaiters: (() => void)[] = []
   let limits = defaultLimits
   let closing = false
   let listenerClosed = false
   let lastRequest = 0
 
+  const headOf = ({ message, method }: OpenRequest): RawCall => ({ method, target: message.url ?? '/', headers: message.rawHeaders })
+
+  const idOf = (openRequest: OpenRequest): string =>
+    options.decode(headOf(openRequest), noBody).match(call => call.id, () => 'none')
+
+  /** Reports a request whose connection ended before its whole response was sent. */
+  const reportLeft = (request: number, openRequest: OpenRequest): void => {
+    const { stage, message } = openRequest
+    if (stage === 'ended') return
+    openRequest.stage = 'ended'
+    emit({ kind: 'call.left', request, id: idOf(openRequest), stage, reason: connections.endOf(message.socket) })
+  }
+
+  const end = (request: number): void => {
+    const openRequest = openRequests.get(request)
+    if (openRequest === undefined) return
+    openRequests.delete(request)
+    reportLeft(request, openRequest)
+    if (openRequests.size > 0) return
+    for (const resolve of flushWaiters.splice(0)) resolve()
+  }
+
+  const flushed = async (): Promise<void> => {
+    while (openRequests.size > 0) await new Promise<void>(resolve => flushWaiters.push(resolve))
+  }
+
+  /** Ends the requests of a closed connection. The server does not close responses that were waiting for the one before them. */
+  const endAll = (requests: Iterable<number>, reason: ConnectionEnd): void => {
+    for (const request of requests) end(request)
+    options.onConnectionClosed?.(reason)
+  }
+
+  const announceEnd = (request: number, { message, response }: OpenRequest): void => {
+    response.shouldKeepAlive = false
+    connections.announceEnd(message.socket, request)
+  }
+
   const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
     lastRequest++
     const request = lastRequest
     const chunks: Buffer[] = []
     let size = 0
-    let bodyDone = false
-    let delivered = false
-    const openRequest: OpenRequest = { response, method: message.method ?? '', finished: false }
+    const openRequest: OpenRequest = { message, response, method: message.method ?? '', stage: 'reading' }
     openRequests.set(request, openRequest)
+    connections.addRequest(message.socket, request)
+
+    const { bodyBytes } = limits
+    /** A request may be as long as when it began, or as it may be now. */
+    const bodyLimit = (): number => Math.max(bodyBytes, limits.bodyBytes)
 
     const rejectBody = (): void => {
-      bodyDone = true
-      delivered = true
-      response.shouldKeepAlive = false
-      emit({ kind: 'call.unreadable', request, problem: { kind: 'bodyTooLarge', limit: limits.bodyBytes } })
+      openRequest.stage = 'open'
+      announceEnd(request, openRequest)
+      emit({ kind: 'call.unreadable', request, problem: { kind: 'bodyTooLarge', limit: bodyLimit() } })
     }
 
     message.on('data', (chunk: Buffer) => {
-      if (bodyDone) return
+      if (openRequest.stage !== 'reading') return
       size += chunk.length
-      if (size > limits.bodyBytes) return rejectBody()
+      if (size > bodyLimit()) return rejectBody()
       chunks.push(chunk)
     })
     const deliver = (): void => {
-      if (message.socket.readableEnded || message.socket.destroyed) return emit({ kind: 'call.left', request })
-      const head = { method: openRequest.method, target: message.url ?? '/', headers: message.rawHeaders }
-      options.decode(head, chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)).match(
+      if (openRequest.stage !== 'read') return
+      if (message.socket.readableEnded || message.socket.destroyed) return reportLeft(request, openRequest)
+      if (connections.isAfterEnd(message.socket, request)) return
+      openRequest.stage = 'open'
+      options.decode(headOf(openRequest), chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)).match(
         call => emit({ kind: 'call.arrived', request, call }),
         problem => emit({ kind: 'call.unreadable', request, problem })
       )
-      delivered = true
     }
     message.on('end', () => {
-      if (bodyDone) return
-      bodyDone = true
+      if (openRequest.stage !== 'reading') return
+      openRequest.stage = 'read'
       afterNextRead(deliver)
     })
     message.on('error', () => { /* Handled by the close event that follows. */ })
     response.on('error', () => { /* Handled by the close event that follows. */ })
+    response.on('finish', () => {
+      // It is emitted for a destroyed connection, too.
+      if (message.socket.destroyed) return
+      openRequest.stage = 'ended'
+      if (!response.shouldKeepAlive) connections.noteEnd(message.socket, 'lastResponse')
+    })
     response.on('close', () => {
       // A response whose headers were sent before the shutdown had no `Connection: close`, so the caller may keep the connection open.
-      if (listenerClosed) message.socket.destroySoon()
-      openRequests.delete(request)
-      if (delivered && !openRequest.finished) emit({ kind: 'call.left', request })
+      connections.removeRequest(message.socket, request)
+      end(request)
+      if (!listenerClosed || message.socket.destroyed || connections.hasRequests(message.socket)) return
+      connections.noteEnd(message.socket, 'shutdown')
+      message.socket.destroySoon()
     })
   }
 
@@ -145,50 +202,57 @@
     headersTimeout: limits.headerTimeout,
     requestTimeout: 0
   }, handleRequest)
+  const connections = followCallerConnections(server, endAll)
 
-  const writeHead = ({ response }: OpenRequest, status: number, headers: readonly string[]): void => {
-    if (closing) response.shouldKeepAlive = false
+  const writeHead = (request: number, openRequest: OpenRequest, status: number, headers: readonly string[]): void => {
+    const { message, response } = openRequest
+    if (closing && connections.isNewest(message.socket, request)) announceEnd(request, openRequest)
     response.writeHead(status, [...headers])
   }
 
   const answer = (openRequest: OpenRequest, effect: Extract<CallEffect, { kind: 'call.answer' }>): void => {
-    const { status, headers, body } = effect
+    const { request, status, headers, body } = effect
     const bodiless = bodilessStatuses.has(status) || openRequest.method === 'HEAD'
     const length = bodiless || hasHeader(headers, 'content-length') ? [] : ['Content-Length', String(body.length)]
-    openRequest.finished = true
-    writeHead(openRequest, status, [...headers, ...length])
+    writeHead(request, openRequest, status, [...headers, ...length])
     openRequest.response.end(bodiless ? undefined : body)
   }
 
   const write = (openRequest: OpenRequest, bytes: Buffer): void => {
-    if (openRequest.response.writableLength > backlogLimit) openRequest.response.destroy()
-    else openRequest.response.write(bytes)
+    const { message, response } = openRequest
+    if (response.writableLength <= backlogLimit) {
+      response.write(bytes)
+      return
+    }
+    connections.noteEnd(message.socket, 'backlog')
+    response.destroy()
   }
 
   const perform = (effect: CallEffect): void => {
     const openRequest = openRequests.get(effect.request)
-    if (openRequest === undefined || openRequest.response.destroyed) return
+    if (openRequest === undefined) return
+    openRequest.stage = stageAfter(effect, openRequest)
+    if (openRequest.response.destroyed) return
     switch (effect.kind) {
       case 'call.answer': return answer(openRequest, effect)
       case 'call.open':
-        writeHead(openRequest, effect.status, withoutLength(effect.headers))
+        writeHead(effect.request, openRequest, effect.status, withoutLength(effect.headers))
         openRequest.response.flushHeaders()
         return
       case 'call.write': return write(openRequest, effect.bytes)
       case 'call.end':
-        openRequest.finished = true
         openRequest.response.end()
         return
       case 'call.abort':
-        openRequest.finished = true
+        connections.noteEnd(openRequest.message.socket, 'aborted')
         openRequest.response.destroy()
     }
   }
 
   const setLimits = (next: FrontLimits): void => {
     limits = next
-    server.keepAliveTimeout = next.idleTimeout
-    server.headersTimeout = next.headerTimeout
+    connections.setKeepAlive(next.idleTimeout)
+    connections.setHeaderTimeout(next.headerTimeout)
   }
 
   const listen = (): Promise<number> => new Promise((resolve, reject) => {
@@ -203,12 +267,14 @@
     setClosing: () => { closing = true },
     closeListener: () => {
       listenerClosed = true
-      server.close()
-      server.closeIdleConnections()
+      // The method of the HTTP server would also close connections whose response has been given whole but not sent.
+      Server.prototype.close.call(server)
+      connections.closeIdle()
     },
+    flushed,
     destroy: () => {
       server.close()
-      server.closeAllConnections()
+      connections.destroyAll('shutdown')
     }
   }
 }
--- a/src/forwarding/callerResponses.ts
+++ b/src/forwarding/callerResponses.ts
@@ -1,7 +1,7 @@
 /** Ends requests of callers: with a worker's response, a refusal or, for a stream that has begun, an abort. Each request ends here, or because its caller left. */
 import type { WaitingQueue } from '../admission/waitingQueue.js'
 import type { Moment } from '../lease/readLease.js'
-import type { AnswerHead } from '../ports/forwardPort.js'
+import type { AnswerHead, ConnectionEnd } from '../ports/forwardPort.js'
 import type { AttemptsInProgress } from './attemptsInProgress.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange } from './forwardingTypes.js'
@@ -18,8 +18,8 @@
   readonly open: (exchange: Exchange, head: AnswerHead) => void
   /** Ends a request with the complete response of an attempt; `now` in ms. */
   readonly complete: (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number) => void
-  /** Ends a request whose caller has left; `now` in ms. */
-  readonly abandon: (exchange: Exchange, now: number) => void
+  /** Ends a request whose connection has ended; `now` in ms. */
+  readonly abandon: (exchange: Exchange, reason: ConnectionEnd, now: number) => void
 }
 
 /**
@@ -80,8 +80,8 @@
     else context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body: Buffer.concat(attempt.body) })
   }
 
-  const abandon = (exchange: Exchange, now: number): void => {
-    context.log({ kind: 'callerLeft', id: exchange.call.id, after: elapsed(exchange, now), events: exchange.events })
+  const abandon = (exchange: Exchange, reason: ConnectionEnd, now: number): void => {
+    context.log({ kind: 'callerLeft', id: exchange.call.id, reason, after: elapsed(exchange, now), events: exchange.events })
     remove(exchange, false, now)
   }
 
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -193,7 +193,7 @@
       case 'call.unreadable': return responses.sendRefusal(input.request, 'none', { kind: 'unreadable', problem: input.problem }, 0, moment)
       case 'call.left': {
         const exchange = exchanges.get(input.request)
-        if (exchange !== undefined) responses.abandon(exchange, time.now)
+        if (exchange !== undefined) responses.abandon(exchange, input.reason, time.now)
         return
       }
       case 'worker.probed': return handleProbe(input.worker, input.reachable, time)
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -44,6 +44,8 @@
 /** Reads the monotonic clock and the wall clock of this process, both in ms. */
 export const readClocks = (): Moment => ({ steady: performance.now(), wall: Date.now() })
 
+const delay = (time: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, time) })
+
 const splitHostPort = (endpoint: string): { readonly host: string, readonly port: number } => {
   const colon = endpoint.lastIndexOf(':')
   return { host: endpoint.slice(0, colon), port: Number(endpoint.slice(colon + 1)) }
@@ -83,7 +85,7 @@
     for (const effect of gateway.handle(input, readClocks())) perform(effect)
   }
 
-  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall }, receive)
+  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall, onConnectionClosed: metrics.callerConnectionClosed }, receive)
   const channels = createWorkerChannels({ codec: platform.codec, emit: receive, onConnectionOpened: metrics.connectionOpened })
   const peers = createPeerTcp({ id: instance.id, incarnation, host: instance.host, port: listen.peer_port, frameLimit, connectTimeout: peerConnectTimeout, reconnectDelay: peerReconnectDelay }, {
     emit: receive,
@@ -95,9 +97,10 @@
   let resolveEnded: () => void = () => { /* Replaced by the promise below. */ }
   const ended = new Promise<void>(resolve => { resolveEnded = resolve })
 
-  const exit = async (): Promise<void> => {
+  const exit = async (within: number): Promise<void> => {
+    await Promise.race([front.flushed(), delay(within)])
     clearInterval(timer)
-    await new Promise(resolve => { setTimeout(resolve, flushDelay) })
+    await delay(flushDelay)
     front.destroy()
     peers.close()
     for (const server of servers) {
@@ -136,7 +139,7 @@
       case 'gateway.closing': return front.setClosing()
       case 'gateway.closeFront': return front.closeListener()
       case 'gateway.exit':
-        exit()
+        exit(effect.within)
         return
       case 'gateway.note':
         metrics.countEvent(effect.note)
