Requests that are left at the end of the grace period are refused, not dropped

A request that waited, or whose worker was silent, until the process exited got neither an answer nor a refusal: its connection was closed. 0.6 s before the end of the grace period the requests in progress now get their true refusal (503 if nothing was sent, else 502), begun streams are broken off with a line, and what arrives later is refused. The two tests failed before (no answer at all) and pass.

--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -33,6 +33,8 @@
   readonly tick: (moment: Moment) => void
   /** Tries to place waiting requests, as their workers may accept them now. */
   readonly placeWaiting: (moment: Moment) => void
+  /** Refuses the requests in progress, or breaks their responses off, and refuses all that arrive from now on. */
+  readonly endAll: (moment: Moment) => void
   /** Number of requests in progress, waiting ones included. */
   readonly size: () => number
   /** Number of requests that wait for a worker of any service. */
@@ -58,6 +60,7 @@
   const exchanges = new Map<number, Exchange>()
   const waitingQueue = createWaitingQueue()
   let lastTickAt = -Infinity
+  let isEnding = false
   const hasRequestsAt = (worker: string): boolean =>
     [...exchanges.values()].some(({ attempt, second }) => attempt?.worker === worker || second?.worker === worker)
   const suspectWorkers = createSuspectWorkers({ ...context, hasRequestsAt })
@@ -104,6 +107,7 @@
 
   const handleArrival = (request: number, call: Call, time: DecisionTime): void => {
     const { now, moment } = time
+    if (isEnding) return responses.sendRefusal(request, call.id, { kind: 'noWorker' }, 0, moment)
     const admission = admitRequest(context, call, time)
     if (admission.kind === 'refused') return responses.sendRefusal(request, call.id, admission.refusal, 0, moment)
     const { route, workspace, service } = admission
@@ -241,6 +245,14 @@
     return heldUp
   }
 
+  const endAll = (moment: Moment): void => {
+    isEnding = true
+    for (const exchange of exchanges.values()) {
+      if (exchange.attempt !== undefined) exchange.mayHaveRun = true
+      responses.refuse(exchange, { kind: 'noWorker' }, { now: moment.steady, moment })
+    }
+  }
+
   const tick = (moment: Moment): void => {
     const time = { now: moment.steady, moment }
     const mayHaveUnread = wasHeldUp(time.now)
@@ -259,6 +271,7 @@
   return {
     handle,
     tick,
+    endAll,
     placeWaiting: moment => placeWaiting({ now: moment.steady, moment }),
     size: () => exchanges.size,
     waiting: waitingQueue.size,
--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -1,4 +1,4 @@
-import { buildCall, buildCatalog, buildWorker } from '../../test/fixtures/forwarding.js'
+import { buildCall, buildCatalog, buildRoute, buildWorker } from '../../test/fixtures/forwarding.js'
 import { buildGatewayBounds } from '../../test/fixtures/gateway.js'
 import { loadHash, type Hash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
@@ -12,7 +12,7 @@
 
 const at = (steady: number): Moment => ({ steady, wall: steady })
 
-const build = () => {
+const build = (workers = 1, catalog = buildCatalog()) => {
   const effects: { readonly at: number, readonly effect: GatewayEffect }[] = []
   const gateway = createGateway({
     self: { id: 'a', incarnation: 'a-1', dataCentre: 'a', front: '10.0.0.1:80', peer: { host: '10.0.0.1', port: 90 }, capacity: 1 },
@@ -28,9 +28,9 @@
   }
   /** Time at which an effect was first requested. */
   const firstAt = (kind: GatewayEffect['kind']): number | undefined => effects.find(({ effect }) => effect.kind === kind)?.at
-  send({ kind: 'feed.catalog', catalog: buildCatalog() }, 0)
+  send({ kind: 'feed.catalog', catalog }, 0)
   send({ kind: 'feed.proof', asOf: at(0) }, 0)
-  send({ kind: 'feed.workers', records: [{ kind: 'present', worker: buildWorker('w1') }], complete: true }, 0)
+  send({ kind: 'feed.workers', records: Array.from({ length: workers }, (_, index) => ({ kind: 'present', worker: buildWorker(`w${index + 1}`) })), complete: true }, 0)
   return { gateway, send, run, firstAt, effects }
 }
 
@@ -60,6 +60,19 @@
     expect(exits.map(({ at, effect }) => effect.kind === 'gateway.exit' ? at + effect.within : 0)).toEqual([100 + 8_000 - 500])
   })
 
+  it.each([['sent to a worker', 1, 502], ['that waits for one', 0, 503]])('refuses a request %s before its grace period ends', (_name, workers, status) => {
+    const { send, run, effects } = build(workers, buildCatalog({ routes: [buildRoute({ timeout: 60_000, objective: 60_000 })] }))
+    send({ kind: 'gateway.leave' }, 100)
+    run(120, 1_500)
+    send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: 60_000 }) }, 1_500)
+    run(1_520, 8_100)
+    const answers = effects.filter(({ effect }) => effect.kind === 'call.answer')
+    expect(answers.map(({ effect }) => effect.kind === 'call.answer' ? effect.status : 0)).toEqual([status])
+    expect(effects.indexOf(answers[0])).toBeLessThan(effects.findIndex(({ effect }) => effect.kind === 'gateway.exit'))
+    send({ kind: 'call.arrived', request: 2, call: buildCall({ id: 'later' }) }, 7_580)
+    expect(effects.at(-1)).toMatchObject({ effect: { kind: 'call.answer', request: 2, status: 503 } })
+  })
+
   it('does not claim the rollout lease', () => {
     const { send, run, firstAt } = build()
     send({ kind: 'feed.workers', records: [{ kind: 'present', worker: buildWorker('m1', { service: 'model', models: [{ name: 'llm', version: 1 }] }) }], complete: false }, 50)
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -257,6 +257,7 @@
     id: self.id,
     bounds,
     requests: () => forwarding.size(),
+    endRequests: () => forwarding.endAll(currentTime),
     announce: () => {
       fleet.announce(currentTime)
       rolloutLease.release(currentTime)
--- a/src/gateway/shutdown.ts
+++ b/src/gateway/shutdown.ts
@@ -3,7 +3,8 @@
  * announces the shutdown at once and accepts callers for as long as they may have
  * its address cached, up to half of the grace period. It then closes the listener
  * for callers (the front), and exits when its requests have ended and their
- * responses have been sent, or shortly before the grace period ends.
+ * responses have been sent, or shortly before the grace period ends. Requests that
+ * are still in progress then are refused, or broken off if their response has begun.
  */
 import type { GatewayEffect, GatewayLogEvent } from './gatewayTypes.js'
 
@@ -23,6 +24,8 @@
   readonly bounds: () => ShutdownBounds
   /** Number of requests in progress. */
   readonly requests: () => number
+  /** Ends the requests in progress, and refuses those that arrive from now on. */
+  readonly endRequests: () => void
   /** Informs the other instances and releases the rollout lease. */
   readonly announce: () => void
   readonly emit: (effect: GatewayEffect) => void
@@ -39,17 +42,20 @@
 
 /** Time for the announcement of a shutdown to reach all instances, in ms. */
 const announceDelay = 400
-/** Time before the end of the grace period at which the remaining requests are abandoned, in ms. */
+/** Time before the end of the grace period at which the process exits, in ms. */
 const graceReserve = 500
+/** Time before that exit at which the remaining requests are refused or broken off, so that their callers are told, in ms. */
+const refusalTime = 100
 
 /**
  * Creates the shutdown of an instance; it does nothing until `begin` is called.
  *
  * @param options - what it depends on
  */
-export const createShutdown = ({ id, bounds, requests, announce, emit, log }: ShutdownOptions): Shutdown => {
+export const createShutdown = ({ id, bounds, requests, endRequests, announce, emit, log }: ShutdownOptions): Shutdown => {
   let startedAt: number | undefined
   let frontClosed = false
+  let requestsEnded = false
   let exiting = false
 
   const begin = (now: number): void => {
@@ -68,9 +74,14 @@
   }
 
   const tick = (now: number): void => {
-    if (startedAt === undefined || exiting) return
+    if (startedAt === undefined) return
     const { addressLife, addressLifeFactor, grace } = bounds()
     const elapsed = now - startedAt
+    if (!requestsEnded && elapsed >= grace - graceReserve - refusalTime) {
+      requestsEnded = true
+      endRequests()
+    }
+    if (exiting) return
     const addressesExpired = elapsed >= Math.min(addressLife * addressLifeFactor + announceDelay, grace / 2)
     if (addressesExpired && !frontClosed) closeFront()
     if (!frontClosed) return
