A worker's close of one connection no longer spoils the next answer without a length

Callers saw: of successive answers of a worker that have neither a length nor chunks, every second one counted as cut although it came whole. A request that may be repeated ran twice, one that may not got a 502, and a stream was resumed after its last event or broken off. The same befell the first such answer after one with a length and Connection: close.

Cause: whether a connection was reset was kept with the pool's channel, which outlives its connections. The HTTP library ends a closed connection with an error of its own after the answer is complete; that mark stayed, and the next answer that ended with its connection was taken for one that was reset. A channel that is thrown away after the failure starts anew, hence every second.

Ruled out: the read of the end itself; the first answer of each channel, over HTTP/1.0 and 1.1, with and without Connection: close, was complete in every run.

Change: the state belongs to one connection (workerConnection.ts).

--- a/src/adapters/workerChannels.spec.ts
+++ b/src/adapters/workerChannels.spec.ts
@@ -52,6 +52,26 @@
     await fixture.close()
   })
 
+  it.each([
+    ['HTTP/1.1', closeDelimited],
+    ['HTTP/1.1 with Connection: close', 'HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request-Id: call-1\r\n\r\nhel'],
+    ['HTTP/1.1 with Keep-Alive', 'HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nKeep-Alive: timeout=5\r\nX-Request-Id: call-1\r\n\r\nhel'],
+    ['HTTP/1.0', 'HTTP/1.0 200 OK\r\nX-Request-Id: call-1\r\n\r\nhel'],
+    ['HTTP/1.0 with Connection: keep-alive', 'HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nX-Request-Id: call-1\r\n\r\nhel']
+  ])('treat successive answers without a length as complete, each on a connection of its own: %s', async (_name, answer) => {
+    const fixture = await buildFixture(socket => { socket.end(answer) })
+    for (const attempt of [1, 2, 3]) expect(await sendAttempt(fixture, attempt)).toEqual({ kind: 'attempt.ended', attempt })
+    expect(fixture.server.accepted()).toBe(3)
+    await fixture.close()
+  })
+
+  it('treat an answer without a length as complete after one with a length and Connection: close', async () => {
+    const withLength = 'HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request-Id: call-1\r\nContent-Length: 5\r\n\r\nhello'
+    const fixture = await buildFixture(socket => { socket.end(fixture.server.accepted() === 1 ? withLength : closeDelimited) })
+    for (const attempt of [1, 2]) expect(await sendAttempt(fixture, attempt)).toEqual({ kind: 'attempt.ended', attempt })
+    await fixture.close()
+  })
+
   it('treat an answer without a length as cut when the worker resets the connection', async () => {
     const fixture = await buildFixture(socket => { socket.write(closeDelimited, () => setImmediate(() => socket.resetAndDestroy())) })
     expect(await sendAttempt(fixture, 1)).toEqual({ kind: 'attempt.failed', attempt: 1, failure: 'cut' })
--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -9,6 +9,7 @@
 import { ResultAsync } from 'neverthrow'
 import type { AttemptFailure, Dispatch, ForwardInput } from '../ports/forwardPort.js'
 import type { WireCodec } from '../ports/platformPort.js'
+import { observeConnection, type WorkerConnection } from './workerConnection.js'
 
 /** Dependencies of the connection pool. */
 export interface ChannelOptions {
@@ -57,10 +58,8 @@
 interface Channel {
   readonly client: Client
   readonly key: string
-  /** Whether the current response has no length, so that its end is the close of the connection. */
-  closeDelimited: boolean
-  /** Whether the connection was reset. */
-  reset: boolean
+  /** The connection that is open or was open last; undefined before the first one. */
+  connection: WorkerConnection | undefined
 }
 
 interface RunningAttempt {
@@ -89,21 +88,6 @@
   })
 }), error => error instanceof Error ? error : new ConnectTimeout())
 
-/**
- * Detects a connection reset. The event loop reports a reset that arrives together
- * with data as a normal end of the connection, but a write then fails at once.
- * The probe is an empty line, which has no effect on a worker that has only
- * closed its sending side, since HTTP ignores empty lines between requests.
- */
-const detectReset = (channel: Channel, socket: Socket): void => {
-  socket.once('error', () => { channel.reset = true })
-  socket.once('end', () => {
-    if (!channel.closeDelimited) return
-    socket.write('\r\n')
-    channel.reset ||= socket.errored !== null
-  })
-}
-
 /**
  * Creates the connection pool.
  *
@@ -125,14 +109,14 @@
       maxHeaderSize: headerBytes,
       connect: (_target, callback) => openSocket({ host, port }).match(
         socket => {
-          detectReset(channel, socket)
+          channel.connection = observeConnection(socket)
           options.onConnectionOpened()
           callback(null, socket)
         },
         error => callback(error, null)
       )
     })
-    const channel: Channel = { client, key, closeDelimited: false, reset: false }
+    const channel: Channel = { client, key, connection: undefined }
     return channel
   }
 
@@ -148,7 +132,7 @@
   const release = (channel: Channel): void => {
     const list = idle.get(channel.key) ?? []
     idle.set(channel.key, list)
-    if (channel.reset || list.length >= maxIdlePerWorker) discard(channel)
+    if (list.length >= maxIdlePerWorker) discard(channel)
     else list.push(channel)
   }
 
@@ -170,14 +154,14 @@
       onResponseStart: (controller, status) => {
         if (status < 200 || running.cancelled) return
         const headers = decodeRawHeaders(controller.rawHeaders as Buffer[] | null)
-        running.channel.closeDelimited = isCloseDelimited(headers)
+        if (running.channel.connection !== undefined) running.channel.connection.closeDelimited = isCloseDelimited(headers)
         emit({ kind: 'attempt.head', attempt, head: codec.decodeAnswer(status, headers) })
       },
       onResponseData: (_controller, bytes) => {
         if (!running.cancelled) emit({ kind: 'attempt.data', attempt, bytes })
       },
       onResponseEnd: () => {
-        if (running.channel.closeDelimited && running.channel.reset) return fail('cut')
+        if (running.channel.connection?.closeDelimited === true && running.channel.connection.isReset()) return fail('cut')
         if (!finish()) return discard(running.channel)
         release(running.channel)
         emit({ kind: 'attempt.ended', attempt })
--- /dev/null
+++ b/src/adapters/workerConnection.ts
@@ -0,0 +1,33 @@
+/**
+ * One connection to a worker, and how it ended. A response without a length ends
+ * when the connection is closed, so a reset has to be told from a normal close.
+ */
+import type { Socket } from 'node:net'
+
+/** State of one connection to a worker. */
+export interface WorkerConnection {
+  /** Whether the current response has no length, so that its end is the close of the connection. */
+  closeDelimited: boolean
+  /** Whether the connection was reset. */
+  readonly isReset: () => boolean
+}
+
+/**
+ * Observes a connection. The event loop reports a reset that arrives together
+ * with data as a normal end of the connection, but a write then fails at once.
+ * The probe is an empty line, which has no effect on a worker that has only
+ * closed its sending side, since HTTP ignores empty lines between requests.
+ *
+ * @param socket - the open connection, on which nothing has been sent yet
+ */
+export const observeConnection = (socket: Socket): WorkerConnection => {
+  let reset = false
+  const connection: WorkerConnection = { closeDelimited: false, isReset: () => reset }
+  socket.once('error', () => { reset = true })
+  socket.once('end', () => {
+    if (!connection.closeDelimited) return
+    socket.write('\r\n')
+    reset ||= socket.errored !== null
+  })
+  return connection
+}
