An answer with a transfer coding but no chunks is cut by a reset

Callers could see: an answer with Transfer-Encoding: identity or gzip, which ends with its connection as one without a length does, looked complete when the worker's connection was reset on the way (status 200, part of the body).

Cause: the pool decided from the headers whether an answer ends with its connection, and took any Transfer-Encoding for chunks; the HTTP library does not. So no reset was looked for.

Change: a reset is looked for whenever a connection ends while a response is being received, whatever its headers; the list of headers is gone. An answer that is complete by its length or chunks has been reported before.

Measured: both new specs failed before ('ended' in place of 'cut') and pass now.

--- a/src/adapters/workerChannels.spec.ts
+++ b/src/adapters/workerChannels.spec.ts
@@ -78,6 +78,13 @@
     await fixture.close()
   })
 
+  it.each(['identity', 'gzip'])('treat an answer with Transfer-Encoding: %s, which has no end of its own, as cut when the worker resets the connection', async coding => {
+    const answer = `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\nX-Request-Id: call-1\r\n\r\nhel`
+    const fixture = await buildFixture(socket => { socket.write(answer, () => setImmediate(() => socket.resetAndDestroy())) })
+    expect(await sendAttempt(fixture, 1)).toEqual({ kind: 'attempt.failed', attempt: 1, failure: 'cut' })
+    await fixture.close()
+  })
+
   it('treat an answer shorter than its Content-Length as cut', async () => {
     const fixture = await buildFixture(socket => { socket.end(completeAnswer.slice(0, -2)) })
     expect(await sendAttempt(fixture, 1)).toEqual({ kind: 'attempt.failed', attempt: 1, failure: 'cut' })
--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -68,9 +68,6 @@
   cancelled: boolean
 }
 
-const isCloseDelimited = (headers: readonly string[]): boolean =>
-  !headers.some((name, index) => index % 2 === 0 && (name.toLowerCase() === 'content-length' || name.toLowerCase() === 'transfer-encoding'))
-
 const decodeRawHeaders = (raw: readonly Buffer[] | readonly string[] | null | undefined): string[] =>
   (raw ?? []).map(part => typeof part === 'string' ? part : part.toString('latin1'))
 
@@ -153,15 +150,16 @@
       },
       onResponseStart: (controller, status) => {
         if (status < 200 || running.cancelled) return
-        const headers = decodeRawHeaders(controller.rawHeaders as Buffer[] | null)
-        if (running.channel.connection !== undefined) running.channel.connection.closeDelimited = isCloseDelimited(headers)
-        emit({ kind: 'attempt.head', attempt, head: codec.decodeAnswer(status, headers) })
+        if (running.channel.connection !== undefined) running.channel.connection.receiving = true
+        emit({ kind: 'attempt.head', attempt, head: codec.decodeAnswer(status, decodeRawHeaders(controller.rawHeaders as Buffer[] | null)) })
       },
       onResponseData: (_controller, bytes) => {
         if (!running.cancelled) emit({ kind: 'attempt.data', attempt, bytes })
       },
       onResponseEnd: () => {
-        if (running.channel.connection?.closeDelimited === true && running.channel.connection.isReset()) return fail('cut')
+        const { connection } = running.channel
+        if (connection?.isReset() === true) return fail('cut')
+        if (connection !== undefined) connection.receiving = false
         if (!finish()) return discard(running.channel)
         release(running.channel)
         emit({ kind: 'attempt.ended', attempt })
--- a/src/adapters/workerConnection.ts
+++ b/src/adapters/workerConnection.ts
@@ -6,8 +6,8 @@
 
 /** State of one connection to a worker. */
 export interface WorkerConnection {
-  /** Whether the current response has no length, so that its end is the close of the connection. */
-  closeDelimited: boolean
+  /** Whether a response is being received, which may end with the connection. */
+  receiving: boolean
   /** Whether the connection was reset. */
   readonly isReset: () => boolean
 }
@@ -22,10 +22,10 @@
  */
 export const observeConnection = (socket: Socket): WorkerConnection => {
   let reset = false
-  const connection: WorkerConnection = { closeDelimited: false, isReset: () => reset }
+  const connection: WorkerConnection = { receiving: false, isReset: () => reset }
   socket.once('error', () => { reset = true })
   socket.once('end', () => {
-    if (!connection.closeDelimited) return
+    if (!connection.receiving) return
     socket.write('\r\n')
     reset ||= socket.errored !== null
   })
