Chunks that end early with their connection are reported as cut

Seen: attemptFailed with reason garbled for an answer in chunks whose connection was closed before the last chunk, where it carried Connection: close or was of HTTP/1.0; without that header the reason was cut. Callers saw no difference.

Cause: the HTTP library reports the early end as a parser error if the connection was not to be kept.

Change: a parser error after the worker has closed its side is a cut.

Measured: the new spec failed before ('garbled') and passes now.

--- a/src/adapters/workerChannels.spec.ts
+++ b/src/adapters/workerChannels.spec.ts
@@ -85,6 +85,12 @@
     await fixture.close()
   })
 
+  it('treat chunks that end before the last one as cut, not as garbled, also with Connection: close', async () => {
+    const fixture = await buildFixture(socket => { socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n') })
+    expect(await sendAttempt(fixture, 1)).toEqual({ kind: 'attempt.failed', attempt: 1, failure: 'cut' })
+    await fixture.close()
+  })
+
   it('treat an answer shorter than its Content-Length as cut', async () => {
     const fixture = await buildFixture(socket => { socket.end(completeAnswer.slice(0, -2)) })
     expect(await sendAttempt(fixture, 1)).toEqual({ kind: 'attempt.failed', attempt: 1, failure: 'cut' })
--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -166,7 +166,7 @@
       },
       onResponseError: (_controller, error) => {
         if (!sent) return fail('unsent')
-        fail(error.name === 'HTTPParserError' ? 'garbled' : 'cut')
+        fail(error.name === 'HTTPParserError' && running.channel.connection?.hasEnded() !== true ? 'garbled' : 'cut')
       }
     }
   }
--- a/src/adapters/workerConnection.ts
+++ b/src/adapters/workerConnection.ts
@@ -10,6 +10,8 @@
   receiving: boolean
   /** Whether the connection was reset. */
   readonly isReset: () => boolean
+  /** Whether the worker closed the connection, or its sending side of it. */
+  readonly hasEnded: () => boolean
 }
 
 /**
@@ -22,9 +24,11 @@
  */
 export const observeConnection = (socket: Socket): WorkerConnection => {
   let reset = false
-  const connection: WorkerConnection = { receiving: false, isReset: () => reset }
+  let ended = false
+  const connection: WorkerConnection = { receiving: false, isReset: () => reset, hasEnded: () => ended }
   socket.once('error', () => { reset = true })
   socket.once('end', () => {
+    ended = true
     if (!connection.receiving) return
     socket.write('\r\n')
     reset ||= socket.errored !== null
