Event streams whose lines end with a lone carriage return are split into events

Callers saw nothing of a stream whose lines end with a lone carriage return: the event-stream format allows it, but the whole stream was held back as one event, and ended as a partial event (retried, then broken off). An event that ended in a line feed and a carriage return waited for the byte after it.

Cause: only line feeds, alone or after a carriage return, counted as line ends, and the end of the last event was looked for in all bytes held back, again at each arrival.

Change: the splitter looks at each byte once and knows the three line ends, also where a pair of them is split over two arrivals. Blocks that hold only comments are passed on but not counted as events.

Measured: three of the new specs failed before (no event out of a stream with lone carriage returns; a stream split at every pair of places gave the last event of three never) and pass now. The spec for a stream without its last empty line passed before as well.

--- a/src/forwarding/eventSplitter.spec.ts
+++ b/src/forwarding/eventSplitter.spec.ts
@@ -27,4 +27,34 @@
     const events = createEventSplitter().push(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\n'))
     expect(events).toMatchObject({ count: 2, lastId: '2' })
   })
+
+  it('accepts lines that end with a lone carriage return', () => {
+    expect(push(['id: 7\rdata: a\r\rid: 8\rda'])).toEqual({ texts: ['id: 7\rdata: a\r\r'], lastId: '7', hasPartialEvent: true })
+    expect(push(['id: 7\rdata: a\n\rid: 8\ndata: b\r\n\r'])).toMatchObject({ lastId: '8', hasPartialEvent: false })
+  })
+
+  it('does not hold an event back until the line feed after its last carriage return, and passes that on too', () => {
+    expect(push(['id: 7\r\ndata: a\r\n\r', '\n', 'id: 8\r', '\ndata: b\r', '\n\r', '\nid: 9'])).toMatchObject({
+      texts: ['id: 7\r\ndata: a\r\n\r', '\n', undefined, undefined, 'id: 8\r\ndata: b\r\n\r', '\n'],
+      hasPartialEvent: true
+    })
+  })
+
+  it('takes a stream that ends without the last empty line for one that ends inside an event', () => {
+    for (const ending of ['\n', '\r\n', '\r', '']) expect(push([`id: 1\n\nid: 2\ndata: b${ending}`])).toMatchObject({ lastId: '1', hasPartialEvent: true })
+  })
+
+  it('finds an id that is split over chunks, and the events of every way to split a stream', () => {
+    const stream = 'id: 11\r\ndata: a\r\n\r\nid: 12\ndata: b\n\n: note\n\nid: 13\rdata: c\r\r'
+    for (let first = 0; first <= stream.length; first++) {
+      for (let second = first; second <= stream.length; second++) {
+        const splitter = createEventSplitter()
+        const events = [stream.slice(0, first), stream.slice(first, second), stream.slice(second)].flatMap(chunk => splitter.push(Buffer.from(chunk)) ?? [])
+        expect(events.map(({ bytes }) => bytes.toString()).join('')).toBe(stream)
+        expect(events.reduce((sum, { count }) => sum + count, 0)).toBe(3)
+        expect(events.findLast(({ lastId }) => lastId !== undefined)?.lastId).toBe('13')
+        expect(splitter.hasPartialEvent()).toBe(false)
+      }
+    }
+  })
 })
--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -1,13 +1,14 @@
 /**
  * Splits a server-sent event stream into complete events, so that an event that
- * a worker sent only in part is never passed on. Events end with an empty line.
+ * a worker sent only in part is never passed on. Events end with an empty line;
+ * lines end with a line feed, a carriage return, or both.
  */
 
 /** One or more complete events of a stream. */
 export interface CompleteEvents {
-  /** The events as received. */
+  /** The events as received, comments included. */
   readonly bytes: Buffer
-  /** Number of events. */
+  /** Number of events; blocks of comments alone do not count. */
   readonly count: number
   /** Id of the last event that has one; undefined if none has. */
   readonly lastId: string | undefined
@@ -21,38 +22,58 @@
   readonly hasPartialEvent: () => boolean
 }
 
-const idPattern = /^id:[ ]?(.*?)\r?$/gm
 const lineFeed = 10
 const carriageReturn = 13
+const lineEnd = /\r\n|\n|\r/
+const idPattern = /^id:[ ]?(.*)$/
 
-/** Offset after the last empty line, or 0 if there is none. */
-const endOfLastEvent = (bytes: Buffer): number => {
-  for (let index = bytes.length - 1; index > 0; index--) {
-    if (bytes[index] !== lineFeed) continue
-    const before = bytes[index - 1] === carriageReturn ? index - 2 : index - 1
-    if (before >= 0 && bytes[before] === lineFeed) return index + 1
+/** Finds the ends of events in bytes that arrive in parts, and looks at each byte once. */
+const createEndFinder = (): (bytes: Buffer) => number => {
+  let atLineStart = true
+  let afterCarriageReturn = false
+  let afterEvent = false
+
+  /** Returns the offset after the last event that ends in these bytes, or 0 if none does. */
+  return bytes => {
+    let end = 0
+    for (let index = 0; index < bytes.length; index++) {
+      const byte = bytes[index]
+      const endsSameLine = byte === lineFeed && afterCarriageReturn
+      const endsLine = byte === lineFeed || byte === carriageReturn
+      if (!endsSameLine) afterEvent = endsLine && atLineStart
+      if (endsLine && afterEvent) end = index + 1
+      atLineStart = endsLine
+      afterCarriageReturn = byte === carriageReturn
+    }
+    return end
   }
-  return 0
 }
 
-const eventPattern = /\r?\n\r?\n/g
-
 const summarize = (bytes: Buffer): CompleteEvents => {
-  const text = bytes.toString('latin1')
-  const ids = [...text.matchAll(idPattern)]
-  return { bytes, count: text.match(eventPattern)?.length ?? 0, lastId: ids.at(-1)?.[1] }
+  let count = 0
+  let hasField = false
+  let lastId: string | undefined
+  for (const line of bytes.toString('latin1').split(lineEnd)) {
+    if (line === '' && hasField) count++
+    hasField = line !== '' && (hasField || !line.startsWith(':'))
+    lastId = idPattern.exec(line)?.[1] ?? lastId
+  }
+  return { bytes, count, lastId }
 }
 
 /** Creates a splitter for one response, with nothing received yet. */
 export const createEventSplitter = (): EventSplitter => {
+  const findEnd = createEndFinder()
   let pending: Buffer = Buffer.alloc(0)
 
   const push = (bytes: Buffer): CompleteEvents | undefined => {
-    pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes])
-    const end = endOfLastEvent(pending)
-    if (end === 0) return undefined
-    const complete = pending.subarray(0, end)
-    pending = pending.subarray(end)
+    const end = findEnd(bytes)
+    if (end === 0) {
+      pending = Buffer.concat([pending, bytes])
+      return undefined
+    }
+    const complete = pending.length === 0 ? bytes.subarray(0, end) : Buffer.concat([pending, bytes.subarray(0, end)])
+    pending = bytes.subarray(end)
     return summarize(complete)
   }
 
