Comments of a stream do not count as its first event

Seen: the time to the first event of a request was that of a comment that the worker sent while the request waited (first: 21 in place of 300 in the answered line), and the worker's speed at reading prompts was learned from it.

Cause: each block of a stream counted as an event.

Change: comments are passed on and change nothing else; they still show that the worker is alive.

Measured: the new spec failed before (first 21) and passes now. A spec for a clean end inside an event that is resumed after the last whole one is added; it passed before.

--- a/src/forwarding/forwardingMachine.spec.ts
+++ b/src/forwarding/forwardingMachine.spec.ts
@@ -222,6 +222,32 @@
     expect(fake.callerView(request)).toMatchObject({ state: 'broken' })
   })
 
+  it('do not count comments of the worker as their first event', () => {
+    const fake = buildModel()
+    const request = fake.arrive(modelCall, 0)
+    const [{ attempt }] = fake.sends()
+    fake.head(attempt, {}, 20)
+    fake.data(attempt, ': waiting\n\n', 21)
+    fake.data(attempt, sseEvent(1), 300)
+    fake.end(attempt, 301)
+    expect(fake.callerView(request)).toMatchObject({ text: ': waiting\n\n' + sseEvent(1), state: 'whole' })
+    expect(fake.logEvents.find(({ kind }) => kind === 'answered')).toMatchObject({ events: 1, first: 300 })
+  })
+
+  it('are resumed after the last whole event when they end cleanly inside an event', () => {
+    const fake = buildModel()
+    const request = fake.arrive(modelCall, 0)
+    fake.head(fake.sends()[0].attempt, {}, 20)
+    fake.data(fake.sends()[0].attempt, sseEvent(1) + 'id: 2\ndata: t\n', 21)
+    fake.end(fake.sends()[0].attempt, 30)
+    const [, { attempt, dispatch }] = fake.sends()
+    expect(dispatch.resumeAfter).toBe('1')
+    fake.head(attempt, {}, 40)
+    fake.data(attempt, sseEvent(2), 41)
+    fake.end(attempt, 42)
+    expect(fake.callerView(request)).toMatchObject({ text: sseEvent(1) + sseEvent(2), state: 'whole' })
+  })
+
   it('that stall are resumed on another worker', () => {
     const fake = buildModel()
     fake.arrive(modelCall, 0)
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -246,6 +246,7 @@
     }
     const events = attempt.splitter.push(bytes)
     if (events === undefined) return
+    if (events.count === 0) return context.emit({ kind: 'call.write', request: exchange.request, bytes: events.bytes })
     if (attempt.flight.firstEventAt === undefined) applyFirstEvent(context, exchange, attempt, now)
     noteStreamEvent(context, exchange, attempt, now)
     exchange.events += events.count
