An event held back is copied a few times, not at each arrival

An endless event, or a large one in small parts, took processor time with the square of its size, on the thread that serves all requests, and ever more memory.

Cause: what was held back of an event was copied at each arrival.

Change: it is collected in a buffer that doubles (byteBuffer.ts).

The new spec failed before (50,015,002 bytes copied for an event of 10,002) and passes now. The size of one event is not bounded yet.

--- a/src/forwarding/eventSplitter.spec.ts
+++ b/src/forwarding/eventSplitter.spec.ts
@@ -57,4 +57,15 @@
       }
     }
   })
+
+  it('copies an event that arrives in small parts no more than a few times', () => {
+    const concat = jest.spyOn(Buffer, 'concat')
+    const splitter = createEventSplitter()
+    for (let index = 0; index < 10_000; index++) splitter.push(Buffer.from('x'))
+    const event = splitter.push(Buffer.from('\n\n'))
+    const copied = concat.mock.results.reduce((sum, { value }) => sum + value.length, 0)
+    concat.mockRestore()
+    expect(event?.bytes.length).toBe(10_002)
+    expect(copied).toBeLessThan(50_000)
+  })
 })
--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -3,6 +3,7 @@
  * a worker sent only in part is never passed on. Events end with an empty line;
  * lines end with a line feed, a carriage return, or both.
  */
+import { createByteBuffer } from './byteBuffer.js'
 
 /** One or more complete events of a stream. */
 export interface CompleteEvents {
@@ -18,6 +19,8 @@
 export interface EventSplitter {
   /** Adds received bytes; returns the events that they complete, or undefined if there are none. */
   readonly push: (bytes: Buffer) => CompleteEvents | undefined
+  /** Number of bytes of an incomplete event that are held back. */
+  readonly heldBytes: () => number
   /** Whether bytes of an incomplete event are held back. */
   readonly hasPartialEvent: () => boolean
 }
@@ -64,18 +67,19 @@
 /** Creates a splitter for one response, with nothing received yet. */
 export const createEventSplitter = (): EventSplitter => {
   const findEnd = createEndFinder()
-  let pending: Buffer = Buffer.alloc(0)
+  const partialEvent = createByteBuffer()
 
   const push = (bytes: Buffer): CompleteEvents | undefined => {
     const end = findEnd(bytes)
     if (end === 0) {
-      pending = Buffer.concat([pending, bytes])
+      partialEvent.push(bytes)
       return undefined
     }
-    const complete = pending.length === 0 ? bytes.subarray(0, end) : Buffer.concat([pending, bytes.subarray(0, end)])
-    pending = bytes.subarray(end)
+    const complete = partialEvent.size() === 0 ? bytes.subarray(0, end) : Buffer.concat([partialEvent.bytes(), bytes.subarray(0, end)])
+    partialEvent.clear()
+    partialEvent.push(bytes.subarray(end))
     return summarize(complete)
   }
 
-  return { push, hasPartialEvent: () => pending.length > 0 }
+  return { push, heldBytes: partialEvent.size, hasPartialEvent: () => partialEvent.size() > 0 }
 }
