An answer or event without end ends its own request, not the instance

Callers saw: nothing of such a request until its time limit, while the instance held every byte of it; at a few hundred MB a second on one connection that ends the process, and all other requests with it.

Cause: neither the body of an answer that is not streamed nor the incomplete last event of a stream had a bound. The parts of a body were kept as they came, so that a body in small chunks took many times its size.

The attempt fails as oversized, its connection is closed, and its request is retried elsewhere, refused as one that may have run, or, if the worker stated that it has not run it, treated as any rejection. Bodies are collected in one buffer.

Not done: the buffer doubles, so that up to twice the bounds are allocated; a caller that reads slowly holds its whole answer beyond them.

--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -16,6 +16,7 @@
 import { placeRequest, priorityOf, type PlacementResult } from './placeRequest.js'
 import { refusalResponse, outcomeOf, type Refusal } from './refusal.js'
 import { rejectionReason } from './rejection.js'
+import { createHeldAnswers } from './heldAnswers.js'
 import { decideWait, rejectedRetryAfter } from './waitOrRefuse.js'
 import { applyFirstEvent, applyLimit, applyRejection, applyResponseState, applyWorkerNotices } from './workerNotices.js'
 import { fitsOrigin, noteStreamEvent } from './streamContinuation.js'
@@ -61,6 +62,7 @@
   const byAttempt = new Map<number, Exchange>()
   const waitingQueue = createWaitingQueue()
   const suspectWorkers = createSuspectWorkers(context)
+  const heldAnswers = createHeldAnswers()
   let lastAttempt = 0
 
   const elapsed = (exchange: Exchange, now: number): number => Math.round(now - exchange.arrivedAt)
@@ -84,6 +86,7 @@
     if (attempt === undefined) return
     noteEnded(context.loadOf(attempt.worker), attempt.flight)
     byAttempt.delete(attempt.id)
+    heldAnswers.release(attempt.id)
     exchange.attempt = undefined
     if (cancel) context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
   }
@@ -262,7 +265,7 @@
     endAttempt(exchange, false)
     removeExchange(exchange, true, now)
     context.log({ kind: 'answered', id: exchange.call.id, worker: attempt.worker, status: head.status, after: elapsed(exchange, now), events: exchange.events, ...(exchange.firstEventAt === undefined ? {} : { first: Math.round(exchange.firstEventAt - exchange.arrivedAt) }) })
-    if (isBuffered) context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body: Buffer.concat(attempt.body) })
+    if (isBuffered) context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body: attempt.body.bytes() })
     else context.emit({ kind: 'call.end', request: exchange.request })
   }
 
@@ -291,13 +294,22 @@
     removeExchange(exchange, false, now)
   }
 
+  /** Closes the connection of an attempt whose answer is too large to be held, which then has failed; undefined stands for none. */
+  const giveUpOversized = (attempt: number | undefined, time: DecisionTime): void => {
+    if (attempt === undefined) return
+    context.emit({ kind: 'attempt.cancel', attempt })
+    handleAttempt({ kind: 'attempt.failed', attempt, failure: 'oversized' }, time)
+  }
+
   const handleAttempt = (input: Extract<ForwardInput, { readonly attempt: number }>, time: DecisionTime): void => {
     const exchange = byAttempt.get(input.attempt)
     const attempt = exchange?.attempt
     if (exchange === undefined || attempt?.id !== input.attempt) return
     switch (input.kind) {
       case 'attempt.head': return handleHead(exchange, attempt, input.head, time)
-      case 'attempt.data': return handleData(exchange, attempt, input.bytes, time.now)
+      case 'attempt.data':
+        handleData(exchange, attempt, input.bytes, time.now)
+        return giveUpOversized(heldAnswers.note(attempt), time)
       case 'attempt.ended': return handleEnd(exchange, attempt, time)
       case 'attempt.failed':
         if (input.failure === 'unsent') return handleUnsent(exchange, attempt, time)
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -3,6 +3,7 @@
 import type { AnswerHead, Call } from '../ports/forwardPort.js'
 import type { InFlightRequest } from '../placement/workerLoad.js'
 import type { StreamOrigin } from '../streamOrigins/streamOriginsTypes.js'
+import type { ByteBuffer } from './byteBuffer.js'
 import type { EventSplitter } from './eventSplitter.js'
 
 /** One attempt to run a request on a worker. */
@@ -24,7 +25,7 @@
   /** Head of the response, once received. */
   head: AnswerHead | undefined
   /** Received body of a response that is not streamed. */
-  readonly body: Buffer[]
+  readonly body: ByteBuffer
   readonly splitter: EventSplitter
   /** When the worker last sent anything, at first the time of the send. */
   lastDataAt: number
@@ -97,4 +98,4 @@
 export type SendCause = 'first' | 'turnedAway' | 'unsent' | 'otherVersion' | 'failed' | 'resume' | 'silent' | 'waited'
 
 /** Why an attempt ended without a usable response. */
-export type AttemptEnd = 'unsent' | 'cut' | 'garbled' | 'turnedAway' | 'otherWorker' | 'otherVersion' | 'failedAnswer' | 'silent' | 'partialEvent'
+export type AttemptEnd = 'unsent' | 'cut' | 'garbled' | 'oversized' | 'turnedAway' | 'otherWorker' | 'otherVersion' | 'failedAnswer' | 'silent' | 'partialEvent'
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -8,6 +8,7 @@
 import { shouldStorePrompt } from '../placement/shouldStorePrompt.js'
 import type { Call, Dispatch, ModelDispatch, Prompt } from '../ports/forwardPort.js'
 import type { Worker } from '../workers/workersTypes.js'
+import { createByteBuffer } from './byteBuffer.js'
 import { createEventSplitter } from './eventSplitter.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Exchange, SendCause } from './forwardingTypes.js'
@@ -212,7 +213,7 @@
     scope: target.model?.scope,
     storesParts: target.storesParts,
     head: undefined,
-    body: [],
+    body: createByteBuffer(),
     splitter: createEventSplitter(),
     lastDataAt: now,
     doubted: false,
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -114,6 +114,8 @@
   | 'cut'
   /** The bytes are not a valid response, or respond to another request. */
   | 'garbled'
+  /** The response, its head or one of its events is larger than allowed. */
+  | 'oversized'
 
 /** Inputs of the forwarding core. */
 export type ForwardInput =
