A stream whose last event id cannot be sent in a header is not resumed

Callers saw, of one stream that broke after an event whose id holds a control character: its answer broken off, as before. But the request was offered to each other worker in turn; the HTTP library refused to write it, which counted as a worker that is out of reach, so that all workers of the service were suspected by this instance. An id of many KiB was sent to them all, beyond the size of heads that workers read.

Cause: an id that a worker wrote went into a header of the next attempt unchecked. Class: one bad input that ends attempts again and again.

Ruled out: headers and targets of callers; the server rejects those that the library cannot write (seven headers and five targets tried over raw sockets).

Change: a stream is resumed only after an id of at most 1,024 characters that a header can hold.

Not done: the name of a workspace with characters beyond Latin-1 cannot be sent either (platform/wireCodec.ts, X-Tenant) and fails in the same way.

--- a/src/forwarding/streamContinuation.ts
+++ b/src/forwarding/streamContinuation.ts
@@ -9,6 +9,12 @@
 /** What is known of the stream that a request resumes. */
 export type Continuation = 'free' | 'bound' | 'asked' | 'unknown'
 
+/** Event ids that can be sent in a header, of at most 1,024 characters. */
+const sendableId = /^[\t\x20-\x7e\x80-\xff]{0,1024}$/
+
+/** Whether a stream can be resumed after the event with this id; undefined stands for a stream without ids so far. */
+export const canResumeAfter = (eventId: string | undefined): boolean => eventId === undefined || sendableId.test(eventId)
+
 /** Whether a request resumes a stream that an earlier attempt of its caller began. */
 export const isResumption = (route: Route, { resumeAfter, resumes }: Call): boolean =>
   route.kind === 'stream' && (resumeAfter !== undefined || resumes !== undefined)
