A stream whose events have no ids is not joined from two runs

Callers saw: on a resumable route whose worker writes events without ids, the beginning of the stream twice, once from each worker, after the first one broke off; the joined stream looked complete.

Cause: with no id to go on from, the next attempt began anew behind the events that the caller already had.

Change: such a stream is broken off, so that its caller sees that it is not complete. One that has brought no event yet is still retried.

Measured: the new spec failed before (two sends in place of one) and passes now.

--- a/src/forwarding/forwardingMachine.spec.ts
+++ b/src/forwarding/forwardingMachine.spec.ts
@@ -248,6 +248,16 @@
     expect(fake.callerView(request)).toMatchObject({ text: sseEvent(1) + sseEvent(2), state: 'whole' })
   })
 
+  it('that brought events without ids are broken off, as they would begin anew', () => {
+    const fake = buildModel()
+    const request = fake.arrive(modelCall, 0)
+    fake.head(fake.sends()[0].attempt, {}, 20)
+    fake.data(fake.sends()[0].attempt, 'data: a\n\n', 21)
+    fake.fail(fake.sends()[0].attempt, 'cut', 30)
+    expect(fake.sends()).toHaveLength(1)
+    expect(fake.callerView(request)).toMatchObject({ text: 'data: a\n\n', state: 'broken' })
+  })
+
   it.each([['a control character', 'a\u0001'], ['more characters than a header holds', '1'.repeat(20_000)]])('whose last event id has %s are broken off, and no worker gets or is blamed for a request that cannot be sent', (_name, id) => {
     const fake = buildModel()
     const request = fake.arrive(modelCall, 0)
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -19,7 +19,7 @@
 import { createHeldAnswers } from './heldAnswers.js'
 import { decideWait, rejectedRetryAfter } from './waitOrRefuse.js'
 import { applyFirstEvent, applyLimit, applyRejection, applyResponseState, applyWorkerNotices } from './workerNotices.js'
-import { canResumeAfter, fitsOrigin, noteStreamEvent } from './streamContinuation.js'
+import { canResume, fitsOrigin, noteStreamEvent } from './streamContinuation.js'
 import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
 
 /** Request forwarding of one instance. */
@@ -50,8 +50,8 @@
 const isSuccess = (status: number): boolean => status >= 200 && status < 300
 
 /** Whether the request may run on another worker although a worker may have run it already. */
-const isRetryable = ({ route, lastEventId }: Exchange): boolean =>
-  route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable && canResumeAfter(lastEventId))
+const isRetryable = (exchange: Exchange): boolean =>
+  exchange.route.kind === 'idempotent' || (exchange.route.kind === 'stream' && exchange.route.resumable && canResume(exchange))
 
 /**
  * Creates the request forwarding of one instance, without requests.
--- a/src/forwarding/streamContinuation.ts
+++ b/src/forwarding/streamContinuation.ts
@@ -12,8 +12,9 @@
 /** Event ids that can be sent in a header, of at most 1,024 characters. */
 const sendableId = /^[\t\x20-\x7e\x80-\xff]{0,1024}$/
 
-/** Whether a stream can be resumed after the event with this id; undefined stands for a stream without ids so far. */
-export const canResumeAfter = (eventId: string | undefined): boolean => eventId === undefined || sendableId.test(eventId)
+/** Whether a new attempt can go on after the events that were sent to the caller; without an id it would begin anew. */
+export const canResume = ({ events, lastEventId }: Exchange): boolean =>
+  lastEventId === undefined ? events === 0 : sendableId.test(lastEventId)
 
 /** Whether a request resumes a stream that an earlier attempt of its caller began. */
 export const isResumption = (route: Route, { resumeAfter, resumes }: Call): boolean =>
