The id of an event behind a byte order mark counts

Callers saw: of a stream that began with a byte order mark and broke off after its first event, this event was not known to have an id: the stream began anew (before the change for events without ids) or was broken off, not resumed.

Change: the mark is passed on and left out where the id is looked for.

Measured: the new spec failed before (no id) and passes now.

Not done: the mark at the beginning of a resumed answer is passed on in the middle of the stream.

--- a/src/forwarding/eventSplitter.spec.ts
+++ b/src/forwarding/eventSplitter.spec.ts
@@ -68,4 +68,13 @@
     expect(event?.bytes.length).toBe(10_002)
     expect(copied).toBeLessThan(50_000)
   })
+
+  it('finds the id of a first event behind a byte order mark, also one split over chunks', () => {
+    const stream = Buffer.from('\ufeffid: 1\ndata: a\n\n')
+    for (const split of [0, 1, 2, 3, 4]) {
+      const splitter = createEventSplitter()
+      const events = [stream.subarray(0, split), stream.subarray(split)].map(chunk => splitter.push(chunk))
+      expect(events.findLast(event => event !== undefined)).toEqual({ bytes: stream, count: 1, lastId: '1' })
+    }
+  })
 })
--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -28,6 +28,8 @@
 const lineFeed = 10
 const carriageReturn = 13
 const lineEnd = /\r\n|\n|\r/
+/** The byte order mark with which a stream may begin, read as Latin-1. */
+const byteOrderMark = /^\u00ef\u00bb\u00bf/
 const idPattern = /^id:[ ]?(.*)$/
 
 /** Finds the ends of events in bytes that arrive in parts, and looks at each byte once. */
@@ -52,11 +54,12 @@
   }
 }
 
-const summarize = (bytes: Buffer): CompleteEvents => {
+const summarize = (bytes: Buffer, isStart: boolean): CompleteEvents => {
+  const text = bytes.toString('latin1')
   let count = 0
   let hasField = false
   let lastId: string | undefined
-  for (const line of bytes.toString('latin1').split(lineEnd)) {
+  for (const line of (isStart ? text.replace(byteOrderMark, '') : text).split(lineEnd)) {
     if (line === '' && hasField) count++
     hasField = line !== '' && (hasField || !line.startsWith(':'))
     lastId = idPattern.exec(line)?.[1] ?? lastId
@@ -68,6 +71,7 @@
 export const createEventSplitter = (): EventSplitter => {
   const findEnd = createEndFinder()
   const partialEvent = createByteBuffer()
+  let isStart = true
 
   const push = (bytes: Buffer): CompleteEvents | undefined => {
     const end = findEnd(bytes)
@@ -78,7 +82,9 @@
     const complete = partialEvent.size() === 0 ? bytes.subarray(0, end) : Buffer.concat([partialEvent.bytes(), bytes.subarray(0, end)])
     partialEvent.clear()
     partialEvent.push(bytes.subarray(end))
-    return summarize(complete)
+    const events = summarize(complete, isStart)
+    isStart = false
+    return events
   }
 
   return { push, heldBytes: partialEvent.size, hasPartialEvent: () => partialEvent.size() > 0 }
