Specs: answers that end with their connection, over sockets and the core

Plain answers and streams without a length or chunks, over HTTP/1.0 and 1.1, with and without Connection: close and keep-alive, that end cleanly (with their last bytes or after them), by a reset (with data or after it) or inside an event, through real connections and the forwarding core: a clean answer arrives whole and runs once, four times in a row; a cut one is retried, a stream after its last whole event, or never looks complete; a connection is not used twice.

The fake of the forwarding core can perform its effects for this.

--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -8,7 +8,7 @@
 import { createReadLease, type Moment } from '../../src/lease/readLease.js'
 import { createCachedPartsEstimate, type CachedPartsEstimate } from '../../src/placement/cachedPartsEstimate.js'
 import { createWorkerLoad, type WorkerLoad } from '../../src/placement/workerLoad.js'
-import type { AnswerHead, Call, Dispatch, ForwardEffect } from '../../src/ports/forwardPort.js'
+import type { AnswerHead, Call, Dispatch, ForwardEffect, ForwardInput } from '../../src/ports/forwardPort.js'
 import { createRandom } from '../../src/random.js'
 import { createWeightsTracker } from '../../src/workers/weightsTracker.js'
 import { createStreamOrigins } from '../../src/streamOrigins/streamOrigins.js'
@@ -23,6 +23,8 @@
   readonly catalog: Catalog | undefined
   readonly workers: readonly Worker[]
   readonly seed?: number
+  /** Performs the effects, besides their being recorded. */
+  readonly perform?: (effect: ForwardEffect) => void
 }
 
 /** The response that a caller has received so far: not complete (`open`), complete (`whole`) or aborted (`broken`). */
@@ -98,7 +100,10 @@
     instances: () => 1,
     hash: options.hash,
     random: createRandom(options.seed ?? 1),
-    emit: effect => effects.push(effect),
+    emit: effect => {
+      effects.push(effect)
+      options.perform?.(effect)
+    },
     log: event => logEvents.push(event),
     announceSend: () => { /* There is no other instance. */ },
     announceLeaving: () => { /* There is no other instance. */ },
@@ -136,6 +141,7 @@
 
   return {
     arrive,
+    handle: (input: ForwardInput, now: number): void => forwarding.handle(input, momentAt(now)),
     sends,
     callerView,
     logEvents,
--- /dev/null
+++ b/test/forwarding/answersOverSockets.spec.ts
@@ -0,0 +1,103 @@
+import type { Socket } from 'node:net'
+import { wireCodec } from '../../platform/wireCodec.js'
+import { createWorkerChannels } from '../../src/adapters/workerChannels.js'
+import type { Route } from '../../src/catalog/catalogTypes.js'
+import { loadHash, type Hash } from '../../src/hash.js'
+import { createFakeForwarding, type CallerView } from '../fakes/fakeForwarding.js'
+import { startRawServer } from '../fakes/rawServer.js'
+import { waitFor } from '../fakes/waitFor.js'
+import { buildCall, buildCatalog, buildRoute, buildWorker } from '../fixtures/forwarding.js'
+
+type Answer = (socket: Socket) => void
+
+let hash: Hash
+
+beforeAll(async () => { hash = await loadHash() })
+
+const plain = buildRoute()
+const plainOnce = buildRoute({ kind: 'once', maxWorkers: 1 })
+const stream = buildRoute({ kind: 'stream', resumable: true })
+const streamOnce = buildRoute({ kind: 'stream', resumable: false, maxWorkers: 1 })
+
+const event = (id: number): string => `id: ${id}\ndata: t\n\n`
+const headers = 'X-Request-Id: call-1\r\nX-Response-Signature: s\r\n'
+
+/** Heads of responses that have neither a length nor chunks. */
+const heads = {
+  'HTTP/1.1': `HTTP/1.1 200 OK\r\n${headers}\r\n`,
+  'HTTP/1.1 with Connection: close': `HTTP/1.1 200 OK\r\nConnection: close\r\n${headers}\r\n`,
+  'HTTP/1.0': `HTTP/1.0 200 OK\r\n${headers}\r\n`,
+  'HTTP/1.0 with Connection: keep-alive': `HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n${headers}\r\n`
+}
+const eachHead = Object.entries(heads)
+
+const endClean = (text: string): Answer => socket => { socket.end(text) }
+const endLater = (text: string): Answer => socket => { socket.write(text, () => setImmediate(() => socket.end())) }
+const resetWithData = (text: string): Answer => socket => { socket.write(text, () => socket.resetAndDestroy()) }
+const resetLater = (text: string): Answer => socket => { socket.write(text, () => setImmediate(() => setImmediate(() => socket.resetAndDestroy()))) }
+
+interface Outcome extends CallerView {
+  /** Bytes of the requests that reached workers. */
+  readonly requests: readonly string[]
+  readonly connections: number
+}
+
+/** Sends successive requests through the forwarding core and real connections to three workers, which give the answers in this order. */
+const play = async (route: Route, answers: readonly Answer[], count = 1): Promise<readonly Outcome[]> => {
+  const requests: string[] = []
+  const answer = (socket: Socket, bytes: Buffer): void => {
+    if (!bytes.includes('HTTP/1.1')) return
+    requests.push(bytes.toString())
+    answers[Math.min(requests.length, answers.length) - 1](socket)
+  }
+  const servers = await Promise.all([1, 2, 3].map(() => startRawServer(answer)))
+  const workers = servers.map(({ port }, index) => buildWorker(`w${index}`, { address: { host: '127.0.0.1', port } }))
+  const channels = createWorkerChannels({ codec: wireCodec, emit: input => fake.handle(input, 1), onConnectionOpened: () => { /* Not counted here. */ } })
+  const fake = createFakeForwarding({
+    hash,
+    catalog: buildCatalog({ routes: [route] }),
+    workers,
+    perform: effect => {
+      if (effect.kind === 'attempt.send') channels.send(effect.attempt, effect.dispatch)
+      if (effect.kind === 'attempt.cancel') channels.cancel(effect.attempt)
+    }
+  })
+  const outcomes: Outcome[] = []
+  for (let index = 0; index < count; index++) {
+    const before = requests.length
+    const request = fake.arrive(buildCall(), 0)
+    await waitFor(() => [undefined, 'open'].indexOf(fake.callerView(request)?.state) < 0)
+    outcomes.push({ ...fake.callerView(request) as CallerView, requests: requests.slice(before), connections: servers.reduce((sum, { accepted }) => sum + accepted(), 0) })
+  }
+  await Promise.all([channels.close(), ...servers.map(({ close }) => close())])
+  return outcomes
+}
+
+describe.each(eachHead)('an answer that ends with its connection, %s', (_name, head) => {
+  it.each([['at once', endClean], ['after its last bytes', endLater]])('arrives whole and runs once if the worker closes the connection %s', async (_when, end) => {
+    for (const outcome of await play(plain, [end(`${head}hello`)], 4)) expect(outcome).toMatchObject({ status: 200, text: 'hello', state: 'whole', requests: [expect.anything()] })
+    for (const outcome of await play(stream, [end(head + event(1) + event(2))], 4)) expect(outcome).toMatchObject({ text: event(1) + event(2), state: 'whole', requests: [expect.anything()] })
+  })
+
+  it('is never followed by another one on its connection', async () => {
+    expect((await play(plain, [endClean(`${head}hello`)], 3)).map(({ connections }) => connections)).toEqual([1, 2, 3])
+  })
+
+  it.each([['with data', resetWithData], ['later', resetLater]])('is retried if the connection is reset %s, a stream after its last whole event', async (_when, reset) => {
+    const [answer] = await play(plain, [reset(`${head}hel`), endClean(`${head}hello`)])
+    expect(answer).toMatchObject({ text: 'hello', state: 'whole', requests: [expect.anything(), expect.anything()] })
+    const [resumed] = await play(stream, [reset(`${head}${event(1)}id: 2\nda`), endClean(head + event(2))])
+    expect(resumed).toMatchObject({ text: event(1) + event(2), state: 'whole', requests: [expect.anything(), expect.stringMatching(/^Last-Event-Id: 1\r$/m)] })
+  })
+
+  it.each([['with data', resetWithData], ['later', resetLater]])('never looks complete if the connection is reset %s and the request may not be retried', async (_when, reset) => {
+    expect((await play(plainOnce, [reset(`${head}hel`)]))[0]).toMatchObject({ status: 502, state: 'whole' })
+    expect((await play(streamOnce, [reset(head + event(1))]))[0]).toMatchObject({ text: event(1), state: 'broken' })
+  })
+
+  it.each(['id: 2\ndata: t\n', 'id: 2\ndata: t', 'id: 2\r\n', 'i'])('is resumed, or broken off if it may not be, when it ends inside an event: %j', async rest => {
+    const [resumed] = await play(stream, [endClean(head + event(1) + rest), endClean(head + event(2))])
+    expect(resumed).toMatchObject({ text: event(1) + event(2), state: 'whole', requests: [expect.anything(), expect.stringMatching(/^Last-Event-Id: 1\r$/m)] })
+    expect((await play(streamOnce, [endClean(head + event(1) + rest)]))[0]).toMatchObject({ text: event(1), state: 'broken' })
+  })
+})
