--- a/src/adapters/endlessBytes.spec.ts
+++ b/src/adapters/endlessBytes.spec.ts
@@ -1,18 +1,7 @@
-import type { Socket } from 'node:net'
 import { buildFixture, sendAttempt } from '../../test/fixtures/workerChannels.js'
+import { writeForever } from '../../test/fakes/endlessServer.js'
 import { waitFor } from '../../test/fakes/waitFor.js'
 
-const partSize = 65_536
-
-/** Writes `text` and then `repeated` without end, until the connection is closed. */
-const writeForever = (socket: Socket, text: string, repeated: string): void => {
-  const part = Buffer.from(repeated.repeat(Math.ceil(partSize / repeated.length)))
-  const writeMore = (): void => { while (!socket.destroyed && socket.write(part)); }
-  socket.write(text)
-  socket.on('drain', writeMore)
-  writeMore()
-}
-
 const okLine = 'HTTP/1.1 200 OK\r\n'
 const chunked = `${okLine}Transfer-Encoding: chunked\r\n\r\n`
 
