A frame of a peer is copied a few times, not at each arrival

Seen: a large message between instances that arrives in small parts took processor time with the square of its size (4 MiB at most).

Cause: the same as for events held back: what was buffered was copied at each arrival. Looked for in all code that collects bytes; this was the other place.

Change: the frame reader collects its bytes in the same buffer, which moves to src/byteBuffer.ts.

--- a/src/adapters/peerFrames.spec.ts
+++ b/src/adapters/peerFrames.spec.ts
@@ -25,4 +25,16 @@
     const frame = encodeFrame({ kind: 'a' })
     expect(createFrameReader(64).push(frame.subarray(0, frame.length - 1))._unsafeUnwrap()).toEqual([])
   })
+
+  it('that arrive in small parts are copied no more than a few times', () => {
+    const frame = encodeFrame({ kind: 'a', text: 'x'.repeat(100_000) })
+    const concat = jest.spyOn(Buffer, 'concat')
+    const reader = createFrameReader(200_000)
+    let values: readonly unknown[] = []
+    for (let at = 0; at < frame.length; at += 10) values = reader.push(frame.subarray(at, at + 10))._unsafeUnwrap()
+    const copied = concat.mock.results.reduce((sum, { value }) => sum + value.length, 0)
+    concat.mockRestore()
+    expect(values).toHaveLength(1)
+    expect(copied).toBeLessThan(500_000)
+  })
 })
--- a/src/adapters/peerFrames.ts
+++ b/src/adapters/peerFrames.ts
@@ -1,6 +1,7 @@
 /** Framing of messages between instances: a length prefix of four bytes (big-endian), then one CBOR value. */
 import { Encoder } from 'cbor-x'
 import { err, ok, type Result } from 'neverthrow'
+import { createByteBuffer } from '../byteBuffer.js'
 
 /** Why received bytes are not a valid frame; sizes in bytes. */
 export type FrameError =
@@ -48,19 +49,24 @@
  * @returns the reader
  */
 export const createFrameReader = (limit: number): FrameReader => {
-  let buffered: Buffer = Buffer.alloc(0)
+  const buffered = createByteBuffer()
 
   const push = (bytes: Buffer): Result<readonly unknown[], FrameError> => {
-    buffered = buffered.length === 0 ? bytes : Buffer.concat([buffered, bytes])
+    buffered.push(bytes)
+    let rest = buffered.bytes()
     const values: unknown[] = []
-    while (buffered.length >= lengthPrefixBytes) {
-      const size = buffered.readUInt32BE(0)
+    while (rest.length >= lengthPrefixBytes) {
+      const size = rest.readUInt32BE(0)
       if (size > limit) return err({ kind: 'frameTooLarge', size, limit })
-      if (buffered.length < lengthPrefixBytes + size) break
-      const value = decode(buffered.subarray(lengthPrefixBytes, lengthPrefixBytes + size))
+      if (rest.length < lengthPrefixBytes + size) break
+      const value = decode(rest.subarray(lengthPrefixBytes, lengthPrefixBytes + size))
       if (value.isErr()) return err(value.error)
       values.push(value.value)
-      buffered = buffered.subarray(lengthPrefixBytes + size)
+      rest = rest.subarray(lengthPrefixBytes + size)
+    }
+    if (values.length > 0) {
+      buffered.clear()
+      buffered.push(rest)
     }
     return ok(values)
   }
--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -3,7 +3,7 @@
  * a worker sent only in part is never passed on. Events end with an empty line;
  * lines end with a line feed, a carriage return, or both.
  */
-import { createByteBuffer } from './byteBuffer.js'
+import { createByteBuffer } from '../byteBuffer.js'
 
 /** One or more complete events of a stream. */
 export interface CompleteEvents {
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -3,7 +3,7 @@
 import type { AnswerHead, Call } from '../ports/forwardPort.js'
 import type { InFlightRequest } from '../placement/workerLoad.js'
 import type { StreamOrigin } from '../streamOrigins/streamOriginsTypes.js'
-import type { ByteBuffer } from './byteBuffer.js'
+import type { ByteBuffer } from '../byteBuffer.js'
 import type { EventSplitter } from './eventSplitter.js'
 
 /** One attempt to run a request on a worker. */
