--- a/test/forwarding/answersOverSockets.spec.ts
+++ b/test/forwarding/answersOverSockets.spec.ts
@@ -4,6 +4,7 @@
 import type { Route } from '../../src/catalog/catalogTypes.js'
 import { loadHash, type Hash } from '../../src/hash.js'
 import { createFakeForwarding, type CallerView } from '../fakes/fakeForwarding.js'
+import { writeForever } from '../fakes/endlessServer.js'
 import { startRawServer } from '../fakes/rawServer.js'
 import { waitFor } from '../fakes/waitFor.js'
 import { buildCall, buildCatalog, buildRoute, buildWorker } from '../fixtures/forwarding.js'
@@ -101,3 +102,35 @@
     expect((await play(streamOnce, [endClean(head + event(1) + rest)]))[0]).toMatchObject({ text: event(1), state: 'broken' })
   })
 })
+
+describe('a worker that sends without end', () => {
+  const head = heads['HTTP/1.1']
+  const chunked = `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n${headers}\r\n`
+  const endless = (text: string, repeated: string): Answer => socket => writeForever(socket, text, repeated)
+
+  it.each([
+    ['a status line', endless('HTTP/1.1 200 ', 'O')],
+    ['interim responses', endless('', 'HTTP/1.1 103 Early Hints\r\n\r\n')],
+    ['a body', endless(head, 'b')],
+    ['a body in chunks', endless(chunked, `40\r\n${'b'.repeat(64)}\r\n`)],
+    ['a chunk extension', endless(`${chunked}3;a=`, 'b')]
+  ])('%s ends no more than its own request, which another worker answers if it may be retried', async (_name, answer) => {
+    const outcomes = await play(plain, [answer, endClean(`${head}hello`)], 2)
+    expect(outcomes).toMatchObject([{ text: 'hello', state: 'whole', requests: [expect.anything(), expect.anything()] }, { text: 'hello', state: 'whole', requests: [expect.anything()] }])
+    expect((await play(plainOnce, [answer]))[0]).toMatchObject({ status: 502, state: 'whole' })
+  })
+
+  it.each([['an event', 'b'], ['lines of comments', ': b\n']])('%s has its stream resumed after the last whole event, or broken off if that may not be', async (_name, repeated) => {
+    const answer = endless(`${head}${event(1)}id: 2\n`, repeated)
+    const [resumed] = await play(stream, [answer, endClean(head + event(2))])
+    expect(resumed).toMatchObject({ text: event(1) + event(2), state: 'whole', requests: [expect.anything(), expect.stringMatching(/^Last-Event-Id: 1\r$/m)] })
+    expect((await play(streamOnce, [answer]))[0]).toMatchObject({ text: event(1), state: 'broken' })
+  })
+
+  it('bytes after a complete answer leaves that answer whole and its connection unused', async () => {
+    const withLength = `HTTP/1.1 200 OK\r\nContent-Length: 5\r\n${headers}\r\nhello`
+    const outcomes = await play(plain, [endless(withLength, 'HTTP/1.1 200 OK\r\n')], 3)
+    for (const outcome of outcomes) expect(outcome).toMatchObject({ text: 'hello', state: 'whole', requests: [expect.anything()] })
+    expect(outcomes.map(({ connections }) => connections)).toEqual([1, 2, 3])
+  })
+})
