What is held of answers is kept in blocks, not in a buffer that doubles

Seen: eight answers without end at the same time took an instance's memory from 119 to 186 MB, though no more than 16 MiB of them are held.

Cause: the buffer allocated up to twice what it held, and left its earlier ones to the garbage collector.

Change: bytes are collected in blocks of at most 64 KiB and joined once. The frame reader joins what it has only when a whole frame is there.

The specs of the buffer, the splitter and the frames hold as they are.

--- a/src/adapters/peerFrames.ts
+++ b/src/adapters/peerFrames.ts
@@ -50,19 +50,24 @@
  */
 export const createFrameReader = (limit: number): FrameReader => {
   const buffered = createByteBuffer()
+  /** Number of buffered bytes without which nothing can be read. */
+  let needed = lengthPrefixBytes
 
   const push = (bytes: Buffer): Result<readonly unknown[], FrameError> => {
     buffered.push(bytes)
+    if (buffered.size() < needed) return ok([])
     let rest = buffered.bytes()
     const values: unknown[] = []
     while (rest.length >= lengthPrefixBytes) {
       const size = rest.readUInt32BE(0)
       if (size > limit) return err({ kind: 'frameTooLarge', size, limit })
-      if (rest.length < lengthPrefixBytes + size) break
-      const value = decode(rest.subarray(lengthPrefixBytes, lengthPrefixBytes + size))
+      needed = lengthPrefixBytes + size
+      if (rest.length < needed) break
+      const value = decode(rest.subarray(lengthPrefixBytes, needed))
       if (value.isErr()) return err(value.error)
       values.push(value.value)
-      rest = rest.subarray(lengthPrefixBytes + size)
+      rest = rest.subarray(needed)
+      needed = lengthPrefixBytes
     }
     if (values.length > 0) {
       buffered.clear()
--- a/src/byteBuffer.ts
+++ b/src/byteBuffer.ts
@@ -2,43 +2,57 @@
 
 /** Bytes collected so far. */
 export interface ByteBuffer {
-  /** Appends bytes. */
+  /** Appends bytes, which must not change afterwards. */
   readonly push: (bytes: Buffer) => void
   /** Number of bytes. */
   readonly size: () => number
-  /** The bytes; valid until the next `push` or `clear`. */
+  /** Joins the bytes. */
   readonly bytes: () => Buffer
   /** Removes all bytes. */
   readonly clear: () => void
 }
 
-/** Capacity of a buffer that has to grow, in bytes. */
-const minCapacity = 1_024
+/** Size of the first block that is allocated for small parts, in bytes. */
+const minBlock = 1_024
+/** Maximum size of a block, in bytes. */
+const maxBlock = 65_536
+const noBytes = Buffer.alloc(0)
 
-/** Creates an empty buffer. The first part is kept without a copy. */
+/** Creates an empty buffer. The first part is kept without a copy; the others are copied into blocks. */
 export const createByteBuffer = (): ByteBuffer => {
-  let storage: Buffer = Buffer.alloc(0)
+  let parts: Buffer[] = []
+  let block: Buffer = noBytes
+  let blockUsed = 0
   let size = 0
 
-  const grow = (needed: number): void => {
-    const larger = Buffer.allocUnsafe(Math.max(minCapacity, 2 * needed))
-    storage.copy(larger, 0, 0, size)
-    storage = larger
+  const reset = (bytes: Buffer): void => {
+    parts = bytes.length === 0 ? [] : [bytes]
+    block = noBytes
+    blockUsed = 0
+    size = bytes.length
+  }
+
+  const addBlock = (): void => {
+    parts.push(block)
+    block = Buffer.allocUnsafe(Math.min(maxBlock, Math.max(minBlock, size)))
+    blockUsed = 0
   }
 
   const push = (bytes: Buffer): void => {
-    if (size === 0) storage = bytes
-    else {
-      if (size + bytes.length > storage.length) grow(size + bytes.length)
-      bytes.copy(storage, size)
+    if (size === 0) return reset(bytes)
+    for (let copied = 0; copied < bytes.length;) {
+      if (blockUsed === block.length) addBlock()
+      const count = bytes.copy(block, blockUsed, copied)
+      blockUsed += count
+      copied += count
     }
     size += bytes.length
   }
 
-  const clear = (): void => {
-    storage = Buffer.alloc(0)
-    size = 0
+  const bytes = (): Buffer => {
+    if (blockUsed > 0) reset(Buffer.concat([...parts, block.subarray(0, blockUsed)], size))
+    return parts[0] ?? noBytes
   }
 
-  return { push, size: () => size, bytes: () => storage.subarray(0, size), clear }
+  return { push, size: () => size, bytes, clear: () => reset(noBytes) }
 }
