Specs: streams of whole events or comments without end

Both are passed on as they come and broken off at their route's time limit, without being held or sent elsewhere; a stream of 18 MB in whole events that ends passes.

--- a/src/forwarding/endlessAnswers.spec.ts
+++ b/src/forwarding/endlessAnswers.spec.ts
@@ -116,3 +116,33 @@
     expect(fake.callerView(request)).toMatchObject({ text: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', state: 'whole' })
   })
 })
+
+describe('a stream without end', () => {
+  it.each([['events', 'id: 1\ndata: a\n\n'], ['comments', ': waiting\n\n']])('of %s is passed on and broken off at its time limit', (_name, block) => {
+    const fake = build(buildRoute({ kind: 'stream', resumable: true, timeout: 5_000 }))
+    const request = fake.arrive(buildCall(), 0)
+    const [{ attempt }] = fake.sends()
+    fake.head(attempt, {}, 10)
+    for (let now = 20; now < 5_000; now += 20) {
+      fake.data(attempt, block, now)
+      fake.tick(now)
+    }
+    expect(fake.callerView(request)).toMatchObject({ text: block.repeat(249), state: 'open' })
+    fake.tick(5_000)
+    expect(fake.callerView(request)?.state).toBe('broken')
+    expect(fake.cancelled()).toEqual([attempt])
+    expect(fake.sends()).toHaveLength(1)
+  })
+
+  it('of many MiB in whole events passes if it ends', () => {
+    const fake = build(stream)
+    const request = fake.arrive(buildCall(), 0)
+    const [{ attempt }] = fake.sends()
+    const large = `id: 1\ndata: ${'x'.repeat(900_000)}\n\n`
+    fake.head(attempt, {}, 10)
+    for (let count = 0; count < 20; count++) fake.data(attempt, large, 20 + count)
+    fake.end(attempt, 50)
+    expect(fake.callerView(request)?.state).toBe('whole')
+    expect(fake.callerView(request)?.text.length).toBe(20 * large.length)
+  })
+})
