A worker that accepts a connection while this process is held up is reached

After a pause of 200 ms or more the time limit for connecting expired before the connection, which the worker had accepted long ago, was seen: a probe said that the worker cannot be reached, the other instances were told, and its requests were sent elsewhere. The limit is judged after the sockets have been looked at once more.

--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -9,6 +9,7 @@
 import { ResultAsync } from 'neverthrow'
 import type { AttemptFailure, Dispatch, ForwardInput } from '../ports/forwardPort.js'
 import type { WireCodec } from '../ports/platformPort.js'
+import { afterNextRead } from './nextRead.js'
 import { observeConnection, OversizedFraming, type WorkerConnection } from './workerConnection.js'
 
 /** Dependencies of the connection pool. */
@@ -80,7 +81,8 @@
 /** Connects within `connectTimeout`. The HTTP library's own timers are too coarse for this limit and would exceed it. */
 const openSocket = ({ host, port }: Dispatch['address']): ResultAsync<Socket, Error> => ResultAsync.fromPromise(new Promise<Socket>((resolve, reject) => {
   const socket = connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: probeDelay })
-  const timer = setTimeout(() => socket.destroy(new ConnectTimeout()), connectTimeout)
+  // The connection may have been accepted while this process was held up.
+  const timer = setTimeout(() => afterNextRead(() => { if (socket.connecting) socket.destroy(new ConnectTimeout()) }), connectTimeout)
   socket.once('connect', () => {
     clearTimeout(timer)
     resolve(socket)
