Lines say the shared parts of a prompt and whether a cut attempt had begun

Callers see nothing of it.

Change: sent names up to four parts that other requests may share (never the last); attemptFailed has begun, the ms since the attempt's first event, and startedAt, the lifetime; workerChanged has startedAt. Nothing is placed differently.

--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -185,7 +185,16 @@
   }
 
   const failAttempt = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
-    context.log({ kind: 'attemptFailed', id: exchange.call.id, worker: attempt.worker, reason, after: Math.round(now - attempt.sentAt) })
+    const { worker, workerStartedAt, sentAt, flight: { firstEventAt } } = attempt
+    context.log({
+      kind: 'attemptFailed',
+      id: exchange.call.id,
+      worker,
+      reason,
+      after: Math.round(now - sentAt),
+      ...(firstEventAt === undefined ? {} : { begun: Math.round(now - firstEventAt) }),
+      startedAt: workerStartedAt
+    })
     endAttempt(exchange, cancel)
   }
 
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -73,8 +73,8 @@
 
 /** A log event of forwarding; each is one log line. */
 export type ForwardLogEvent =
-  | { readonly kind: 'sent', readonly id: string, readonly worker: string, readonly cause: SendCause, readonly expected: number, readonly flights: number, readonly unread: number, readonly fetched: number, readonly version?: number, /** Version of the worker's software. */ readonly software?: string, /** Id of the attempt whose stream the caller resumes. */ readonly resumes?: string, readonly configuration: number, readonly proofAge: number }
-  | { readonly kind: 'attemptFailed', readonly id: string, readonly worker: string, readonly reason: AttemptEnd, readonly after: number }
+  | { readonly kind: 'sent', readonly id: string, readonly worker: string, readonly cause: SendCause, readonly expected: number, readonly flights: number, readonly unread: number, readonly fetched: number, readonly version?: number, /** Version of the worker's software. */ readonly software?: string, /** Id of the attempt whose stream the caller resumes. */ readonly resumes?: string, /** Ids of the first shared parts of the prompt. */ readonly parts?: readonly string[], readonly configuration: number, readonly proofAge: number }
+  | { readonly kind: 'attemptFailed', readonly id: string, readonly worker: string, readonly reason: AttemptEnd, readonly after: number, /** Time since the attempt's first event, if it had begun. */ readonly begun?: number, /** Start time of the worker's lifetime. */ readonly startedAt: number }
   | { readonly kind: 'refused', readonly id: string, readonly reason: string, readonly outcome: string, readonly after: number, readonly configuration: number, readonly proofAge: number }
   | { readonly kind: 'answered', readonly id: string, readonly worker: string, readonly status: number, readonly after: number, readonly events: number, /** Time to the first event of a stream. */ readonly first?: number }
   | { readonly kind: 'brokenOff', readonly id: string, readonly reason: string, readonly after: number, readonly events: number }
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -185,6 +185,13 @@
   context.announceSend({ worker: worker.id, unreadTokens, scope: model.scope, parts: shared, first: unreadShared >= announceMinTokens, stores: storesParts })
 }
 
+/** Largest number of parts that a log line names. */
+const maxLoggedParts = 4
+
+/** The first parts of the prompt that other requests may share, for the log. */
+const loggedParts = ({ prompt }: Call): { readonly parts?: readonly string[] } =>
+  prompt === undefined || prompt.parts.length < 2 ? {} : { parts: prompt.parts.slice(0, -1).slice(0, maxLoggedParts).map(({ id }) => id) }
+
 const send = (context: ForwardingContext, exchange: Exchange, target: ChosenWorker, cause: SendCause, attempt: number, time: DecisionTime): void => {
   const { now, moment } = time
   const load = context.loadOf(target.worker.id)
@@ -230,6 +237,7 @@
     ...(target.version === undefined ? {} : { version: target.version }),
     ...(target.worker.softwareVersion === undefined ? {} : { software: target.worker.softwareVersion }),
     ...(exchange.call.resumes === undefined ? {} : { resumes: exchange.call.resumes }),
+    ...loggedParts(exchange.call),
     configuration: context.catalog()?.catalog.version ?? 0,
     proofAge: Math.round(context.lease.age(moment))
   })
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -47,7 +47,7 @@
   | RolloutEvent
   | { readonly kind: 'configurationInForce', readonly version: number, readonly source: 'store' | 'peer', readonly proofAge: number }
   | { readonly kind: 'weightsNamed', readonly model: string, readonly version: number }
-  | { readonly kind: 'workerChanged', readonly change: Exclude<WorkerChange['kind'], 'updated'>, readonly worker: string, readonly service: string, readonly address: string }
+  | { readonly kind: 'workerChanged', readonly change: Exclude<WorkerChange['kind'], 'updated'>, readonly worker: string, readonly service: string, readonly address: string, readonly startedAt: number }
   | { readonly kind: 'peerChanged', readonly peer: string, readonly change: string }
   | { readonly kind: 'storeRestored', readonly era: number }
   | { readonly kind: 'dependencyLost', readonly dependency: Dependency, readonly reason: string }
--- a/src/gateway/workerRegistry.ts
+++ b/src/gateway/workerRegistry.ts
@@ -102,14 +102,14 @@
   }
 
   const applyChange = (change: WorkerChange): void => {
-    const { id, service, address } = change.worker
+    const { id, service, address, startedAt } = change.worker
     if (change.kind === 'updated') return
     if (change.kind === 'left') forget(id)
     if (change.kind === 'restarted') {
       cachedParts.delete(id)
       loadOf(id).pausedUntil = -Infinity
     }
-    log({ kind: 'workerChanged', change: change.kind, worker: id, service, address: formatAddress(address) })
+    log({ kind: 'workerChanged', change: change.kind, worker: id, service, address: formatAddress(address), startedAt })
   }
 
   const handleChanges = (changes: readonly WorkerChange[]): void => {
