--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -1,7 +1,7 @@
 /**
  * A fleet of gateways in virtual time: complete cores of instances, a network
- * between them, and workers that stream events, state limits and record every
- * request that reaches them. The store answers every instance at once.
+ * between them, and workers that stream events, state limits, crash and record
+ * every request that reaches them. The store answers every instance at once.
  */
 import type { Catalog } from '../../src/catalog/catalogTypes.js'
 import { createGateway, tickInterval, type Gateway } from '../../src/gateway/gatewayMachine.js'
@@ -15,6 +15,7 @@
 import type { Worker } from '../../src/workers/workersTypes.js'
 import { buildGatewayBounds } from '../fixtures/gateway.js'
 import { createFakeNetwork, type FakeNetwork } from './fakeNetwork.js'
+import { createFakeWorkers } from './fakeWorkers.js'
 import { createVirtualTime, type VirtualTime } from './virtualTime.js'
 
 /** A request that reached a worker; `at` in ms. */
@@ -57,6 +58,10 @@
   readonly statements?: (worker: Worker, now: number) => Partial<AnswerHead>
   /** Number of events in a stream. */
   readonly streamEvents?: number
+  /** Whether the worker crashes soon after it has begun to write an answer to the request. */
+  readonly crashes?: (call: Call, now: number) => boolean
+  /** Called when a worker has crashed under a request. */
+  readonly onCrash?: (call: Call) => void
 }
 
 /** A fleet in virtual time; all times in ms. */
@@ -79,11 +84,18 @@
   readonly endWorker: (worker: string) => void
   /** Ends a worker and starts it anew under its id; its streams break off. */
   readonly restartWorker: (worker: string) => void
+  /** Ends a worker without a word: its connections are closed at once and new ones refused, its record expires, and it starts anew at its address under a new id. */
+  readonly crashWorker: (worker: string) => boolean
+  /** Closes the connections of a worker, which goes on. */
+  readonly resetConnections: (worker: string) => void
 }
 
 const storeReadInterval = 500 // ms
 const workerDelay = 1 // ms
 const eventInterval = 40 // ms
+/** Shortest time from the first event to a crash, and its random addition, in ms. */
+const crashDelay = 40
+const crashDelaySpread = 70
 
 interface Running {
   readonly gateway: Gateway
@@ -107,7 +119,8 @@
   const running = new Map<string, Running>()
   const starts = new Map<string, number>()
   const storeCutOff = new Set<string>()
-  const workers = new Map(options.workers.map(worker => [worker.id, worker]))
+  const crashRandom = createRandom(options.seed ?? 1)
+  const workers = createFakeWorkers(time, crashRandom, options.workers)
   const arrivals: WorkerArrival[] = []
   const logEvents: { instance: string, at: number, event: GatewayLogEvent }[] = []
 
@@ -133,14 +146,19 @@
     ({ status: 200, headers: ['Worker', worker.id], notRun: false, signed: true, requestId: call.id, weightVersion: worker.models[0]?.version, ...options.statements?.(worker, time.now()) })
 
   const runAt = (instance: string, node: Running, attempt: number, { call, worker: id, resumeAfter }: Dispatch): void => {
-    const worker = workers.get(id)
+    const worker = workers.running(id)
     if (worker === undefined) return fail(instance, node, attempt, 'unsent')
+    const disconnect = workers.connect(id, () => fail(instance, node, attempt, 'cut'))
+    const crash = (): void => {
+      if (node.attempts.has(attempt) && workers.crash(id)) options.onCrash?.(call)
+    }
     arrivals.push({ call: call.id, worker: id, instance, at: time.now(), resumed: resumeAfter !== undefined })
     const head = headOf(worker, call)
-    const isAlive = (): boolean => workers.get(id)?.startedAt === worker.startedAt
+    const isAlive = (): boolean => workers.running(id)?.startedAt === worker.startedAt
     const sendEvent = (event: number): void => {
       if (!isAlive()) return fail(instance, node, attempt, 'cut')
       if (event > streamEvents || head.notRun) {
+        disconnect()
         inputOfAttempt(instance, node, attempt, { kind: 'attempt.ended', attempt })
         node.attempts.delete(attempt)
         return
@@ -151,6 +169,7 @@
     time.after(eventInterval, () => {
       inputOfAttempt(instance, node, attempt, { kind: 'attempt.head', attempt, head })
       sendEvent(Number(resumeAfter ?? 0) + 1)
+      if (options.crashes?.(call, time.now()) === true) time.after(crashDelay + crashDelaySpread * crashRandom.unit(), crash)
     })
   }
 
@@ -163,7 +182,7 @@
         time.after(workerDelay, () => runAt(instance, node, effect.attempt, effect.dispatch))
         return
       case 'attempt.cancel': node.attempts.delete(effect.attempt); return
-      case 'worker.probe': time.after(workerDelay, () => input(instance, { kind: 'worker.probed', worker: effect.worker, reachable: workers.has(effect.worker) })); return
+      case 'worker.probe': time.after(workerDelay, () => input(instance, { kind: 'worker.probed', worker: effect.worker, reachable: workers.running(effect.worker) !== undefined })); return
       case 'call.open':
       case 'call.answer':
       case 'call.write':
@@ -200,7 +219,7 @@
     input(instance, { kind: 'feed.members', members: membersNow, withdrawn: [] })
     input(instance, { kind: 'feed.catalog', catalog })
     input(instance, { kind: 'feed.proof', asOf: moment() })
-    input(instance, { kind: 'feed.workers', records: [...workers.values()].map(worker => ({ kind: 'present', worker })), complete: true })
+    input(instance, { kind: 'feed.workers', records: workers.listed().map(worker => ({ kind: 'present', worker })), complete: true })
   }
 
   const every = (instance: string, node: Running, interval: number, action: () => void): void => {
@@ -259,11 +278,10 @@
       if (reachable) storeCutOff.delete(instance)
       else storeCutOff.add(instance)
     },
-    register: worker => { workers.set(worker.id, worker) },
-    endWorker: worker => { workers.delete(worker) },
-    restartWorker: id => {
-      const worker = workers.get(id)
-      if (worker !== undefined) workers.set(id, { ...worker, startedAt: worker.startedAt + 1 })
-    }
+    register: workers.register,
+    endWorker: workers.end,
+    restartWorker: workers.restart,
+    crashWorker: workers.crash,
+    resetConnections: workers.resetConnections
   }
 }
