A part of a prompt that crashes workers is kept away from them

Cause: no instance connected the crashes with what the workers had just begun to write on (hypothesis 1); each sees few of them, and each new request, retry and resumed stream was placed like any other. Class: input that ends whoever processes it, without anyone who remembers. Retries (2) add to it and are not the cause: 148 of 167 requests with a cut attempt had one. Load (3): in virtual time the same crashes without load go on as before.

Change: instances report crashes with the parts that may have caused them to two judges for each model, chosen by rendezvous hashing; a judge asks all instances for proofs to the contrary, and blocks the part that explains most crashes; crashes under it no longer count against others. Requests with it are refused at once wherever they would be placed (blockedPart). One request at a time tries it again, ever more rarely. A request under which two workers may have crashed is not retried. Lines workerCrashed, partBlocked, partUnblocked, partTried, gauge blockedParts, the table in the state dump.

--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -10,6 +10,7 @@
 import { assertNever } from '../errors.js'
 import type { Hash } from '../hash.js'
 import { ageOf, earlier, type Moment } from '../lease/readLease.js'
+import type { PoisonMessage } from '../poisonParts/poisonPartsTypes.js'
 import type { StreamMessage } from '../streamOrigins/streamOrigins.js'
 import type { LimitMessage } from '../workerLimits/workerLimits.js'
 import type { FleetMember } from '../ports/feedPort.js'
@@ -58,6 +59,8 @@
   readonly peerSentToWorker: (sent: Extract<FleetMessage, { kind: 'fleet.sent' }>) => void
   /** A peer has sent a message about the limit of a worker. */
   readonly limitMessage: (from: string, message: LimitMessage) => void
+  /** A peer has sent a message about parts that crash workers. */
+  readonly poisonMessage: (from: string, message: PoisonMessage) => void
   /** A peer has sent a message about the origin of streams. */
   readonly streamMessage: (from: string, message: StreamMessage) => void
   /** A peer that reads for others has sent changed worker records. */
@@ -283,6 +286,11 @@
       case 'fleet.workerLimit':
       case 'fleet.permitRequest':
       case 'fleet.permitDecision': return events.limitMessage(from, message)
+      case 'fleet.workerCrash':
+      case 'fleet.partQuestion':
+      case 'fleet.partProofs':
+      case 'fleet.blockedParts':
+      case 'fleet.partUnblocked': return events.poisonMessage(from, message)
       case 'fleet.streams':
       case 'fleet.streamQuestion':
       case 'fleet.streamAnswer': return events.streamMessage(from, message)
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -44,6 +44,54 @@
   z.object({ kind: z.literal('denied'), wait: z.number().min(0) })
 ])
 
+/** Largest number of parts that one message names. */
+export const maxPartsPerMessage = 64
+
+const age = z.number().min(0)
+
+const poisonMessageSchemas = [
+  /** A lifetime of a worker has crashed `age` ms ago; `suspects` are parts of the prompts for `model` on which it had just begun to write. */
+  z.object({
+    kind: z.literal('fleet.workerCrash'),
+    model: z.string(),
+    worker: z.string(),
+    startedAt: z.number(),
+    age,
+    suspects: z.array(z.object({
+      part: z.string(),
+      /** Position in the prompt, from 0. */
+      depth: z.number().int().min(0),
+      /** Id that the request which held it shares with its repeats. */
+      request: z.string(),
+      /** Whether the worker had begun to answer that request. */
+      begun: z.boolean(),
+      /** Time since an answer on it began that went well, in ms; undefined if the sender knows none. */
+      provenAge: age.optional()
+    })).max(maxPartsPerMessage)
+  }),
+  /** Asks when answers on these parts last went well. */
+  z.object({ kind: z.literal('fleet.partQuestion'), model: z.string(), parts: z.array(z.string()).max(maxPartsPerMessage) }),
+  /** Answers on these parts that began `age` ms ago went well. */
+  z.object({ kind: z.literal('fleet.partProofs'), model: z.string(), proofs: z.array(z.object({ part: z.string(), age })).max(maxPartsPerMessage) }),
+  /** Parts that no request may bring to a worker; ages and times in ms. */
+  z.object({
+    kind: z.literal('fleet.blockedParts'),
+    model: z.string(),
+    blocked: z.array(z.object({
+      part: z.string(),
+      age,
+      /** Time since the last crash under it. */
+      crashAge: age,
+      /** Number of trials that failed; -1 for a part that was sound before. */
+      failures: z.number().int().min(-1),
+      /** Time to its next trial. */
+      trialIn: age
+    })).max(maxPartsPerMessage)
+  }),
+  /** A part may be brought to workers again since `age` ms ago. */
+  z.object({ kind: z.literal('fleet.partUnblocked'), model: z.string(), part: z.string(), age })
+] as const
+
 /** Schema of all messages between instances. */
 export const fleetMessageSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
@@ -77,6 +125,7 @@
   z.object({ kind: z.literal('fleet.streamQuestion'), id: z.string(), service: z.string(), workspace: z.string().optional() }),
   /** Where it began, if the sender knows, and which versions of the service's software it has seen lately; `complete` as in `VersionSummary`. */
   z.object({ kind: z.literal('fleet.streamAnswer'), id: z.string(), origin: streamOriginSchema.optional(), versions: z.array(z.string()), complete: z.boolean() }),
+  ...poisonMessageSchemas,
   /** Changed worker records from a sender that reads for others. */
   z.object({ kind: z.literal('fleet.workers'), records: z.array(workerRecordSchema) }),
   /** Requests the configuration of at least this version. */
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -8,6 +8,7 @@
 import type { ForwardEffect, PromptPart } from '../ports/forwardPort.js'
 import type { Random } from '../random.js'
 import type { WeightsTracker } from '../workers/weightsTracker.js'
+import type { PoisonParts } from '../poisonParts/poisonParts.js'
 import type { StreamOrigins } from '../streamOrigins/streamOrigins.js'
 import type { WorkerLimits } from '../workerLimits/workerLimits.js'
 import type { WorkersDb } from '../workers/workersDb.js'
@@ -26,6 +27,8 @@
   readonly weights: WeightsTracker
   /** The limits that workers have stated, and the permits to send to these. */
   readonly limits: Pick<WorkerLimits, 'permitFor' | 'take' | 'applyResponse' | 'perSecond'>
+  /** Parts of prompts that crash workers. */
+  readonly poisonParts: Pick<PoisonParts, 'isBlocked' | 'noteSent' | 'noteBegun' | 'noteHeard' | 'noteCancelled' | 'noteCut' | 'noteProbed'>
   /** Where streams began. */
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'end' | 'lookUp' | 'fits'>
   readonly loadOf: (worker: string) => WorkerLoad
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -9,6 +9,7 @@
 import type { Moment } from '../lease/readLease.js'
 import type { AnswerHead, Call, ForwardInput } from '../ports/forwardPort.js'
 import { noteEnded, noteFailure, noteSuccess } from '../placement/workerLoad.js'
+import type { PoisonAttempt } from '../poisonParts/poisonPartsTypes.js'
 import { admitRequest } from './admitRequest.js'
 import { createSuspectWorkers } from './suspectWorkers.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
@@ -35,6 +36,10 @@
   readonly waiting: () => number
   /** Suspects a worker that another instance could not reach, from `now` (ms) on. */
   readonly suspectWorker: (worker: string, now: number) => void
+  /** Probes a worker that has cut an attempt. */
+  readonly probeWorker: (worker: string, now: number) => void
+  /** Ends the requests with blocked parts that wait, or whose answer has not begun. */
+  readonly endBlocked: (moment: Moment) => void
   /** Counts of requests for the state dump. */
   readonly dump: () => unknown
 }
@@ -43,6 +48,8 @@
 const unreachableLimit = 1_500
 /** Maximum number of retries of one request; after that its caller gets an error. */
 const maxRetries = 4
+/** Number of workers that may have crashed of one request; after that it is not retried. */
+const maxCrashes = 2
 /** Lowest HTTP status of worker errors that are retried on another worker. */
 const firstServerError = 500
 
@@ -51,6 +58,8 @@
 /** Whether the request may run on another worker although a worker may have run it already. */
 const isRetryable = ({ route }: Exchange): boolean => route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
 
+const poisonAttemptOf = ({ id, worker, workerStartedAt, head, flight }: Attempt): PoisonAttempt => ({ id, worker, workerStartedAt, answered: head !== undefined, begunAt: flight.firstEventAt })
+
 /**
  * Creates the request forwarding of one instance, without requests.
  *
@@ -85,7 +94,9 @@
     noteEnded(context.loadOf(attempt.worker), attempt.flight)
     byAttempt.delete(attempt.id)
     exchange.attempt = undefined
-    if (cancel) context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
+    if (!cancel) return
+    context.poisonParts.noteCancelled(attempt.worker, attempt.id)
+    context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
   }
 
   const removeExchange = (exchange: Exchange, whole: boolean, now: number): void => {
@@ -159,6 +170,7 @@
       sentTo: new Set(),
       excluded: new Set(),
       retryCount: 0,
+      crashCount: 0,
       mayHaveRun: false,
       attempt: undefined,
       awaitsPeerFor: undefined,
@@ -211,7 +223,9 @@
     exchange.mayHaveRun = true
     noteFailure(context.loadOf(attempt.worker))
     failAttempt(exchange, attempt, reason, cancel, time.now)
-    if (!isRetryable(exchange)) return refuse(exchange, { kind: 'broken' }, time)
+    const wasCut = reason === 'cut' || reason === 'partialEvent'
+    if (wasCut && context.poisonParts.noteCut(poisonAttemptOf(attempt), exchange.call, time.now)) exchange.crashCount++
+    if (!isRetryable(exchange) || exchange.crashCount >= maxCrashes) return refuse(exchange, { kind: 'broken' }, time)
     exchange.excluded.add(attempt.worker)
     retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
   }
@@ -249,13 +263,17 @@
     attempt.lastDataAt = now
     const { head } = attempt
     if (head === undefined) return
+    context.poisonParts.noteHeard(attempt.worker, attempt.workerStartedAt, now)
     if (!isStream(exchange, head) || head.notRun) {
       attempt.body.push(bytes)
       return
     }
     const events = attempt.splitter.push(bytes)
     if (events === undefined) return
-    if (attempt.flight.firstEventAt === undefined) applyFirstEvent(context, exchange, attempt, now)
+    if (attempt.flight.firstEventAt === undefined) {
+      applyFirstEvent(context, exchange, attempt, now)
+      context.poisonParts.noteBegun(poisonAttemptOf(attempt), exchange.call.prompt, now)
+    }
     noteStreamEvent(context, exchange, attempt, now)
     exchange.events += events.count
     exchange.firstEventAt ??= now
@@ -326,6 +344,7 @@
   }
 
   const handleProbe = (worker: string, reachable: boolean, time: DecisionTime): void => {
+    context.poisonParts.noteProbed(worker, reachable, time.now)
     const suspectedFor = suspectWorkers.handleProbeResult(worker, reachable, time.now)
     if (suspectedFor === undefined) return
     for (const exchange of exchanges.values()) {
@@ -397,12 +416,26 @@
     placeWaiting(time)
   }
 
+  const endBlocked = (time: DecisionTime): void => {
+    for (const exchange of exchanges.values()) {
+      const { attempt, call } = exchange
+      if (!context.poisonParts.isBlocked(call.prompt, time.now) || attempt?.flight.firstEventAt !== undefined) continue
+      if (attempt !== undefined) {
+        exchange.mayHaveRun = true
+        failAttempt(exchange, attempt, 'blockedPart', true, time.now)
+      }
+      refuse(exchange, { kind: 'blockedPart' }, time)
+    }
+  }
+
   return {
     handle,
     tick,
     placeWaiting: moment => placeWaiting({ now: moment.steady, moment }),
     size: () => exchanges.size,
     waiting: waitingQueue.size,
+    endBlocked: moment => endBlocked({ now: moment.steady, moment }),
+    probeWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'cut', now),
     suspectWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'peer', now),
     dump: () => ({ requests: exchanges.size, waiting: waitingQueue.size() })
   }
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -51,6 +51,8 @@
   readonly excluded: Set<string>
   /** Number of retries after an attempt that reached a worker, at least in part. */
   retryCount: number
+  /** Number of workers that may have crashed of it. */
+  crashCount: number
   /** Whether a worker may have run the request. */
   mayHaveRun: boolean
   /** The attempt in progress; undefined while the request waits for a worker. */
@@ -91,10 +93,10 @@
   | { readonly kind: 'workerProbed', readonly worker: string, readonly reachable: boolean, readonly doubted: number }
 
 /** Why a worker is suspected to be unreachable. */
-export type SuspectReason = 'unreachable' | 'silent' | 'otherWorker' | 'peer'
+export type SuspectReason = 'unreachable' | 'silent' | 'cut' | 'otherWorker' | 'peer'
 
 /** Why a request is sent to a worker. */
 export type SendCause = 'first' | 'turnedAway' | 'unsent' | 'otherVersion' | 'failed' | 'resume' | 'silent' | 'waited'
 
 /** Why an attempt ended without a usable response. */
-export type AttemptEnd = 'unsent' | 'cut' | 'garbled' | 'turnedAway' | 'otherWorker' | 'otherVersion' | 'failedAnswer' | 'silent' | 'partialEvent'
+export type AttemptEnd = 'unsent' | 'cut' | 'garbled' | 'turnedAway' | 'otherWorker' | 'otherVersion' | 'failedAnswer' | 'silent' | 'partialEvent' | 'blockedPart'
--- a/src/forwarding/refusal.ts
+++ b/src/forwarding/refusal.ts
@@ -18,6 +18,8 @@
   | { readonly kind: 'noWorker' }
   /** It is not known which software version began the stream that the request resumes, so that no worker may go on with it. */
   | { readonly kind: 'unknownOrigin' }
+  /** The prompt holds a part that crashes workers. */
+  | { readonly kind: 'blockedPart' }
   /** No worker is expected to respond in time; `wait` is in ms. */
   | { readonly kind: 'overloaded', readonly wait: number }
   /** A worker rejected the request and it may be sent to no other; `wait` is in ms. */
@@ -52,6 +54,7 @@
     case 'unprovenConfiguration':
     case 'noWorker':
     case 'unknownOrigin':
+    case 'blockedPart':
     case 'overloaded':
     case 'turnedAway':
     case 'lateUnsent': return 503
@@ -76,6 +79,7 @@
     case 'noRoute':
     case 'unknownKey':
     case 'unreadable':
+    case 'blockedPart':
     case 'late':
     case 'broken': return undefined
     default: return assertNever(refusal)
--- a/src/forwarding/suspectWorkers.ts
+++ b/src/forwarding/suspectWorkers.ts
@@ -13,7 +13,7 @@
 
 /** The workers that one instance suspects to be unreachable. */
 export interface SuspectWorkers {
-  /** Suspects a worker from `now` (ms) on and probes it; has no effect on an unknown or already suspect worker, nor for the reasons `silent` and `peer` on one that a probe reached less than `recentlyReachedTime` ago. */
+  /** Suspects a worker from `now` (ms) on and probes it; has no effect on an unknown or already suspect worker, nor for the reasons `silent`, `cut` and `peer` on one that a probe reached less than `recentlyReachedTime` ago. */
   readonly markSuspect: (worker: string, reason: SuspectReason, now: number) => void
   /** Handles the result of a probe; returns for how long, in ms, the worker has been suspect if the probe failed. */
   readonly handleProbeResult: (worker: string, reachable: boolean, now: number) => number | undefined
@@ -70,13 +70,14 @@
     switch (reason) {
       case 'unreachable':
       case 'otherWorker': return now
+      case 'cut':
       case 'silent': return now + probeTimeout
       case 'peer': return Infinity
     }
   }
 
   const wasReachedRecently = (worker: string, reason: SuspectReason, now: number): boolean =>
-    (reason === 'silent' || reason === 'peer') && now - (context.loadOf(worker).lastReachableAt ?? -Infinity) < recentlyReachedTime
+    (reason === 'silent' || reason === 'cut' || reason === 'peer') && now - (context.loadOf(worker).lastReachableAt ?? -Infinity) < recentlyReachedTime
 
   const markSuspect = (worker: string, reason: SuspectReason, now: number): void => {
     if (suspicions.has(worker) || context.workers.get(worker) === undefined || wasReachedRecently(worker, reason, now)) return
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -21,6 +21,7 @@
 import type { Random } from '../random.js'
 import { createRolloutLease } from '../rollout/rolloutLease.js'
 import { createRollout, type RolloutEvent } from '../rollout/rolloutMachine.js'
+import { createPoisonParts } from '../poisonParts/poisonParts.js'
 import { createStreamOrigins } from '../streamOrigins/streamOrigins.js'
 import { createWorkerLimits } from '../workerLimits/workerLimits.js'
 import { createConfigurationInForce } from './configurationInForce.js'
@@ -63,7 +64,7 @@
   /** Whether the instance accepts requests: the proof of its configuration is recent enough to accept keys, and it is not shutting down. */
   readonly isReady: (now: Moment) => boolean
   /** Current values for the metrics; `proofAge` in ms. */
-  readonly gauges: (now: Moment) => { readonly requests: number, readonly waiting: number, readonly proofAge: number, readonly configuration: number, readonly instances: number, readonly workers: number, readonly limitedWorkers: number }
+  readonly gauges: (now: Moment) => { readonly requests: number, readonly waiting: number, readonly proofAge: number, readonly configuration: number, readonly instances: number, readonly workers: number, readonly limitedWorkers: number, readonly blockedParts: number }
   /** State of all features, for diagnosis. */
   readonly dump: (now: Moment) => unknown
 }
@@ -153,9 +154,13 @@
       workerRecordsReceived: records => { if (storeReader.mode() === 'throughPeers') registry.applyFromPeer(records) },
       readerStateReceived: state => storeReader.handleReaderState(state, currentTime.steady),
       streamMessage: (from, message) => streamOrigins.receive(from, message, currentTime.steady),
+      poisonMessage: (from, message) => poisonParts.receive(from, message, currentTime.steady),
       limitMessage: (from, message) => limits.receive(from, message, currentTime.steady),
       peerChanged: (peer, change) => {
-        if (change === 'alive') limits.tell(peer, currentTime.steady)
+        if (change === 'alive') {
+          limits.tell(peer, currentTime.steady)
+          poisonParts.tell(peer, currentTime.steady)
+        }
         log({ kind: 'peerChanged', peer, change })
       }
     }
@@ -180,6 +185,23 @@
     onAnswer: () => forwarding.placeWaiting(currentTime)
   })
 
+  const stateOfWorker = (id: string, startedAt: number): 'inService' | 'leaving' | 'over' => {
+    const worker = workers.get(id)
+    if (worker?.startedAt !== startedAt) return 'over'
+    return workers.live(worker.service).includes(worker) ? 'inService' : 'leaving'
+  }
+
+  const poisonParts = createPoisonParts({
+    self: self.id,
+    judgesOf: (model, count) => fleet.ownersOf(`poisonParts/${model}`, count, currentTime),
+    stateOf: stateOfWorker,
+    probe: (worker, now) => forwarding.probeWorker(worker, now),
+    send: fleet.send,
+    broadcast: fleet.broadcast,
+    onBlocked: () => forwarding.endBlocked(currentTime),
+    log
+  })
+
   const storeReader = createStoreReader({
     readModeInput: now => {
       const higherRankedReaders = fleet.higherRankedReaders(now)
@@ -226,6 +248,7 @@
     workers,
     weights,
     limits,
+    poisonParts,
     streamOrigins,
     loadOf,
     cachedPartsOf,
@@ -282,6 +305,7 @@
     fleet.tick(currentTime)
     storeReader.tick(currentTime)
     if (!shutdown.isShuttingDown()) rollout.tick(currentTime)
+    poisonParts.tick(currentTime.steady)
     forwarding.tick(currentTime)
     shutdown.tick(currentTime.steady)
   }
@@ -343,7 +367,8 @@
       configuration: configuration.version(),
       instances: fleet.size(now),
       workers: [...workers.all()].length,
-      limitedWorkers: registry.limits.all().length
+      limitedWorkers: registry.limits.all().length,
+      blockedParts: poisonParts.size()
     }),
     dump: now => ({
       self,
@@ -351,6 +376,7 @@
       proofAge: lease.age(now),
       forwarding: forwarding.dump(),
       fleet: fleet.dump(now),
+      blockedParts: poisonParts.dump(now.steady),
       rollout: rollout.dump(),
       reading: storeReader.mode(),
       workers: registry.dump()
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -6,6 +6,7 @@
 import type { ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { OrderEffect, OrderInput } from '../ports/orderPort.js'
 import type { PeerEffect, PeerInput, PeerReset, Tick } from '../ports/peerPort.js'
+import type { PoisonLogEvent } from '../poisonParts/poisonParts.js'
 import type { RolloutEvent } from '../rollout/rolloutMachine.js'
 import type { WorkerChange } from '../workers/workersDb.js'
 
@@ -45,6 +46,7 @@
 export type GatewayLogEvent =
   | ForwardLogEvent
   | RolloutEvent
+  | PoisonLogEvent
   | { readonly kind: 'configurationInForce', readonly version: number, readonly source: 'store' | 'peer', readonly proofAge: number }
   | { readonly kind: 'weightsNamed', readonly model: string, readonly version: number }
   | { readonly kind: 'workerChanged', readonly change: Exclude<WorkerChange['kind'], 'updated'>, readonly worker: string, readonly service: string, readonly address: string, readonly startedAt: number }
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -22,6 +22,8 @@
   readonly workers: number
   /** Workers that state a limit. */
   readonly limitedWorkers: number
+  /** Parts of prompts that are kept away from workers. */
+  readonly blockedParts: number
   /** Log lines that were dropped. */
   readonly droppedLines: number
 }
--- /dev/null
+++ b/src/poisonParts/blockedParts.spec.ts
@@ -0,0 +1,37 @@
+import { createBlockedParts, trialDelayAfter, type BlockedPart } from './blockedParts.js'
+
+const blocked = (overrides: Partial<BlockedPart> = {}): BlockedPart =>
+  ({ model: 'llm', part: 'p', blockedAt: 1_000, lastCrashAt: 900, failures: 0, trialAt: 61_000, ...overrides })
+
+describe('the table of blocked parts', () => {
+  it('is not changed by news that is older than what is known', () => {
+    const table = createBlockedParts()
+    expect(table.block(blocked(), 1_000)).toBe(true)
+    expect(table.block(blocked({ failures: 2, trialAt: 300_000 }), 2_000)).toBe(false)
+    table.block(blocked(), 3_000)
+    expect(table.get('llm', 'p')).toMatchObject({ failures: 2, trialAt: 300_000 })
+    expect(table.unblock({ model: 'llm', part: 'p' }, 4_000)).toBe(true)
+    expect(table.block(blocked(), 4_100)).toBe(false)
+    expect(table.get('llm', 'p')).toBeUndefined()
+    expect(table.block(blocked({ blockedAt: 5_000 }), 5_000)).toBe(true)
+  })
+
+  it('ends entries that are no longer repeated, except at their owner', () => {
+    const table = createBlockedParts()
+    table.block(blocked(), 1_000)
+    expect(table.expire(() => true, 30_000)).toEqual([])
+    expect(table.expire(() => false, 49_000)).toEqual([])
+    expect(table.expire(() => false, 51_000)).toHaveLength(1)
+    expect(table.all()).toEqual([])
+  })
+
+  it('is bounded, however many parts are blocked', () => {
+    const table = createBlockedParts()
+    for (let index = 0; index < 1_000; index++) table.block(blocked({ part: `p${index}` }), 1_000)
+    expect(table.all()).toHaveLength(64)
+  })
+
+  it('lets a part be tried soon if it was sound before, else rarely, and more rarely with each failure', () => {
+    expect([-1, 0, 1, 2, 30].map(trialDelayAfter)).toEqual([2_000, 60_000, 120_000, 240_000, 3_600_000])
+  })
+})
--- /dev/null
+++ b/src/poisonParts/workerCrashes.spec.ts
@@ -0,0 +1,51 @@
+import { createWorkerCrashes, type CutAttempt } from './workerCrashes.js'
+
+const cutAttempt = (cutAt: number, begunAt: number | undefined): CutAttempt =>
+  ({ model: 'llm', parts: ['a'], ownPart: `own${cutAt}`, answered: begunAt !== undefined, begunAt, cutAt })
+
+const build = () => {
+  const states = new Map<string, 'inService' | 'leaving' | 'over'>()
+  const probes: number[] = []
+  const crashes = createWorkerCrashes({ stateOf: worker => states.get(worker) ?? 'inService', probe: (_worker, now) => { probes.push(now) } })
+  return { crashes, states, probes }
+}
+
+describe('the end of connections of a worker', () => {
+  it('is a crash if a probe fails, with the attempts that had just begun or had not', () => {
+    const { crashes } = build()
+    crashes.cut('w1', 1, cutAttempt(1_000, 950))
+    crashes.cut('w1', 1, cutAttempt(1_001, undefined))
+    crashes.cut('w1', 1, cutAttempt(1_002, 300))
+    crashes.probed('w1', false, 1_003)
+    expect(crashes.tick(1_010)).toEqual([])
+    expect(crashes.tick(1_030)).toMatchObject([{ worker: 'w1', startedAt: 1, at: 1_000, attempts: [{ begunAt: 950 }, { begunAt: undefined }] }])
+    crashes.cut('w1', 1, cutAttempt(1_035, 990))
+    expect(crashes.tick(1_050)).toMatchObject([{ at: 1_000, attempts: [{ begunAt: 990 }] }])
+    expect(crashes.tick(1_070)).toEqual([])
+  })
+
+  it('is a crash if the worker has started anew soon after', () => {
+    const { crashes, states } = build()
+    crashes.cut('w1', 1, cutAttempt(1_000, 950))
+    states.set('w1', 'over')
+    expect(crashes.tick(1_500)).toHaveLength(1)
+  })
+
+  it('is none if the worker can be reached, and is no longer asked for', () => {
+    const { crashes, probes } = build()
+    crashes.cut('w1', 1, cutAttempt(1_000, 950))
+    crashes.probed('w1', true, 1_006)
+    const asked = probes.length
+    crashes.probed('w1', false, 1_100)
+    expect(crashes.tick(1_200)).toEqual([])
+    expect(probes).toHaveLength(asked)
+  })
+
+  it.each(['leaving', 'over'] as const)('is none if the worker is %s when it is noticed', state => {
+    const { crashes, states } = build()
+    states.set('w1', state)
+    crashes.cut('w1', 1, cutAttempt(1_000, 950))
+    crashes.probed('w1', false, 1_003)
+    expect(crashes.tick(1_100)).toEqual([])
+  })
+})
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -11,6 +11,7 @@
 import type { AnswerHead, Call, Dispatch, ForwardEffect } from '../../src/ports/forwardPort.js'
 import { createRandom } from '../../src/random.js'
 import { createWeightsTracker } from '../../src/workers/weightsTracker.js'
+import { createPoisonParts } from '../../src/poisonParts/poisonParts.js'
 import { createStreamOrigins } from '../../src/streamOrigins/streamOrigins.js'
 import { createStatedLimits } from '../../src/workerLimits/statedLimits.js'
 import { createWorkerLimits } from '../../src/workerLimits/workerLimits.js'
@@ -61,6 +62,16 @@
     broadcast: () => { /* There is no other instance. */ },
     onDecision: () => { /* There is no other instance. */ }
   })
+  const poisonParts = createPoisonParts({
+    self: 'a',
+    judgesOf: () => ['a'],
+    stateOf: () => 'inService',
+    probe: (worker, now) => forwarding.probeWorker(worker, now),
+    send: () => { /* There is no other instance. */ },
+    broadcast: () => { /* There is no other instance. */ },
+    onBlocked: () => { /* No part is blocked. */ },
+    log: () => { /* Not checked. */ }
+  })
   const streamOrigins = createStreamOrigins({
     self: 'a',
     keepersOf: () => ['a'],
@@ -88,6 +99,7 @@
     workers,
     weights,
     limits,
+    poisonParts,
     streamOrigins,
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
     cachedPartsOf: worker => getOrCreate(cachedParts, worker, () => createCachedPartsEstimate(memoryTokens)),
