Tests: each rule for blocking a part is held by a test

One inquiry finds at most 8 parts guilty, so that its loop is bounded whatever the judge says (a variant that explains no crash ran without end).

--- a/src/poisonParts/crashInquiries.ts
+++ b/src/poisonParts/crashInquiries.ts
@@ -37,6 +37,8 @@
 const deferTime = 400
 /** Number of parts that one question names. */
 const maxQuestionParts = 48
+/** Number of parts that one inquiry may find guilty. */
+const maxVerdicts = 8
 /** Number of models that are judged. */
 const maxModels = 64
 
@@ -65,7 +67,9 @@
   const conclude = (model: string, inquiry: Inquiry, now: number): void => {
     inquiry.askedAt = undefined
     inquiry.openSince = undefined
-    for (let [guilty] = inquiry.judge.suspects(now); guilty !== undefined; [guilty] = inquiry.judge.suspects(now)) {
+    for (let verdicts = 0; verdicts < maxVerdicts; verdicts++) {
+      const [guilty] = inquiry.judge.suspects(now)
+      if (guilty === undefined) break
       inquiry.judge.explain(guilty.part)
       options.onVerdict(model, guilty, now)
     }
--- /dev/null
+++ b/src/poisonParts/poisonParts.spec.ts
@@ -0,0 +1,131 @@
+import { buildCall } from '../../test/fixtures/forwarding.js'
+import type { Call } from '../ports/forwardPort.js'
+import { createPoisonParts, type PoisonLogEvent, type PoisonParts } from './poisonParts.js'
+import type { PoisonAttempt, PoisonMessage } from './poisonPartsTypes.js'
+
+const instances = ['a', 'b', 'c']
+
+const buildPrompt = (...ids: string[]) => ({ model: 'llm', inputTokens: 100, maxOutputTokens: 10, parts: ids.map(id => ({ id, tokens: 10 })) })
+
+const buildModelCall = (id: string, ...parts: string[]): Call => buildCall({ id, prompt: buildPrompt(...parts, `own-${id}`) })
+
+const attemptAt = (worker: string, begunAt: number): PoisonAttempt => ({ id: 1, worker, workerStartedAt: 1, answered: true, begunAt })
+
+/** Three instances, of which `a` and `b` judge; messages arrive at once unless they are dropped. */
+const build = (drops: (message: PoisonMessage, to: string) => boolean = () => false) => {
+  const nodes = new Map<string, PoisonParts>()
+  const events: { readonly at: string, readonly event: PoisonLogEvent }[] = []
+  let now = 0
+  const deliver = (from: string, to: string, message: PoisonMessage): void => {
+    if (from !== to && !drops(message, to)) nodes.get(to)?.receive(from, message, now)
+  }
+  for (const self of instances) {
+    nodes.set(self, createPoisonParts({
+      self,
+      judgesOf: (_model, count) => instances.slice(0, count),
+      stateOf: () => 'inService',
+      probe: () => { /* Reported by the test. */ },
+      send: (to, message) => deliver(self, to, message),
+      broadcast: message => { for (const to of instances) deliver(self, to, message) },
+      onBlocked: () => { /* Not checked. */ },
+      log: event => { events.push({ at: self, event }) }
+    }))
+  }
+  const at = (id: string): PoisonParts => {
+    const node = nodes.get(id)
+    if (node === undefined) throw new RangeError(id)
+    return node
+  }
+  const runTo = (time: number): void => {
+    for (; now < time; now += 20) for (const node of nodes.values()) node.tick(now)
+  }
+  const crash = (instance: string, worker: string, call: Call): void => {
+    at(instance).noteCut(attemptAt(worker, now - 50), call, now)
+    at(instance).noteProbed(worker, false, now + 1)
+    runTo(now + 100)
+  }
+  const prove = (instance: string, call: Call): void => {
+    at(instance).noteBegun(attemptAt('sound', now), call.prompt, now)
+    runTo(now + 320)
+    at(instance).noteHeard('sound', 1, now)
+  }
+  const crashThrice = (): void => {
+    for (const [index, instance] of instances.entries()) crash(instance, `w${index}`, buildModelCall(`r${index}`, `x${index}`, 'p'))
+    runTo(now + 200)
+  }
+  const isBlocked = (instance: string, ...parts: string[]): boolean => at(instance).isBlocked(buildPrompt(...parts), now)
+  return { at, runTo, crash, prove, crashThrice, isBlocked, events, now: () => now, kinds: (kind: string) => events.filter(({ event }) => event.kind === kind) }
+}
+
+describe('poison parts', () => {
+  it('are blocked at all instances at once, wherever they stand but at the end, and others are not', () => {
+    const { crashThrice, isBlocked } = build()
+    crashThrice()
+    for (const instance of instances) {
+      expect(isBlocked(instance, 'x0', 'p', 'own')).toBe(true)
+      expect(isBlocked(instance, 'p', 'own')).toBe(true)
+      expect(isBlocked(instance, 'x0', 'p')).toBe(false)
+      expect(isBlocked(instance, 'x0', 'own')).toBe(false)
+    }
+  })
+
+  it('never include the part at the end of prompts', () => {
+    const { crash, isBlocked, runTo, now } = build()
+    for (const [index, instance] of instances.entries()) crash(instance, `w${index}`, buildCall({ id: `r${index}`, prompt: buildPrompt(`x${index}`, 'session') }))
+    runTo(now() + 200)
+    expect(isBlocked('a', 'session', 'own')).toBe(false)
+  })
+
+  it('do not include a part that any instance has seen sound since', () => {
+    const { crash, prove, runTo, now, kinds } = build()
+    crash('a', 'w0', buildModelCall('r0', 'p'))
+    prove('c', buildModelCall('s', 'p'))
+    crash('a', 'w1', buildModelCall('r1', 'p'))
+    crash('b', 'w2', buildModelCall('r2', 'p'))
+    runTo(now() + 200)
+    expect(kinds('partBlocked')).toEqual([])
+  })
+
+  it('are made known to an instance that lost the message, by repetition', () => {
+    let blockMessages = 0
+    const { crashThrice, isBlocked, runTo, now } = build(message => message.kind === 'fleet.blockedParts' && ++blockMessages <= 4)
+    crashThrice()
+    expect(isBlocked('c', 'p', 'own')).toBe(false)
+    runTo(now() + 4_100)
+    expect(isBlocked('c', 'p', 'own')).toBe(true)
+  })
+
+  it('are found by the second judge if the first one does not hear of them', () => {
+    const { crash, isBlocked, runTo, now } = build((_message, to) => to === 'a')
+    for (let index = 0; index < 3; index++) crash('b', `w${index}`, buildModelCall(`r${index}`, 'p'))
+    runTo(now() + 200)
+    expect(isBlocked('c', 'p', 'own')).toBe(false)
+    runTo(now() + 500)
+    expect(isBlocked('c', 'p', 'own')).toBe(true)
+  })
+
+  it('are tried by one request at the first judge, and served again by all once an answer went well', () => {
+    const { at, crashThrice, isBlocked, prove, runTo, now, kinds } = build()
+    crashThrice()
+    runTo(now() + 60_500)
+    expect(isBlocked('b', 'p', 'own')).toBe(true)
+    expect(isBlocked('a', 'p', 'own')).toBe(false)
+    at('a').noteSent(buildModelCall('trial', 'p'), now())
+    expect(isBlocked('a', 'p', 'own')).toBe(true)
+    prove('a', buildModelCall('trial', 'p'))
+    for (const instance of instances) expect(isBlocked(instance, 'p', 'own')).toBe(false)
+    expect(kinds('partUnblocked')).toHaveLength(instances.length)
+  })
+
+  it('stay blocked for longer after a trial that failed', () => {
+    const { at, crashThrice, isBlocked, crash, runTo, now } = build()
+    crashThrice()
+    runTo(now() + 60_500)
+    at('a').noteSent(buildModelCall('trial', 'p'), now())
+    crash('a', 'w9', buildModelCall('trial', 'p'))
+    runTo(now() + 100_000)
+    expect(isBlocked('a', 'p', 'own')).toBe(true)
+    runTo(now() + 25_000)
+    expect(isBlocked('a', 'p', 'own')).toBe(false)
+  })
+})
