A worker has crashed only if its machine refuses connections or its lifetime is over

Found by reading: a probe that merely fails also fails for an instance that is cut off. Such an instance would have taken every worker that it lost for one that had crashed, judged alone, and told the parts it blocked to the others when it was back.

Change: the probe says whether the connection was refused; one that times out proves nothing, and the worker's record decides. Errors of sockets are recognized as such whichever realm they come from (under the test runner, instanceof does not). The bounds of the judge are lower (16 models, 60 crashes of 150 parts).

--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -5,6 +5,7 @@
  * a length ends when the connection is closed; a reset does not count as its end.
  */
 import { connect, type Socket } from 'node:net'
+import { isNativeError } from 'node:util/types'
 import { Client, type Dispatcher } from 'undici'
 import { ResultAsync } from 'neverthrow'
 import type { AttemptFailure, Dispatch, ForwardInput } from '../ports/forwardPort.js'
@@ -87,7 +88,10 @@
     clearTimeout(timer)
     reject(error)
   })
-}), error => error instanceof Error ? error : new ConnectTimeout())
+}), error => isNativeError(error) ? error : new ConnectTimeout())
+
+/** Whether a machine answered that no process accepts connections there. */
+const isRefusal = (error: Error): boolean => 'code' in error && (error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET')
 
 /**
  * Detects a connection reset. The event loop reports a reset that arrives together
@@ -213,7 +217,8 @@
   const probe = async (worker: string, address: Dispatch['address']): Promise<void> => {
     const socket = await openSocket(address)
     socket.map(open => open.destroy())
-    emit({ kind: 'worker.probed', worker, reachable: socket.isOk() })
+    const refused = socket.isErr() && isRefusal(socket.error)
+    emit({ kind: 'worker.probed', worker, reachable: socket.isOk(), ...(refused ? { refused } : {}) })
   }
 
   const close = async (): Promise<void> => {
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -343,8 +343,8 @@
     refuse(exchange, { kind: 'broken' }, time)
   }
 
-  const handleProbe = (worker: string, reachable: boolean, time: DecisionTime): void => {
-    context.poisonParts.noteProbed(worker, reachable, time.now)
+  const handleProbe = ({ worker, reachable, refused = false }: Extract<ForwardInput, { kind: 'worker.probed' }>, time: DecisionTime): void => {
+    context.poisonParts.noteProbed(worker, { reachable, refused }, time.now)
     const suspectedFor = suspectWorkers.handleProbeResult(worker, reachable, time.now)
     if (suspectedFor === undefined) return
     for (const exchange of exchanges.values()) {
@@ -362,7 +362,7 @@
         if (exchange !== undefined) handleCallerLeft(exchange, time.now)
         return
       }
-      case 'worker.probed': return handleProbe(input.worker, input.reachable, time)
+      case 'worker.probed': return handleProbe(input, time)
       default: return handleAttempt(input, time)
     }
   }
--- a/src/poisonParts/crashInquiries.ts
+++ b/src/poisonParts/crashInquiries.ts
@@ -40,7 +40,7 @@
 /** Number of parts that one inquiry may find guilty. */
 const maxVerdicts = 8
 /** Number of models that are judged. */
-const maxModels = 64
+const maxModels = 16
 
 interface Inquiry {
   readonly judge: CrashJudge
--- a/src/poisonParts/crashJudge.ts
+++ b/src/poisonParts/crashJudge.ts
@@ -58,9 +58,9 @@
 }
 
 /** Number of crashes that are remembered. */
-const maxCrashes = 120
+const maxCrashes = 60
 /** Number of parts of one crash. */
-const maxSuspects = 400
+const maxSuspects = 150
 /** Number of parts whose last proof is remembered. */
 const maxProofs = 5_000
 /** Time for which crashes count, in ms. */
--- a/src/poisonParts/poisonParts.spec.ts
+++ b/src/poisonParts/poisonParts.spec.ts
@@ -41,7 +41,7 @@
   }
   const crash = (instance: string, worker: string, call: Call): void => {
     at(instance).noteCut(attemptAt(worker, now - 50), call, now)
-    at(instance).noteProbed(worker, false, now + 1)
+    at(instance).noteProbed(worker, { reachable: false, refused: true }, now + 1)
     runTo(now + 100)
   }
   const prove = (instance: string, call: Call): void => {
--- a/src/poisonParts/poisonParts.ts
+++ b/src/poisonParts/poisonParts.ts
@@ -15,7 +15,7 @@
 import type { Verdict } from './crashJudge.js'
 import { createPartProofs, type PartProof } from './partProofs.js'
 import { candidatePartsOf, ownPartOf, type CrashReport, type ModelPart, type PoisonAttempt, type PoisonMessage, type Suspect } from './poisonPartsTypes.js'
-import { createWorkerCrashes, type CutAttempt, type WorkerCrash, type WorkerCrashesOptions } from './workerCrashes.js'
+import { createWorkerCrashes, type CutAttempt, type WorkerCrash, type WorkerCrashes, type WorkerCrashesOptions } from './workerCrashes.js'
 
 /** A log event of the poison parts; each is one log line. */
 export type PoisonLogEvent =
@@ -53,7 +53,7 @@
   readonly noteCancelled: (worker: string, attempt: number) => void
   /** Records that the connection of an attempt was cut; returns whether the request may have crashed the worker. */
   readonly noteCut: (attempt: PoisonAttempt, call: Call, now: number) => boolean
-  readonly noteProbed: (worker: string, reachable: boolean, now: number) => void
+  readonly noteProbed: WorkerCrashes['probed']
   readonly receive: (from: string, message: PoisonMessage, now: number) => void
   /** Tells an instance that has become reachable of the blocked parts. */
   readonly tell: (instance: string, now: number) => void
--- a/src/poisonParts/workerCrashes.spec.ts
+++ b/src/poisonParts/workerCrashes.spec.ts
@@ -3,6 +3,10 @@
 const cutAttempt = (cutAt: number, begunAt: number | undefined): CutAttempt =>
   ({ model: 'llm', parts: ['a'], ownPart: `own${cutAt}`, answered: begunAt !== undefined, begunAt, cutAt })
 
+const refused = { reachable: false, refused: true }
+const reached = { reachable: true, refused: false }
+const silent = { reachable: false, refused: false }
+
 const build = () => {
   const states = new Map<string, 'inService' | 'leaving' | 'over'>()
   const probes: number[] = []
@@ -11,12 +15,12 @@
 }
 
 describe('the end of connections of a worker', () => {
-  it('is a crash if a probe fails, with the attempts that had just begun or had not', () => {
+  it('is a crash if a probe is refused, with the attempts that had just begun or had not', () => {
     const { crashes } = build()
     crashes.cut('w1', 1, cutAttempt(1_000, 950))
     crashes.cut('w1', 1, cutAttempt(1_001, undefined))
     crashes.cut('w1', 1, cutAttempt(1_002, 300))
-    crashes.probed('w1', false, 1_003)
+    crashes.probed('w1', refused, 1_003)
     expect(crashes.tick(1_010)).toEqual([])
     expect(crashes.tick(1_030)).toMatchObject([{ worker: 'w1', startedAt: 1, at: 1_000, attempts: [{ begunAt: 950 }, { begunAt: undefined }] }])
     crashes.cut('w1', 1, cutAttempt(1_035, 990))
@@ -31,12 +35,19 @@
     expect(crashes.tick(1_500)).toHaveLength(1)
   })
 
+  it('is none while its machine does not answer, as if this instance were cut off', () => {
+    const { crashes } = build()
+    crashes.cut('w1', 1, cutAttempt(1_000, 950))
+    crashes.probed('w1', silent, 1_200)
+    expect(crashes.tick(1_300)).toEqual([])
+  })
+
   it('is none if the worker can be reached, and is no longer asked for', () => {
     const { crashes, probes } = build()
     crashes.cut('w1', 1, cutAttempt(1_000, 950))
-    crashes.probed('w1', true, 1_006)
+    crashes.probed('w1', reached, 1_006)
     const asked = probes.length
-    crashes.probed('w1', false, 1_100)
+    crashes.probed('w1', refused, 1_100)
     expect(crashes.tick(1_200)).toEqual([])
     expect(probes).toHaveLength(asked)
   })
@@ -45,7 +56,7 @@
     const { crashes, states } = build()
     states.set('w1', state)
     crashes.cut('w1', 1, cutAttempt(1_000, 950))
-    crashes.probed('w1', false, 1_003)
+    crashes.probed('w1', refused, 1_003)
     expect(crashes.tick(1_100)).toEqual([])
   })
 })
--- a/src/poisonParts/workerCrashes.ts
+++ b/src/poisonParts/workerCrashes.ts
@@ -1,9 +1,9 @@
 /**
  * Tells crashes of workers from other ends of connections. When an attempt with a
- * prompt is cut, its worker is probed; it has crashed if the probe fails or its
- * lifetime is over soon after. A worker that only resets connections is reached, a
- * machine that fails is silent, and a worker that is leaving or no longer listed
- * ends on purpose: none of these is a crash.
+ * prompt is cut, its worker is probed; it has crashed if its machine refuses the
+ * connection or its lifetime is over soon after. A worker that only resets
+ * connections is reached, a machine that fails or cannot be reached is silent, and a
+ * worker that is leaving or no longer listed ends on purpose: none of these is a crash.
  */
 import { LRUCache } from 'lru-cache'
 import { onsetTime } from './poisonPartsTypes.js'
@@ -43,8 +43,8 @@
 export interface WorkerCrashes {
   /** Records an attempt that was cut; returns whether it may have crashed the worker, if that has crashed. */
   readonly cut: (worker: string, startedAt: number, attempt: CutAttempt) => boolean
-  /** Records the result of a probe. */
-  readonly probed: (worker: string, reachable: boolean, now: number) => void
+  /** Records the result of a probe; `refused` says that its machine answered and no process did. */
+  readonly probed: (worker: string, result: { readonly reachable: boolean, readonly refused: boolean }, now: number) => void
   /** Probes the workers that are in doubt, and returns the crashes to report. A crash is returned again if more of its attempts are cut later. */
   readonly tick: (now: number) => readonly WorkerCrash[]
 }
@@ -91,11 +91,11 @@
     return isSuspect
   }
 
-  const probed = (worker: string, reachable: boolean, now: number): void => {
+  const probed: WorkerCrashes['probed'] = (worker, { reachable, refused }, now) => {
     const doubt = doubts.get(worker)
     if (doubt === undefined || doubt.isCrash) return
-    if (!reachable) doubt.isCrash = true
-    else if (now - doubt.at >= minProbeTime) doubts.delete(worker)
+    if (refused) doubt.isCrash = true
+    else if (reachable && now - doubt.at >= minProbeTime) doubts.delete(worker)
   }
 
   const tick = (now: number): readonly WorkerCrash[] => {
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -124,7 +124,8 @@
   | { readonly kind: 'attempt.data', readonly attempt: number, readonly bytes: Buffer }
   | { readonly kind: 'attempt.ended', readonly attempt: number }
   | { readonly kind: 'attempt.failed', readonly attempt: number, readonly failure: AttemptFailure }
-  | { readonly kind: 'worker.probed', readonly worker: string, readonly reachable: boolean }
+  /** `refused` says that its machine answered and no process did. */
+  | { readonly kind: 'worker.probed', readonly worker: string, readonly reachable: boolean, readonly refused?: boolean }
 
 /** Effects that the forwarding core requests. */
 export type ForwardEffect =
--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -182,7 +182,12 @@
         time.after(workerDelay, () => runAt(instance, node, effect.attempt, effect.dispatch))
         return
       case 'attempt.cancel': node.attempts.delete(effect.attempt); return
-      case 'worker.probe': time.after(workerDelay, () => input(instance, { kind: 'worker.probed', worker: effect.worker, reachable: workers.running(effect.worker) !== undefined })); return
+      case 'worker.probe':
+        time.after(workerDelay, () => {
+          const reachable = workers.running(effect.worker) !== undefined
+          input(instance, { kind: 'worker.probed', worker: effect.worker, reachable, refused: !reachable })
+        })
+        return
       case 'call.open':
       case 'call.answer':
       case 'call.write':
