A record with an address that is none no longer ends instances

Callers would have seen every instance end that sends a request to such a worker, and end again after its restart, as the record is read anew.

Cause: the schemas took any digits and dots and any number as an address. 10.1.64.1555:80, 1.2.3.4.5:80 and 10.1.64.15:70000 make the HTTP client throw (TypeError: Invalid URL), a peer at port 70000 makes the socket throw (ERR_SOCKET_BAD_PORT); nothing catches either. Seen by a script that called both adapters with these addresses.

Change: an address is accepted only if a connection to it can be attempted, in records of the store and in messages of peers. Such a record names no worker, like others that make no sense.

--- a/src/catalog/catalogTypes.ts
+++ b/src/catalog/catalogTypes.ts
@@ -1,8 +1,11 @@
 /** Schemas and types of the operator's configuration as instances use it: routes, services, workspaces and limits. */
 import { z } from 'zod'
 
-/** Schema of the IP address and TCP port on which a process listens. */
-export const addressSchema = z.object({ host: z.string(), port: z.number().int() })
+const maxPort = 65_535
+
+/** Schema of the IP address or name and TCP port on which a process listens; opening a connection there does not throw. */
+export const addressSchema = z.object({ host: z.string().regex(/^[\w.-]+$/), port: z.number().int().min(0).max(maxPort) })
+  .refine(({ host, port }) => URL.canParse(`http://${host}:${port}`), { message: 'is no address' })
 
 /** The IP address and TCP port on which a process listens. */
 export type Address = z.infer<typeof addressSchema>
