--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -6,6 +6,7 @@
 import { assertNever } from '../errors.js'
 import { noteFailure, noteSuccess } from '../placement/workerLoad.js'
 import type { AnswerHead, ForwardInput } from '../ports/forwardPort.js'
+import type { PoisonAttempt } from '../poisonParts/poisonPartsTypes.js'
 import type { AttemptsInProgress } from './attemptsInProgress.js'
 import type { CallerResponses } from './callerResponses.js'
 import { exclude } from './exclusions.js'
@@ -15,6 +16,7 @@
 import type { HeldAnswers } from './heldAnswers.js'
 import type { Refusal } from './refusal.js'
 import { rejectionReason } from './rejection.js'
+import { maxCrashes } from './retryLimits.js'
 import type { SecondAttempts } from './secondAttempts.js'
 import { noteStreamEvent } from './streamContinuation.js'
 import type { SuspectWorkers } from './suspectWorkers.js'
@@ -47,6 +49,9 @@
   readonly handleLostAttempt: (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, time: DecisionTime) => void
 }
 
+const poisonAttemptOf = ({ id, worker, workerStartedAt, head, flight }: Attempt): PoisonAttempt =>
+  ({ id, worker, workerStartedAt, answered: head !== undefined, begunAt: flight.firstEventAt })
+
 /**
  * Creates the handling of inputs of attempts.
  *
@@ -65,14 +70,22 @@
     retry(exchange, rejection.kind === 'otherVersion' ? 'otherVersion' : 'turnedAway', { kind: 'turnedAway', wait: rejectedRetryAfter }, time)
   }
 
+  /** Whether the worker may have crashed of the request. */
+  const mayHaveCrashed = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, now: number): boolean =>
+    (reason === 'cut' || reason === 'partialEvent') && context.poisonParts.noteCut(poisonAttemptOf(attempt), exchange.call, now)
+
   const handleLostAttempt = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, time: DecisionTime): void => {
     exchange.mayHaveRun = true
     noteFailure(context.loadOf(attempt.worker))
-    if (isSecond(exchange, attempt)) return seconds.drop(exchange, attempt, reason, cancel, time.now)
-    attempts.fail(exchange, attempt, reason, cancel, time.now)
+    const wasSecond = isSecond(exchange, attempt)
+    if (wasSecond) seconds.drop(exchange, attempt, reason, cancel, time.now)
+    else attempts.fail(exchange, attempt, reason, cancel, time.now)
+    if (mayHaveCrashed(exchange, attempt, reason, time.now)) exchange.crashCount++
+    if (wasSecond) return
     if (!isRetryable(exchange)) return responses.refuse(exchange, { kind: 'broken' }, time)
     exclude(exchange, attempt.worker)
     if (seconds.takeOver(exchange)) return
+    if (exchange.crashCount >= maxCrashes) return responses.refuse(exchange, { kind: 'broken' }, time)
     retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
   }
 
@@ -125,6 +138,7 @@
     attempt.silent = false
     const { head } = attempt
     if (head === undefined) return
+    context.poisonParts.noteHeard(attempt.worker, attempt.workerStartedAt, now)
     if (!isStream(exchange, head) || head.notRun) {
       attempt.body.push(bytes)
       return
@@ -133,7 +147,10 @@
     if (events === undefined) return
     if (events.count === 0) return passComments(exchange, attempt, events.bytes)
     settleOn(exchange, attempt, now)
-    if (attempt.flight.firstEventAt === undefined) applyFirstEvent(context, exchange, attempt, now)
+    if (attempt.flight.firstEventAt === undefined) {
+      applyFirstEvent(context, exchange, attempt, now)
+      context.poisonParts.noteBegun(poisonAttemptOf(attempt), exchange.call.prompt, now)
+    }
     noteStreamEvent(context, exchange, attempt, now)
     exchange.events += events.count
     exchange.firstEventAt ??= now
--- a/src/forwarding/attemptsInProgress.ts
+++ b/src/forwarding/attemptsInProgress.ts
@@ -36,7 +36,7 @@
  * @param context - state and outputs of the instance
  * @param heldAnswers - what is held of the attempts' responses
  */
-export const createAttemptsInProgress = (context: Pick<ForwardingContext, 'loadOf' | 'emit' | 'log'>, heldAnswers: Pick<HeldAnswers, 'release'>): AttemptsInProgress => {
+export const createAttemptsInProgress = (context: Pick<ForwardingContext, 'loadOf' | 'poisonParts' | 'emit' | 'log'>, heldAnswers: Pick<HeldAnswers, 'release'>): AttemptsInProgress => {
   const attempts = new Map<number, ExchangeAttempt>()
   let lastId = 0
 
@@ -46,12 +46,24 @@
     heldAnswers.release(attempt.id)
     if (exchange.attempt === attempt) exchange.attempt = undefined
     if (exchange.second === attempt) exchange.second = undefined
-    if (cancel) context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
+    if (!cancel) return
+    context.poisonParts.noteCancelled(attempt.worker, attempt.id)
+    context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
   }
 
   const fail = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
-    const { worker, sentAt, lastDataAt } = attempt
-    context.log({ kind: 'attemptFailed', id: exchange.call.id, worker, reason, after: Math.round(now - sentAt), quiet: Math.round(now - lastDataAt), givenUp: cancel })
+    const { worker, workerStartedAt, sentAt, lastDataAt, flight: { firstEventAt } } = attempt
+    context.log({
+      kind: 'attemptFailed',
+      id: exchange.call.id,
+      worker,
+      reason,
+      after: Math.round(now - sentAt),
+      ...(firstEventAt === undefined ? {} : { begun: Math.round(now - firstEventAt) }),
+      startedAt: workerStartedAt,
+      quiet: Math.round(now - lastDataAt),
+      givenUp: cancel
+    })
     if (exchange.attempt === attempt) exchange.lastFailure = { worker, reason }
     end(exchange, attempt, cancel)
   }
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -42,6 +42,10 @@
   readonly waiting: () => number
   /** Suspects a worker that another instance could not reach, from `now` (ms) on. */
   readonly suspectWorker: (worker: string, now: number) => void
+  /** Probes a worker that has cut an attempt. */
+  readonly probeWorker: (worker: string, now: number) => void
+  /** Ends the requests with blocked parts that wait, or whose answer has not begun. */
+  readonly endBlocked: (moment: Moment) => void
   /** Counts of requests for the state dump. */
   readonly dump: () => unknown
 }
@@ -128,6 +132,7 @@
       attempt: undefined,
       second: undefined,
       secondCount: 0,
+      crashCount: 0,
       nextSecondAt: now,
       lastFailure: undefined,
       awaitsPeerFor: undefined,
@@ -183,7 +188,8 @@
     if (suspectedFor >= goneAfter && isUnlisted(attempt)) inputs.handleLostAttempt(exchange, attempt, 'silent', true, time)
   }
 
-  const handleProbe = (worker: string, reachable: boolean, time: DecisionTime): void => {
+  const handleProbe = ({ worker, reachable, refused = false }: Extract<ForwardInput, { kind: 'worker.probed' }>, time: DecisionTime): void => {
+    context.poisonParts.noteProbed(worker, { reachable, refused }, time.now)
     const suspectedFor = suspectWorkers.handleProbeResult(worker, reachable, time.now)
     if (suspectedFor === undefined) return
     for (const exchange of exchanges.values()) {
@@ -203,7 +209,7 @@
         if (exchange !== undefined) responses.abandon(exchange, input.reason, time.now)
         return
       }
-      case 'worker.probed': return handleProbe(input.worker, input.reachable, time)
+      case 'worker.probed': return handleProbe(input, time)
       default: return inputs.handle(input, time)
     }
   }
@@ -248,6 +254,20 @@
     return heldUp
   }
 
+  const endBlocked = (time: DecisionTime): void => {
+    for (const exchange of exchanges.values()) {
+      const { attempt, second, call } = exchange
+      if (!context.poisonParts.isBlocked(call.prompt, time.now)) continue
+      if (second !== undefined) attempts.fail(exchange, second, 'blockedPart', true, time.now)
+      if (attempt?.flight.firstEventAt !== undefined) continue
+      if (attempt !== undefined) {
+        exchange.mayHaveRun = true
+        attempts.fail(exchange, attempt, 'blockedPart', true, time.now)
+      }
+      responses.refuse(exchange, { kind: 'blockedPart' }, time)
+    }
+  }
+
   const endAll = (moment: Moment): void => {
     isEnding = true
     for (const exchange of exchanges.values()) {
@@ -278,6 +298,8 @@
     placeWaiting: moment => placeWaiting({ now: moment.steady, moment }),
     size: () => exchanges.size,
     waiting: waitingQueue.size,
+    endBlocked: moment => endBlocked({ now: moment.steady, moment }),
+    probeWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'cut', now),
     suspectWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'peer', now),
     dump: () => ({ requests: exchanges.size, waiting: waitingQueue.size() })
   }
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -62,6 +62,8 @@
   readonly excluded: Map<string, number>
   /** Number of retries after an attempt that reached a worker, at least in part. */
   retryCount: number
+  /** Number of workers that may have crashed of it. */
+  crashCount: number
   /** Whether a worker may have run the request. */
   mayHaveRun: boolean
   /** The attempt in progress; undefined while the request waits for a worker. */
@@ -94,8 +96,8 @@
 
 /** A log event of forwarding; each is one log line. */
 export type ForwardLogEvent =
-  | { readonly kind: 'sent', readonly id: string, readonly worker: string, readonly cause: SendCause, readonly expected: number, readonly flights: number, readonly unread: number, readonly fetched: number, readonly version?: number, /** Version of the worker's software. */ readonly software?: string, /** Id of the attempt whose stream the caller resumes. */ readonly resumes?: string, readonly configuration: number, readonly proofAge: number }
-  | { readonly kind: 'attemptFailed', readonly id: string, readonly worker: string, readonly reason: AttemptEnd, readonly after: number, /** Time since the worker last sent anything for it. */ readonly quiet: number, /** Whether this instance ended the attempt although its connection was open. */ readonly givenUp: boolean }
+  | { readonly kind: 'sent', readonly id: string, readonly worker: string, readonly cause: SendCause, readonly expected: number, readonly flights: number, readonly unread: number, readonly fetched: number, readonly version?: number, /** Version of the worker's software. */ readonly software?: string, /** Id of the attempt whose stream the caller resumes. */ readonly resumes?: string, /** Ids of the first shared parts of the prompt. */ readonly parts?: readonly string[], readonly configuration: number, readonly proofAge: number }
+  | { readonly kind: 'attemptFailed', readonly id: string, readonly worker: string, readonly reason: AttemptEnd, readonly after: number, /** Time since the attempt's first event, if it had begun. */ readonly begun?: number, /** Start time of the worker's lifetime. */ readonly startedAt: number, /** Time since the worker last sent anything for it. */ readonly quiet: number, /** Whether this instance ended the attempt although its connection was open. */ readonly givenUp: boolean }
   | { readonly kind: 'refused', readonly id: string, readonly reason: string, readonly outcome: string, readonly after: number, readonly configuration: number, readonly proofAge: number }
   | { readonly kind: 'answered', readonly id: string, readonly worker: string, readonly status: number, readonly after: number, readonly events: number, /** Time to the first event of a stream. */ readonly first?: number }
   | { readonly kind: 'brokenOff', readonly id: string, readonly reason: string, readonly after: number, readonly events: number, /** Why its last attempt ended, and at which worker. */ readonly lastAttempt?: AttemptEnd, readonly worker?: string }
@@ -112,10 +114,10 @@
   | { readonly kind: 'workerProbed', readonly worker: string, readonly reachable: boolean, readonly doubted: number }
 
 /** Why a worker is suspected to be unreachable. */
-export type SuspectReason = 'unreachable' | 'silent' | 'otherWorker' | 'peer'
+export type SuspectReason = 'unreachable' | 'silent' | 'cut' | 'otherWorker' | 'peer'
 
 /** Why a request is sent to a worker. */
 export type SendCause = 'first' | 'turnedAway' | 'unsent' | 'otherVersion' | 'failed' | 'resume' | 'silent' | 'waited'
 
 /** Why an attempt ended without a usable response. */
-export type AttemptEnd = 'unsent' | 'cut' | 'garbled' | 'oversized' | 'turnedAway' | 'otherWorker' | 'otherVersion' | 'failedAnswer' | 'silent' | 'partialEvent'
+export type AttemptEnd = 'unsent' | 'cut' | 'garbled' | 'oversized' | 'turnedAway' | 'otherWorker' | 'otherVersion' | 'failedAnswer' | 'silent' | 'partialEvent' | 'blockedPart'
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -187,6 +187,13 @@
   context.announceSend({ worker: worker.id, unreadTokens, scope: model.scope, parts: shared, first: unreadShared >= announceMinTokens, stores: storesParts })
 }
 
+/** Largest number of parts that a log line names. */
+const maxLoggedParts = 4
+
+/** The first parts of the prompt that other requests may share, for the log. */
+const loggedParts = ({ prompt }: Call): { readonly parts?: readonly string[] } =>
+  prompt === undefined || prompt.parts.length < 2 ? {} : { parts: prompt.parts.slice(0, -1).slice(0, maxLoggedParts).map(({ id }) => id) }
+
 const send = (context: ForwardingContext, exchange: Exchange, target: ChosenWorker, cause: SendCause, attempt: number, time: DecisionTime): Attempt => {
   const { now, moment } = time
   const load = context.loadOf(target.worker.id)
@@ -235,9 +242,11 @@
     ...(target.version === undefined ? {} : { version: target.version }),
     ...(target.worker.softwareVersion === undefined ? {} : { software: target.worker.softwareVersion }),
     ...(exchange.call.resumes === undefined ? {} : { resumes: exchange.call.resumes }),
+    ...loggedParts(exchange.call),
     configuration: context.catalog()?.catalog.version ?? 0,
     proofAge: Math.round(context.lease.age(moment))
   })
+  context.poisonParts.noteSent(exchange.call, now)
   announceLongPrompt(context, exchange, target)
   context.emit({ kind: 'attempt.send', attempt, dispatch: dispatchOf(exchange, target, now) })
   return sent
@@ -258,6 +267,7 @@
   if (exchange.workspace !== undefined && context.lease.age(moment) >= context.bounds().keys) {
     return { kind: 'refused', refusal: { kind: 'unprovenConfiguration' } }
   }
+  if (context.poisonParts.isBlocked(exchange.call.prompt, now)) return { kind: 'refused', refusal: { kind: 'blockedPart' } }
   const continuation = bindToOrigin(context, exchange, now)
   if (continuation === 'asked') return { kind: 'awaitsPeer' }
   if (continuation === 'unknown') return { kind: 'refused', refusal: { kind: 'unknownOrigin' } }
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -6,6 +6,7 @@
 import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { OrderEffect, OrderInput } from '../ports/orderPort.js'
 import type { PeerEffect, PeerInput, PeerReset, Tick } from '../ports/peerPort.js'
+import type { PoisonLogEvent } from '../poisonParts/poisonParts.js'
 import type { RolloutEvent } from '../rollout/rolloutMachine.js'
 import type { WorkerChange } from '../workers/workersDb.js'
 
@@ -47,9 +48,10 @@
   | RolloutEvent
   /** The connection of a request ended while the request was not in the core: before it was delivered, or after its response was complete. */
   | { readonly kind: 'cutOff', readonly id: string, readonly stage: CallStage, readonly reason: ConnectionEnd }
+  | PoisonLogEvent
   | { readonly kind: 'configurationInForce', readonly version: number, readonly source: 'store' | 'peer', readonly proofAge: number }
   | { readonly kind: 'weightsNamed', readonly model: string, readonly version: number }
-  | { readonly kind: 'workerChanged', readonly change: Exclude<WorkerChange['kind'], 'updated'>, readonly worker: string, readonly service: string, readonly address: string }
+  | { readonly kind: 'workerChanged', readonly change: Exclude<WorkerChange['kind'], 'updated'>, readonly worker: string, readonly service: string, readonly address: string, readonly startedAt: number }
   | { readonly kind: 'peerChanged', readonly peer: string, readonly change: string }
   | { readonly kind: 'storeRestored', readonly era: number }
   | { readonly kind: 'dependencyLost', readonly dependency: Dependency, readonly reason: string }
