Failing test: requests at an engine that is silent and goes on

An engine is silent for 3.2 s in an answer that has begun, or for 1.7 s before the first token, and goes on; other attempts are cut, rejected, unreachable or silent, too. On this code the caller gets nothing whole in 12 of 12 cases: a stream or plain request that has begun is cancelled after `stall_timeout` (stream_interrupted in 8 of 8), one without a token after half of its deadline (endpoint_failed in 3 of 4, deadline_exceeded in 1).

--- /dev/null
+++ b/src/requests/silentEngine.spec.ts
@@ -0,0 +1,105 @@
+import { loadHash } from '../hash.js'
+import type { NodeEffect } from '../node/nodeTypes.js'
+import { startDeployment } from '../../test/fakes/deployments.js'
+import { chat, type Conversation } from '../../test/fakes/fakeCaller.js'
+import { noFaultHooks, type FakeFleet } from '../../test/fakes/fakeFleet.js'
+import { expectedAnswer, type FakeModelEngine } from '../../test/fakes/fakeModelEngine.js'
+
+const tokens = 60
+const node = 'nm-derby-e1'
+const prompt = 'case of ann'
+const whole = expectedAnswer(prompt, '7', tokens)
+
+/** What becomes of an attempt at another engine than the silent one. */
+const otherEngines = ['cut', 'rejected', 'down', 'silent'] as const
+type OtherEngines = typeof otherEngines[number]
+
+/** A fleet with one request at an engine, and what the instance did for it. */
+interface Run {
+  readonly fleet: FakeFleet
+  readonly caller: Conversation
+  /** The engine that got the request first. */
+  readonly first: () => FakeModelEngine
+  /** Engines of all attempts, in order. */
+  readonly dispatched: string[]
+  readonly cancelled: string[]
+  readonly advance: (ms: number) => void
+  /** Makes attempts at the other engines fail, the silent ones for `ms`. */
+  readonly spoilOthers: (how: OtherEngines, ms: number) => void
+}
+
+const start = async (stream = true): Promise<Run> => {
+  const dispatched: string[] = []
+  const cancelled: string[] = []
+  const engineOf = new Map<number, string>()
+  let cutting = false
+  const onEffect = (at: string, effect: NodeEffect): void => {
+    if (at !== node) return
+    if (effect.kind === 'endpoint.dispatch' && effect.request.kind === 'model') {
+      engineOf.set(effect.attempt, effect.endpoint)
+      dispatched.push(effect.endpoint)
+    }
+    if (effect.kind === 'endpoint.cancel') cancelled.push(engineOf.get(effect.attempt) ?? '')
+  }
+  const fleet = startDeployment(await loadHash(), 'harrowgate', 1, {
+    ...noFaultHooks,
+    onEffect,
+    enginePartDelivery: engine => cutting && engine !== dispatched[0] ? 'cut' : 'deliver'
+  })
+  const caller = chat({ name: 'ann', workspace: 'listings', prompt: [prompt], tokens, stream })
+  fleet.call(caller, node)
+  fleet.time.runUntil(fleet.time.now() + 5)
+  const others = (): FakeModelEngine[] => [...fleet.engines.values()].filter(({ id }) => id !== dispatched[0])
+
+  const spoilOthers = (how: OtherEngines, ms: number): void => {
+    cutting = how === 'cut'
+    for (const engine of others()) {
+      if (how === 'rejected') engine.versions.clear()
+      if (how === 'down') engine.crash()
+      if (how === 'silent') engine.freezeUntil(fleet.time.now() + ms)
+    }
+  }
+
+  const first = (): FakeModelEngine => fleet.engines.get(dispatched[0]) as FakeModelEngine
+  return { fleet, caller, dispatched, cancelled, first, spoilOthers, advance: ms => { fleet.time.runUntil(fleet.time.now() + ms) } }
+}
+
+const textOf = (caller: Conversation): string => {
+  const [answer] = caller.answers
+  if (answer?.kind !== 'whole') return JSON.stringify(answer ?? 'no answer')
+  return answer.body.startsWith('{') ? (JSON.parse(answer.body) as { choices: { message: { content: string } }[] }).choices[0].message.content : answer.body
+}
+
+/** Time before the instance acts on the silence at which the other engines are spoiled, in ms, so that it does not learn of it from probes. */
+const spoilLead = 60
+
+/** Makes the first engine silent after `begin` ms, for `ms`; the instance acts on that after `patience` ms. Returns the caller's first answers by what becomes of other attempts. */
+const playSilence = async (stream: boolean, begin: number, ms: number, patience: number): Promise<Record<string, string>> => {
+  const texts: Record<string, string> = {}
+  for (const how of otherEngines) {
+    const run = await start(stream)
+    run.advance(begin)
+    run.first().freezeUntil(run.fleet.time.now() + ms)
+    run.advance(patience - spoilLead)
+    run.spoilOthers(how, 2 * ms)
+    run.advance(12_000)
+    texts[how] = textOf(run.caller)
+  }
+  return texts
+}
+
+const allWhole = Object.fromEntries(otherEngines.map(how => [how, whole]))
+
+describe('an engine that is silent for a time and goes on, with other attempts cut, rejected, unreachable or silent', () => {
+  it('does not cost a stream that has begun', async () => {
+    expect(await playSilence(true, 200, 3_200, 3_000)).toEqual(allWhole)
+  })
+
+  it('does not cost a plain request whose answer has begun', async () => {
+    expect(await playSilence(false, 200, 3_200, 3_000)).toEqual(allWhole)
+  })
+
+  it('does not cost a request without a token', async () => {
+    expect(await playSilence(true, 5, 1_700, 1_500)).toEqual(allWhole)
+  })
+})
