A resumed stream is not begun again at another engine

What callers could see: a stream that goes on with the words of another sample. A caller resumes a stream by the id of its last event, and the stream's own engine is silent for more than half of the deadline. The instance took it for a request without a token: it sent the prompt to another engine from the start and passed on what that made from the caller's position on. Recovery from failures had excluded such requests, the move away from a silent worker had not.

The new test of silentEngine.spec.ts failed before (2 generations for one stream) and passes now (1). Ruled out: the same through `recover`, which checks it.

--- a/src/requests/modelAttempts.ts
+++ b/src/requests/modelAttempts.ts
@@ -142,7 +142,7 @@
  */
 export const moveFromSilentWorker = (context: RequestsContext, request: ModelRequest, now: number): void => {
   const { attempt } = request
-  if (attempt === undefined || request.tried.length > 0 || request.relay.next > 0 || !isFirstTokenOverdue(request, attempt, now)) return
+  if (attempt === undefined || request.tried.length > 0 || request.relay.next > 0 || isBehindCaller(request) || !isFirstTokenOverdue(request, attempt, now)) return
   const { workspace, deadline } = request
   const routingRequest = { ...request.routingRequest, exclude: [attempt.endpoint] }
   const choice = context.routing.choose(routingRequest, context.endpoints(), now)
--- a/src/requests/silentEngine.spec.ts
+++ b/src/requests/silentEngine.spec.ts
@@ -3,7 +3,7 @@
 import { startDeployment } from '../../test/fakes/deployments.js'
 import { chat, type Conversation } from '../../test/fakes/fakeCaller.js'
 import { noFaultHooks, type FakeFleet } from '../../test/fakes/fakeFleet.js'
-import { expectedAnswer, type FakeModelEngine } from '../../test/fakes/fakeModelEngine.js'
+import { expectedAnswer, type FakeModelEngine, type PartDelivery } from '../../test/fakes/fakeModelEngine.js'
 
 const tokens = 60
 const node = 'nm-derby-e1'
@@ -24,6 +24,8 @@
   readonly dispatched: string[]
   readonly cancelled: string[]
   readonly advance: (ms: number) => void
+  /** Decides from now on how the parts of the engines' answers are delivered. */
+  readonly deliverBy: (delivery: (engine: string) => PartDelivery) => void
   /** Makes attempts at the other engines fail, the silent ones for `ms`. */
   readonly spoilOthers: (how: OtherEngines, ms: number) => void
 }
@@ -32,7 +34,7 @@
   const dispatched: string[] = []
   const cancelled: string[] = []
   const engineOf = new Map<number, string>()
-  let cutting = false
+  let delivery: (engine: string) => PartDelivery = () => 'deliver'
   const onEffect = (at: string, effect: NodeEffect): void => {
     if (at !== node) return
     if (effect.kind === 'endpoint.dispatch' && effect.request.kind === 'model') {
@@ -44,15 +46,17 @@
   const fleet = startDeployment(await loadHash(), 'harrowgate', 1, {
     ...noFaultHooks,
     onEffect,
-    enginePartDelivery: engine => cutting && engine !== dispatched[0] ? 'cut' : 'deliver'
+    enginePartDelivery: engine => delivery(engine)
   })
   const caller = chat({ name: 'ann', workspace: 'listings', prompt: [prompt], tokens, stream })
   fleet.call(caller, node)
   fleet.time.runUntil(fleet.time.now() + 5)
   const others = (): FakeModelEngine[] => [...fleet.engines.values()].filter(({ id }) => id !== dispatched[0])
 
+  const deliverBy = (next: typeof delivery): void => { delivery = next }
+
   const spoilOthers = (how: OtherEngines, ms: number): void => {
-    cutting = how === 'cut'
+    if (how === 'cut') deliverBy(engine => engine === dispatched[0] ? 'deliver' : 'cut')
     for (const engine of others()) {
       if (how === 'rejected') engine.versions.clear()
       if (how === 'down') engine.crash()
@@ -61,7 +65,7 @@
   }
 
   const first = (): FakeModelEngine => fleet.engines.get(dispatched[0]) as FakeModelEngine
-  return { fleet, caller, dispatched, cancelled, first, spoilOthers, advance: ms => { fleet.time.runUntil(fleet.time.now() + ms) } }
+  return { fleet, caller, dispatched, cancelled, first, deliverBy, spoilOthers, advance: ms => { fleet.time.runUntil(fleet.time.now() + ms) } }
 }
 
 const textOf = (caller: Conversation): string => {
@@ -103,3 +107,13 @@
     expect(await playSilence(true, 5, 1_700, 1_500)).toEqual(allWhole)
   })
 })
+
+it('a stream that its caller resumes is not begun again at another engine while its own one is silent', async () => {
+  const run = await start()
+  run.advance(200)
+  run.fleet.disconnect(run.caller)
+  run.deliverBy(engine => engine === run.dispatched[0] ? { late: 1_700 } : 'deliver')
+  run.advance(12_000)
+  expect([...run.fleet.engines.values()].flatMap(({ generations }) => generations)).toHaveLength(1)
+  expect(run.caller.text).toBe(whole)
+})
