An engine is not silent while its caller does not read

What callers could see: a stream that is cut or goes on elsewhere after its caller had read slowly for a while. While a caller does not read, its engine's answer is not read either; when it read again, that time counted as the engine's silence, so that after `stall_timeout` of it the live attempt was cancelled at the next tick, at most 50 ms later.

Silence now counts from the time at which the caller reads again.

--- a/src/requests/modelAdmission.ts
+++ b/src/requests/modelAdmission.ts
@@ -117,6 +117,7 @@
     recoveries: 0,
     streamOpened: false,
     blocked: false,
+    readyAt: undefined,
     firstTokenAt: undefined,
     lastTokenAt: undefined,
     tried: [],
--- a/src/requests/requestsMachine.ts
+++ b/src/requests/requestsMachine.ts
@@ -155,9 +155,10 @@
     finish(context, active, now)
   }
 
-  const setCallerBlocked = (active: ActiveRequest, blocked: boolean): void => {
+  const setCallerBlocked = (active: ActiveRequest, blocked: boolean, now: number): void => {
     if (active.kind !== 'model') return
     active.blocked = blocked
+    if (!blocked) active.readyAt = now
     if (active.attempt === undefined) return
     context.emit({ kind: blocked ? 'endpoint.pause' : 'endpoint.resume', attempt: active.attempt.attempt })
   }
@@ -221,7 +222,7 @@
 
   const expireStalled = (active: ModelRequest, now: number): void => {
     if (active.lastTokenAt === undefined || active.blocked || active.attempt === undefined) return
-    if (now - Math.max(active.lastTokenAt, active.attempt.startedAt) >= context.options.stallTimeout) recover(context, active, 'stalled', now)
+    if (now - Math.max(active.lastTokenAt, active.attempt.startedAt, active.readyAt ?? 0) >= context.options.stallTimeout) recover(context, active, 'stalled', now)
   }
 
   const tick = (now: number): void => {
@@ -237,8 +238,8 @@
     switch (input.kind) {
       case 'caller.request': return onCallerRequest(input, now)
       case 'caller.gone': return withRequest(input.request, active => onCallerGone(active, now))
-      case 'caller.blocked': return withRequest(input.request, active => setCallerBlocked(active, true))
-      case 'caller.ready': return withRequest(input.request, active => setCallerBlocked(active, false))
+      case 'caller.blocked': return withRequest(input.request, active => setCallerBlocked(active, true, now))
+      case 'caller.ready': return withRequest(input.request, active => setCallerBlocked(active, false, now))
       case 'claims.granted':
       case 'claims.refused': return onClaim(input, now)
       case 'tick': return tick(now)
--- a/src/requests/requestsTypes.ts
+++ b/src/requests/requestsTypes.ts
@@ -123,6 +123,8 @@
   streamOpened: boolean
   /** Whether the caller reads too slowly, so that the attempt is paused. */
   blocked: boolean
+  /** Time since which the caller reads again after it was blocked, in ms. */
+  readyAt: number | undefined
   /** Time of the first token, in ms. */
   firstTokenAt: number | undefined
   /** Time of the latest token, in ms. */
