A silent engine's attempt is kept until a second one has brought an event

The attempt was cancelled, then another one was looked for, and one rejection or cut there decided the loss.

Change: a request has at most two attempts. While the current one is silent a second one is made at another worker; the one that first brings an event is kept, the other cancelled in the same step. A second attempt continues after the last event of the first, so it is dropped if the first goes on: nothing is passed on from two runs. A failed second attempt is only dropped; if the current one fails the second takes over. Second attempts are taken from the retry budget, except of an answer that has begun at a worker out of reach, whose continuation was free before, too. Service calls are as before: they are never sent again on silence. An answer that nothing can go on with is kept for ten times `stall_timeout`.

Ruled out: sharing code with src/forwarding; its exchanges, workers and budget are other types, and its limits are those of the platform.

--- a/src/requests/modelAdmission.ts
+++ b/src/requests/modelAdmission.ts
@@ -112,6 +112,8 @@
     ...admission,
     publicId: '',
     attempt: undefined,
+    second: undefined,
+    nextSecondAt: 0,
     weightVersion: undefined,
     sent: point !== undefined,
     recoveries: 0,
--- a/src/requests/modelAttempts.ts
+++ b/src/requests/modelAttempts.ts
@@ -1,12 +1,11 @@
 /** Recovers model requests from failed attempts. */
+import { chooseAnotherWorker } from './anotherWorker.js'
 import type { RequestsContext } from './requestsContext.js'
 import { complete, completeAtMaxTokens, dropAttempt, finish, hasReachedMaxTokens, type EngineAction } from './modelCompletion.js'
 import { dispatch, resume } from './modelDispatch.js'
 import { jitteredRetryAfter, fail } from './requestOutcomes.js'
-import type { ModelAttempt, ModelRequest } from './requestsTypes.js'
-
-/** Maximum number of recoveries of a request; after that the caller gets an error. */
-const maxRecoveries = 4
+import { maxRecoveries, type ModelAttempt, type ModelRequest } from './requestsTypes.js'
+import { failSecond, takeOver } from './secondAttempts.js'
 
 /**
  * Why an attempt ended without a complete answer: no byte was sent (`unsent`); the
@@ -15,7 +14,7 @@
  * the answer belongs to another request (`crossed`); events are missing (`gap`); the
  * worker has other weights (`wrongVersion`); it refused the request with a retryable
  * status or answered without a stream (`busy`); it did not resume the stream (`lost`);
- * or no token came for `stallTimeout` (`stalled`).
+ * or no token came for a multiple of `stallTimeout` (`stalled`).
  */
 export type AttemptFault = 'unsent' | 'cut' | 'timeout' | 'garbled' | 'crossed' | 'gap' | 'wrongVersion' | 'busy' | 'lost' | 'stalled'
 
@@ -35,33 +34,21 @@
   return resume(context, request, { endpoint: endpoint.id, engineRequest, incarnation, weightVersion, base }, now)
 }
 
-const hasNoToolCalls = (request: ModelRequest): boolean => {
-  const delta = request.relay.choice.delta as { tool_calls?: unknown } | undefined
-  return delta?.tool_calls === undefined
-}
-
-/** Continues a started stream at another worker: only one with the same weights, and only if the answer so far is text, without tool calls. */
 const continueAtAnotherWorker = (context: RequestsContext, request: ModelRequest, now: number): boolean => {
-  if (!hasNoToolCalls(request)) return false
-  const routingRequest = { ...request.routingRequest, weightVersion: request.weightVersion, exclude: request.tried }
-  return context.routing.choose(routingRequest, context.endpoints(), now).match(
-    choice => {
-      dispatch(context, request, choice, 'continue', now)
-      return true
-    },
-    () => false
-  )
+  const choice = chooseAnotherWorker(context, request, request.tried, now)
+  if (choice === undefined) return false
+  dispatch(context, request, choice, 'continue', now)
+  return true
 }
 
 const retryAtAnotherWorker = (context: RequestsContext, request: ModelRequest, now: number): boolean => {
   if (now >= request.deadline) return false
-  const routingRequest = { ...request.routingRequest, exclude: request.tried }
-  const choice = context.routing.choose(routingRequest, context.endpoints(), now)
-  if (choice.isErr()) return false
+  const choice = chooseAnotherWorker(context, request, request.tried, now)
+  if (choice === undefined) return false
   const { workspace, deadline } = request
-  const allowed = context.limits.retry({ workspace, deadline, retried: request.tried.length > 1, expectedWait: choice.value.expectedWait }, now)
+  const allowed = context.limits.retry({ workspace, deadline, retried: request.tried.length > 1, expectedWait: choice.expectedWait }, now)
   if (allowed.isErr()) return false
-  dispatch(context, request, choice.value, 'retry', now)
+  dispatch(context, request, choice, 'retry', now)
   return true
 }
 
@@ -87,79 +74,45 @@
   }
 }
 
-/** Whether the caller already has events that this instance has not relayed yet; another worker would generate different ones. */
-const isBehindCaller = ({ relay, forwardFrom }: ModelRequest): boolean => relay.next < forwardFrom
+const reportOutcome = (context: RequestsContext, attempt: ModelAttempt, fault: AttemptFault): void => {
+  const outcome = endpointOutcomeOf(fault)
+  if (outcome !== undefined) context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint: attempt.endpoint, outcome } })
+  context.metrics.streamFaults.inc({ fault })
+}
 
 /**
  * Recovers from a failed attempt. A stream that was cut or has a gap is resumed
- * at the same engine if possible; otherwise the request goes to another worker.
- * If that is not possible either, the caller gets a typed error at once.
+ * at the same engine if possible; otherwise its second attempt takes over, or the
+ * request goes to another worker. If that is not possible either, the caller gets a
+ * typed error at once. A second attempt that has failed is only dropped.
  *
  * @param context - state and services of this instance
  * @param request - the request
+ * @param attempt - the attempt, its current or its second one
  * @param fault - what ended the attempt
  * @param now - current time in ms
  */
-export const recover = (context: RequestsContext, request: ModelRequest, fault: AttemptFault, now: number): void => {
-  const { attempt } = request
-  if (attempt === undefined) return
+export const recover = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, fault: AttemptFault, now: number): void => {
+  request.sent ||= fault !== 'unsent'
+  if (attempt === request.second) {
+    reportOutcome(context, attempt, fault)
+    return failSecond(context, request, attempt, fault === 'gap' ? 'cancel' : engineActionFor(fault))
+  }
   if (request.relay.finishReason !== undefined) return complete(context, request, attempt, now)
   if (hasReachedMaxTokens(request)) return completeAtMaxTokens(context, request, attempt, now)
-  request.sent ||= fault !== 'unsent'
-  const endpointOutcome = endpointOutcomeOf(fault)
-  if (endpointOutcome !== undefined) context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint: attempt.endpoint, outcome: endpointOutcome } })
+  reportOutcome(context, attempt, fault)
   dropAttempt(context, request, engineActionFor(fault))
-  context.metrics.streamFaults.inc({ fault })
   if (request.disconnectedAt !== undefined) return finish(context, request, now)
-  const streamStarted = request.relay.next > 0
-  request.recoveries++
-  if (request.recoveries > maxRecoveries) return failRequest(context, request, now)
-  const resumable = attempt.headReceived && (fault === 'cut' || fault === 'gap')
-  if (resumable && resumeAtSameEngine(context, request, attempt, now)) return
-  request.tried.push(attempt.endpoint)
-  if (isBehindCaller(request)) return failRequest(context, request, now)
-  if (streamStarted ? continueAtAnotherWorker(context, request, now) : retryAtAnotherWorker(context, request, now)) return
-  failRequest(context, request, now)
-}
-
-/** Multiple of the expected wait that must have passed before a missing first token counts as overdue. */
-const overdueWaitFactor = 4
-
-const isFirstTokenOverdue = (request: ModelRequest, attempt: ModelAttempt, now: number): boolean => {
-  const waited = now - attempt.startedAt
-  const expected = attempt.flight?.choice.expectedWait ?? 0
-  return waited >= (request.deadline - attempt.startedAt) / 2 && waited >= overdueWaitFactor * expected
+  recoverCurrent(context, request, attempt, fault, now)
 }
 
-/**
- * Moves a request from a worker whose first token is overdue to another worker,
- * at most once, if another worker and enough time are left and the retry budget
- * allows it. Otherwise the request keeps waiting.
- *
- * @param context - state and services of this instance
- * @param request - a request without a first token
- * @param now - current time in ms
- */
-export const moveFromSilentWorker = (context: RequestsContext, request: ModelRequest, now: number): void => {
-  const { attempt } = request
-  if (attempt === undefined || request.tried.length > 0 || request.relay.next > 0 || isBehindCaller(request) || !isFirstTokenOverdue(request, attempt, now)) return
-  const { workspace, deadline } = request
-  const routingRequest = { ...request.routingRequest, exclude: [attempt.endpoint] }
-  const choice = context.routing.choose(routingRequest, context.endpoints(), now)
-  if (choice.isErr()) return
-  if (context.limits.retry({ workspace, deadline, retried: false, expectedWait: choice.value.expectedWait }, now).isErr()) return
-  reportTimeout(context, attempt.endpoint)
-  request.sent = true
-  request.tried.push(attempt.endpoint)
-  dropAttempt(context, request, 'cancel')
-  dispatch(context, request, choice.value, 'silent', now)
+const recoverCurrent = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, fault: AttemptFault, now: number): void => {
+  const isLast = ++request.recoveries > maxRecoveries
+  const resumable = !isLast && attempt.headReceived && (fault === 'cut' || fault === 'gap')
+  if (resumable && resumeAtSameEngine(context, request, attempt, now)) return
+  if (!isLast || request.second !== undefined) request.tried.push(attempt.endpoint)
+  if (takeOver(request)) return
+  if (isLast) return failRequest(context, request, now)
+  const retried = request.relay.next > 0 ? continueAtAnotherWorker(context, request, now) : retryAtAnotherWorker(context, request, now)
+  if (!retried) failRequest(context, request, now)
 }
-
-/**
- * Reports to the endpoint registry that a worker did not answer in time.
- *
- * @param context - state and services of this instance
- * @param endpoint - the worker
- */
-export const reportTimeout = (context: RequestsContext, endpoint: string): void =>
-  context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint, outcome: 'timeout' } })
--- a/src/requests/modelCompletion.ts
+++ b/src/requests/modelCompletion.ts
@@ -9,6 +9,12 @@
 /** What to do with the engine's work when its attempt is dropped: nothing, cancel it, or leave it running for a resume. */
 export type EngineAction = 'none' | 'cancel' | 'detach'
 
+const endAttempt = (context: RequestsContext, attempt: ModelAttempt, engineAction: EngineAction): void => {
+  if (engineAction !== 'none') context.emit({ kind: `endpoint.${engineAction}`, attempt: attempt.attempt })
+  if (attempt.flight !== undefined && !attempt.flight.ended) context.routing.failed(attempt.flight)
+  context.db.attempts.delete(attempt.attempt)
+}
+
 /**
  * Drops the current attempt of a request, if it has one.
  *
@@ -18,15 +24,25 @@
  */
 export const dropAttempt = (context: RequestsContext, request: ModelRequest, engineAction: EngineAction): void => {
   const { attempt } = request
-  if (attempt === undefined) return
-  if (engineAction !== 'none') context.emit({ kind: `endpoint.${engineAction}`, attempt: attempt.attempt })
-  if (attempt.flight !== undefined && !attempt.flight.ended) context.routing.failed(attempt.flight)
-  context.db.attempts.delete(attempt.attempt)
+  if (attempt !== undefined) endAttempt(context, attempt, engineAction)
   request.attempt = undefined
 }
 
 /**
- * Removes a request and releases its attempt and its admission.
+ * Drops the second attempt of a request, if it has one.
+ *
+ * @param context - state and services of this instance
+ * @param request - the request
+ * @param engineAction - what to do with the engine's work
+ */
+export const dropSecond = (context: RequestsContext, request: ModelRequest, engineAction: EngineAction): void => {
+  const { second } = request
+  if (second !== undefined) endAttempt(context, second, engineAction)
+  request.second = undefined
+}
+
+/**
+ * Removes a request and releases its attempts and its admission.
  *
  * @param context - state and services of this instance
  * @param request - the request
@@ -35,6 +51,7 @@
 export const finish = (context: RequestsContext, request: ModelRequest, now: number): void => {
   const { usage, tokens } = request.relay
   dropAttempt(context, request, 'none')
+  dropSecond(context, request, 'cancel')
   context.db.requests.delete(request.request)
   request.release(usage?.promptTokens ?? request.routingRequest.promptTokens, usage?.completionTokens ?? tokens, now)
 }
--- a/src/requests/modelDispatch.ts
+++ b/src/requests/modelDispatch.ts
@@ -41,9 +41,9 @@
   ...(resumeFrom === undefined ? {} : { resumeFrom })
 })
 
-const startAttempt = (context: RequestsContext, request: ModelRequest, target: EngineTarget, cause: string, choice: WorkerChoice | undefined, resumeFrom: number | undefined, now: number): boolean => {
+const startAttempt = (context: RequestsContext, request: ModelRequest, target: EngineTarget, cause: string, choice: WorkerChoice | undefined, resumeFrom: number | undefined, now: number): ModelAttempt | undefined => {
   const endpoint = context.endpoint(target.endpoint)
-  if (endpoint === undefined) return false
+  if (endpoint === undefined) return undefined
   const attempt: ModelAttempt = {
     kind: 'model',
     attempt: context.db.nextAttempt(),
@@ -55,11 +55,17 @@
     headReceived: false
   }
   context.db.attempts.set(attempt.attempt, attempt)
-  request.attempt = attempt
   context.metrics.attempts.inc({ cause })
   context.emit({ kind: 'endpoint.dispatch', attempt: attempt.attempt, endpoint: endpoint.id, address: endpoint.address, request: buildEngineRequest(request, target, resumeFrom) })
   if (request.blocked) context.emit({ kind: 'endpoint.pause', attempt: attempt.attempt })
-  return true
+  return attempt
+}
+
+const startAtChoice = (context: RequestsContext, request: ModelRequest, choice: WorkerChoice, cause: string, now: number): ModelAttempt | undefined => {
+  const { endpoint, incarnation, weightVersion } = choice
+  const engineRequest = `${context.options.idPrefix}-${context.db.nextAttempt()}`
+  if (request.publicId === '') request.publicId = engineRequest
+  return startAttempt(context, request, { endpoint, engineRequest, incarnation, weightVersion, base: request.relay.next }, cause, choice, undefined, now)
 }
 
 /**
@@ -73,11 +79,20 @@
  * @param now - current time in ms
  */
 export const dispatch = (context: RequestsContext, request: ModelRequest, choice: WorkerChoice, cause: string, now: number): void => {
-  const { endpoint, incarnation, weightVersion } = choice
-  const engineRequest = `${context.options.idPrefix}-${context.db.nextAttempt()}`
-  if (request.publicId === '') request.publicId = engineRequest
-  request.weightVersion = weightVersion
-  startAttempt(context, request, { endpoint, engineRequest, incarnation, weightVersion, base: request.relay.next }, cause, choice, undefined, now)
+  request.weightVersion = choice.weightVersion
+  request.attempt = startAtChoice(context, request, choice, cause, now)
+}
+
+/**
+ * Dispatches a request to a second worker, beside its current attempt, in the same way.
+ *
+ * @param context - state and services of this instance
+ * @param request - the request
+ * @param choice - the worker
+ * @param now - current time in ms
+ */
+export const dispatchSecond = (context: RequestsContext, request: ModelRequest, choice: WorkerChoice, now: number): void => {
+  request.second = startAtChoice(context, request, choice, 'silent', now)
 }
 
 /**
@@ -92,5 +107,6 @@
 export const resume = (context: RequestsContext, request: ModelRequest, target: EngineTarget, now: number): boolean => {
   if (request.publicId === '') request.publicId = target.engineRequest
   request.weightVersion = target.weightVersion
-  return startAttempt(context, request, target, 'resume', undefined, request.relay.next - target.base, now)
+  request.attempt = startAttempt(context, request, target, 'resume', undefined, request.relay.next - target.base, now)
+  return request.attempt !== undefined
 }
--- a/src/requests/modelStream.ts
+++ b/src/requests/modelStream.ts
@@ -7,6 +7,7 @@
 import { complete, openStream } from './modelCompletion.js'
 import type { RequestsContext } from './requestsContext.js'
 import type { ModelAttempt, ModelRequest } from './requestsTypes.js'
+import { keepOnly } from './secondAttempts.js'
 
 type InputOf<Kind extends EndpointInput['kind']> = Extract<EndpointInput, { kind: Kind }>
 
@@ -22,8 +23,8 @@
  * @param now - current time in ms
  */
 export const onHead = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, head: InputOf<'endpoint.head'>, now: number): void => {
-  if (head.requestId !== attempt.engineRequest) return recover(context, request, 'crossed', now)
-  if (head.weightVersion !== attempt.weightVersion) return recover(context, request, 'wrongVersion', now)
+  if (head.requestId !== attempt.engineRequest) return recover(context, request, attempt, 'crossed', now)
+  if (head.weightVersion !== attempt.weightVersion) return recover(context, request, attempt, 'wrongVersion', now)
   context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint: attempt.endpoint, outcome: 'answered', incarnation: head.incarnation } })
   attempt.headReceived = true
 }
@@ -76,10 +77,11 @@
     case 'duplicate':
       context.metrics.streamFaults.inc({ fault: 'duplicate' })
       return
-    case 'gap': return recover(context, request, 'gap', now)
-    case 'crossed': return recover(context, request, 'crossed', now)
-    case 'garbled': return recover(context, request, 'garbled', now)
+    case 'gap': return recover(context, request, attempt, 'gap', now)
+    case 'crossed': return recover(context, request, attempt, 'crossed', now)
+    case 'garbled': return recover(context, request, attempt, 'garbled', now)
     case 'forward': {
+      keepOnly(context, request, attempt)
       recordTokenTiming(context, request, attempt, now)
       if (relayed.event.usage !== undefined) correctUsage(request, attempt)
       forwardEvent(context, request, attempt, relayed.event, relayed.position)
@@ -96,6 +98,6 @@
  * @param now - current time in ms
  */
 export const onEnd = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, now: number): void => {
-  if (request.relay.finishReason === undefined) return recover(context, request, 'cut', now)
+  if (request.relay.finishReason === undefined) return recover(context, request, attempt, 'cut', now)
   complete(context, request, attempt, now)
 }
--- a/src/requests/requestsContext.ts
+++ b/src/requests/requestsContext.ts
@@ -29,7 +29,7 @@
   readonly resumeGrace: number
   /** Age after which a resume token is refused. */
   readonly resumeWindow: number
-  /** Time without a token after which the attempt of a started stream is cancelled and recovered. */
+  /** Time without a token after which a started stream gets a second attempt, and a multiple of which ends the first. */
   readonly stallTimeout: number
   /** Keys of resume tokens: the first one signs, all of them verify. */
   readonly resumeKeys: () => readonly string[]
--- a/src/requests/requestsMachine.ts
+++ b/src/requests/requestsMachine.ts
@@ -11,8 +11,8 @@
 import type { EndpointInput } from '../ports/endpointPort.js'
 import type { Tick } from '../ports/peerPort.js'
 import type { RuleDecision, RuleQuery } from '../rules/rulesTypes.js'
-import { reportTimeout, moveFromSilentWorker, recover } from './modelAttempts.js'
-import { dropAttempt, finish } from './modelCompletion.js'
+import { recover } from './modelAttempts.js'
+import { dropAttempt, dropSecond, finish } from './modelCompletion.js'
 import { startModelRequest, type AuthorisedRequest } from './modelAdmission.js'
 import { onChunk, onEnd, onHead } from './modelStream.js'
 import type { RequestsContext } from './requestsContext.js'
@@ -20,6 +20,7 @@
 import { jitteredRetryAfter, fail, refuse } from './requestOutcomes.js'
 import { parseRequest, type Operation } from './requestsParser.js'
 import type { ActiveRequest, ModelAttempt, ModelCall, ModelRequest, ServiceCall } from './requestsTypes.js'
+import { beginIfOverdue, beginIfStalled, isLost, reportTimeout } from './secondAttempts.js'
 import { startServiceRequest, dispatchService, expireService, onClaimRefused, onServiceAnswer, onServiceFailure } from './serviceRequests.js'
 
 type Arrival = Extract<CallerInput, { kind: 'caller.request' }>
@@ -149,6 +150,7 @@
       if (active.attempt === undefined && !active.decision.repeatable) context.emit({ kind: 'requests.claims', input: { kind: 'claims.abandon', request: active.request } })
       return
     }
+    dropSecond(context, active, 'cancel')
     if (active.blocked && active.attempt !== undefined) context.emit({ kind: 'endpoint.resume', attempt: active.attempt.attempt })
     if (active.call.stream && active.streamOpened) return
     dropAttempt(context, active, 'cancel')
@@ -159,13 +161,15 @@
     if (active.kind !== 'model') return
     active.blocked = blocked
     if (!blocked) active.readyAt = now
-    if (active.attempt === undefined) return
-    context.emit({ kind: blocked ? 'endpoint.pause' : 'endpoint.resume', attempt: active.attempt.attempt })
+    for (const attempt of [active.attempt, active.second]) {
+      if (attempt !== undefined) context.emit({ kind: blocked ? 'endpoint.pause' : 'endpoint.resume', attempt: attempt.attempt })
+    }
   }
 
   const onModelAnswer = (request: ModelRequest, attempt: ModelAttempt, status: number, body: Uint8Array, now: number): void => {
-    if (attempt.flight === undefined) return recover(context, request, 'lost', now)
-    if (retryableStatuses.has(status) || status < 400) return recover(context, request, status === 409 ? 'wrongVersion' : 'busy', now)
+    if (attempt.flight === undefined) return recover(context, request, attempt, 'lost', now)
+    if (retryableStatuses.has(status) || status < 400) return recover(context, request, attempt, status === 409 ? 'wrongVersion' : 'busy', now)
+    if (attempt === request.second) return recover(context, request, attempt, 'busy', now)
     if (request.streamOpened) {
       fail(context, request, { kind: 'stream_interrupted', outcome: 'unknown' })
     } else {
@@ -179,10 +183,10 @@
   const onModelInput = (request: ModelRequest, attempt: ModelAttempt, input: AttemptInput, now: number): void => {
     switch (input.kind) {
       case 'endpoint.head': return onHead(context, request, attempt, input, now)
-      case 'endpoint.chunk': return attempt.headReceived ? onChunk(context, request, attempt, input, now) : recover(context, request, 'garbled', now)
+      case 'endpoint.chunk': return attempt.headReceived ? onChunk(context, request, attempt, input, now) : recover(context, request, attempt, 'garbled', now)
       case 'endpoint.end': return onEnd(context, request, attempt, now)
       case 'endpoint.answer': return onModelAnswer(request, attempt, input.status, input.body, now)
-      case 'endpoint.failed': return recover(context, request, input.sent ? (input.failure === 'refused' ? 'cut' : input.failure) : 'unsent', now)
+      case 'endpoint.failed': return recover(context, request, attempt, input.sent ? (input.failure === 'refused' ? 'cut' : input.failure) : 'unsent', now)
       default: return assertNever(input)
     }
   }
@@ -213,16 +217,17 @@
     }
     const resumeGraceOver = active.disconnectedAt !== undefined && now - active.disconnectedAt >= context.options.resumeGrace
     const firstTokenOverdue = active.firstTokenAt === undefined && now >= active.deadline
-    if (!firstTokenOverdue && !resumeGraceOver) return active.firstTokenAt === undefined ? moveFromSilentWorker(context, active, now) : expireStalled(active, now)
-    if (firstTokenOverdue && active.attempt !== undefined) reportTimeout(context, active.attempt.endpoint)
+    if (!firstTokenOverdue && !resumeGraceOver) return active.firstTokenAt === undefined ? beginIfOverdue(context, active, now) : expireStalled(active, active.attempt, now)
+    const latest = active.second ?? active.attempt
+    if (firstTokenOverdue && latest !== undefined) reportTimeout(context, latest.endpoint)
     if (active.disconnectedAt === undefined) fail(context, active, { kind: 'deadline_exceeded', outcome: 'unknown', retryAfter: jitteredRetryAfter(context) })
     dropAttempt(context, active, 'cancel')
     finish(context, active, now)
   }
 
-  const expireStalled = (active: ModelRequest, now: number): void => {
-    if (active.lastTokenAt === undefined || active.blocked || active.attempt === undefined) return
-    if (now - Math.max(active.lastTokenAt, active.attempt.startedAt, active.readyAt ?? 0) >= context.options.stallTimeout) recover(context, active, 'stalled', now)
+  const expireStalled = (active: ModelRequest, attempt: ModelAttempt | undefined, now: number): void => {
+    if (attempt !== undefined && isLost(context, active, attempt, now)) recover(context, active, attempt, 'stalled', now)
+    else beginIfStalled(context, active, now)
   }
 
   const tick = (now: number): void => {
--- a/src/requests/requestsTypes.ts
+++ b/src/requests/requestsTypes.ts
@@ -97,6 +97,9 @@
   headReceived: boolean
 }
 
+/** Maximum number of failed attempts of a model request; after that the caller gets an error. */
+export const maxRecoveries = 4
+
 /** An unfinished model request. */
 export interface ModelRequest extends RequestBase {
   readonly kind: 'model'
@@ -114,6 +117,10 @@
   /** Id in the answer to the caller: the engine request id of the first attempt. */
   publicId: string
   attempt: ModelAttempt | undefined
+  /** Another attempt while the current one is silent; neither has brought an event since it began. */
+  second: ModelAttempt | undefined
+  /** Earliest time of the next search for a second attempt, in ms. */
+  nextSecondAt: number
   weightVersion: string | undefined
   /** Whether any byte of any attempt was sent, so that a worker may have run the request. */
   sent: boolean
--- a/src/requests/silentEngine.spec.ts
+++ b/src/requests/silentEngine.spec.ts
@@ -133,3 +133,69 @@
   run.advance(8_000)
   expect({ dispatched: run.dispatched, text: run.caller.text }).toEqual({ dispatched: [run.first().id], text: whole })
 })
+
+describe('a stream with a second attempt beside a silent engine', () => {
+  const silentFor = async (ms: number): Promise<Run> => {
+    const run = await start()
+    run.advance(200)
+    run.first().freezeUntil(run.fleet.time.now() + ms)
+    return run
+  }
+
+  const advanceToSecond = (run: Run): void => {
+    for (let waited = 0; run.dispatched.length < 2 && waited < 3_200; waited += 5) run.advance(5)
+  }
+
+  it('goes on at the second engine if that is first, and the silent one is cancelled then, not before', async () => {
+    const run = await silentFor(9_000)
+    advanceToSecond(run)
+    expect([run.dispatched.length, run.cancelled]).toEqual([2, []])
+    run.advance(12_000)
+    expect([run.dispatched.length, run.cancelled, textOf(run.caller)]).toEqual([2, [run.first().id], whole])
+  })
+
+  it('goes on at its own engine if that is first, and the second one is cancelled', async () => {
+    const run = await silentFor(3_200)
+    run.advance(2_900)
+    run.deliverBy(engine => engine === run.dispatched[0] ? 'deliver' : { late: 1_000 })
+    run.advance(12_000)
+    expect([run.dispatched.length, run.cancelled, textOf(run.caller)]).toEqual([2, [run.dispatched[1]], whole])
+  })
+
+  it('goes on at the second engine without a further generation if its own one is lost meanwhile', async () => {
+    const run = await silentFor(9_000)
+    advanceToSecond(run)
+    run.first().crash()
+    run.advance(12_000)
+    expect(textOf(run.caller)).toBe(whole)
+    expect([...run.fleet.engines.values()].flatMap(({ generations }) => generations)).toHaveLength(2)
+  })
+
+  it('leaves nothing running at the second engine if its caller leaves', async () => {
+    const run = await silentFor(9_000)
+    advanceToSecond(run)
+    run.fleet.disconnect(run.caller)
+    run.advance(10)
+    expect(run.cancelled).toEqual([run.dispatched[1]])
+  })
+
+  it('is given up after ten times the stall timeout if no other engine can go on', async () => {
+    const run = await silentFor(90_000)
+    run.spoilOthers('down', 0)
+    run.advance(29_700)
+    expect(run.caller.answers).toEqual([])
+    run.advance(500)
+    expect(run.caller.answers[0]).toMatchObject({ kind: 'error', type: 'stream_interrupted' })
+  })
+})
+
+it('second attempts at a silent engine that answers its probes keep to the retry budget', async () => {
+  const run = await start()
+  const callers = Array.from({ length: 20 }, (_, index) => chat({ name: `ben-${index}`, workspace: 'listings', prompt: [`${prompt}${index}`], tokens }))
+  for (const caller of callers) run.fleet.call(caller, node)
+  run.advance(200)
+  for (const engine of run.fleet.engines.values()) engine.freezeUntil(run.fleet.time.now() + 3_500)
+  run.advance(12_000)
+  expect(run.dispatched.length - 21).toBeLessThanOrEqual(1 + 0.1 * 21)
+  expect(callers.map(({ answers }) => answers[0]?.kind)).toEqual(callers.map(() => 'whole'))
+})
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -117,7 +117,7 @@
   streams: z.strictObject({
     resume_grace: withDefault(integer('ms', 0, 60_000, 'Time for which generation continues after the caller has disconnected.'), defaults.streams.resume_grace),
     resume_window: withDefault(integer('ms', 0, 3_600_000, 'Age after which a resume token is refused.'), defaults.streams.resume_window),
-    stall_timeout: withDefault(integer('ms', 100, 600_000, 'Time without a token after which a started stream is cancelled at its worker and recovered at another one if possible.'), defaults.streams.stall_timeout),
+    stall_timeout: withDefault(integer('ms', 100, 600_000, 'Time without a token after which a started stream gets a second attempt at another worker, if there is one and the retry budget allows it. The first attempt is kept until one of the two brings a token, and counts as failed after ten times this time.'), defaults.streams.stall_timeout),
     resume_keys: withDefault(resumeKeys, defaults.streams.resume_keys)
   }).prefault({}),
   orders: z.strictObject({
