A resumed stream is not lost to one cut connection

What callers saw: a caller resumes its stream by the id of the last event, the connection to the engine is cut once before the response head, and the caller gets `stream_interrupted`, for which a client drops what it has of the stream. Cause: only an attempt with a response head was resumed at its engine after a cut, and a stream whose caller has more events than the instance can go on nowhere else.

Requests that another worker may serve go there at once, as before.

--- a/src/requests/modelAttempts.ts
+++ b/src/requests/modelAttempts.ts
@@ -1,5 +1,5 @@
 /** Recovers model requests from failed attempts. */
-import { chooseAnotherWorker } from './anotherWorker.js'
+import { chooseAnotherWorker, isBehindCaller } from './anotherWorker.js'
 import type { RequestsContext } from './requestsContext.js'
 import { complete, completeAtMaxTokens, dropAttempt, finish, hasReachedMaxTokens, type EngineAction } from './modelCompletion.js'
 import { dispatch, resume } from './modelDispatch.js'
@@ -108,7 +108,8 @@
 
 const recoverCurrent = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, fault: AttemptFault, now: number): void => {
   const isLast = ++request.recoveries > maxRecoveries
-  const resumable = !isLast && attempt.headReceived && (fault === 'cut' || fault === 'gap')
+  const isRunning = attempt.headReceived || isBehindCaller(request)
+  const resumable = !isLast && isRunning && (fault === 'cut' || fault === 'gap')
   if (resumable && resumeAtSameEngine(context, request, attempt, now)) return
   if (!isLast || request.second !== undefined) request.tried.push(attempt.endpoint)
   if (takeOver(request)) return
--- a/src/requests/silentEngine.spec.ts
+++ b/src/requests/silentEngine.spec.ts
@@ -14,6 +14,8 @@
 const otherEngines = ['cut', 'rejected', 'down', 'silent'] as const
 type OtherEngines = typeof otherEngines[number]
 
+type Delivery = (engine: string, part: 'head' | 'chunk' | 'end') => PartDelivery
+
 /** A fleet with one request at an engine, and what the instance did for it. */
 interface Run {
   readonly fleet: FakeFleet
@@ -27,7 +29,7 @@
   /** Says that the caller reads too slowly, or that it reads again. */
   readonly setBlocked: (blocked: boolean) => void
   /** Decides from now on how the parts of the engines' answers are delivered. */
-  readonly deliverBy: (delivery: (engine: string) => PartDelivery) => void
+  readonly deliverBy: (delivery: Delivery) => void
   /** Makes attempts at the other engines fail, the silent ones for `ms`. */
   readonly spoilOthers: (how: OtherEngines, ms: number) => void
 }
@@ -37,7 +39,7 @@
   const cancelled: string[] = []
   const engineOf = new Map<number, string>()
   let request = 0
-  let delivery: (engine: string) => PartDelivery = () => 'deliver'
+  let delivery: Delivery = () => 'deliver'
   const onEffect = (at: string, effect: NodeEffect): void => {
     if (at !== node) return
     if (effect.kind === 'endpoint.dispatch' && effect.request.kind === 'model') {
@@ -50,14 +52,14 @@
   const fleet = startDeployment(await loadHash(), 'harrowgate', 1, {
     ...noFaultHooks,
     onEffect,
-    enginePartDelivery: engine => delivery(engine)
+    enginePartDelivery: (engine, part) => delivery(engine, part)
   })
   const caller = chat({ name: 'ann', workspace: 'listings', prompt: [prompt], tokens, stream })
   fleet.call(caller, node)
   fleet.time.runUntil(fleet.time.now() + 5)
   const others = (): FakeModelEngine[] => [...fleet.engines.values()].filter(({ id }) => id !== dispatched[0])
 
-  const deliverBy = (next: typeof delivery): void => { delivery = next }
+  const deliverBy = (next: Delivery): void => { delivery = next }
 
   const spoilOthers = (how: OtherEngines, ms: number): void => {
     if (how === 'cut') deliverBy(engine => engine === dispatched[0] ? 'deliver' : 'cut')
@@ -123,6 +125,17 @@
   expect(run.caller.text).toBe(whole)
 })
 
+it('a stream that its caller resumes is not lost to one connection that is cut before the response head', async () => {
+  const run = await start()
+  run.advance(200)
+  run.fleet.disconnect(run.caller)
+  let cuts = 0
+  run.deliverBy((_engine, part) => part === 'head' && cuts++ === 0 ? 'cut' : 'deliver')
+  run.advance(12_000)
+  expect(run.caller.answers.map(({ kind }) => kind)).toEqual(['cut', 'whole'])
+  expect(run.caller.text).toBe(whole)
+})
+
 it('an engine is not taken for silent because its caller did not read for a time', async () => {
   const run = await start()
   run.advance(200)
