A call that may have run is not reported as not run

What callers saw: a repeatable call of a plain service is sent, the connection is cut after it ran, and no other endpoint is left: the caller got `no_endpoint`, whose outcome is `not_run`. Cause: the error of a call without an endpoint did not regard an earlier attempt. Calls under a claim were right: once sent they are not dispatched again.

Such a call now gets `endpoint_failed` with the outcome `unknown`.

--- a/src/requests/serviceRequests.ts
+++ b/src/requests/serviceRequests.ts
@@ -65,11 +65,16 @@
   const allowed = ruleEndpoints === undefined ? serviceEndpoints : serviceEndpoints.filter(id => ruleEndpoints.includes(id))
   const choice = context.routing.chooseService({ service: call.service, exclude: tried, allowed }, context.endpoints())
   const endpoint = choice.isOk() ? context.endpoint(choice.value.endpoint) : undefined
-  if (endpoint === undefined) return endUnsent(context, request, { kind: 'no_endpoint', retryAfter: jitteredRetryAfter(context) }, now)
+  if (endpoint === undefined) return endUnsent(context, request, noEndpointError(context, request), now)
   if (!decision.repeatable && !context.mayDispatch(request.request, now)) return
   startAttempt(context, request, endpoint)
 }
 
+/** A repeatable call that was sent before may have run, although no endpoint is left for another attempt. */
+const noEndpointError = (context: RequestsContext, request: ServiceRequest): CallerError => request.sent
+  ? { kind: 'endpoint_failed', outcome: 'unknown', retryAfter: jitteredRetryAfter(context) }
+  : { kind: 'no_endpoint', retryAfter: jitteredRetryAfter(context) }
+
 const startAttempt = (context: RequestsContext, request: ServiceRequest, endpoint: { readonly id: string, readonly address: { readonly host: string, readonly port: number } }): void => {
   const { call } = request
   const attempt = context.db.nextAttempt()
