A stream resumed after a continuation is not continued from half of its text

What callers saw: an answer reported as whole that has words twice. A stream goes on at a second engine after the first was lost; the caller loses its connection and resumes by the id of its last event; then the second engine is lost, too. The instance that resumed the stream knows only what the second engine made, took that for the whole answer and let a third engine go on from there: an answer of 60 words came as 70, 10 of them twice.

The resume token now says where its engine's stream begins in the answer, if not at its start, and such a resumed stream goes on nowhere else: the caller gets `stream_interrupted` and asks again.

--- a/src/requests/anotherWorker.ts
+++ b/src/requests/anotherWorker.ts
@@ -11,6 +11,9 @@
  */
 export const isBehindCaller = ({ relay, forwardFrom }: ModelRequest): boolean => relay.next < forwardFrom
 
+/** Whether this instance lacks the start of the answer, as it resumed a stream that went on at its engine after another one had begun it. */
+const lacksStart = ({ resume }: ModelRequest): boolean => resume?.identity.base !== undefined
+
 const hasToolCalls = (request: ModelRequest): boolean => {
   const delta = request.relay.choice.delta as { tool_calls?: unknown } | undefined
   return delta?.tool_calls !== undefined
@@ -27,7 +30,7 @@
  * @returns the worker, or undefined if there is none
  */
 export const chooseAnotherWorker = (context: RequestsContext, request: ModelRequest, exclude: readonly string[], now: number): WorkerChoice | undefined => {
-  if (isBehindCaller(request)) return undefined
+  if (isBehindCaller(request) || lacksStart(request)) return undefined
   const hasBegun = request.relay.next > 0
   if (hasBegun && hasToolCalls(request)) return undefined
   const weightVersion = hasBegun ? request.weightVersion : request.routingRequest.weightVersion
--- a/src/requests/modelDispatch.ts
+++ b/src/requests/modelDispatch.ts
@@ -21,7 +21,8 @@
   const [key] = context.options.resumeKeys()
   if (key === undefined || !request.call.stream) return ''
   const { endpoint, engineRequest, incarnation, weightVersion } = target
-  return signStreamIdentity(key, { workspace: request.workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint: streamFingerprint(request.fingerprint), arrived: request.arrived })
+  const base = target.base > 0 ? target.base : request.resume?.identity.base
+  return signStreamIdentity(key, { workspace: request.workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint: streamFingerprint(request.fingerprint), arrived: request.arrived, base })
 }
 
 const buildEngineRequest = (request: ModelRequest, target: EngineTarget, resumeFrom: number | undefined): EndpointRequest => ({
--- a/src/requests/silentEngine.spec.ts
+++ b/src/requests/silentEngine.spec.ts
@@ -136,6 +136,19 @@
   expect(run.caller.text).toBe(whole)
 })
 
+it('a stream that its caller resumes after a continuation has no words twice when that engine is lost, too', async () => {
+  const run = await start()
+  for (const engine of run.fleet.engines.values()) engine.timing.token = 40
+  run.advance(400)
+  run.first().crash()
+  run.advance(400)
+  run.fleet.disconnect(run.caller)
+  run.advance(400)
+  for (const engine of run.fleet.engines.values()) if (engine.generations.some(({ from }) => from > 0)) engine.crash()
+  run.advance(12_000)
+  expect(run.caller.answers).toMatchObject([{ kind: 'cut' }, { kind: 'error', type: 'stream_interrupted' }, { kind: 'whole', body: whole }])
+})
+
 it('an engine is not taken for silent because its caller did not read for a time', async () => {
   const run = await start()
   run.advance(200)
--- a/src/streams/resumeToken.ts
+++ b/src/streams/resumeToken.ts
@@ -13,16 +13,17 @@
 /** Length to which signatures are truncated, in bytes. */
 const signatureBytes = 16
 
-type IdentityTuple = [string, string, string, string, string, string, number]
+type IdentityTuple = [string, string, string, string, string, string, number] | [string, string, string, string, string, string, number, number]
 
 /** Encodes an identity without field names to keep tokens short, since one is sent with every event. */
-const toTuple = (identity: StreamIdentity): IdentityTuple =>
-  [identity.workspace, identity.endpoint, identity.engineRequest, identity.incarnation, identity.weightVersion, identity.fingerprint, identity.arrived]
+const toTuple = ({ workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived, base }: StreamIdentity): IdentityTuple => base === undefined
+  ? [workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived]
+  : [workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived, base]
 
 const parseTuple = (values: unknown): StreamIdentity | undefined => {
   if (!Array.isArray(values)) return undefined
-  const [workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived] = values
-  return streamIdentitySchema.safeParse({ workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived }).data
+  const [workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived, base] = values
+  return streamIdentitySchema.safeParse({ workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint, arrived, base }).data
 }
 
 const sign = (key: string, payload: string): Buffer =>
--- a/src/streams/streamsTypes.ts
+++ b/src/streams/streamsTypes.ts
@@ -12,7 +12,9 @@
   /** Fingerprint of the caller's request. */
   fingerprint: z.string(),
   /** When the request arrived, in ms. */
-  arrived: z.number()
+  arrived: z.number(),
+  /** Position of the engine's event 0 in the caller's stream; absent if the engine began the answer. */
+  base: z.number().optional()
 })
 
 /** Identity of a stream, by which any instance can find it at its engine. */
