--- a/src/requests/modelAdmission.ts
+++ b/src/requests/modelAdmission.ts
@@ -5,7 +5,7 @@
 import { createRelay } from '../streams/streamRelay.js'
 import { authorizeResume, streamFingerprint, verifyResumeToken } from '../streams/resumeToken.js'
 import type { ResumePoint } from '../streams/streamsTypes.js'
-import { dispatch, resume } from './modelAttempts.js'
+import { dispatch, resume } from './modelDispatch.js'
 import type { RequestsContext } from './requestsContext.js'
 import type { CallerError } from './requestsErrors.js'
 import { jitteredRetryAfter, refuse } from './requestOutcomes.js'
@@ -112,11 +112,14 @@
     ...admission,
     publicId: '',
     attempt: undefined,
+    second: undefined,
+    nextSecondAt: 0,
     weightVersion: undefined,
     sent: point !== undefined,
     recoveries: 0,
     streamOpened: false,
     blocked: false,
+    readyAt: undefined,
     firstTokenAt: undefined,
     lastTokenAt: undefined,
     tried: [],
--- a/src/requests/modelAttempts.ts
+++ b/src/requests/modelAttempts.ts
@@ -1,15 +1,11 @@
-/** Dispatches model requests to workers and recovers from failed attempts. */
-import { signStreamIdentity, streamFingerprint } from '../streams/resumeToken.js'
-import type { WorkerChoice } from '../routing/routingTypes.js'
-import type { EndpointRequest } from '../ports/endpointPort.js'
-import { buildEngineBody } from './engineBody.js'
+/** Recovers model requests from failed attempts. */
+import { chooseAnotherWorker, isBehindCaller } from './anotherWorker.js'
 import type { RequestsContext } from './requestsContext.js'
 import { complete, completeAtMaxTokens, dropAttempt, finish, hasReachedMaxTokens, type EngineAction } from './modelCompletion.js'
+import { dispatch, resume } from './modelDispatch.js'
 import { jitteredRetryAfter, fail } from './requestOutcomes.js'
-import type { ModelAttempt, ModelRequest } from './requestsTypes.js'
-
-/** Maximum number of recoveries of a request; after that the caller gets an error. */
-const maxRecoveries = 4
+import { maxRecoveries, type ModelAttempt, type ModelRequest } from './requestsTypes.js'
+import { failSecond, takeOver } from './secondAttempts.js'
 
 /**
  * Why an attempt ended without a complete answer: no byte was sent (`unsent`); the
@@ -18,99 +14,10 @@
  * the answer belongs to another request (`crossed`); events are missing (`gap`); the
  * worker has other weights (`wrongVersion`); it refused the request with a retryable
  * status or answered without a stream (`busy`); it did not resume the stream (`lost`);
- * or no token came for `stallTimeout` (`stalled`).
+ * or no token came for a multiple of `stallTimeout` (`stalled`).
  */
 export type AttemptFault = 'unsent' | 'cut' | 'timeout' | 'garbled' | 'crossed' | 'gap' | 'wrongVersion' | 'busy' | 'lost' | 'stalled'
 
-interface EngineTarget {
-  readonly endpoint: string
-  readonly engineRequest: string
-  readonly incarnation: string
-  readonly weightVersion: string
-  readonly base: number
-}
-
-const cacheSaltOf = (request: ModelRequest, weightVersion: string): string =>
-  [request.workspace, request.routingRequest.model, request.routingRequest.adapter ?? '', weightVersion].join('/')
-
-const resumeTokenPrefixOf = (context: RequestsContext, request: ModelRequest, target: EngineTarget): string => {
-  const [key] = context.options.resumeKeys()
-  if (key === undefined || !request.call.stream) return ''
-  const { endpoint, engineRequest, incarnation, weightVersion } = target
-  return signStreamIdentity(key, { workspace: request.workspace, endpoint, engineRequest, incarnation, weightVersion, fingerprint: streamFingerprint(request.fingerprint), arrived: request.arrived })
-}
-
-const buildEngineRequest = (request: ModelRequest, target: EngineTarget, resumeFrom: number | undefined): EndpointRequest => ({
-  kind: 'model',
-  id: target.engineRequest,
-  path: request.call.path,
-  body: buildEngineBody(request.call, request.relay),
-  identity: {
-    workspace: request.workspace,
-    model: request.routingRequest.model,
-    adapter: request.routingRequest.adapter,
-    weightVersion: target.weightVersion,
-    incarnation: target.incarnation
-  },
-  cacheSalt: cacheSaltOf(request, target.weightVersion),
-  priority: request.routingRequest.priority,
-  ...(resumeFrom === undefined ? {} : { resumeFrom })
-})
-
-const startAttempt = (context: RequestsContext, request: ModelRequest, target: EngineTarget, cause: string, choice: WorkerChoice | undefined, resumeFrom: number | undefined, now: number): boolean => {
-  const endpoint = context.endpoint(target.endpoint)
-  if (endpoint === undefined) return false
-  const attempt: ModelAttempt = {
-    kind: 'model',
-    attempt: context.db.nextAttempt(),
-    request: request.request,
-    ...target,
-    flight: choice === undefined ? undefined : context.routing.started(request.routingRequest, choice, now),
-    resumeTokenPrefix: resumeTokenPrefixOf(context, request, target),
-    startedAt: now,
-    headReceived: false
-  }
-  context.db.attempts.set(attempt.attempt, attempt)
-  request.attempt = attempt
-  context.metrics.attempts.inc({ cause })
-  context.emit({ kind: 'endpoint.dispatch', attempt: attempt.attempt, endpoint: endpoint.id, address: endpoint.address, request: buildEngineRequest(request, target, resumeFrom) })
-  if (request.blocked) context.emit({ kind: 'endpoint.pause', attempt: attempt.attempt })
-  return true
-}
-
-/**
- * Dispatches a request to a chosen worker. If tokens have already been relayed,
- * they are sent after the prompt, and the worker continues from there.
- *
- * @param context - state and services of this instance
- * @param request - the request
- * @param choice - the worker
- * @param cause - label of the attempts metric
- * @param now - current time in ms
- */
-export const dispatch = (context: RequestsContext, request: ModelRequest, choice: WorkerChoice, cause: string, now: number): void => {
-  const { endpoint, incarnation, weightVersion } = choice
-  const engineRequest = `${context.options.idPrefix}-${context.db.nextAttempt()}`
-  if (request.publicId === '') request.publicId = engineRequest
-  request.weightVersion = weightVersion
-  startAttempt(context, request, { endpoint, engineRequest, incarnation, weightVersion, base: request.relay.next }, cause, choice, undefined, now)
-}
-
-/**
- * Resumes a stream at the engine that is running it.
- *
- * @param context - state and services of this instance
- * @param request - the request
- * @param target - the engine's stream; `base` is the position of its event 0 in the caller's stream
- * @param now - current time in ms
- * @returns false if this instance does not know the endpoint
- */
-export const resume = (context: RequestsContext, request: ModelRequest, target: EngineTarget, now: number): boolean => {
-  if (request.publicId === '') request.publicId = target.engineRequest
-  request.weightVersion = target.weightVersion
-  return startAttempt(context, request, target, 'resume', undefined, request.relay.next - target.base, now)
-}
-
 const failRequest = (context: RequestsContext, request: ModelRequest, now: number): void => {
   const outcome = request.sent ? 'unknown' : 'not_run'
   if (request.relay.next > 0 || request.forwardFrom > 0) fail(context, request, { kind: 'stream_interrupted', outcome: 'unknown' })
@@ -127,33 +34,21 @@
   return resume(context, request, { endpoint: endpoint.id, engineRequest, incarnation, weightVersion, base }, now)
 }
 
-const hasNoToolCalls = (request: ModelRequest): boolean => {
-  const delta = request.relay.choice.delta as { tool_calls?: unknown } | undefined
-  return delta?.tool_calls === undefined
-}
-
-/** Continues a started stream at another worker: only one with the same weights, and only if the answer so far is text, without tool calls. */
 const continueAtAnotherWorker = (context: RequestsContext, request: ModelRequest, now: number): boolean => {
-  if (!hasNoToolCalls(request)) return false
-  const routingRequest = { ...request.routingRequest, weightVersion: request.weightVersion, exclude: request.tried }
-  return context.routing.choose(routingRequest, context.endpoints(), now).match(
-    choice => {
-      dispatch(context, request, choice, 'continue', now)
-      return true
-    },
-    () => false
-  )
+  const choice = chooseAnotherWorker(context, request, request.tried, now)
+  if (choice === undefined) return false
+  dispatch(context, request, choice, 'continue', now)
+  return true
 }
 
 const retryAtAnotherWorker = (context: RequestsContext, request: ModelRequest, now: number): boolean => {
   if (now >= request.deadline) return false
-  const routingRequest = { ...request.routingRequest, exclude: request.tried }
-  const choice = context.routing.choose(routingRequest, context.endpoints(), now)
-  if (choice.isErr()) return false
+  const choice = chooseAnotherWorker(context, request, request.tried, now)
+  if (choice === undefined) return false
   const { workspace, deadline } = request
-  const allowed = context.limits.retry({ workspace, deadline, retried: request.tried.length > 1, expectedWait: choice.value.expectedWait }, now)
+  const allowed = context.limits.retry({ workspace, deadline, retried: request.tried.length > 1, expectedWait: choice.expectedWait }, now)
   if (allowed.isErr()) return false
-  dispatch(context, request, choice.value, 'retry', now)
+  dispatch(context, request, choice, 'retry', now)
   return true
 }
 
@@ -179,79 +74,46 @@
   }
 }
 
-/** Whether the caller already has events that this instance has not relayed yet; another worker would generate different ones. */
-const isBehindCaller = ({ relay, forwardFrom }: ModelRequest): boolean => relay.next < forwardFrom
+const reportOutcome = (context: RequestsContext, attempt: ModelAttempt, fault: AttemptFault): void => {
+  const outcome = endpointOutcomeOf(fault)
+  if (outcome !== undefined) context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint: attempt.endpoint, outcome } })
+  context.metrics.streamFaults.inc({ fault })
+}
 
 /**
  * Recovers from a failed attempt. A stream that was cut or has a gap is resumed
- * at the same engine if possible; otherwise the request goes to another worker.
- * If that is not possible either, the caller gets a typed error at once.
+ * at the same engine if possible; otherwise its second attempt takes over, or the
+ * request goes to another worker. If that is not possible either, the caller gets a
+ * typed error at once. A second attempt that has failed is only dropped.
  *
  * @param context - state and services of this instance
  * @param request - the request
+ * @param attempt - the attempt, its current or its second one
  * @param fault - what ended the attempt
  * @param now - current time in ms
  */
-export const recover = (context: RequestsContext, request: ModelRequest, fault: AttemptFault, now: number): void => {
-  const { attempt } = request
-  if (attempt === undefined) return
+export const recover = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, fault: AttemptFault, now: number): void => {
+  request.sent ||= fault !== 'unsent'
+  if (attempt === request.second) {
+    reportOutcome(context, attempt, fault)
+    return failSecond(context, request, attempt, fault === 'gap' ? 'cancel' : engineActionFor(fault))
+  }
   if (request.relay.finishReason !== undefined) return complete(context, request, attempt, now)
   if (hasReachedMaxTokens(request)) return completeAtMaxTokens(context, request, attempt, now)
-  request.sent ||= fault !== 'unsent'
-  const endpointOutcome = endpointOutcomeOf(fault)
-  if (endpointOutcome !== undefined) context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint: attempt.endpoint, outcome: endpointOutcome } })
+  reportOutcome(context, attempt, fault)
   dropAttempt(context, request, engineActionFor(fault))
-  context.metrics.streamFaults.inc({ fault })
   if (request.disconnectedAt !== undefined) return finish(context, request, now)
-  const streamStarted = request.relay.next > 0
-  request.recoveries++
-  if (request.recoveries > maxRecoveries) return failRequest(context, request, now)
-  const resumable = attempt.headReceived && (fault === 'cut' || fault === 'gap')
-  if (resumable && resumeAtSameEngine(context, request, attempt, now)) return
-  request.tried.push(attempt.endpoint)
-  if (isBehindCaller(request)) return failRequest(context, request, now)
-  if (streamStarted ? continueAtAnotherWorker(context, request, now) : retryAtAnotherWorker(context, request, now)) return
-  failRequest(context, request, now)
-}
-
-/** Multiple of the expected wait that must have passed before a missing first token counts as overdue. */
-const overdueWaitFactor = 4
-
-const isFirstTokenOverdue = (request: ModelRequest, attempt: ModelAttempt, now: number): boolean => {
-  const waited = now - attempt.startedAt
-  const expected = attempt.flight?.choice.expectedWait ?? 0
-  return waited >= (request.deadline - attempt.startedAt) / 2 && waited >= overdueWaitFactor * expected
+  recoverCurrent(context, request, attempt, fault, now)
 }
 
-/**
- * Moves a request from a worker whose first token is overdue to another worker,
- * at most once, if another worker and enough time are left and the retry budget
- * allows it. Otherwise the request keeps waiting.
- *
- * @param context - state and services of this instance
- * @param request - a request without a first token
- * @param now - current time in ms
- */
-export const moveFromSilentWorker = (context: RequestsContext, request: ModelRequest, now: number): void => {
-  const { attempt } = request
-  if (attempt === undefined || request.tried.length > 0 || request.relay.next > 0 || !isFirstTokenOverdue(request, attempt, now)) return
-  const { workspace, deadline } = request
-  const routingRequest = { ...request.routingRequest, exclude: [attempt.endpoint] }
-  const choice = context.routing.choose(routingRequest, context.endpoints(), now)
-  if (choice.isErr()) return
-  if (context.limits.retry({ workspace, deadline, retried: false, expectedWait: choice.value.expectedWait }, now).isErr()) return
-  reportTimeout(context, attempt.endpoint)
-  request.sent = true
-  request.tried.push(attempt.endpoint)
-  dropAttempt(context, request, 'cancel')
-  dispatch(context, request, choice.value, 'silent', now)
+const recoverCurrent = (context: RequestsContext, request: ModelRequest, attempt: ModelAttempt, fault: AttemptFault, now: number): void => {
+  const isLast = ++request.recoveries > maxRecoveries
+  const isRunning = attempt.headReceived || isBehindCaller(request)
+  const resumable = !isLast && isRunning && (fault === 'cut' || fault === 'gap')
+  if (resumable && resumeAtSameEngine(context, request, attempt, now)) return
+  if (!isLast || request.second !== undefined) request.tried.push(attempt.endpoint)
+  if (takeOver(request)) return
+  if (isLast) return failRequest(context, request, now)
+  const retried = request.relay.next > 0 ? continueAtAnotherWorker(context, request, now) : retryAtAnotherWorker(context, request, now)
+  if (!retried) failRequest(context, request, now)
 }
-
-/**
- * Reports to the endpoint registry that a worker did not answer in time.
- *
- * @param context - state and services of this instance
- * @param endpoint - the worker
- */
-export const reportTimeout = (context: RequestsContext, endpoint: string): void =>
-  context.emit({ kind: 'requests.evidence', input: { kind: 'endpoints.evidence', endpoint, outcome: 'timeout' } })
