A refusal that ends its connection reaches a caller that is still sending

What callers saw: a request that was refused before it had been read to its end (body too large, 400, 431) ended with a reset and no answer, if its caller wrote the whole request before reading. A size limit that is lowered by a new configuration makes such requests out of proper ones.

Cause: the connection was closed with bytes unread, which resets it; the caller's next write fails, and the response that it has not read is lost.

Change: after a response that announces the end of its connection, only the sending side is closed; the connection is read on until the caller closes it, for a second at most. Requests that come meanwhile are not passed on. A response after which the caller may send its next request is followed by a close as before, so that a request that crosses it counts as unread.

The tests failed before: the caller got "" instead of 413, 400 and 431.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -4,7 +4,7 @@
  */
 import type { Server } from 'node:http'
 import type { Duplex } from 'node:stream'
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import type { ConnectionEnd } from '../ports/forwardPort.js'
 import { afterNextRead } from './nextRead.js'
 
@@ -32,6 +32,8 @@
   readonly endOf: (socket: Duplex) => ConnectionEnd
   /** Notes the reason and destroys the connection. */
   readonly destroy: (socket: Duplex, end: ConnectionEnd) => void
+  /** Closes a connection once what was written to it has been sent. */
+  readonly closeAfterFlush: (socket: Socket, end: ConnectionEnd) => void
   /** Closes the connections without requests that have carried some, unless the next request has arrived. */
   readonly closeIdle: () => void
   /** Closes all connections. */
@@ -53,6 +55,9 @@
 /** Time beyond its keep-alive timeout after which an idle connection is closed, in ms. */
 const keepAliveMargin = 1_000
 
+/** Time for which a connection is read on after its last response, until the caller has closed it, in ms. */
+const lingerTime = 1_000
+
 /** What is called for each closed connection: its open requests and why it ended. */
 export type ConnectionClosed = (requests: Iterable<number>, end: ConnectionEnd) => void
 
@@ -83,6 +88,7 @@
 export const followCallerConnections = (server: Server, onClosed: ConnectionClosed): CallerConnections => {
   const open = new Map<Socket, Connection>()
   const ends = new WeakMap<Duplex, ConnectionEnd>()
+  const rejected = new WeakSet<Duplex>()
   let headerTimeout = server.headersTimeout
   let lowering: NodeJS.Timeout | undefined
 
@@ -147,13 +153,38 @@
     })
   }
 
+  const announceEnd = (socket: Socket, request: number): void => {
+    const connection = open.get(socket)
+    if (connection !== undefined) connection.last = Math.min(connection.last, request)
+  }
+
+  /**
+   * Closes the sending side of a connection and reads on until the caller closes it.
+   * A connection that is closed while bytes are unread is reset, and its caller may lose the last response.
+   */
+  const linger = (socket: Socket): void => {
+    announceEnd(socket, open.get(socket)?.newest ?? 0)
+    socket.end()
+    const timer = setTimeout(() => socket.destroy(), lingerTime)
+    timer.unref()
+    socket.once('close', () => clearTimeout(timer))
+  }
+
   /** Responds to what could not be read, and closes the connection. */
   const rejectUnreadable = (socket: Socket, code: string | undefined): void => {
+    if (rejected.has(socket)) return
+    rejected.add(socket)
     const end = endOfError(code)
-    if (end !== 'callerReset' && socket.writable && !hasSentHead(socket)) {
-      socket.write(`HTTP/1.1 ${errorStatusLines[code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
-    }
-    destroy(socket, end)
+    if (end === 'callerReset' || !socket.writable || hasSentHead(socket)) return destroy(socket, end)
+    noteEnd(socket, end)
+    socket.write(`HTTP/1.1 ${errorStatusLines[code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
+    if (open.get(socket)?.requests.size === 0) linger(socket)
+    else socket.destroy()
+  }
+
+  const closeAfterFlush = (socket: Socket, end: ConnectionEnd): void => {
+    noteEnd(socket, end)
+    Socket.prototype.destroySoon.call(socket)
   }
 
   const closeIdle = (): void => {
@@ -167,6 +198,8 @@
   server.on('connection', socket => {
     const connection: Connection = { requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity, keepAlive: server.keepAliveTimeout }
     open.set(socket, connection)
+    // The server calls it after a response that announced the end of its connection.
+    socket.destroySoon = () => linger(socket)
     socket.on('end', () => noteEnd(socket, 'callerClosed'))
     socket.on('error', (error: NodeJS.ErrnoException) => noteEnd(socket, endOfError(error.code)))
     socket.on('close', () => {
@@ -195,14 +228,12 @@
     removeRequest,
     isNewest: (socket, request) => open.get(socket)?.newest === request,
     hasRequests: socket => (open.get(socket)?.requests.size ?? 0) > 0,
-    announceEnd: (socket, request) => {
-      const connection = open.get(socket)
-      if (connection !== undefined) connection.last = Math.min(connection.last, request)
-    },
+    announceEnd,
     isAfterEnd: (socket, request) => request > (open.get(socket)?.last ?? 0),
     noteEnd,
     endOf,
     destroy,
+    closeAfterFlush,
     closeIdle,
     destroyAll: end => { for (const socket of open.keys()) destroy(socket, end) }
   }
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -188,8 +188,7 @@
       connections.removeRequest(message.socket, request)
       end(request)
       if (!listenerClosed || message.socket.destroyed || connections.hasRequests(message.socket)) return
-      connections.noteEnd(message.socket, 'shutdown')
-      message.socket.destroySoon()
+      connections.closeAfterFlush(message.socket, 'shutdown')
     })
   }
 
