After the listener is closed, an ended response is not reset on its way

What callers saw: beside a planned shutdown, an answer that had been given whole arrived cut, if its caller had sent the beginning of its next request meanwhile.

Cause: after the listener was closed, each connection was closed as soon as its response had been given to the system, with what had arrived meanwhile unread; the reset that follows takes the response along. It also cut the reading on after a response that announced the end of its connection.

Change: such a connection is closed after the sockets have been read once more, and only if nothing came; one whose end has been announced is left to its caller.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -4,7 +4,7 @@
  */
 import type { Server } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import type { ConnectionEnd } from '../ports/forwardPort.js'
 import { afterNextRead } from './nextRead.js'
 
@@ -20,8 +20,6 @@
   readonly removeRequest: (socket: Socket, request: number) => void
   /** Whether the request is the newest of its connection, after which the connection may be closed. */
   readonly isNewest: (socket: Socket, request: number) => boolean
-  /** Whether requests of the connection are open. */
-  readonly hasRequests: (socket: Socket) => boolean
   /** Notes that the response to the request announces the end of the connection. */
   readonly announceEnd: (socket: Socket, request: number) => void
   /** Whether the request came after one whose response announced the end of the connection. */
@@ -32,9 +30,9 @@
   readonly endOf: (socket: Duplex) => ConnectionEnd
   /** Notes the reason and destroys the connection. */
   readonly destroy: (socket: Duplex, end: ConnectionEnd) => void
-  /** Closes a connection once what was written to it has been sent. */
-  readonly closeAfterFlush: (socket: Socket, end: ConnectionEnd) => void
-  /** Closes the connections without requests that have carried some, unless the next request has arrived. */
+  /** Closes a connection that has carried requests and has none, unless the next one has arrived. */
+  readonly closeIfIdle: (socket: Socket) => void
+  /** Closes all connections that have carried requests and have none, unless the next one has arrived. */
   readonly closeIdle: () => void
   /** Closes all connections. */
   readonly destroyAll: (end: ConnectionEnd) => void
@@ -101,7 +99,10 @@
     socket.destroy()
   }
 
-  const isIdle = ({ requests, readAtLastEnd }: Connection): boolean => requests.size === 0 && readAtLastEnd !== undefined
+  const hasAnnouncedEnd = ({ last }: Connection): boolean => last !== Infinity
+
+  const isIdle = (connection: Connection): boolean =>
+    connection.requests.size === 0 && connection.readAtLastEnd !== undefined && !hasAnnouncedEnd(connection)
 
   /** Keeps an idle connection for the timeout that was announced on it, or for the present one if it is longer. */
   const extendKeepAlive = (socket: Socket, connection: Connection): void => {
@@ -172,9 +173,10 @@
 
   /** Responds to what could not be read, and closes the connection. */
   const rejectUnreadable = (socket: Socket, code: string | undefined): void => {
-    if (rejected.has(socket)) return
-    rejected.add(socket)
     const end = endOfError(code)
+    const isLingering = socket.writableEnded && end !== 'callerReset'
+    if (rejected.has(socket) || isLingering) return
+    rejected.add(socket)
     if (end === 'callerReset' || !socket.writable || hasSentHead(socket)) return destroy(socket, end)
     noteEnd(socket, end)
     socket.write(`HTTP/1.1 ${errorStatusLines[code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
@@ -182,16 +184,11 @@
     else socket.destroy()
   }
 
-  const closeAfterFlush = (socket: Socket, end: ConnectionEnd): void => {
-    noteEnd(socket, end)
-    Socket.prototype.destroySoon.call(socket)
-  }
-
-  const closeIdle = (): void => {
+  const closeIfIdle = (socket: Socket): void => {
+    const connection = open.get(socket)
+    if (connection === undefined) return
     afterNextRead(() => {
-      for (const [socket, connection] of open) {
-        if (isIdle(connection) && socket.bytesRead === connection.readAtLastEnd) destroy(socket, 'shutdown')
-      }
+      if (isIdle(connection) && socket.bytesRead === connection.readAtLastEnd) destroy(socket, 'shutdown')
     })
   }
 
@@ -227,14 +224,13 @@
     addRequest,
     removeRequest,
     isNewest: (socket, request) => open.get(socket)?.newest === request,
-    hasRequests: socket => (open.get(socket)?.requests.size ?? 0) > 0,
     announceEnd,
     isAfterEnd: (socket, request) => request > (open.get(socket)?.last ?? 0),
     noteEnd,
     endOf,
     destroy,
-    closeAfterFlush,
-    closeIdle,
+    closeIfIdle,
+    closeIdle: () => { for (const socket of open.keys()) closeIfIdle(socket) },
     destroyAll: end => { for (const socket of open.keys()) destroy(socket, end) }
   }
 }
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -187,8 +187,7 @@
       // A response whose headers were sent before the shutdown had no `Connection: close`, so the caller may keep the connection open.
       connections.removeRequest(message.socket, request)
       end(request)
-      if (!listenerClosed || message.socket.destroyed || connections.hasRequests(message.socket)) return
-      connections.closeAfterFlush(message.socket, 'shutdown')
+      if (listenerClosed) connections.closeIfIdle(message.socket)
     })
   }
 
