A caller that closes its sending side counts as one that left

HTTP/1.1 lets a caller close its sending side after a whole request and read the response then. To this side it looks like a caller that closed its connection, until something is written to it, and work for a caller that has given up has to stop within half a second.

A test states it; behaviour unchanged.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -197,6 +197,7 @@
     open.set(socket, connection)
     // The server calls it after a response that announced the end of its connection.
     socket.destroySoon = () => linger(socket)
+    // Without a write to it, a connection that was closed looks like one whose sending side was closed; both end the work for the caller.
     socket.on('end', () => noteEnd(socket, 'callerClosed'))
     socket.on('error', (error: NodeJS.ErrnoException) => noteEnd(socket, endOfError(error.code)))
     socket.on('close', () => {
--- a/src/adapters/callerEnds.spec.ts
+++ b/src/adapters/callerEnds.spec.ts
@@ -35,6 +35,17 @@
     expect(fixture.inputs.filter(({ kind }) => kind === 'call.arrived')).toEqual([])
   })
 
+  it('is reported at once when the caller closes its sending side after its request', async () => {
+    const caller = await fixture.open()
+    caller.socket.write(requestText('halfClosed'))
+    const request = await fixture.arrived('halfClosed')
+    caller.socket.end()
+    expect(await fixture.left('halfClosed')).toMatchObject({ stage: 'open', reason: 'callerClosed' })
+    fixture.answer(request, 'too late')
+    await waitFor(() => caller.isClosed())
+    expect(caller.text()).toBe('')
+  })
+
   it('is reported for each request of a connection, also for one that follows an open one', async () => {
     const caller = await fixture.open()
     caller.socket.write(requestText('first') + requestText('second'))
