The callers' and operators' server does not cut answers when it stops listening

While a node drains, an answer that was being read slowly was cut, and a request that had arrived at an idle connection was reset.

The tests failed before: 3,919,872 of 32,000,000 bytes; the second request of a connection was never read.

--- a/src/adapters/httpServer.ts
+++ b/src/adapters/httpServer.ts
@@ -5,10 +5,11 @@
  */
 import { createServer as createPlainServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
-import type { AddressInfo, Socket } from 'node:net'
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { CallerEffect } from '../ports/callerPort.js'
 import { errorAnswer, type CallerError } from '../requests/requestsErrors.js'
 import type { Credentials } from './credentials.js'
+import { createUsedConnections } from './usedConnections.js'
 
 /** A request that was received completely. */
 export interface ReceivedRequest {
@@ -103,6 +104,7 @@
 export const createHttpServer = (options: HttpServerOptions, events: HttpServerEvents): HttpServer => {
   const responses = new Map<number, ServerResponse>()
   const blocked = new Set<number>()
+  const connections = createUsedConnections()
   let lastRequest = 0
   let draining = false
 
@@ -128,6 +130,8 @@
   }
 
   const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
+    connections.begin(message.socket)
+    response.on('close', () => connections.end(message.socket))
     const declared = Number(message.headers['content-length'] ?? 0)
     if (declared > options.bodyLimit) return refuse(response, { kind: 'body_too_large', limit: options.bodyLimit })
     const request = ++lastRequest
@@ -192,8 +196,9 @@
 
   const closeListener = (): void => {
     draining = true
-    server.close()
-    server.closeIdleConnections()
+    // The method of the HTTP server would also close connections whose response has been given whole but not sent.
+    NetServer.prototype.close.call(server)
+    connections.closeIdle()
   }
 
   return { listen, perform, closeListener, busy: () => responses.size, destroy: () => server.closeAllConnections() }
