The callers' and operators' server ends queued requests of a closed connection

The fault of in the server of the product's own interface: a request that waits on its connection for the response before it was never reported as gone when the connection closed, and `busy` went on counting it.

The test failed before: of two open requests of a closed connection one was reported.

--- a/src/adapters/httpServer.spec.ts
+++ b/src/adapters/httpServer.spec.ts
@@ -10,13 +10,15 @@
 let server: HttpServer
 let socket: Socket
 const received: ReceivedRequest[] = []
+const gone: number[] = []
 
 beforeEach(async () => {
   received.length = 0
+  gone.length = 0
   const ignore = (): void => { /* Not of interest here. */ }
   server = createHttpServer(
     { host: '127.0.0.1', port: 0, bodyLimit: 1_024, headerLimit: 16_384, receiveTimeout: 5_000, writeBuffer: 1_024 },
-    { arrived: request => received.push(request), gone: ignore, blocked: ignore, ready: ignore, refused: ignore }
+    { arrived: request => received.push(request), gone: request => gone.push(request), blocked: ignore, ready: ignore, refused: ignore }
   )
   const port = await server.listen()
   socket = connect({ port, host: '127.0.0.1', noDelay: true })
@@ -32,6 +34,18 @@
 
 const answer = (body: string): void => server.perform({ kind: 'caller.answer', request: received[received.length - 1].request, status: 200, headers: {}, body })
 
+describe('an HTTP server', () => {
+  it('reports that the caller is gone for each request of its connection, also for one that follows an open one', async () => {
+    socket.write(requestText + requestText)
+    await waitFor(() => received.length === 2)
+    socket.destroy()
+    await waitFor(() => gone.length > 0)
+    await new Promise(resolve => setImmediate(resolve))
+    expect(gone).toEqual(received.map(({ request }) => request))
+    expect(server.busy()).toBe(0)
+  })
+})
+
 describe('an HTTP server that stops listening', () => {
   it('does not cut a complete response that its caller is still reading', async () => {
     socket.write(requestText)
--- a/src/adapters/httpServer.ts
+++ b/src/adapters/httpServer.ts
@@ -130,17 +130,18 @@
   }
 
   const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
-    connections.begin(message.socket)
-    response.on('close', () => connections.end(message.socket))
+    const request = ++lastRequest
+    // The server does not close responses that wait for the one before them on a closed connection.
+    const close = (): void => {
+      connections.end(message.socket, close)
+      blocked.delete(request)
+      if (responses.delete(request) && !response.writableFinished) events.gone(request)
+    }
+    connections.begin(message.socket, close)
+    response.on('close', close)
     const declared = Number(message.headers['content-length'] ?? 0)
     if (declared > options.bodyLimit) return refuse(response, { kind: 'body_too_large', limit: options.bodyLimit })
-    const request = ++lastRequest
     responses.set(request, response)
-    response.on('close', () => {
-      responses.delete(request)
-      blocked.delete(request)
-      if (!response.writableFinished) events.gone(request)
-    })
     response.on('drain', () => {
       if (blocked.delete(request)) events.ready(request)
     })
--- a/src/adapters/usedConnections.ts
+++ b/src/adapters/usedConnections.ts
@@ -4,16 +4,17 @@
 
 /** The connections of a server that have carried requests. */
 export interface UsedConnections {
-  /** Notes that a request of the connection has begun. */
-  readonly begin: (socket: Socket) => void
-  /** Notes that the response to a request of the connection has been sent, or has ended. */
-  readonly end: (socket: Socket) => void
+  /** Notes that a request of the connection has begun; `onClosed` is called if the connection is closed before it ends. */
+  readonly begin: (socket: Socket, onClosed: () => void) => void
+  /** Notes that the response to the request with this `onClosed` has been sent, or has ended. */
+  readonly end: (socket: Socket, onClosed: () => void) => void
   /** Closes the connections without open requests to which nothing has come since the last one. */
   readonly closeIdle: () => void
 }
 
 interface Usage {
-  openRequests: number
+  /** Callbacks of the open requests. */
+  readonly openRequests: Set<() => void>
   /** Number of bytes that had been read when the last request ended. */
   readAtLastEnd: number
 }
@@ -22,27 +23,32 @@
 export const createUsedConnections = (): UsedConnections => {
   const usages = new Map<Socket, Usage>()
 
-  const begin = (socket: Socket): void => {
-    const usage = usages.get(socket)
-    if (usage !== undefined) {
-      usage.openRequests++
-      return
-    }
-    usages.set(socket, { openRequests: 1, readAtLastEnd: 0 })
-    socket.once('close', () => usages.delete(socket))
+  const follow = (socket: Socket): Usage => {
+    const usage: Usage = { openRequests: new Set(), readAtLastEnd: 0 }
+    usages.set(socket, usage)
+    socket.once('close', () => {
+      usages.delete(socket)
+      for (const onClosed of usage.openRequests) onClosed()
+    })
+    return usage
+  }
+
+  const begin = (socket: Socket, onClosed: () => void): void => {
+    const usage = usages.get(socket) ?? follow(socket)
+    usage.openRequests.add(onClosed)
   }
 
-  const end = (socket: Socket): void => {
+  const end = (socket: Socket, onClosed: () => void): void => {
     const usage = usages.get(socket)
     if (usage === undefined) return
-    usage.openRequests--
+    usage.openRequests.delete(onClosed)
     usage.readAtLastEnd = socket.bytesRead
   }
 
   const closeIdle = (): void => {
     afterNextRead(() => {
       for (const [socket, { openRequests, readAtLastEnd }] of usages) {
-        if (openRequests === 0 && socket.bytesRead === readAtLastEnd) socket.destroy()
+        if (openRequests.size === 0 && socket.bytesRead === readAtLastEnd) socket.destroy()
       }
     })
   }
