--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -20,8 +20,6 @@
   readonly removeRequest: (socket: Socket, request: number) => void
   /** Whether the request is the newest of its connection, after which the connection may be closed. */
   readonly isNewest: (socket: Socket, request: number) => boolean
-  /** Whether requests of the connection are open. */
-  readonly hasRequests: (socket: Socket) => boolean
   /** Notes that the response to the request announces the end of the connection. */
   readonly announceEnd: (socket: Socket, request: number) => void
   /** Whether the request came after one whose response announced the end of the connection. */
@@ -32,7 +30,9 @@
   readonly endOf: (socket: Duplex) => ConnectionEnd
   /** Notes the reason and destroys the connection. */
   readonly destroy: (socket: Duplex, end: ConnectionEnd) => void
-  /** Closes the connections without requests that have carried some, unless the next request has arrived. */
+  /** Closes a connection that has carried requests and has none, unless the next one has arrived. */
+  readonly closeIfIdle: (socket: Socket) => void
+  /** Closes all connections that have carried requests and have none, unless the next one has arrived. */
   readonly closeIdle: () => void
   /** Closes all connections. */
   readonly destroyAll: (end: ConnectionEnd) => void
@@ -53,6 +53,9 @@
 /** Time beyond its keep-alive timeout after which an idle connection is closed, in ms. */
 const keepAliveMargin = 1_000
 
+/** Time for which a connection is read on after its last response, until the caller has closed it, in ms. */
+const lingerTime = 1_000
+
 /** What is called for each closed connection: its open requests and why it ended. */
 export type ConnectionClosed = (requests: Iterable<number>, end: ConnectionEnd) => void
 
@@ -83,6 +86,7 @@
 export const followCallerConnections = (server: Server, onClosed: ConnectionClosed): CallerConnections => {
   const open = new Map<Socket, Connection>()
   const ends = new WeakMap<Duplex, ConnectionEnd>()
+  const rejected = new WeakSet<Duplex>()
   let headerTimeout = server.headersTimeout
   let lowering: NodeJS.Timeout | undefined
 
@@ -95,7 +99,10 @@
     socket.destroy()
   }
 
-  const isIdle = ({ requests, readAtLastEnd }: Connection): boolean => requests.size === 0 && readAtLastEnd !== undefined
+  const hasAnnouncedEnd = ({ last }: Connection): boolean => last !== Infinity
+
+  const isIdle = (connection: Connection): boolean =>
+    connection.requests.size === 0 && connection.readAtLastEnd !== undefined && !hasAnnouncedEnd(connection)
 
   /** Keeps an idle connection for the timeout that was announced on it, or for the present one if it is longer. */
   const extendKeepAlive = (socket: Socket, connection: Connection): void => {
@@ -147,26 +154,50 @@
     })
   }
 
+  const announceEnd = (socket: Socket, request: number): void => {
+    const connection = open.get(socket)
+    if (connection !== undefined) connection.last = Math.min(connection.last, request)
+  }
+
+  /**
+   * Closes the sending side of a connection and reads on until the caller closes it.
+   * A connection that is closed while bytes are unread is reset, and its caller may lose the last response.
+   */
+  const linger = (socket: Socket): void => {
+    announceEnd(socket, open.get(socket)?.newest ?? 0)
+    socket.end()
+    const timer = setTimeout(() => socket.destroy(), lingerTime)
+    timer.unref()
+    socket.once('close', () => clearTimeout(timer))
+  }
+
   /** Responds to what could not be read, and closes the connection. */
   const rejectUnreadable = (socket: Socket, code: string | undefined): void => {
     const end = endOfError(code)
-    if (end !== 'callerReset' && socket.writable && !hasSentHead(socket)) {
-      socket.write(`HTTP/1.1 ${errorStatusLines[code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
-    }
-    destroy(socket, end)
+    const isLingering = socket.writableEnded && end !== 'callerReset'
+    if (rejected.has(socket) || isLingering) return
+    rejected.add(socket)
+    if (end === 'callerReset' || !socket.writable || hasSentHead(socket)) return destroy(socket, end)
+    noteEnd(socket, end)
+    socket.write(`HTTP/1.1 ${errorStatusLines[code ?? ''] ?? defaultErrorStatusLine}\r\nConnection: close\r\n\r\n`)
+    if (open.get(socket)?.requests.size === 0) linger(socket)
+    else socket.destroy()
   }
 
-  const closeIdle = (): void => {
+  const closeIfIdle = (socket: Socket): void => {
+    const connection = open.get(socket)
+    if (connection === undefined) return
     afterNextRead(() => {
-      for (const [socket, connection] of open) {
-        if (isIdle(connection) && socket.bytesRead === connection.readAtLastEnd) destroy(socket, 'shutdown')
-      }
+      if (isIdle(connection) && socket.bytesRead === connection.readAtLastEnd) destroy(socket, 'shutdown')
     })
   }
 
   server.on('connection', socket => {
     const connection: Connection = { requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity, keepAlive: server.keepAliveTimeout }
     open.set(socket, connection)
+    // The server calls it after a response that announced the end of its connection.
+    socket.destroySoon = () => linger(socket)
+    // Without a write to it, a connection that was closed looks like one whose sending side was closed; both end the work for the caller.
     socket.on('end', () => noteEnd(socket, 'callerClosed'))
     socket.on('error', (error: NodeJS.ErrnoException) => noteEnd(socket, endOfError(error.code)))
     socket.on('close', () => {
@@ -194,16 +225,13 @@
     addRequest,
     removeRequest,
     isNewest: (socket, request) => open.get(socket)?.newest === request,
-    hasRequests: socket => (open.get(socket)?.requests.size ?? 0) > 0,
-    announceEnd: (socket, request) => {
-      const connection = open.get(socket)
-      if (connection !== undefined) connection.last = Math.min(connection.last, request)
-    },
+    announceEnd,
     isAfterEnd: (socket, request) => request > (open.get(socket)?.last ?? 0),
     noteEnd,
     endOf,
     destroy,
-    closeIdle,
+    closeIfIdle,
+    closeIdle: () => { for (const socket of open.keys()) closeIfIdle(socket) },
     destroyAll: end => { for (const socket of open.keys()) destroy(socket, end) }
   }
 }
