Blocked parts are repeated less often in large fleets, crashes judged at most each 60 ms

At 195 instances the first judge sent 129 messages a second (28 kB) to repeat one blocked part. The table is now repeated each 2 s up to 50 instances and each 8 s from 200 on; an entry ends after 20 s without one. A look at a full table of crashes (60 of 150 parts) took 20 ms, and was taken with every report.

--- a/src/poisonParts/crashInquiries.ts
+++ b/src/poisonParts/crashInquiries.ts
@@ -35,6 +35,8 @@
 const answerTime = 150
 /** Time, in ms, for which the second judge leaves an inquiry to the first. */
 const deferTime = 400
+/** Shortest time between two looks at all crashes, in ms. */
+const lookInterval = 60
 /** Number of parts that one question names. */
 const maxQuestionParts = 48
 /** Number of parts that one inquiry may find guilty. */
@@ -46,6 +48,8 @@
   readonly judge: CrashJudge
   /** Since when crashes have been reported that were not looked at; undefined if there are none. */
   openSince: number | undefined
+  /** When the judge may be consulted again. */
+  nextLookAt: number
   /** When all instances were asked; undefined if they are not being asked. */
   askedAt: number | undefined
 }
@@ -59,7 +63,7 @@
   const inquiries = new LRUCache<string, Inquiry>({ max: maxModels })
 
   const inquiryOf = (model: string): Inquiry => {
-    const known = inquiries.get(model) ?? { judge: createCrashJudge(), openSince: undefined, askedAt: undefined }
+    const known = inquiries.get(model) ?? { judge: createCrashJudge(), openSince: undefined, nextLookAt: -Infinity, askedAt: undefined }
     inquiries.set(model, known)
     return known
   }
@@ -83,8 +87,10 @@
       return
     }
     if (openSince === undefined || (!options.isFirstJudge(model) && now - openSince < deferTime)) return
-    const suspects = judge.suspects(now)
+    if (now < inquiry.nextLookAt) return
+    inquiry.nextLookAt = now + lookInterval
     inquiry.openSince = undefined
+    const suspects = judge.suspects(now)
     if (suspects.length === 0) return
     inquiry.askedAt = now
     options.ask(model, suspects.slice(0, maxQuestionParts).map(({ part }) => part))
--- a/src/poisonParts/poisonParts.spec.ts
+++ b/src/poisonParts/poisonParts.spec.ts
@@ -22,6 +22,7 @@
   for (const self of instances) {
     nodes.set(self, createPoisonParts({
       self,
+      instances: () => instances.length,
       judgesOf: (_model, count) => instances.slice(0, count),
       stateOf: () => 'inService',
       probe: () => { /* Reported by the test. */ },
--- a/src/poisonParts/poisonParts.ts
+++ b/src/poisonParts/poisonParts.ts
@@ -32,6 +32,8 @@
   readonly self: string
   /** Returns the live instances that judge a model, the first one first. */
   readonly judgesOf: (model: string, count: number) => readonly string[]
+  /** Number of live instances, this one included. */
+  readonly instances: () => number
   readonly send: (to: string, message: PoisonMessage) => void
   readonly broadcast: (message: PoisonMessage) => void
   /** Called when parts have been blocked. */
@@ -67,8 +69,10 @@
 const judgeCount = 2
 /** Number of instances that tell one that has become reachable; it may be a judge itself. */
 const tellerCount = 3
-/** Time between two repetitions of the blocked parts, in ms. */
-const repetitionInterval = 2_000
+/** Shortest and longest time between two repetitions of the blocked parts, in ms; between them it grows by `repetitionTime` for each instance. */
+const minRepetitionInterval = 2_000
+const maxRepetitionInterval = 8_000
+const repetitionTime = 40
 /** Number of suspects that one crash report names. */
 const maxSuspects = 48
 /** Time from the last crash, in ms, within which a proof says that the part did not cause these crashes; later it may have healed. */
@@ -234,7 +238,7 @@
 
   const repeat = (now: number): void => {
     if (now < nextRepetition) return
-    nextRepetition = now + repetitionInterval
+    nextRepetition = now + Math.min(maxRepetitionInterval, Math.max(minRepetitionInterval, options.instances() * repetitionTime))
     for (const [model, blocked] of blockedByModel()) if (isFirstJudge(model)) options.broadcast(messageOf(model, blocked, now))
     for (const { model, part } of table.expire(isFirstJudge, now)) log({ kind: 'partUnblocked', model, part, reason: 'forgotten' })
   }
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -65,6 +65,7 @@
   const poisonParts = createPoisonParts({
     self: 'a',
     judgesOf: () => ['a'],
+    instances: () => 1,
     stateOf: () => 'inService',
     probe: (worker, now) => forwarding.probeWorker(worker, now),
     send: () => { /* There is no other instance. */ },
