Capacity: what a part that crashes workers costs a fleet

npx tsx bench/poisonParts.ts at 7, 60 and 195 instances; memory of the tables at their bounds. The play of the bench lasts 26 s, so that repetitions at 195 instances (each 7.8 s) fall into it.

--- a/bench/poisonParts.ts
+++ b/bench/poisonParts.ts
@@ -11,7 +11,7 @@
 import { allowedAfter, crashesFrom, playCrashingParts, type CrashingPart, type CrashingPartReport } from '../test/fleets/crashingPartPlay.js'
 
 const defaultSizes = [7, 60, 195]
-const end = 16_000 // ms
+const end = 26_000 // ms
 const settledFrom = 10_000 // ms
 const msPerSecond = 1_000
 const minSoundShare = 0.5
