--- a/src/admission/retryBudget.ts
+++ b/src/admission/retryBudget.ts
@@ -24,6 +24,8 @@
   readonly canTake: (instances: number, now: number, share?: number) => boolean
   /** Takes one retry from the budget; returns false if none is left. */
   readonly take: (instances: number, now: number) => boolean
+  /** Gives back a retry that was taken at this time and not sent. */
+  readonly giveBack: (now: number) => void
   /** Retries taken in the current window. */
   readonly used: (now: number) => number
 }
@@ -35,7 +37,7 @@
 
 /** Counts events in a sliding window; times in ms. */
 interface Counter {
-  readonly add: (now: number) => void
+  readonly add: (now: number, count?: number) => void
   readonly sum: (now: number) => number
 }
 
@@ -49,9 +51,9 @@
   }
 
   return {
-    add: now => {
+    add: (now, count = 1) => {
       trim(now)
-      counts.set(slotOf(now), (counts.get(slotOf(now)) ?? 0) + 1)
+      counts.set(slotOf(now), (counts.get(slotOf(now)) ?? 0) + count)
     },
     sum: now => {
       trim(now)
@@ -79,5 +81,5 @@
     return true
   }
 
-  return { recordRequest: requests.add, canTake, take, used: retries.sum }
+  return { recordRequest: now => requests.add(now), canTake, take, giveBack: now => retries.add(now, -1), used: retries.sum }
 }
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -157,6 +157,7 @@
     if (!allowed) return responses.refuse(exchange, fallback, time)
     exchange.retryCount++
     tryPlacement(exchange, cause, time)
+    if (!exchanges.has(exchange.request)) context.retries(exchange.service).giveBack(now)
   }
 
   const canRetry = (exchange: Exchange, now: number): boolean => {
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -161,6 +161,7 @@
     sends,
     callerView,
     effects,
+    retriesUsed: (now: number): number => retryBudget.used(now),
     logEvents,
     setCatalog: (catalog: Catalog): void => { index = indexCatalog(catalog) },
     weights,
