No part is blocked about which no instance was asked

Change: a question names every part under two crashes or more, and a verdict is given only on parts that were asked about; crashes that come meanwhile lead to another question.

--- a/src/poisonParts/crashInquiries.ts
+++ b/src/poisonParts/crashInquiries.ts
@@ -1,8 +1,9 @@
 /**
  * The inquiries of one instance into crashes, one for each model. When enough
- * crashes are reported under some parts, all instances are asked when answers on
- * them last went well; after the time for their answers, the parts that are still
- * under suspicion are found guilty, the strongest suspect first.
+ * crashes are reported under some part, all instances are asked when answers on it,
+ * and on others with several crashes, last went well; after the time for their
+ * answers, the parts that are still under suspicion are found guilty, the strongest
+ * suspect first. A part on which no one was asked is never found guilty.
  */
 import { LRUCache } from 'lru-cache'
 import { createCrashJudge, type CrashJudge, type JudgedCrash, type Verdict } from './crashJudge.js'
@@ -52,6 +53,8 @@
   nextLookAt: number
   /** When all instances were asked; undefined if they are not being asked. */
   askedAt: number | undefined
+  /** The parts on which they were asked. */
+  asked: ReadonlySet<string>
 }
 
 /**
@@ -63,23 +66,30 @@
   const inquiries = new LRUCache<string, Inquiry>({ max: maxModels })
 
   const inquiryOf = (model: string): Inquiry => {
-    const known = inquiries.get(model) ?? { judge: createCrashJudge(), openSince: undefined, nextLookAt: -Infinity, askedAt: undefined }
+    const known = inquiries.get(model) ?? { judge: createCrashJudge(), openSince: undefined, nextLookAt: -Infinity, askedAt: undefined, asked: new Set<string>() }
     inquiries.set(model, known)
     return known
   }
 
   const conclude = (model: string, inquiry: Inquiry, now: number): void => {
+    const { judge, asked } = inquiry
     inquiry.askedAt = undefined
-    inquiry.openSince = undefined
     for (let verdicts = 0; verdicts < maxVerdicts; verdicts++) {
-      const [guilty] = inquiry.judge.suspects(now)
-      if (guilty === undefined) break
-      inquiry.judge.explain(guilty.part)
-      options.onVerdict(model, guilty, now)
+      const [strongest] = judge.suspects(now)
+      if (strongest === undefined || !asked.has(strongest.part)) break
+      judge.explain(strongest.part)
+      options.onVerdict(model, strongest, now)
     }
     options.onConcluded()
   }
 
+  const ask = (model: string, inquiry: Inquiry, now: number): void => {
+    const parts = inquiry.judge.contenders(now).slice(0, maxQuestionParts)
+    inquiry.askedAt = now
+    inquiry.asked = new Set(parts)
+    options.ask(model, parts)
+  }
+
   const pursue = (model: string, inquiry: Inquiry, now: number): void => {
     const { judge, askedAt, openSince } = inquiry
     if (askedAt !== undefined) {
@@ -90,10 +100,7 @@
     if (now < inquiry.nextLookAt) return
     inquiry.nextLookAt = now + lookInterval
     inquiry.openSince = undefined
-    const suspects = judge.suspects(now)
-    if (suspects.length === 0) return
-    inquiry.askedAt = now
-    options.ask(model, suspects.slice(0, maxQuestionParts).map(({ part }) => part))
+    if (judge.suspects(now).length > 0) ask(model, inquiry, now)
   }
 
   return {
--- a/src/poisonParts/crashJudge.ts
+++ b/src/poisonParts/crashJudge.ts
@@ -51,6 +51,8 @@
   readonly clear: (part: string, begunAt: number) => void
   /** Parts that are under suspicion of enough crashes, the strongest first. */
   readonly suspects: (now: number) => readonly Verdict[]
+  /** Parts under several crashes, whether these are enough or not, the strongest first. */
+  readonly contenders: (now: number) => readonly string[]
   /** Takes the crashes under a part as explained. */
   readonly explain: (part: string) => void
   /** Lets a part no longer explain crashes; if it is `innocent`, neither those of before. */
@@ -78,6 +80,8 @@
 /** Number of moments by which a part that was sound before has to exceed one never seen sound; it also suffices that so many workers have crashed. */
 const soundAllowance = 2
 const minCrashesOfSound = 5
+/** Number of crashes from which a part may soon be under suspicion. */
+const minContenderCrashes = 2
 /** What a crash counts under a part that the worker may not have begun to answer. */
 const unbegunWeight = 0.5
 
@@ -195,11 +199,15 @@
     return byPart
   }
 
-  const suspects = (now: number): readonly Verdict[] => [...collect(now)]
+  const candidates = (now: number): readonly Candidate[] => [...collect(now)]
     .map(([part, evidence]) => candidateOf(part, evidence, proofs.has(part)))
-    .filter(isEnough)
     .sort(compare)
 
+  const suspects = (now: number): readonly Verdict[] => candidates(now).filter(isEnough)
+
+  const contenders = (now: number): readonly string[] =>
+    candidates(now).filter(({ crashes: count }) => count >= minContenderCrashes).map(({ part }) => part)
+
   const explain = (part: string): void => {
     explaining.add(part)
     for (const { parts, explainedBy } of crashes.values()) if (parts.has(part)) explainedBy.add(part)
@@ -210,5 +218,5 @@
     if (innocent) for (const { explainedBy } of crashes.values()) explainedBy.delete(part)
   }
 
-  return { add, clear, suspects, explain, release }
+  return { add, clear, suspects, contenders, explain, release }
 }
--- a/src/poisonParts/partThatEndsWorkers.spec.ts
+++ b/src/poisonParts/partThatEndsWorkers.spec.ts
@@ -16,7 +16,8 @@
     ['as their first part', 7, [{ ...middle, position: 0 }]],
     ['that was sound before', 7, [{ ...middle, arrivesFrom: 1_500 }]],
     ['beside a second one', 7, [middle, { id: 'poison2', position: 0, load: 6 }]],
-    ['in the middle of prompts at many instances', 60, [middle]]
+    ['in the middle of prompts at many instances', 60, [middle]],
+    ['as their first part that was sound before at many instances', 60, [{ ...middle, position: 0, arrivesFrom: 1_500 }]]
   ] satisfies [string, number, CrashingPart[]][])('%s reaches workers of %d instances no longer', (_where, instances, parts) => {
     const { parts: reports, soundBefore, soundAfter } = playCrashingParts({ hash, instances, parts, end: instances > 7 ? 18_000 : 22_000 })
     for (const { crashes, after } of reports) {
