An innocent part that was blocked first is let go when another one explains its crashes

Cause: the guilty first part and a part deeper in the prompts had the same three crashes, the deeper one was blocked, had not been seen sound by the instances, which had just started, and would be tried after 60 s only; the guilty part was found three crashes later, and explains all crashes of the other one.

When a part is found guilty, the judge lets those go of which it explains all crashes as well, at all instances (partUnblocked, explained). The new specs of the judge and of the parts, in which the deeper part stayed blocked before, pass.

--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -89,7 +89,7 @@
     })).max(maxPartsPerMessage)
   }),
   /** A part may be brought to workers again since `age` ms ago. */
-  z.object({ kind: z.literal('fleet.partUnblocked'), model: z.string(), part: z.string(), age })
+  z.object({ kind: z.literal('fleet.partUnblocked'), model: z.string(), part: z.string(), age, /** Whether another part explains the crashes; otherwise an answer on it went well. */ explained: z.boolean().default(false) })
 ] as const
 
 /** Schema of all messages between instances. */
--- a/src/poisonParts/crashInquiries.spec.ts
+++ b/src/poisonParts/crashInquiries.spec.ts
@@ -7,6 +7,7 @@
     isFirstJudge: () => true,
     ask: (_model, parts) => { asked.push(parts) },
     onVerdict: (_model, { part }) => { verdicts.push(part) },
+    onExplained: () => { /* Not checked. */ },
     onConcluded: () => { /* Not checked. */ }
   })
   let lifetimes = 0
--- a/src/poisonParts/crashInquiries.ts
+++ b/src/poisonParts/crashInquiries.ts
@@ -16,6 +16,8 @@
   readonly ask: (model: string, parts: readonly string[]) => void
   /** Called for each part that is found guilty. */
   readonly onVerdict: (model: string, verdict: Verdict, now: number) => void
+  /** Called for each part found guilty before of which one found now explains all crashes. */
+  readonly onExplained: (model: string, part: string, now: number) => void
   /** Called after the verdicts of an inquiry. */
   readonly onConcluded: () => void
 }
@@ -79,6 +81,7 @@
       if (strongest === undefined || !asked.has(strongest.part)) break
       judge.explain(strongest.part)
       options.onVerdict(model, strongest, now)
+      for (const part of judge.redundantBeside(strongest.part)) options.onExplained(model, part, now)
     }
     options.onConcluded()
   }
--- a/src/poisonParts/crashJudge.spec.ts
+++ b/src/poisonParts/crashJudge.spec.ts
@@ -78,6 +78,26 @@
     expect(guilty()).toEqual([])
   })
 
+  it('lets a part go that was taken first if the one found later explains all of its crashes', () => {
+    const { judge, crash, guilty } = build()
+    for (let index = 0; index < 3; index++) crash(1_000 + 100 * index, suspect('p', `r${index}`, { depth: 0 }), suspect('x', `r${index}`))
+    expect(guilty()[0]).toBe('x')
+    judge.explain('x')
+    for (let index = 0; index < 3; index++) crash(2_000 + 100 * index, suspect('p', `s${index}`, { depth: 0 }), suspect(`y${index}`, `s${index}`))
+    expect(guilty()).toEqual(['p'])
+    judge.explain('p')
+    expect(judge.redundantBeside('p')).toEqual(['x'])
+  })
+
+  it('keeps a part beside another one if some of its crashes are its own', () => {
+    const { judge, crash } = build()
+    crash(900, suspect('x', 'r9'))
+    for (let index = 0; index < 3; index++) crash(1_000 + 100 * index, suspect('p', `r${index}`, { depth: 0 }), suspect('x', `r${index}`))
+    judge.explain('x')
+    judge.explain('p')
+    expect(judge.redundantBeside('p')).toEqual([])
+  })
+
   it('counts the crashes against others again if the part that explained them was innocent', () => {
     const { judge, crash, guilty } = build()
     for (let index = 0; index < 4; index++) crash(1_000 + 100 * index, suspect('p', `r${index}`), suspect('q', `r${index}`, { depth: 0 }))
--- a/src/poisonParts/crashJudge.ts
+++ b/src/poisonParts/crashJudge.ts
@@ -55,6 +55,8 @@
   readonly contenders: (now: number) => readonly string[]
   /** Takes the crashes under a part as explained. */
   readonly explain: (part: string) => void
+  /** Parts taken as explaining crashes of which the given part, found later, explains all as well. */
+  readonly redundantBeside: (part: string) => readonly string[]
   /** Lets a part no longer explain crashes; if it is `innocent`, neither those of before. */
   readonly release: (part: string, innocent: boolean) => void
 }
@@ -213,10 +215,15 @@
     for (const { parts, explainedBy } of crashes.values()) if (parts.has(part)) explainedBy.add(part)
   }
 
+  const redundantBeside = (part: string): readonly string[] => [...explaining].filter(other => {
+    const explained = [...crashes.values()].filter(({ explainedBy }) => explainedBy.has(other))
+    return other !== part && explained.length > 0 && explained.every(({ explainedBy }) => explainedBy.has(part))
+  })
+
   const release = (part: string, innocent: boolean): void => {
     explaining.delete(part)
     if (innocent) for (const { explainedBy } of crashes.values()) explainedBy.delete(part)
   }
 
-  return { add, clear, suspects, contenders, explain, release }
+  return { add, clear, redundantBeside, suspects, contenders, explain, release }
 }
--- a/src/poisonParts/poisonParts.spec.ts
+++ b/src/poisonParts/poisonParts.spec.ts
@@ -118,6 +118,20 @@
     expect(kinds('partUnblocked')).toHaveLength(instances.length)
   })
 
+  it('that were blocked first are let go at all instances once another part explains their crashes', () => {
+    const { crash, isBlocked, runTo, now, kinds } = build()
+    for (const [index, instance] of instances.entries()) crash(instance, `w${index}`, buildModelCall(`r${index}`, 'p', 'x'))
+    runTo(now() + 200)
+    expect(isBlocked('a', 'q', 'x', 'own')).toBe(true)
+    for (const [index, instance] of instances.entries()) crash(instance, `v${index}`, buildModelCall(`s${index}`, 'p', `y${index}`))
+    runTo(now() + 400)
+    for (const instance of instances) {
+      expect(isBlocked(instance, 'p', 'own')).toBe(true)
+      expect(isBlocked(instance, 'q', 'x', 'own')).toBe(false)
+    }
+    expect(kinds('partUnblocked')).toHaveLength(instances.length)
+  })
+
   it('stay blocked for longer after a trial that failed', () => {
     const { at, crashThrice, isBlocked, crash, runTo, now } = build()
     crashThrice()
--- a/src/poisonParts/poisonParts.ts
+++ b/src/poisonParts/poisonParts.ts
@@ -23,7 +23,7 @@
   | { readonly kind: 'workerCrashed', readonly worker: string, readonly startedAt: number, readonly cut: number, readonly parts: number }
   /** No request with the part is sent to a worker any more. `crashes` is known only to the instance that judged. */
   | { readonly kind: 'partBlocked', readonly model: string, readonly part: string, readonly crashes?: number, /** Whether answers on it went well before. */ readonly sound: boolean }
-  | { readonly kind: 'partUnblocked', readonly model: string, readonly part: string, readonly reason: 'proven' | 'forgotten' }
+  | { readonly kind: 'partUnblocked', readonly model: string, readonly part: string, readonly reason: 'proven' | 'explained' | 'forgotten' }
   /** A request tries a blocked part. */
   | { readonly kind: 'partTried', readonly id: string, readonly model: string, readonly part: string, readonly failures: number }
 
@@ -122,11 +122,11 @@
     options.broadcast(messageOf(blocked.model, [tried], now))
   }
 
-  const unblock = (part: ModelPart, now: number): boolean => {
+  const unblock = (part: ModelPart, reason: 'proven' | 'explained', now: number): boolean => {
     const known = table.get(part.model, part.part)
     if (known === undefined || !table.unblock(part, now)) return false
-    inquiries.release(part.model, part.part, now - known.lastCrashAt < innocenceTime)
-    log({ kind: 'partUnblocked', model: part.model, part: part.part, reason: 'proven' })
+    inquiries.release(part.model, part.part, reason === 'proven' && now - known.lastCrashAt < innocenceTime)
+    log({ kind: 'partUnblocked', model: part.model, part: part.part, reason })
     return true
   }
 
@@ -134,7 +134,7 @@
     inquiries.clear(model, part, begunAt)
     const blocked = table.get(model, part)
     if (blocked === undefined || begunAt <= blocked.lastCrashAt) return
-    if (unblock(blocked, now)) options.broadcast({ kind: 'fleet.partUnblocked', model, part, age: 0 })
+    if (unblock(blocked, 'proven', now)) options.broadcast({ kind: 'fleet.partUnblocked', model, part, age: 0, explained: false })
   }
 
   const noteHeard = (worker: string, startedAt: number, now: number): void => {
@@ -189,6 +189,11 @@
     options.broadcast(messageOf(model, [blocked], now))
   }
 
+  /** Lets a part go that was blocked before the one that explains its crashes was found. */
+  const letGo = (model: string, part: string, now: number): void => {
+    if (unblock({ model, part }, 'explained', now)) options.broadcast({ kind: 'fleet.partUnblocked', model, part, age: 0, explained: true })
+  }
+
   const ask = (model: string, parts: readonly string[]): void => {
     for (const part of parts) {
       const provenAt = proofs.lastOf(model, part)
@@ -197,7 +202,7 @@
     options.broadcast({ kind: 'fleet.partQuestion', model, parts: [...parts] })
   }
 
-  const inquiries = createCrashInquiries({ isFirstJudge, ask, onVerdict: block, onConcluded: options.onBlocked })
+  const inquiries = createCrashInquiries({ isFirstJudge, ask, onVerdict: block, onExplained: letGo, onConcluded: options.onBlocked })
 
   const answerQuestion = (from: string, { model, parts }: PoisonMessage & { kind: 'fleet.partQuestion' }, now: number): void => {
     const known = parts.flatMap(part => {
@@ -226,7 +231,7 @@
         for (const { part, age } of message.proofs) applyProof({ model: message.model, part, begunAt: now - age }, now)
         return
       case 'fleet.blockedParts': return applyBlocked(message, now)
-      case 'fleet.partUnblocked': unblock(message, now - message.age)
+      case 'fleet.partUnblocked': unblock(message, message.explained ? 'explained' : 'proven', now - message.age)
     }
   }
 
