--- a/src/poisonParts/partThatEndsWorkers.spec.ts
+++ b/src/poisonParts/partThatEndsWorkers.spec.ts
@@ -26,4 +26,9 @@
     }
     expect(soundAfter).toBeGreaterThanOrEqual(minSoundShare * soundBefore)
   })
+
+  it('as their first part that was sound before reaches workers no longer, with seed 35', () => {
+    const { parts: [{ after }] } = playCrashingParts({ hash, instances: 7, parts: [{ ...middle, position: 0, arrivesFrom: 1_500 }], seed: 35, end: 18_000 })
+    expect(after).toBeLessThanOrEqual(allowedAfter)
+  })
 })
