Poison parts in the field's words: coordinators, correlator, investigations

Read as a newcomer: judges, inquiries, guilty and innocent parts are a court's words, not the field's.

--- a/bench/poisonParts.ts
+++ b/bench/poisonParts.ts
@@ -79,10 +79,10 @@
 }
 
 const failureOf = (parts: readonly CrashingPart[], report: CrashingPartReport): string | undefined => {
-  const innocent = report.blocked.filter(id => !parts.some(part => part.id === id))
+  const sound = report.blocked.filter(id => !parts.some(part => part.id === id))
   if (report.parts.some(({ after }) => after > allowedAfter)) return `${report.parts.map(({ after }) => after).join(' and ')} requests after the bound`
   if (report.soundAfter < minSoundShare * report.soundBefore) return `sound requests ${report.soundAfter.toFixed(2)}`
-  return innocent.length > 0 ? `blocked ${innocent.join(', ')}` : undefined
+  return sound.length > 0 ? `blocked ${sound.join(', ')}` : undefined
 }
 
 const playSeeds = (hash: Hash, instances: number, first: number, last: number): void => {
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -193,7 +193,7 @@
 
   const poisonParts = createPoisonParts({
     self: self.id,
-    judgesOf: (model, count) => fleet.ownersOf(`poisonParts/${model}`, count, currentTime),
+    coordinatorsOf: (model, count) => fleet.ownersOf(`poisonParts/${model}`, count, currentTime),
     instances: () => fleet.size(currentTime),
     stateOf: stateOfWorker,
     probe: (worker, now) => forwarding.probeWorker(worker, now),
--- a/src/poisonParts/blockedPartInFleets.spec.ts
+++ b/src/poisonParts/blockedPartInFleets.spec.ts
@@ -61,7 +61,7 @@
     expect(soundAfter).toBeGreaterThanOrEqual(0.5 * soundBefore)
   })
 
-  it.each([0, 1, 2, 3, 4, 5, 6])('stays away from workers although instance %d is killed, whichever is its judge', index => {
+  it.each([0, 1, 2, 3, 4, 5, 6])('stays away from workers although instance %d is killed, whichever is its coordinator', index => {
     const kill = (fleet: FakeGateways): void => fleet.time.at(crashesFrom + 300, () => fleet.kill(`n${index}`))
     const { parts: [{ crashes, after }] } = playCrashingParts({ hash, instances: 7, parts: [poison], disturb: kill, end: 16_000 })
     expect(crashes.length).toBeGreaterThanOrEqual(3)
--- a/src/poisonParts/crashJudge.ts
+++ b/src/poisonParts/crashCorrelator.ts
@@ -1,9 +1,9 @@
 /**
- * Judges which part of prompts makes workers crash, from the crashes that all
+ * Finds which part of prompts makes workers crash, from the crashes that all
  * instances report. Each crash has the parts of the prompts on which the worker had
- * just begun to write; a poison part is among them every time, and an innocent one
+ * just begun to write; a poison part is among them every time, and a sound one
  * by chance. The part with most crashes is taken first, and the crashes under it no
- * longer count against others, so that parts which merely come with it stay innocent.
+ * longer count against others, so that parts which merely come with it are let alone.
  *
  * Crashes at the same moment count once, since a common cause may have ended these
  * workers. A part on which an answer went well since a crash did not cause it. One
@@ -12,7 +12,7 @@
 import { LRUCache } from 'lru-cache'
 
 /** A part on which a worker had just begun to write, or perhaps had, when it crashed. */
-export interface JudgedSuspect {
+export interface ReportedSuspect {
   readonly part: string
   /** Position in the prompt, from 0. */
   readonly depth: number
@@ -25,11 +25,11 @@
 }
 
 /** A crash of a worker; times in ms. */
-export interface JudgedCrash {
+export interface ReportedCrash {
   readonly worker: string
   readonly startedAt: number
   readonly at: number
-  readonly suspects: readonly JudgedSuspect[]
+  readonly suspects: readonly ReportedSuspect[]
 }
 
 /** A part that made workers crash; times in ms. */
@@ -43,10 +43,10 @@
   readonly wasSound: boolean
 }
 
-/** The judge of the parts of one model; times in ms. */
-export interface CrashJudge {
+/** The correlator of the parts of one model; times in ms. */
+export interface CrashCorrelator {
   /** Records a crash, or what another instance reports of one. */
-  readonly add: (crash: JudgedCrash) => void
+  readonly add: (crash: ReportedCrash) => void
   /** Records that an answer on the part that began at `begunAt` went well. */
   readonly clear: (part: string, begunAt: number) => void
   /** Parts that are under suspicion of enough crashes, the strongest first. */
@@ -57,8 +57,8 @@
   readonly explain: (part: string) => void
   /** Parts taken as explaining crashes of which the given part, found later, explains all as well. */
   readonly redundantBeside: (part: string) => readonly string[]
-  /** Lets a part no longer explain crashes; if it is `innocent`, neither those of before. */
-  readonly release: (part: string, innocent: boolean) => void
+  /** Lets a part no longer explain crashes; if it is `sound`, neither those of before. */
+  readonly release: (part: string, sound: boolean) => void
 }
 
 /** Number of crashes that are remembered. */
@@ -159,8 +159,8 @@
   right.strength - allowanceOf(right) - left.strength + allowanceOf(left) || Number(left.wasSound) - Number(right.wasSound) ||
   (left.wasSound ? right.depth - left.depth : 0) || right.requests - left.requests || right.depth - left.depth
 
-/** Creates a judge without crashes. */
-export const createCrashJudge = (): CrashJudge => {
+/** Creates a correlator without crashes. */
+export const createCrashCorrelator = (): CrashCorrelator => {
   const crashes = new LRUCache<string, Crash>({ max: maxCrashes })
   const explaining = new Set<string>()
   const proofs = new LRUCache<string, number>({ max: maxProofs })
@@ -170,7 +170,7 @@
     for (const crash of crashes.values()) if (crash.at <= begunAt) crash.parts.delete(part)
   }
 
-  const add = ({ worker, startedAt, at, suspects }: JudgedCrash): void => {
+  const add = ({ worker, startedAt, at, suspects }: ReportedCrash): void => {
     const key = `${worker}/${startedAt}`
     const crash: Crash = crashes.get(key) ?? { at, parts: new Map(), explainedBy: new Set() }
     crash.at = Math.min(crash.at, at)
@@ -220,9 +220,9 @@
     return other !== part && explained.length > 0 && explained.every(({ explainedBy }) => explainedBy.has(part))
   })
 
-  const release = (part: string, innocent: boolean): void => {
+  const release = (part: string, sound: boolean): void => {
     explaining.delete(part)
-    if (innocent) for (const { explainedBy } of crashes.values()) explainedBy.delete(part)
+    if (sound) for (const { explainedBy } of crashes.values()) explainedBy.delete(part)
   }
 
   return { add, clear, redundantBeside, suspects, contenders, explain, release }
--- a/src/poisonParts/crashInquiries.spec.ts
+++ b/src/poisonParts/crashInvestigations.spec.ts
@@ -1,10 +1,10 @@
-import { createCrashInquiries } from './crashInquiries.js'
+import { createCrashInvestigations } from './crashInvestigations.js'
 
 const build = () => {
   const asked: (readonly string[])[] = []
   const verdicts: string[] = []
-  const inquiries = createCrashInquiries({
-    isFirstJudge: () => true,
+  const investigations = createCrashInvestigations({
+    isFirstCoordinator: () => true,
     ask: (_model, parts) => { asked.push(parts) },
     onVerdict: (_model, { part }) => { verdicts.push(part) },
     onExplained: () => { /* Not checked. */ },
@@ -13,13 +13,13 @@
   let lifetimes = 0
   const crash = (at: number, ...parts: string[]): void => {
     lifetimes++
-    inquiries.add('llm', { worker: `w${lifetimes}`, startedAt: 1, at, suspects: parts.map(part => ({ part, depth: 0, request: `r${lifetimes}`, begun: true })) }, at)
+    investigations.add('llm', { worker: `w${lifetimes}`, startedAt: 1, at, suspects: parts.map(part => ({ part, depth: 0, request: `r${lifetimes}`, begun: true })) }, at)
   }
-  const runTo = (from: number, to: number): void => { for (let now = from; now <= to; now += 20) inquiries.tick(now) }
-  return { inquiries, asked, verdicts, crash, runTo }
+  const runTo = (from: number, to: number): void => { for (let now = from; now <= to; now += 20) investigations.tick(now) }
+  return { investigations, asked, verdicts, crash, runTo }
 }
 
-describe('an inquiry into crashes', () => {
+describe('an investigation into crashes', () => {
   it('asks about every part under several crashes, and gives its verdict once there was time to answer', () => {
     const { asked, verdicts, crash, runTo } = build()
     crash(1_000, 'p', 'shared')
@@ -33,14 +33,14 @@
   })
 
   it('does not block a part on which no one was asked, however strong the suspicion has become meanwhile', () => {
-    const { inquiries, asked, verdicts, crash, runTo } = build()
+    const { investigations, asked, verdicts, crash, runTo } = build()
     for (const at of [1_000, 1_100, 1_200]) crash(at, 'p')
     runTo(1_200, 1_220)
     for (const at of [1_230, 1_270, 1_310, 1_350]) crash(at, 'shared')
     runTo(1_360, 1_400)
     expect(asked).toEqual([['p'], ['shared', 'p']])
     expect(verdicts).toEqual([])
-    inquiries.clear('llm', 'shared', 1_360)
+    investigations.clear('llm', 'shared', 1_360)
     runTo(1_420, 1_600)
     expect(verdicts).toEqual(['p'])
   })
--- a/src/poisonParts/poisonParts.spec.ts
+++ b/src/poisonParts/poisonParts.spec.ts
@@ -11,7 +11,7 @@
 
 const attemptAt = (worker: string, begunAt: number): PoisonAttempt => ({ id: 1, worker, workerStartedAt: 1, answered: true, begunAt })
 
-/** Three instances, of which `a` and `b` judge; messages arrive at once unless they are dropped. */
+/** Three instances, of which `a` and `b` coordinator; messages arrive at once unless they are dropped. */
 const build = (drops: (message: PoisonMessage, to: string) => boolean = () => false) => {
   const nodes = new Map<string, PoisonParts>()
   const events: { readonly at: string, readonly event: PoisonLogEvent }[] = []
@@ -23,7 +23,7 @@
     nodes.set(self, createPoisonParts({
       self,
       instances: () => instances.length,
-      judgesOf: (_model, count) => instances.slice(0, count),
+      coordinatorsOf: (_model, count) => instances.slice(0, count),
       stateOf: () => 'inService',
       probe: () => { /* Reported by the test. */ },
       send: (to, message) => deliver(self, to, message),
@@ -96,7 +96,7 @@
     expect(isBlocked('c', 'p', 'own')).toBe(true)
   })
 
-  it('are found by the second judge if the first one does not hear of them', () => {
+  it('are found by the second coordinator if the first one does not hear of them', () => {
     const { crash, isBlocked, runTo, now } = build((_message, to) => to === 'a')
     for (let index = 0; index < 3; index++) crash('b', `w${index}`, buildModelCall(`r${index}`, 'p'))
     runTo(now() + 200)
@@ -105,7 +105,7 @@
     expect(isBlocked('c', 'p', 'own')).toBe(true)
   })
 
-  it('are tried by one request at the first judge, and served again by all once an answer went well', () => {
+  it('are tried by one request at the first coordinator, and served again by all once an answer went well', () => {
     const { at, crashThrice, isBlocked, prove, runTo, now, kinds } = build()
     crashThrice()
     runTo(now() + 60_500)
--- a/src/poisonParts/poisonParts.ts
+++ b/src/poisonParts/poisonParts.ts
@@ -2,17 +2,17 @@
  * Keeps requests away from workers that hold a poison part: a part of a prompt that
  * crashes each worker that begins to write an answer on it.
  *
- * Each instance reports the crashes that it notices to the two instances that judge
- * the model, chosen by rendezvous hashing. A judge that has enough crashes under a
+ * Each instance reports the crashes that it notices to the two instances that coordinate
+ * the model, chosen by rendezvous hashing. A coordinator that has enough crashes under a
  * part asks all instances when answers on it last went well, and blocks it unless
  * one began since. All instances then refuse requests with the part. The first
- * judge lets one request at a time try it, less and less often; an answer that goes
+ * coordinator lets one request at a time try it, less and less often; an answer that goes
  * well unblocks the part.
  */
 import type { Call, Prompt } from '../ports/forwardPort.js'
 import { createBlockedParts, trialDelayAfter, type BlockedPart } from './blockedParts.js'
-import { createCrashInquiries } from './crashInquiries.js'
-import type { Verdict } from './crashJudge.js'
+import { createCrashInvestigations } from './crashInvestigations.js'
+import type { Verdict } from './crashCorrelator.js'
 import { createPartProofs, type PartProof } from './partProofs.js'
 import { candidatePartsOf, ownPartOf, type CrashReport, type ModelPart, type PoisonAttempt, type PoisonMessage, type Suspect } from './poisonPartsTypes.js'
 import { createWorkerCrashes, type CutAttempt, type WorkerCrash, type WorkerCrashes, type WorkerCrashesOptions } from './workerCrashes.js'
@@ -21,7 +21,7 @@
 export type PoisonLogEvent =
   /** A lifetime of a worker has crashed; `parts` is the number of parts that may have caused it. */
   | { readonly kind: 'workerCrashed', readonly worker: string, readonly startedAt: number, readonly cut: number, readonly parts: number }
-  /** No request with the part is sent to a worker any more. `crashes` is known only to the instance that judged. */
+  /** No request with the part is sent to a worker any more. `crashes` is known only to the coordinator that found it. */
   | { readonly kind: 'partBlocked', readonly model: string, readonly part: string, readonly crashes?: number, /** Whether answers on it went well before. */ readonly sound: boolean }
   | { readonly kind: 'partUnblocked', readonly model: string, readonly part: string, readonly reason: 'proven' | 'explained' | 'forgotten' }
   /** A request tries a blocked part. */
@@ -30,8 +30,8 @@
 /** What the poison parts depend on; times in ms. */
 export interface PoisonPartsOptions extends WorkerCrashesOptions {
   readonly self: string
-  /** Returns the live instances that judge a model, the first one first. */
-  readonly judgesOf: (model: string, count: number) => readonly string[]
+  /** Returns the live instances that coordinate a model, the first one first. */
+  readonly coordinatorsOf: (model: string, count: number) => readonly string[]
   /** Number of live instances, this one included. */
   readonly instances: () => number
   readonly send: (to: string, message: PoisonMessage) => void
@@ -65,9 +65,9 @@
   readonly dump: (now: number) => unknown
 }
 
-/** Number of instances that judge a model; one of them may be lost. */
-const judgeCount = 2
-/** Number of instances that tell one that has become reachable; it may be a judge itself. */
+/** Number of instances that coordinate a model; one of them may be lost. */
+const coordinatorCount = 2
+/** Number of instances that tell one that has become reachable; it may be a coordinator itself. */
 const tellerCount = 3
 /** Shortest and longest time between two repetitions of the blocked parts, in ms; between them it grows by `repetitionTime` for each instance. */
 const minRepetitionInterval = 2_000
@@ -76,7 +76,7 @@
 /** Number of suspects that one crash report names. */
 const maxSuspects = 48
 /** Time from the last crash, in ms, within which a proof says that the part did not cause these crashes; later it may have healed. */
-const innocenceTime = 10_000
+const soundnessTime = 10_000
 
 /**
  * Creates the poison parts of one instance.
@@ -90,14 +90,14 @@
   const table = createBlockedParts()
   let nextRepetition = -Infinity
 
-  const isFirstJudge = (model: string): boolean => options.judgesOf(model, 1)[0] === self
+  const isFirstCoordinator = (model: string): boolean => options.coordinatorsOf(model, 1)[0] === self
 
   const blockedIn = (prompt: Prompt | undefined): readonly BlockedPart[] => {
     if (prompt === undefined || table.all().length === 0) return []
     return candidatePartsOf(prompt).map(part => table.get(prompt.model, part)).filter(blocked => blocked !== undefined)
   }
 
-  const mayTry = ({ model, trialAt }: BlockedPart, now: number): boolean => now >= trialAt && isFirstJudge(model)
+  const mayTry = ({ model, trialAt }: BlockedPart, now: number): boolean => now >= trialAt && isFirstCoordinator(model)
 
   const isBlocked = (prompt: Prompt | undefined, now: number): boolean => {
     const blocked = blockedIn(prompt)
@@ -125,13 +125,13 @@
   const unblock = (part: ModelPart, reason: 'proven' | 'explained', now: number): boolean => {
     const known = table.get(part.model, part.part)
     if (known === undefined || !table.unblock(part, now)) return false
-    inquiries.release(part.model, part.part, reason === 'proven' && now - known.lastCrashAt < innocenceTime)
+    investigations.release(part.model, part.part, reason === 'proven' && now - known.lastCrashAt < soundnessTime)
     log({ kind: 'partUnblocked', model: part.model, part: part.part, reason })
     return true
   }
 
   const applyProof = ({ model, part, begunAt }: PartProof, now: number): void => {
-    inquiries.clear(model, part, begunAt)
+    investigations.clear(model, part, begunAt)
     const blocked = table.get(model, part)
     if (blocked === undefined || begunAt <= blocked.lastCrashAt) return
     if (unblock(blocked, 'proven', now)) options.broadcast({ kind: 'fleet.partUnblocked', model, part, age: 0, explained: false })
@@ -163,7 +163,7 @@
   const applyCrash = ({ model, worker, startedAt, age, suspects }: CrashReport, now: number): void => {
     const judged = suspects.map(({ provenAge, ...suspect }) => provenAge === undefined ? suspect : { ...suspect, provenAt: now - provenAge })
     const at = now - age
-    inquiries.add(model, { worker, startedAt, at, suspects: judged }, now)
+    investigations.add(model, { worker, startedAt, at, suspects: judged }, now)
     for (const { part } of suspects) {
       const blocked = table.get(model, part)
       if (blocked !== undefined) table.block({ ...blocked, lastCrashAt: at }, now)
@@ -174,9 +174,9 @@
     log({ kind: 'workerCrashed', worker, startedAt, cut: attempts.length, parts: new Set(attempts.flatMap(({ parts }) => parts)).size })
     for (const model of new Set(attempts.map(attempt => attempt.model))) {
       const message: CrashReport = { kind: 'fleet.workerCrash', model, worker, startedAt, age: now - at, suspects: [...suspectsOf(model, attempts, now)] }
-      for (const judge of options.judgesOf(model, judgeCount)) {
-        if (judge === self) applyCrash(message, now)
-        else options.send(judge, message)
+      for (const coordinator of options.coordinatorsOf(model, coordinatorCount)) {
+        if (coordinator === self) applyCrash(message, now)
+        else options.send(coordinator, message)
       }
     }
   }
@@ -197,12 +197,12 @@
   const ask = (model: string, parts: readonly string[]): void => {
     for (const part of parts) {
       const provenAt = proofs.lastOf(model, part)
-      if (provenAt !== undefined) inquiries.clear(model, part, provenAt)
+      if (provenAt !== undefined) investigations.clear(model, part, provenAt)
     }
     options.broadcast({ kind: 'fleet.partQuestion', model, parts: [...parts] })
   }
 
-  const inquiries = createCrashInquiries({ isFirstJudge, ask, onVerdict: block, onExplained: letGo, onConcluded: options.onBlocked })
+  const investigations = createCrashInvestigations({ isFirstCoordinator, ask, onVerdict: block, onExplained: letGo, onConcluded: options.onBlocked })
 
   const answerQuestion = (from: string, { model, parts }: PoisonMessage & { kind: 'fleet.partQuestion' }, now: number): void => {
     const known = parts.flatMap(part => {
@@ -217,7 +217,7 @@
     for (const { part, age, crashAge, failures, trialIn } of blocked) {
       if (!table.block({ model, part, blockedAt: now - age, lastCrashAt: now - crashAge, failures, trialAt: now + trialIn }, now)) continue
       isNew = true
-      inquiries.explain(model, part)
+      investigations.explain(model, part)
       log({ kind: 'partBlocked', model, part, sound: failures < 0 })
     }
     if (isNew) options.onBlocked()
@@ -244,20 +244,20 @@
   const repeat = (now: number): void => {
     if (now < nextRepetition) return
     nextRepetition = now + Math.min(maxRepetitionInterval, Math.max(minRepetitionInterval, options.instances() * repetitionTime))
-    for (const [model, blocked] of blockedByModel()) if (isFirstJudge(model)) options.broadcast(messageOf(model, blocked, now))
-    for (const { model, part } of table.expire(isFirstJudge, now)) log({ kind: 'partUnblocked', model, part, reason: 'forgotten' })
+    for (const [model, blocked] of blockedByModel()) if (isFirstCoordinator(model)) options.broadcast(messageOf(model, blocked, now))
+    for (const { model, part } of table.expire(isFirstCoordinator, now)) log({ kind: 'partUnblocked', model, part, reason: 'forgotten' })
   }
 
   const tell = (instance: string, now: number): void => {
     for (const [model, blocked] of blockedByModel()) {
-      if (options.judgesOf(model, tellerCount).includes(self)) options.send(instance, messageOf(model, blocked, now))
+      if (options.coordinatorsOf(model, tellerCount).includes(self)) options.send(instance, messageOf(model, blocked, now))
     }
   }
 
   const tick = (now: number): void => {
     proofs.tick(now)
     for (const crash of crashes.tick(now)) report(crash, now)
-    inquiries.tick(now)
+    investigations.tick(now)
     repeat(now)
   }
 
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -66,7 +66,7 @@
   })
   const poisonParts = createPoisonParts({
     self: 'a',
-    judgesOf: () => ['a'],
+    coordinatorsOf: () => ['a'],
     instances: () => 1,
     stateOf: () => 'inService',
     probe: (worker, now) => forwarding.probeWorker(worker, now),
