--- a/src/forwarding/attemptsInProgress.ts
+++ b/src/forwarding/attemptsInProgress.ts
@@ -30,13 +30,16 @@
   readonly cancelAll: (exchange: Exchange) => void
 }
 
+/** Whether the end may be that of the worker, so that it matters whether the same request ended others. */
+const isBrokenConnection = (reason: AttemptEnd): boolean => reason === 'cut' || reason === 'partialEvent'
+
 /**
  * Creates the table of attempts, which is empty.
  *
  * @param context - state and outputs of the instance
  * @param heldAnswers - what is held of the attempts' responses
  */
-export const createAttemptsInProgress = (context: Pick<ForwardingContext, 'loadOf' | 'poisonParts' | 'emit' | 'log'>, heldAnswers: Pick<HeldAnswers, 'release'>): AttemptsInProgress => {
+export const createAttemptsInProgress = (context: Pick<ForwardingContext, 'loadOf' | 'poisonParts' | 'fingerprintOf' | 'emit' | 'log'>, heldAnswers: Pick<HeldAnswers, 'release'>): AttemptsInProgress => {
   const attempts = new Map<number, ExchangeAttempt>()
   let lastId = 0
 
@@ -62,7 +65,8 @@
       ...(firstEventAt === undefined ? {} : { begun: Math.round(now - firstEventAt) }),
       startedAt: workerStartedAt,
       quiet: Math.round(now - lastDataAt),
-      givenUp: cancel
+      givenUp: cancel,
+      ...(isBrokenConnection(reason) ? { request: context.fingerprintOf(exchange) } : {})
     })
     if (exchange.attempt === attempt) exchange.lastFailure = { worker, reason }
     end(exchange, attempt, cancel)
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -9,6 +9,7 @@
 import type { Random } from '../random.js'
 import type { WeightsTracker } from '../workers/weightsTracker.js'
 import type { PoisonParts } from '../poisonParts/poisonParts.js'
+import type { RequestFingerprints } from '../poisonParts/requestFingerprint.js'
 import type { StreamOrigins } from '../streamOrigins/streamOrigins.js'
 import type { WorkerLimits } from '../workerLimits/workerLimits.js'
 import type { WorkersDb } from '../workers/workersDb.js'
@@ -29,6 +30,8 @@
   readonly limits: Pick<WorkerLimits, 'permitFor' | 'take' | 'applyResponse' | 'perSecond'>
   /** Parts of prompts that crash workers. */
   readonly poisonParts: Pick<PoisonParts, 'isBlocked' | 'noteSent' | 'noteBegun' | 'noteHeard' | 'noteCancelled' | 'noteCut' | 'noteProbed'>
+  /** Recognizes requests that come again under another id. */
+  readonly fingerprintOf: RequestFingerprints
   /** Where streams began. */
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'end' | 'lookUp' | 'fits'>
   readonly loadOf: (worker: string) => WorkerLoad
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -22,6 +22,7 @@
 import { createRolloutLease } from '../rollout/rolloutLease.js'
 import { createRollout, type RolloutEvent } from '../rollout/rolloutMachine.js'
 import { createPoisonParts } from '../poisonParts/poisonParts.js'
+import { createRequestFingerprints } from '../poisonParts/requestFingerprint.js'
 import { createStreamOrigins } from '../streamOrigins/streamOrigins.js'
 import { createWorkerLimits } from '../workerLimits/workerLimits.js'
 import { createConfigurationInForce } from './configurationInForce.js'
@@ -191,6 +192,8 @@
     return workers.live(worker.service).includes(worker) ? 'inService' : 'leaving'
   }
 
+  const fingerprintOf = createRequestFingerprints(hash)
+
   const poisonParts = createPoisonParts({
     self: self.id,
     coordinatorsOf: (model, count) => fleet.ownersOf(`poisonParts/${model}`, count, currentTime),
@@ -250,6 +253,7 @@
     weights,
     limits,
     poisonParts,
+    fingerprintOf,
     streamOrigins,
     loadOf,
     cachedPartsOf,
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -12,6 +12,7 @@
 import { createRandom } from '../../src/random.js'
 import { createWeightsTracker } from '../../src/workers/weightsTracker.js'
 import { createPoisonParts } from '../../src/poisonParts/poisonParts.js'
+import { createRequestFingerprints } from '../../src/poisonParts/requestFingerprint.js'
 import { createStreamOrigins } from '../../src/streamOrigins/streamOrigins.js'
 import { createStatedLimits } from '../../src/workerLimits/statedLimits.js'
 import { createWorkerLimits } from '../../src/workerLimits/workerLimits.js'
@@ -103,6 +104,7 @@
     weights,
     limits,
     poisonParts,
+    fingerprintOf: createRequestFingerprints(options.hash),
     streamOrigins,
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
     cachedPartsOf: worker => getOrCreate(cachedParts, worker, () => createCachedPartsEstimate(memoryTokens)),
