Poison parts become poison requests: names only

What a part was is a feature where it may be either. No behaviour is changed; names that leave the process are as before.

--- a/bench/poisonParts.ts
+++ b/bench/poisonRequests.ts
@@ -1,7 +1,7 @@
 /**
  * Measures what a part of prompts that crashes workers costs a fleet of gateways in
  * virtual time: requests that reach workers, and messages and bytes about it.
- * `npx tsx bench/poisonParts.ts [instances...]`; with `--seeds FIRST-LAST`, plays
+ * `npx tsx bench/poisonRequests.ts [instances...]`; with `--seeds FIRST-LAST`, plays
  * these seeds of every case at the first size, and prints which fail the bound.
  */
 import { encode } from 'cbor-x'
--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -6,7 +6,7 @@
 import { assertNever } from '../errors.js'
 import { noteFailure, noteSuccess } from '../placement/workerLoad.js'
 import type { AnswerHead, ForwardInput } from '../ports/forwardPort.js'
-import type { PoisonAttempt } from '../poisonParts/poisonPartsTypes.js'
+import type { PoisonAttempt } from '../poisonRequests/poisonRequestsTypes.js'
 import type { AttemptsInProgress } from './attemptsInProgress.js'
 import type { CallerResponses } from './callerResponses.js'
 import { exclude } from './exclusions.js'
@@ -72,7 +72,7 @@
 
   /** Whether the worker may have crashed of the request. */
   const mayHaveCrashed = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, now: number): boolean =>
-    (reason === 'cut' || reason === 'partialEvent') && context.poisonParts.noteCut(poisonAttemptOf(attempt), exchange.call, now)
+    (reason === 'cut' || reason === 'partialEvent') && context.poisonRequests.noteCut(poisonAttemptOf(attempt), exchange.call, now)
 
   const handleLostAttempt = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, time: DecisionTime): void => {
     exchange.mayHaveRun = true
@@ -138,7 +138,7 @@
     attempt.silent = false
     const { head } = attempt
     if (head === undefined) return
-    context.poisonParts.noteHeard(attempt.worker, attempt.workerStartedAt, now)
+    context.poisonRequests.noteHeard(attempt.worker, attempt.workerStartedAt, now)
     if (!isStream(exchange, head) || head.notRun) {
       attempt.body.push(bytes)
       return
@@ -149,7 +149,7 @@
     settleOn(exchange, attempt, now)
     if (attempt.flight.firstEventAt === undefined) {
       applyFirstEvent(context, exchange, attempt, now)
-      context.poisonParts.noteBegun(poisonAttemptOf(attempt), exchange.call.prompt, now)
+      context.poisonRequests.noteBegun(poisonAttemptOf(attempt), exchange.call.prompt, now)
     }
     noteStreamEvent(context, exchange, attempt, now)
     exchange.events += events.count
--- a/src/forwarding/attemptsInProgress.ts
+++ b/src/forwarding/attemptsInProgress.ts
@@ -39,7 +39,7 @@
  * @param context - state and outputs of the instance
  * @param heldAnswers - what is held of the attempts' responses
  */
-export const createAttemptsInProgress = (context: Pick<ForwardingContext, 'loadOf' | 'poisonParts' | 'fingerprintOf' | 'emit' | 'log'>, heldAnswers: Pick<HeldAnswers, 'release'>): AttemptsInProgress => {
+export const createAttemptsInProgress = (context: Pick<ForwardingContext, 'loadOf' | 'poisonRequests' | 'fingerprintOf' | 'emit' | 'log'>, heldAnswers: Pick<HeldAnswers, 'release'>): AttemptsInProgress => {
   const attempts = new Map<number, ExchangeAttempt>()
   let lastId = 0
 
@@ -50,7 +50,7 @@
     if (exchange.attempt === attempt) exchange.attempt = undefined
     if (exchange.second === attempt) exchange.second = undefined
     if (!cancel) return
-    context.poisonParts.noteCancelled(attempt.worker, attempt.id)
+    context.poisonRequests.noteCancelled(attempt.worker, attempt.id)
     context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
   }
 
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -8,8 +8,8 @@
 import type { ForwardEffect, PromptPart } from '../ports/forwardPort.js'
 import type { Random } from '../random.js'
 import type { WeightsTracker } from '../workers/weightsTracker.js'
-import type { PoisonParts } from '../poisonParts/poisonParts.js'
-import type { RequestFingerprints } from '../poisonParts/requestFingerprint.js'
+import type { PoisonRequests } from '../poisonRequests/poisonRequests.js'
+import type { RequestFingerprints } from '../poisonRequests/requestFingerprint.js'
 import type { StreamOrigins } from '../streamOrigins/streamOrigins.js'
 import type { WorkerLimits } from '../workerLimits/workerLimits.js'
 import type { WorkersDb } from '../workers/workersDb.js'
@@ -29,7 +29,7 @@
   /** The limits that workers have stated, and the permits to send to these. */
   readonly limits: Pick<WorkerLimits, 'permitFor' | 'take' | 'applyResponse' | 'perSecond'>
   /** Parts of prompts that crash workers. */
-  readonly poisonParts: Pick<PoisonParts, 'isBlocked' | 'noteSent' | 'noteBegun' | 'noteHeard' | 'noteCancelled' | 'noteCut' | 'noteProbed'>
+  readonly poisonRequests: Pick<PoisonRequests, 'isBlocked' | 'noteSent' | 'noteBegun' | 'noteHeard' | 'noteCancelled' | 'noteCut' | 'noteProbed'>
   /** Recognizes requests that come again under another id. */
   readonly fingerprintOf: RequestFingerprints
   /** Where streams began. */
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -190,7 +190,7 @@
   }
 
   const handleProbe = ({ worker, reachable, refused = false }: Extract<ForwardInput, { kind: 'worker.probed' }>, time: DecisionTime): void => {
-    context.poisonParts.noteProbed(worker, { reachable, refused }, time.now)
+    context.poisonRequests.noteProbed(worker, { reachable, refused }, time.now)
     const suspectedFor = suspectWorkers.handleProbeResult(worker, reachable, time.now)
     if (suspectedFor === undefined) return
     for (const exchange of exchanges.values()) {
@@ -258,7 +258,7 @@
   const endBlocked = (time: DecisionTime): void => {
     for (const exchange of exchanges.values()) {
       const { attempt, second, call } = exchange
-      if (!context.poisonParts.isBlocked(call.prompt, time.now)) continue
+      if (!context.poisonRequests.isBlocked(call.prompt, time.now)) continue
       if (second !== undefined) attempts.fail(exchange, second, 'blockedPart', true, time.now)
       if (attempt?.flight.firstEventAt !== undefined) continue
       if (attempt !== undefined) {
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -21,8 +21,8 @@
 import type { Random } from '../random.js'
 import { createRolloutLease } from '../rollout/rolloutLease.js'
 import { createRollout, type RolloutEvent } from '../rollout/rolloutMachine.js'
-import { createPoisonParts } from '../poisonParts/poisonParts.js'
-import { createRequestFingerprints } from '../poisonParts/requestFingerprint.js'
+import { createPoisonRequests } from '../poisonRequests/poisonRequests.js'
+import { createRequestFingerprints } from '../poisonRequests/requestFingerprint.js'
 import { createStreamOrigins } from '../streamOrigins/streamOrigins.js'
 import { createWorkerLimits } from '../workerLimits/workerLimits.js'
 import { createConfigurationInForce } from './configurationInForce.js'
@@ -155,12 +155,12 @@
       workerRecordsReceived: records => { if (storeReader.mode() === 'throughPeers') registry.applyFromPeer(records) },
       readerStateReceived: state => storeReader.handleReaderState(state, currentTime.steady),
       streamMessage: (from, message) => streamOrigins.receive(from, message, currentTime.steady),
-      poisonMessage: (from, message) => poisonParts.receive(from, message, currentTime.steady),
+      poisonMessage: (from, message) => poisonRequests.receive(from, message, currentTime.steady),
       limitMessage: (from, message) => limits.receive(from, message, currentTime.steady),
       peerChanged: (peer, change) => {
         if (change === 'alive') {
           limits.tell(peer, currentTime.steady)
-          poisonParts.tell(peer, currentTime.steady)
+          poisonRequests.tell(peer, currentTime.steady)
         }
         log({ kind: 'peerChanged', peer, change })
       }
@@ -194,7 +194,7 @@
 
   const fingerprintOf = createRequestFingerprints(hash)
 
-  const poisonParts = createPoisonParts({
+  const poisonRequests = createPoisonRequests({
     self: self.id,
     coordinatorsOf: (model, count) => fleet.ownersOf(`poisonParts/${model}`, count, currentTime),
     instances: () => fleet.size(currentTime),
@@ -252,7 +252,7 @@
     workers,
     weights,
     limits,
-    poisonParts,
+    poisonRequests,
     fingerprintOf,
     streamOrigins,
     loadOf,
@@ -311,7 +311,7 @@
     fleet.tick(currentTime)
     storeReader.tick(currentTime)
     if (!shutdown.isShuttingDown()) rollout.tick(currentTime)
-    poisonParts.tick(currentTime.steady)
+    poisonRequests.tick(currentTime.steady)
     forwarding.tick(currentTime)
     shutdown.tick(currentTime.steady)
   }
@@ -376,7 +376,7 @@
       instances: fleet.size(now),
       workers: [...workers.all()].length,
       limitedWorkers: registry.limits.all().length,
-      blockedParts: poisonParts.size()
+      blockedParts: poisonRequests.size()
     }),
     dump: now => ({
       self,
@@ -384,7 +384,7 @@
       proofAge: lease.age(now),
       forwarding: forwarding.dump(),
       fleet: fleet.dump(now),
-      blockedParts: poisonParts.dump(now.steady),
+      blockedParts: poisonRequests.dump(now.steady),
       rollout: rollout.dump(),
       reading: storeReader.mode(),
       workers: registry.dump()
--- a/src/poisonParts/blockedParts.spec.ts
+++ b/src/poisonRequests/blockedFeatures.spec.ts
@@ -1,11 +1,11 @@
-import { createBlockedParts, trialDelayAfter, type BlockedPart } from './blockedParts.js'
+import { createBlockedFeatures, trialDelayAfter, type BlockedFeature } from './blockedFeatures.js'
 
-const blocked = (overrides: Partial<BlockedPart> = {}): BlockedPart =>
+const blocked = (overrides: Partial<BlockedFeature> = {}): BlockedFeature =>
   ({ model: 'llm', part: 'p', blockedAt: 1_000, lastCrashAt: 900, failures: 0, trialAt: 61_000, ...overrides })
 
 describe('the table of blocked parts', () => {
   it('is not changed by news that is older than what is known', () => {
-    const table = createBlockedParts()
+    const table = createBlockedFeatures()
     expect(table.block(blocked(), 1_000)).toBe(true)
     expect(table.block(blocked({ failures: 2, trialAt: 300_000 }), 2_000)).toBe(false)
     table.block(blocked(), 3_000)
@@ -17,7 +17,7 @@
   })
 
   it('ends entries that are no longer repeated, except at their owner', () => {
-    const table = createBlockedParts()
+    const table = createBlockedFeatures()
     table.block(blocked(), 1_000)
     expect(table.expire(() => true, 30_000)).toEqual([])
     expect(table.expire(() => false, 49_000)).toEqual([])
@@ -26,7 +26,7 @@
   })
 
   it('is bounded, however many parts are blocked', () => {
-    const table = createBlockedParts()
+    const table = createBlockedFeatures()
     for (let index = 0; index < 1_000; index++) table.block(blocked({ part: `p${index}` }), 1_000)
     expect(table.all()).toHaveLength(64)
   })
--- a/src/poisonParts/blockedParts.ts
+++ b/src/poisonRequests/blockedFeatures.ts
@@ -5,10 +5,10 @@
  * does not hear of an entry any more, the entry ends.
  */
 import { LRUCache } from 'lru-cache'
-import type { ModelPart } from './poisonPartsTypes.js'
+import type { ScopedFeature } from './poisonRequestsTypes.js'
 
 /** A blocked part; times in ms. */
-export interface BlockedPart extends ModelPart {
+export interface BlockedFeature extends ScopedFeature {
   readonly blockedAt: number
   /** When the last of the crashes under it happened. */
   readonly lastCrashAt: number
@@ -19,15 +19,15 @@
 }
 
 /** The blocked parts known to one instance; times in ms. */
-export interface BlockedParts {
+export interface BlockedFeatures {
   /** Blocks a part, or updates what is known of it; returns whether it was not blocked, or was unblocked later than that. */
-  readonly block: (blocked: BlockedPart, now: number) => boolean
+  readonly block: (blocked: BlockedFeature, now: number) => boolean
   /** Unblocks a part as of `at`; returns whether it was blocked. */
-  readonly unblock: (part: ModelPart, at: number) => boolean
-  readonly get: (model: string, part: string) => BlockedPart | undefined
-  readonly all: () => readonly BlockedPart[]
+  readonly unblock: (part: ScopedFeature, at: number) => boolean
+  readonly get: (model: string, part: string) => BlockedFeature | undefined
+  readonly all: () => readonly BlockedFeature[]
   /** Ends the entries that have not been repeated, except those of models that this instance owns; returns them. */
-  readonly expire: (owns: (model: string) => boolean, now: number) => readonly BlockedPart[]
+  readonly expire: (owns: (model: string) => boolean, now: number) => readonly BlockedFeature[]
 }
 
 /** Number of parts that are blocked at once. */
@@ -43,25 +43,25 @@
 /**
  * Returns the time to the next trial of a part, in ms.
  *
- * @param failures - number of failed trials, as in `BlockedPart`
+ * @param failures - number of failed trials, as in `BlockedFeature`
  */
 export const trialDelayAfter = (failures: number): number =>
   failures < 0 ? firstTrialDelay : Math.min(maxTrialDelay, trialDelay * 2 ** failures)
 
 interface Entry {
-  readonly blocked: BlockedPart
+  readonly blocked: BlockedFeature
   readonly heardAt: number
 }
 
-const keyOf = ({ model, part }: ModelPart): string => `${model}/${part}`
+const keyOf = ({ model, part }: ScopedFeature): string => `${model}/${part}`
 
 /** Creates a table without blocked parts. */
-export const createBlockedParts = (): BlockedParts => {
+export const createBlockedFeatures = (): BlockedFeatures => {
   const entries = new LRUCache<string, Entry>({ max: maxBlocked })
   /** When parts were unblocked, so that older news does not block them again. */
   const unblocked = new LRUCache<string, number>({ max: maxBlocked })
 
-  const block = (blocked: BlockedPart, now: number): boolean => {
+  const block = (blocked: BlockedFeature, now: number): boolean => {
     const key = keyOf(blocked)
     if (blocked.blockedAt <= (unblocked.get(key) ?? -Infinity)) return false
     const known = entries.peek(key)?.blocked
@@ -72,15 +72,15 @@
     return !isKnown
   }
 
-  const unblock = (part: ModelPart, at: number): boolean => {
+  const unblock = (part: ScopedFeature, at: number): boolean => {
     const key = keyOf(part)
     unblocked.set(key, Math.max(at, unblocked.get(key) ?? -Infinity))
     const known = entries.peek(key)
     return known !== undefined && known.blocked.blockedAt <= at && entries.delete(key)
   }
 
-  const expire = (owns: (model: string) => boolean, now: number): readonly BlockedPart[] => {
-    const ended: BlockedPart[] = []
+  const expire = (owns: (model: string) => boolean, now: number): readonly BlockedFeature[] => {
+    const ended: BlockedFeature[] = []
     for (const [key, { blocked, heardAt }] of [...entries.entries()]) {
       if (owns(blocked.model)) entries.set(key, { blocked, heardAt: now })
       else if (now - heardAt > repetitionTimeout) {
--- a/src/poisonParts/partProofs.spec.ts
+++ b/src/poisonRequests/featureProofs.spec.ts
@@ -1,10 +1,10 @@
-import { createPartProofs } from './partProofs.js'
-import type { PoisonAttempt } from './poisonPartsTypes.js'
+import { createFeatureProofs } from './featureProofs.js'
+import type { PoisonAttempt } from './poisonRequestsTypes.js'
 
 const attempt = (id: number, workerStartedAt = 1): PoisonAttempt => ({ id, worker: 'w1', workerStartedAt, answered: true, begunAt: 0 })
 
 const build = () => {
-  const proofs = createPartProofs()
+  const proofs = createFeatureProofs()
   /** Ticks every 50 ms up to a time. */
   const tickTo = (from: number, to: number): void => { for (let now = from; now <= to; now += 50) proofs.tick(now) }
   return { proofs, tickTo }
--- a/src/poisonParts/partProofs.ts
+++ b/src/poisonRequests/featureProofs.ts
@@ -4,22 +4,22 @@
  * parts of that prompt. A proof is dated by the time at which the answer began.
  */
 import { LRUCache } from 'lru-cache'
-import type { ModelPart, PoisonAttempt } from './poisonPartsTypes.js'
-import { onsetTime } from './poisonPartsTypes.js'
+import type { ScopedFeature, PoisonAttempt } from './poisonRequestsTypes.js'
+import { onsetTime } from './poisonRequestsTypes.js'
 
 /** A part that did not crash the worker that began an answer on it at `begunAt` (ms). */
-export interface PartProof extends ModelPart {
+export interface FeatureProof extends ScopedFeature {
   readonly begunAt: number
 }
 
 /** The proofs of one instance; times in ms. */
-export interface PartProofs {
+export interface FeatureProofs {
   /** Records that an answer has begun. */
   readonly begin: (attempt: PoisonAttempt, model: string, parts: readonly string[], now: number) => void
   /** Records that an attempt was cut or cancelled, so that it proves nothing more. */
   readonly drop: (worker: string, attempt: number) => void
   /** Records that a lifetime of a worker has sent data; returns what this proves. */
-  readonly hear: (worker: string, startedAt: number, now: number) => readonly PartProof[]
+  readonly hear: (worker: string, startedAt: number, now: number) => readonly FeatureProof[]
   /** When the last answer that proves a part began; undefined if there is none. */
   readonly lastOf: (model: string, part: string) => number | undefined
   readonly tick: (now: number) => void
@@ -40,7 +40,7 @@
 }
 
 /** Creates the proofs of an instance, without any. */
-export const createPartProofs = (): PartProofs => {
+export const createFeatureProofs = (): FeatureProofs => {
   const proven = new LRUCache<string, number>({ max: maxParts })
   /** By worker and attempt, in the order in which the answers began. */
   const pending = new Map<string, Map<number, PendingProof>>()
@@ -58,16 +58,16 @@
     ofWorker.set(id, { startedAt: workerStartedAt, begunAt: now, model, parts })
   }
 
-  const prove = ({ model, parts, begunAt }: PendingProof): readonly PartProof[] => parts.map(part => {
+  const prove = ({ model, parts, begunAt }: PendingProof): readonly FeatureProof[] => parts.map(part => {
     proven.set(`${model}/${part}`, begunAt)
     return { model, part, begunAt }
   })
 
-  const hear = (worker: string, startedAt: number, now: number): readonly PartProof[] => {
+  const hear = (worker: string, startedAt: number, now: number): readonly FeatureProof[] => {
     clearAfterGap(now)
     const ofWorker = pending.get(worker)
     if (ofWorker === undefined) return []
-    const proofs: PartProof[] = []
+    const proofs: FeatureProof[] = []
     for (const [attempt, waiting] of ofWorker) {
       if (now - waiting.begunAt < onsetTime) break
       ofWorker.delete(attempt)
--- a/src/poisonParts/poisonParts.spec.ts
+++ b/src/poisonRequests/poisonRequests.spec.ts
@@ -1,7 +1,7 @@
 import { buildCall } from '../../test/fixtures/forwarding.js'
 import type { Call } from '../ports/forwardPort.js'
-import { createPoisonParts, type PoisonLogEvent, type PoisonParts } from './poisonParts.js'
-import type { PoisonAttempt, PoisonMessage } from './poisonPartsTypes.js'
+import { createPoisonRequests, type PoisonLogEvent, type PoisonRequests } from './poisonRequests.js'
+import type { PoisonAttempt, PoisonMessage } from './poisonRequestsTypes.js'
 
 const instances = ['a', 'b', 'c']
 
@@ -13,14 +13,14 @@
 
 /** Three instances, of which `a` and `b` coordinator; messages arrive at once unless they are dropped. */
 const build = (drops: (message: PoisonMessage, to: string) => boolean = () => false) => {
-  const nodes = new Map<string, PoisonParts>()
+  const nodes = new Map<string, PoisonRequests>()
   const events: { readonly at: string, readonly event: PoisonLogEvent }[] = []
   let now = 0
   const deliver = (from: string, to: string, message: PoisonMessage): void => {
     if (from !== to && !drops(message, to)) nodes.get(to)?.receive(from, message, now)
   }
   for (const self of instances) {
-    nodes.set(self, createPoisonParts({
+    nodes.set(self, createPoisonRequests({
       self,
       instances: () => instances.length,
       coordinatorsOf: (_model, count) => instances.slice(0, count),
@@ -32,7 +32,7 @@
       log: event => { events.push({ at: self, event }) }
     }))
   }
-  const at = (id: string): PoisonParts => {
+  const at = (id: string): PoisonRequests => {
     const node = nodes.get(id)
     if (node === undefined) throw new RangeError(id)
     return node
--- a/src/poisonParts/poisonParts.ts
+++ b/src/poisonRequests/poisonRequests.ts
@@ -10,11 +10,11 @@
  * well unblocks the part.
  */
 import type { Call, Prompt } from '../ports/forwardPort.js'
-import { createBlockedParts, trialDelayAfter, type BlockedPart } from './blockedParts.js'
+import { createBlockedFeatures, trialDelayAfter, type BlockedFeature } from './blockedFeatures.js'
 import { createCrashInvestigations } from './crashInvestigations.js'
 import type { Verdict } from './crashCorrelator.js'
-import { createPartProofs, type PartProof } from './partProofs.js'
-import { candidatePartsOf, ownPartOf, type CrashReport, type ModelPart, type PoisonAttempt, type PoisonMessage, type Suspect } from './poisonPartsTypes.js'
+import { createFeatureProofs, type FeatureProof } from './featureProofs.js'
+import { candidatePartsOf, ownPartOf, type CrashReport, type ScopedFeature, type PoisonAttempt, type PoisonMessage, type Suspect } from './poisonRequestsTypes.js'
 import { createWorkerCrashes, type CutAttempt, type WorkerCrash, type WorkerCrashes, type WorkerCrashesOptions } from './workerCrashes.js'
 
 /** A log event of the poison parts; each is one log line. */
@@ -28,7 +28,7 @@
   | { readonly kind: 'partTried', readonly id: string, readonly model: string, readonly part: string, readonly failures: number }
 
 /** What the poison parts depend on; times in ms. */
-export interface PoisonPartsOptions extends WorkerCrashesOptions {
+export interface PoisonRequestsOptions extends WorkerCrashesOptions {
   readonly self: string
   /** Returns the live instances that coordinate a model, the first one first. */
   readonly coordinatorsOf: (model: string, count: number) => readonly string[]
@@ -42,7 +42,7 @@
 }
 
 /** The poison parts at one instance; times in ms. */
-export interface PoisonParts {
+export interface PoisonRequests {
   /** Whether the prompt holds a blocked part that it may not try now. */
   readonly isBlocked: (prompt: Prompt | undefined, now: number) => boolean
   /** Records that a request is sent to a worker; if it holds a blocked part, this is its trial. */
@@ -83,28 +83,28 @@
  *
  * @param options - the other instances, the workers and the log
  */
-export const createPoisonParts = (options: PoisonPartsOptions): PoisonParts => {
+export const createPoisonRequests = (options: PoisonRequestsOptions): PoisonRequests => {
   const { self, log } = options
-  const proofs = createPartProofs()
+  const proofs = createFeatureProofs()
   const crashes = createWorkerCrashes(options)
-  const table = createBlockedParts()
+  const table = createBlockedFeatures()
   let nextRepetition = -Infinity
 
   const isFirstCoordinator = (model: string): boolean => options.coordinatorsOf(model, 1)[0] === self
 
-  const blockedIn = (prompt: Prompt | undefined): readonly BlockedPart[] => {
+  const blockedIn = (prompt: Prompt | undefined): readonly BlockedFeature[] => {
     if (prompt === undefined || table.all().length === 0) return []
     return candidatePartsOf(prompt).map(part => table.get(prompt.model, part)).filter(blocked => blocked !== undefined)
   }
 
-  const mayTry = ({ model, trialAt }: BlockedPart, now: number): boolean => now >= trialAt && isFirstCoordinator(model)
+  const mayTry = ({ model, trialAt }: BlockedFeature, now: number): boolean => now >= trialAt && isFirstCoordinator(model)
 
   const isBlocked = (prompt: Prompt | undefined, now: number): boolean => {
     const blocked = blockedIn(prompt)
     return blocked.length > 0 && !(blocked.length === 1 && mayTry(blocked[0], now))
   }
 
-  const messageOf = (model: string, blocked: readonly BlockedPart[], now: number): PoisonMessage => ({
+  const messageOf = (model: string, blocked: readonly BlockedFeature[], now: number): PoisonMessage => ({
     kind: 'fleet.blockedParts',
     model,
     blocked: blocked.map(({ part, blockedAt, lastCrashAt, failures, trialAt }) =>
@@ -116,13 +116,13 @@
     if (blocked === undefined) return
     // The trial counts as failed until an answer goes well.
     const failures = blocked.failures + 1
-    const tried: BlockedPart = { ...blocked, failures, trialAt: now + trialDelayAfter(failures) }
+    const tried: BlockedFeature = { ...blocked, failures, trialAt: now + trialDelayAfter(failures) }
     table.block(tried, now)
     log({ kind: 'partTried', id, model: blocked.model, part: blocked.part, failures })
     options.broadcast(messageOf(blocked.model, [tried], now))
   }
 
-  const unblock = (part: ModelPart, reason: 'proven' | 'explained', now: number): boolean => {
+  const unblock = (part: ScopedFeature, reason: 'proven' | 'explained', now: number): boolean => {
     const known = table.get(part.model, part.part)
     if (known === undefined || !table.unblock(part, now)) return false
     investigations.release(part.model, part.part, reason === 'proven' && now - known.lastCrashAt < soundnessTime)
@@ -130,7 +130,7 @@
     return true
   }
 
-  const applyProof = ({ model, part, begunAt }: PartProof, now: number): void => {
+  const applyProof = ({ model, part, begunAt }: FeatureProof, now: number): void => {
     investigations.clear(model, part, begunAt)
     const blocked = table.get(model, part)
     if (blocked === undefined || begunAt <= blocked.lastCrashAt) return
@@ -183,7 +183,7 @@
 
   const block = (model: string, { part, lastCrashAt, crashes: count, wasSound }: Verdict, now: number): void => {
     const failures = wasSound ? -1 : 0
-    const blocked: BlockedPart = { model, part, blockedAt: now, lastCrashAt, failures, trialAt: now + trialDelayAfter(failures) }
+    const blocked: BlockedFeature = { model, part, blockedAt: now, lastCrashAt, failures, trialAt: now + trialDelayAfter(failures) }
     if (!table.block(blocked, now)) return
     log({ kind: 'partBlocked', model, part, crashes: count, sound: wasSound })
     options.broadcast(messageOf(model, [blocked], now))
@@ -235,8 +235,8 @@
     }
   }
 
-  const blockedByModel = (): ReadonlyMap<string, readonly BlockedPart[]> => {
-    const byModel = new Map<string, BlockedPart[]>()
+  const blockedByModel = (): ReadonlyMap<string, readonly BlockedFeature[]> => {
+    const byModel = new Map<string, BlockedFeature[]>()
     for (const blocked of table.all()) byModel.set(blocked.model, [...byModel.get(blocked.model) ?? [], blocked])
     return byModel
   }
--- a/src/poisonParts/poisonPartsTypes.ts
+++ b/src/poisonRequests/poisonRequestsTypes.ts
@@ -12,7 +12,7 @@
 export type Suspect = CrashReport['suspects'][number]
 
 /** A part of the prompts for one model. */
-export interface ModelPart {
+export interface ScopedFeature {
   readonly model: string
   readonly part: string
 }
--- a/src/poisonParts/workerCrashes.ts
+++ b/src/poisonRequests/workerCrashes.ts
@@ -6,7 +6,7 @@
  * worker that is leaving or no longer listed ends on purpose: none of these is a crash.
  */
 import { LRUCache } from 'lru-cache'
-import { onsetTime } from './poisonPartsTypes.js'
+import { onsetTime } from './poisonRequestsTypes.js'
 
 /** An attempt that was cut; times in ms. */
 export interface CutAttempt {
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -11,8 +11,8 @@
 import type { AnswerHead, Call, Dispatch, ForwardEffect, ForwardInput } from '../../src/ports/forwardPort.js'
 import { createRandom } from '../../src/random.js'
 import { createWeightsTracker } from '../../src/workers/weightsTracker.js'
-import { createPoisonParts } from '../../src/poisonParts/poisonParts.js'
-import { createRequestFingerprints } from '../../src/poisonParts/requestFingerprint.js'
+import { createPoisonRequests } from '../../src/poisonRequests/poisonRequests.js'
+import { createRequestFingerprints } from '../../src/poisonRequests/requestFingerprint.js'
 import { createStreamOrigins } from '../../src/streamOrigins/streamOrigins.js'
 import { createStatedLimits } from '../../src/workerLimits/statedLimits.js'
 import { createWorkerLimits } from '../../src/workerLimits/workerLimits.js'
@@ -65,7 +65,7 @@
     broadcast: () => { /* There is no other instance. */ },
     onDecision: () => { /* There is no other instance. */ }
   })
-  const poisonParts = createPoisonParts({
+  const poisonRequests = createPoisonRequests({
     self: 'a',
     coordinatorsOf: () => ['a'],
     instances: () => 1,
@@ -103,7 +103,7 @@
     workers,
     weights,
     limits,
-    poisonParts,
+    poisonRequests,
     fingerprintOf: createRequestFingerprints(options.hash),
     streamOrigins,
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
