Failing test: an instance that has lost its links to the workers

A fleet in virtual time in which some instances lose their links to all workers, or to those of one service, for 12 s; links refuse connections, hang, or live on while new ones are refused. None of the first tries at these is served from 3 s after the cut on, at 7 instances (3 or 6 cut) and at 60 (20 cut), while the others serve over 95 %.

--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -45,6 +45,13 @@
   state: 'open' | 'whole' | 'broken'
 }
 
+/** How the links of instances to workers are cut. */
+export interface LinkCut {
+  readonly mode: 'refused' | 'hangs' | 'openLiveOn'
+  /** The service whose workers are out of reach; all if undefined. */
+  readonly service?: string
+}
+
 /** Options of the fleet. */
 export interface FakeGatewaysOptions {
   readonly hash: Hash
@@ -86,12 +93,18 @@
   readonly restartWorker: (worker: string) => void
   /** Ends a worker without a word: its connections are closed at once and new ones refused, its record expires, and it starts anew at its address under a new id. */
   readonly crashWorker: (worker: string) => boolean
+  /** Cuts the links of instances to all workers, or to those of one service: connections are reset and new ones refused, or both hang, or open ones live on and new ones are refused. Links between instances work. */
+  readonly cutLinks: (instances: readonly string[], cut: LinkCut) => void
+  /** Lets all links work again. */
+  readonly healLinks: () => void
   /** Closes the connections of a worker, which goes on. */
   readonly resetConnections: (worker: string) => void
 }
 
 const storeReadInterval = 500 // ms
 const workerDelay = 1 // ms
+/** Time after which a connection that hangs is given up, as by the gateway's adapter, in ms. */
+const connectTimeout = 200
 const eventInterval = 40 // ms
 /** Shortest time from the first event to a crash, and its random addition, in ms. */
 const crashDelay = 40
@@ -119,6 +132,7 @@
   const running = new Map<string, Running>()
   const starts = new Map<string, number>()
   const storeCutOff = new Set<string>()
+  const linkCuts = new Map<string, LinkCut>()
   const crashRandom = createRandom(options.seed ?? 1)
   const workers = createFakeWorkers(time, crashRandom, options.workers)
   const arrivals: WorkerArrival[] = []
@@ -145,9 +159,19 @@
   const headOf = (worker: Worker, call: Call): AnswerHead =>
     ({ status: 200, headers: ['Worker', worker.id], notRun: false, signed: true, requestId: call.id, weightVersion: worker.models[0]?.version, ...options.statements?.(worker, time.now()) })
 
+  const serviceOf = (id: string): string | undefined => workers.listed().find(worker => worker.id === id)?.service
+
+  /** The cut that lies between an instance and a worker. */
+  const cutBetween = (instance: string, worker: string): LinkCut | undefined => {
+    const cut = linkCuts.get(instance)
+    return cut?.service === undefined || cut.service === serviceOf(worker) ? cut : undefined
+  }
+
   const runAt = (instance: string, node: Running, attempt: number, { call, worker: id, resumeAfter }: Dispatch): void => {
     const worker = workers.running(id)
-    if (worker === undefined) return fail(instance, node, attempt, 'unsent')
+    const cut = cutBetween(instance, id)
+    if (cut?.mode === 'hangs') return time.after(connectTimeout, () => fail(instance, node, attempt, 'unsent'))
+    if (worker === undefined || cut !== undefined) return fail(instance, node, attempt, 'unsent')
     const disconnect = workers.connect(id, () => fail(instance, node, attempt, 'cut'))
     const crash = (): void => {
       if (node.attempts.has(attempt) && workers.crash(id)) options.onCrash?.(call)
@@ -158,6 +182,9 @@
     let crashesSoon = false
     const sendEvent = (event: number): void => {
       if (!isAlive()) return fail(instance, node, attempt, 'cut')
+      const cutNow = cutBetween(instance, id)?.mode
+      if (cutNow === 'refused') return fail(instance, node, attempt, 'cut')
+      if (cutNow === 'hangs') return time.after(eventInterval, () => sendEvent(event))
       // A run that crashes its worker does not end before.
       if (crashesSoon && event > streamEvents) return
       if (event > streamEvents || head.notRun) {
@@ -177,6 +204,13 @@
     })
   }
 
+  const probe = (instance: string, worker: string): void => {
+    const cut = cutBetween(instance, worker)
+    const hangs = cut?.mode === 'hangs'
+    const reachable = cut === undefined && workers.running(worker) !== undefined
+    time.after(hangs ? connectTimeout : workerDelay, () => input(instance, { kind: 'worker.probed', worker, reachable, refused: !reachable && !hangs }))
+  }
+
   const perform = (instance: string, node: Running, effect: GatewayEffect): void => {
     switch (effect.kind) {
       case 'peer.send': return network.send({ from: instance, to: effect.to, message: effect.message })
@@ -187,10 +221,7 @@
         return
       case 'attempt.cancel': node.attempts.delete(effect.attempt); return
       case 'worker.probe':
-        time.after(workerDelay, () => {
-          const reachable = workers.running(effect.worker) !== undefined
-          input(instance, { kind: 'worker.probed', worker: effect.worker, reachable, refused: !reachable })
-        })
+        probe(instance, effect.worker)
         return
       case 'call.open':
       case 'call.answer':
@@ -290,6 +321,8 @@
     register: workers.register,
     endWorker: workers.end,
     restartWorker: workers.restart,
+    cutLinks: (cutOff, cut) => { for (const instance of cutOff) linkCuts.set(instance, cut) },
+    healLinks: () => linkCuts.clear(),
     crashWorker: workers.crash,
     resetConnections: workers.resetConnections
   }
