--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -8,14 +8,15 @@
 import { isNativeError } from 'node:util/types'
 import { Client, errors, type Dispatcher } from 'undici'
 import { ResultAsync } from 'neverthrow'
-import type { AttemptFailure, Dispatch, ForwardInput } from '../ports/forwardPort.js'
+import type { Address } from '../catalog/catalogTypes.js'
+import type { AttemptFailure, Call, Dispatch, ForwardInput, RelayDispatch } from '../ports/forwardPort.js'
 import type { WireCodec } from '../ports/platformPort.js'
 import { afterNextRead } from './nextRead.js'
 import { observeConnection, OversizedFraming, type WorkerConnection } from './workerConnection.js'
 
 /** Dependencies of the connection pool. */
 export interface ChannelOptions {
-  readonly codec: Pick<WireCodec, 'encodeDispatch' | 'decodeAnswer'>
+  readonly codec: Pick<WireCodec, 'encodeDispatch' | 'encodeRelay' | 'decodeAnswer'>
   /** Receives the results of attempts and probes. */
   readonly emit: (input: ForwardInput) => void
   /** Called for each new connection. */
@@ -26,6 +27,8 @@
 export interface WorkerChannels {
   /** Sends a request as the given attempt. */
   readonly send: (attempt: number, dispatch: Dispatch) => void
+  /** Passes a request on to another instance as the given attempt. */
+  readonly relay: (attempt: number, relay: RelayDispatch) => void
   /** Aborts an attempt and closes its connection; the attempt yields no more inputs. */
   readonly cancel: (attempt: number) => void
   /** Tests whether a worker is reachable, by opening a connection and closing it. */
@@ -129,9 +132,10 @@
     return channel
   }
 
-  const acquire = (dispatch: Dispatch): Channel => {
-    const key = `${dispatch.worker}@${dispatch.address.host}:${dispatch.address.port}`
-    return idle.get(key)?.pop() ?? openChannel(key, dispatch.address)
+  /** Takes an idle connection to a process, or opens one. */
+  const acquire = (id: string, address: Address): Channel => {
+    const key = `${id}@${address.host}:${address.port}`
+    return idle.get(key)?.pop() ?? openChannel(key, address)
   }
 
   const discard = ({ client }: Channel): void => {
@@ -186,18 +190,23 @@
     }
   }
 
-  const send = (attempt: number, dispatch: Dispatch): void => {
-    const running: RunningAttempt = { channel: acquire(dispatch), abort: undefined, cancelled: false }
+  const sendOn = (channel: Channel, attempt: number, { method, target, body }: Call, headers: string[]): void => {
+    const running: RunningAttempt = { channel, abort: undefined, cancelled: false }
     runningAttempts.set(attempt, running)
-    const { method, target, body } = dispatch.call
-    running.channel.client.dispatch({
+    channel.client.dispatch({
       method: method as Dispatcher.HttpMethod,
       path: target,
-      headers: codec.encodeDispatch(dispatch),
+      headers,
       body: body.length > 0 ? body : null
     }, createHandler(attempt, running))
   }
 
+  const send = (attempt: number, dispatch: Dispatch): void =>
+    sendOn(acquire(dispatch.worker, dispatch.address), attempt, dispatch.call, codec.encodeDispatch(dispatch))
+
+  const relay = (attempt: number, dispatch: RelayDispatch): void =>
+    sendOn(acquire(dispatch.peer, dispatch.address), attempt, dispatch.call, codec.encodeRelay(dispatch))
+
   const cancel = (attempt: number): void => {
     const running = runningAttempts.get(attempt)
     if (running === undefined) return
@@ -220,5 +229,5 @@
     await Promise.allSettled(all.map(({ client }) => client.destroy()))
   }
 
-  return { send, cancel, probe, close }
+  return { send, relay, cancel, probe, close }
 }
--- a/src/fleet/directory.spec.ts
+++ b/src/fleet/directory.spec.ts
@@ -9,8 +9,8 @@
 const buildMember = (index: number, capacity: number): FleetMember =>
   ({ id: `i${index}`, incarnation: 'x', dataCentre: 'a', front: `f${index}`, peer: { host: '10.0.0.1', port: 1 }, capacity })
 
-const build = (count: number, capacity: (index: number) => number = () => 1, strained: (index: number) => boolean = () => false): readonly ServingMember[] =>
-  Array.from({ length: count }, (_, index) => ({ member: buildMember(index, capacity(index)), strained: strained(index) }))
+const build = (count: number, capacity: (index: number) => number = () => 1, impaired: (index: number) => boolean = () => false): readonly ServingMember[] =>
+  Array.from({ length: count }, (_, index) => ({ member: buildMember(index, capacity(index)), impaired: impaired(index) }))
 
 /** Share of the traffic that each instance gets if callers ask a random instance and pick one of its addresses at random. */
 const trafficShares = (members: readonly ServingMember[]): ReadonlyMap<string, number> => {
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -5,8 +5,8 @@
  * instance therefore lists about half of the fleet by weighted rendezvous hashing:
  * large instances are in most responses, small ones in few. An instance keeps
  * listing the same ones while they are alive, so that callers keep their
- * connections. Instances whose event loop lags are left out while most of the
- * fleet keeps up.
+ * connections. Instances whose event loop lags, or that are cut off from workers,
+ * are left out while most of the fleet is well.
  */
 import { rendezvousScore } from '../addresses/rendezvous.js'
 import type { Hash } from '../hash.js'
@@ -15,11 +15,11 @@
 /** An instance that may be listed. */
 export interface ServingMember {
   readonly member: FleetMember
-  /** Whether its event loop lags. */
-  readonly strained: boolean
+  /** Whether its event loop lags, or it is cut off from workers that others reach. */
+  readonly impaired: boolean
 }
 
-/** Minimum share of instances without lag for the lagging ones to be left out; with fewer, the traffic of all would overload these, too. */
+/** Minimum share of instances that are well for the others to be left out; with fewer, the traffic of all would overload these, too. */
 const minHealthyShare = 0.5
 /** Fleet size up to which all instances are listed, and minimum number listed beyond it: callers need alternatives when many instances fail at once. */
 const fullListSize = 24
@@ -37,7 +37,7 @@
  * @returns the caller address of each instance, as IP:PORT
  */
 export const selectDirectoryAddresses = (selfId: string, serving: readonly ServingMember[], hash: Hash): readonly string[] => {
-  const healthy = serving.filter(({ strained }) => !strained)
+  const healthy = serving.filter(({ impaired }) => !impaired)
   const candidates = healthy.length >= serving.length * minHealthyShare ? healthy : serving
   const members = candidates.map(({ member }) => member)
   if (members.length <= fullListSize) return members.map(({ front }) => front)
--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -21,6 +21,7 @@
   ready: true,
   leaving: false,
   strained: false,
+  cutOff: false,
   sentAt: at(0),
   configuration: 4,
   holding: false,
@@ -37,7 +38,7 @@
   const fleet = createFleet({
     self: buildMember('a'),
     hash,
-    own: () => ({ ready: true, leaving: false, strained: false, configuration, proofAge: 100, storeAge: 100, holding: false, readFor: undefined, weights: [] }),
+    own: () => ({ ready: true, leaving: false, strained: false, cutOff: false, configuration, proofAge: 100, storeAge: 100, holding: false, readFor: undefined, weights: [] }),
     ownCatalog: () => buildCatalog({ version: configuration }),
     emit: effect => {
       if (effect.kind === 'peer.reset') resets.push(effect.to)
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -12,6 +12,7 @@
 import { ageOf, earlier, type Moment } from '../lease/readLease.js'
 import type { PoisonMessage } from '../poisonRequests/poisonRequestsTypes.js'
 import type { StreamMessage } from '../streamOrigins/streamOrigins.js'
+import type { ReachMessage } from '../workerReach/workerReachTypes.js'
 import type { LimitMessage } from '../workerLimits/workerLimits.js'
 import type { FleetMember } from '../ports/feedPort.js'
 import type { PeerEffect, PeerReset } from '../ports/peerPort.js'
@@ -25,6 +26,8 @@
   readonly ready: boolean
   readonly leaving: boolean
   readonly strained: boolean
+  /** Whether it is cut off from the workers of a service. */
+  readonly cutOff: boolean
   readonly configuration: number
   /** Age of the newest proof that the configuration is the newest; infinite without one. */
   readonly proofAge: number
@@ -64,6 +67,8 @@
   readonly limitMessage: (from: string, message: LimitMessage) => void
   /** A peer has sent a message about requests that crash workers. */
   readonly poisonMessage: (from: string, message: PoisonMessage) => void
+  /** A peer has sent a message about the reach of workers. */
+  readonly reachMessage: (from: string, message: ReachMessage) => void
   /** A peer has sent a message about the origin of streams. */
   readonly streamMessage: (from: string, message: StreamMessage) => void
   /** A peer that reads for others has sent changed worker records. */
@@ -104,6 +109,10 @@
   readonly ownersOf: (key: string, count: number, now: Moment) => readonly string[]
   /** Whether other instances are known, live or not. */
   readonly hasPeers: () => boolean
+  /** Returns some of the other instances that are live and not leaving, others with each `turn`. */
+  readonly someLivePeers: (count: number, turn: number, now: Moment) => readonly string[]
+  /** Where callers of another instance connect, as IP:PORT; undefined if it is not known. */
+  readonly frontOf: (peer: string) => string | undefined
   /** Returns some of the other instances that are known, live or not. */
   readonly somePeers: (count: number) => readonly string[]
   /** Fraction of the instances that were live within the last minute that are live now; those that this instance could not hear yet count, too. */
@@ -181,6 +190,7 @@
     ready: own.ready,
     leaving: own.leaving,
     strained: own.strained,
+    cutOff: own.cutOff,
     sentAt: now,
     ...(peer.heartbeat === undefined ? {} : { echo: peer.heartbeat.sentAt, echoOf: peer.heartbeat.incarnation }),
     configuration: own.configuration,
@@ -299,6 +309,8 @@
       case 'fleet.partUnblocked':
       case 'fleet.blockedQuestion':
       case 'fleet.blockedAnswer': return events.poisonMessage(from, message)
+      case 'fleet.reachQuestion':
+      case 'fleet.reachAnswer': return events.reachMessage(from, message)
       case 'fleet.streams':
       case 'fleet.streamQuestion':
       case 'fleet.streamAnswer': return events.streamMessage(from, message)
@@ -326,18 +338,14 @@
   const ownersOf = (key: string, count: number, now: Moment): readonly string[] => {
     const staying = livePeers(now).filter(({ heartbeat }) => heartbeat?.leaving === false).map(({ member }) => member.id)
     const candidates = options.own(now).leaving && staying.length > 0 ? staying : [self.id, ...staying]
-    const keyHash = hash.h32(key)
-    return candidates
-      .map(id => ({ id, score: rendezvousScore(keyHash, hash.h32(id)) }))
-      .sort((left, right) => right.score - left.score)
-      .slice(0, count)
-      .map(({ id }) => id)
+    return pickByHash(candidates, key, count)
   }
 
-  const somePeers = (count: number): readonly string[] => {
-    const start = hash.h32(self.incarnation)
-    return [...peers.keys()]
-      .map(id => ({ id, score: rendezvousScore(start, hash.h32(id)) }))
+  /** The first of these instances by rendezvous hashing of the key. */
+  const pickByHash = (ids: readonly string[], key: string, count: number): readonly string[] => {
+    const keyHash = hash.h32(key)
+    return ids
+      .map(id => ({ id, score: rendezvousScore(keyHash, hash.h32(id)) }))
       .sort((left, right) => right.score - left.score)
       .slice(0, count)
       .map(({ id }) => id)
@@ -361,10 +369,12 @@
     send: (to, message) => emit({ kind: 'peer.send', to, message }),
     ownersOf,
     hasPeers: () => peers.size > 0,
-    somePeers,
+    somePeers: count => pickByHash([...peers.keys()], self.incarnation, count),
+    someLivePeers: (count, turn, now) => pickByHash(livePeers(now).filter(({ heartbeat }) => heartbeat?.leaving === false && !heartbeat.cutOff).map(({ member }) => member.id), `${self.incarnation}/${turn}`, count),
+    frontOf: peer => peers.get(peer)?.member.front,
     liveShare,
     broadcast: message => { for (const to of peers.keys()) emit({ kind: 'peer.send', to, message }) },
-    serving: now => livePeers(now).flatMap(({ member, heartbeat }) => heartbeat?.ready === true && !heartbeat.leaving ? [{ member, strained: heartbeat.strained }] : []),
+    serving: now => livePeers(now).flatMap(({ member, heartbeat }) => heartbeat?.ready === true && !heartbeat.leaving ? [{ member, impaired: heartbeat.strained || heartbeat.cutOff }] : []),
     size: now => livePeers(now).length + 1,
     hasStoreAccess,
     higherRankedReaders,
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -13,6 +13,8 @@
   leaving: z.boolean(),
   /** Whether the sender's event loop lags. */
   strained: z.boolean().default(false),
+  /** Whether the sender is cut off from the workers of a service that others reach. */
+  cutOff: z.boolean().default(false),
   /** The sender's clocks at the time of sending. */
   sentAt: momentSchema,
   /** `sentAt` of the last heartbeat that the sender received from the receiver. */
@@ -139,6 +141,10 @@
   ...poisonMessageSchemas,
   /** Changed worker records from a sender that reads for others. */
   z.object({ kind: z.literal('fleet.workers'), records: z.array(workerRecordSchema) }),
+  /** Asks whether the receiver has reached workers of the service since the sender found for all, `since` ms ago, that it does not. */
+  z.object({ kind: z.literal('fleet.reachQuestion'), service: z.string(), since: z.number().min(0) }),
+  /** The sender has reached a worker of the service since, and takes requests for it. */
+  z.object({ kind: z.literal('fleet.reachAnswer'), service: z.string() }),
   /** Requests the configuration of at least this version. */
   z.object({ kind: z.literal('fleet.wantCatalog'), version: z.number() }),
   /** The sender's configuration, in response to `fleet.wantCatalog`. */
--- a/src/fleet/readMode.spec.ts
+++ b/src/fleet/readMode.spec.ts
@@ -79,6 +79,7 @@
         ready: true,
         leaving: false,
         strained: false,
+        cutOff: false,
         configuration: 1,
         proofAge: now - (proofs.get(id) ?? 0),
         storeAge: now - (storeProofs.get(id) ?? 0),
--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -96,6 +96,7 @@
   const handleUnsent = (exchange: Exchange, attempt: Attempt, time: DecisionTime): void => {
     const wasSecond = isSecond(exchange, attempt)
     attempts.fail(exchange, attempt, 'unsent', false, time.now)
+    context.workerReach.noteUnreachable(attempt.worker, time.now)
     suspectWorkers.markSuspect(attempt.worker, 'unreachable', time.now)
     exclude(exchange, attempt.worker)
     if (attempt.isFirstThere) exchange.sentTo.delete(attempt.worker)
@@ -111,6 +112,7 @@
     attempt.head = head
     attempt.headAt = now
     attempt.lastDataAt = now
+    context.workerReach.noteHeard(attempt.worker, now)
     applyWorkerNotices(context, exchange, attempt, head, now)
     if (head.requestId !== undefined && head.requestId !== call.id) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
     applyLimit(context, exchange, attempt, head, now)
@@ -142,6 +144,7 @@
     attempt.silent = false
     const { head } = attempt
     if (head === undefined) return
+    context.workerReach.noteHeard(attempt.worker, now)
     context.poisonRequests.noteHeard(attempt.worker, attempt.workerStartedAt, now)
     if (!isStream(exchange, head) || head.notRun) {
       attempt.body.push(bytes)
--- a/src/forwarding/callerResponses.ts
+++ b/src/forwarding/callerResponses.ts
@@ -8,6 +8,15 @@
 import { isStream } from './exchangeKind.js'
 import { outcomeOf, refusalResponse, type Refusal } from './refusal.js'
 
+/** A response that has arrived whole. */
+export interface CompleteAnswer {
+  /** Id of the worker that gave it, or of the instance that relayed the request. */
+  readonly worker: string
+  readonly head: AnswerHead
+  /** Body, unless it was streamed. */
+  readonly body: Buffer
+}
+
 /** The ends of requests. */
 export interface CallerResponses {
   /** Refuses a request that was not admitted; `after` in ms. */
@@ -18,6 +27,8 @@
   readonly open: (exchange: Exchange, head: AnswerHead) => void
   /** Ends a request with the complete response of an attempt; `now` in ms. */
   readonly complete: (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number) => void
+  /** Ends a request with a complete response; `now` in ms. */
+  readonly answer: (exchange: Exchange, answer: CompleteAnswer, now: number) => void
   /** Ends a request whose connection has ended; `now` in ms. */
   readonly abandon: (exchange: Exchange, reason: ConnectionEnd, now: number) => void
 }
@@ -29,8 +40,9 @@
  * @param exchanges - the requests in progress, by number
  * @param waitingQueue - the requests that wait for a worker
  * @param attempts - the attempts in progress
+ * @param relayed - the requests that other instances have, by the id of the relay
  */
-export const createCallerResponses = (context: ForwardingContext, exchanges: Map<number, Exchange>, waitingQueue: WaitingQueue, attempts: AttemptsInProgress): CallerResponses => {
+export const createCallerResponses = (context: ForwardingContext, exchanges: Map<number, Exchange>, waitingQueue: WaitingQueue, attempts: AttemptsInProgress, relayed: Map<number, Exchange>): CallerResponses => {
   const elapsed = (exchange: Exchange, now: number): number => Math.round(now - exchange.arrivedAt)
 
   const sendRefusal = (request: number, id: string, refusal: Refusal, after: number, moment: Moment): void => {
@@ -47,8 +59,17 @@
     context.emit({ kind: 'call.answer', request, ...answer })
   }
 
+  const cancelRelay = (exchange: Exchange): void => {
+    if (exchange.relay === undefined) return
+    const { id } = exchange.relay
+    exchange.relay = undefined
+    relayed.delete(id)
+    context.emit({ kind: 'attempt.cancel', attempt: id })
+  }
+
   const remove = (exchange: Exchange, whole: boolean, now: number): void => {
     attempts.cancelAll(exchange)
+    cancelRelay(exchange)
     if (exchange.streamBegun) context.streamOrigins.end(exchange.call.id, whole, now)
     exchanges.delete(exchange.request)
     waitingQueue.remove(exchange.request)
@@ -74,10 +95,14 @@
 
   const complete = (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number): void => {
     attempts.end(exchange, attempt, false)
+    answer(exchange, { worker: attempt.worker, head, body: attempt.body.bytes() }, now)
+  }
+
+  const answer = (exchange: Exchange, { worker, head, body }: CompleteAnswer, now: number): void => {
     remove(exchange, true, now)
-    context.log({ kind: 'answered', id: exchange.call.id, worker: attempt.worker, status: head.status, after: elapsed(exchange, now), events: exchange.events, ...(exchange.firstEventAt === undefined ? {} : { first: Math.round(exchange.firstEventAt - exchange.arrivedAt) }) })
+    context.log({ kind: 'answered', id: exchange.call.id, worker, status: head.status, after: elapsed(exchange, now), events: exchange.events, ...(exchange.firstEventAt === undefined ? {} : { first: Math.round(exchange.firstEventAt - exchange.arrivedAt) }) })
     if (isStream(exchange, head)) context.emit({ kind: 'call.end', request: exchange.request })
-    else context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body: attempt.body.bytes() })
+    else context.emit({ kind: 'call.answer', request: exchange.request, status: head.status, headers: head.headers, body })
   }
 
   const abandon = (exchange: Exchange, reason: ConnectionEnd, now: number): void => {
@@ -85,5 +110,5 @@
     remove(exchange, false, now)
   }
 
-  return { sendRefusal, refuse, open, complete, abandon }
+  return { sendRefusal, refuse, open, complete, answer, abandon }
 }
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -1,4 +1,5 @@
 /** The dependencies of request forwarding on the rest of the instance. */
+import type { Address } from '../catalog/catalogTypes.js'
 import type { CatalogIndex } from '../catalog/catalogIndex.js'
 import type { Hash } from '../hash.js'
 import type { Moment, ReadLease } from '../lease/readLease.js'
@@ -12,6 +13,7 @@
 import type { RequestFingerprints } from '../poisonRequests/requestFingerprint.js'
 import type { StreamOrigins } from '../streamOrigins/streamOrigins.js'
 import type { WorkerLimits } from '../workerLimits/workerLimits.js'
+import type { WorkerReach } from '../workerReach/workerReach.js'
 import type { WorkersDb } from '../workers/workersDb.js'
 import type { ForwardLogEvent } from './forwardingTypes.js'
 
@@ -32,6 +34,10 @@
   readonly poisonRequests: Pick<PoisonRequests, 'blockOf' | 'noteSent' | 'noteBegun' | 'noteCompleted' | 'noteHeard' | 'noteCancelled' | 'noteCut' | 'noteProbed'>
   /** Recognizes requests that come again under another id. */
   readonly fingerprintOf: RequestFingerprints
+  /** Whether this instance reaches the workers of a service, and which others do. */
+  readonly workerReach: Pick<WorkerReach, 'reachOf' | 'relaysFor' | 'dropRelay' | 'noteConnected' | 'noteHeard' | 'noteUnreachable'>
+  /** Where callers of another instance connect; undefined if it is not known. */
+  readonly frontOf: (peer: string) => Address | undefined
   /** Where streams began. */
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'end' | 'lookUp' | 'fits'>
   readonly loadOf: (worker: string) => WorkerLoad
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -22,6 +22,7 @@
 import { placeRequest, priorityOf, type PlacementResult } from './placeRequest.js'
 import type { Refusal } from './refusal.js'
 import { maxRetries } from './retryLimits.js'
+import { createRelays } from './relays.js'
 import { createSecondAttempts } from './secondAttempts.js'
 import { decideWait } from './waitOrRefuse.js'
 import { fitsOrigin } from './streamContinuation.js'
@@ -71,7 +72,9 @@
   const suspectWorkers = createSuspectWorkers({ ...context, hasRequestsAt })
   const heldAnswers = createHeldAnswers()
   const attempts = createAttemptsInProgress(context, heldAnswers)
-  const responses = createCallerResponses(context, exchanges, waitingQueue, attempts)
+  const relayed = new Map<number, Exchange>()
+  const responses = createCallerResponses(context, exchanges, waitingQueue, attempts, relayed)
+  const relays = createRelays(context, relayed, responses, attempts.nextId, (exchange, time) => tryPlacement(exchange, 'unsent', time))
   const seconds = createSecondAttempts(context, attempts, responses)
 
   const tryPlacement = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
@@ -85,6 +88,9 @@
       case 'awaitsPeer':
         exchange.awaitsPeerFor = cause
         return waitingQueue.add({ request: exchange.request, priority: priorityOf(exchange), since: exchange.arrivedAt, expiresAt: exchange.deadline })
+      case 'relay':
+        waitingQueue.remove(exchange.request)
+        return relays.begin(exchange, placement.peers, time)
       case 'noneAvailable': return enqueue(exchange, cause, placement, time)
       default: assertNever(placement)
     }
@@ -131,6 +137,7 @@
       mayHaveRun: false,
       attempt: undefined,
       second: undefined,
+      relay: undefined,
       secondCount: 0,
       crashCount: 0,
       nextSecondAt: now,
@@ -190,6 +197,8 @@
   }
 
   const handleProbe = ({ worker, reachable, refused = false }: Extract<ForwardInput, { kind: 'worker.probed' }>, time: DecisionTime): void => {
+    if (reachable) context.workerReach.noteConnected(worker, time.now)
+    else context.workerReach.noteUnreachable(worker, time.now)
     context.poisonRequests.noteProbed(worker, { reachable, refused }, time.now)
     const suspectedFor = suspectWorkers.handleProbeResult(worker, reachable, time.now)
     if (suspectedFor === undefined) return
@@ -211,12 +220,15 @@
         return
       }
       case 'worker.probed': return handleProbe(input, time)
-      default: return inputs.handle(input, time)
+      default: return relays.handle(input, time) ? undefined : inputs.handle(input, time)
     }
   }
 
+  /** Whether a worker may be running the request now. */
+  const isUnderWay = ({ attempt, relay }: Exchange): boolean => attempt !== undefined || relay !== undefined
+
   const expire = (exchange: Exchange, time: DecisionTime): void => {
-    if (exchange.attempt !== undefined) exchange.mayHaveRun = true
+    if (isUnderWay(exchange)) exchange.mayHaveRun = true
     responses.refuse(exchange, exchange.mayHaveRun ? { kind: 'late' } : { kind: 'lateUnsent' }, time)
   }
 
@@ -273,7 +285,7 @@
   const endAll = (moment: Moment): void => {
     isEnding = true
     for (const exchange of exchanges.values()) {
-      if (exchange.attempt !== undefined) exchange.mayHaveRun = true
+      if (isUnderWay(exchange)) exchange.mayHaveRun = true
       responses.refuse(exchange, { kind: 'noWorker' }, { now: moment.steady, moment })
     }
   }
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -39,6 +39,17 @@
   silent: boolean
 }
 
+/** A request at another instance. */
+export interface Relay {
+  readonly id: number
+  /** Id of the other instance. */
+  readonly peer: string
+  /** Head of its response, once received. */
+  head: AnswerHead | undefined
+  /** Received body of a response that is not streamed. */
+  readonly body: ByteBuffer
+}
+
 /** An attempt that ended without a usable response. */
 export interface FailedAttempt {
   readonly worker: string
@@ -70,6 +81,8 @@
   attempt: Attempt | undefined
   /** The attempt at another worker while the current one is silent. */
   second: Attempt | undefined
+  /** The request at another instance, since this one is cut off from the workers of its service. */
+  relay: Relay | undefined
   /** Number of second attempts that were sent. */
   secondCount: number
   /** Earliest time of another second attempt. */
@@ -110,6 +123,10 @@
   | { readonly kind: 'workerLimited', readonly id: string, readonly worker: string, readonly limit: number }
   /** The response to `id` no longer states the worker's limit. */
   | { readonly kind: 'workerUnlimited', readonly id: string, readonly worker: string }
+  /** The request was passed on to another instance, as this one is cut off from the service's workers. */
+  | { readonly kind: 'relayed', readonly id: string, readonly peer: string, readonly service: string }
+  /** The other instance was not reached, or did not answer whole after the request was `sent`. */
+  | { readonly kind: 'relayFailed', readonly id: string, readonly peer: string, readonly sent: boolean }
   | { readonly kind: 'workerDoubted', readonly worker: string, readonly reason: SuspectReason }
   | { readonly kind: 'workerProbed', readonly worker: string, readonly reachable: boolean, readonly doubted: number }
 
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -10,10 +10,12 @@
 import type { Worker } from '../workers/workersTypes.js'
 import { createByteBuffer } from '../byteBuffer.js'
 import { createEventSplitter } from './eventSplitter.js'
+import { isRetryable } from './exchangeKind.js'
 import { isExcluded } from './exclusions.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange, SendCause } from './forwardingTypes.js'
 import type { Refusal } from './refusal.js'
+import type { RelayPeer } from './relays.js'
 import { bindToOrigin, fitsOrigin } from './streamContinuation.js'
 
 /** Result of an attempt to place a request on a worker. */
@@ -21,6 +23,8 @@
   | { readonly kind: 'sent', readonly attempt: Attempt }
   /** No worker can take the request now; one may soon, but none before `pausedUntil` (ms) if that is given, since all have asked for no requests until then or are at their limits. `interval` is the time, in ms, for which this instance then waits for each further request. */
   | { readonly kind: 'noneAvailable', readonly pausedUntil?: number, readonly interval?: number }
+  /** This instance is cut off from the service's workers; one of these takes the request. */
+  | { readonly kind: 'relay', readonly peers: readonly RelayPeer[] }
   /** Another instance has been asked where the stream began, or for a permit of the best worker, which has a limit. */
   | { readonly kind: 'awaitsPeer' }
   | { readonly kind: 'refused', readonly refusal: Refusal }
@@ -252,6 +256,16 @@
   return sent
 }
 
+/** The instances that may take the request, if this one is cut off from its service; one that was relayed before, or whose stream has begun, stays here. */
+const relayPeers = (context: ForwardingContext, exchange: Exchange, now: number): readonly RelayPeer[] => {
+  if (exchange.call.relayed === true || exchange.headSent) return []
+  if (exchange.mayHaveRun && !isRetryable(exchange)) return []
+  return context.workerReach.relaysFor(exchange.service, now).flatMap(id => {
+    const front = context.frontOf(id)
+    return front === undefined ? [] : [{ id, front }]
+  })
+}
+
 /**
  * Sends a request to the best eligible worker by expected response time.
  *
@@ -269,6 +283,9 @@
   }
   const block = context.poisonRequests.blockOf(exchange, now)
   if (block !== undefined) return { kind: 'refused', refusal: { kind: block } }
+  const peers = relayPeers(context, exchange, now)
+  if (peers.length > 0) return { kind: 'relay', peers }
+  if (exchange.call.relayed === true && context.workerReach.reachOf(exchange.service) === 'cutOff') return { kind: 'refused', refusal: { kind: 'noWorker' } }
   const continuation = bindToOrigin(context, exchange, now)
   if (continuation === 'asked') return { kind: 'awaitsPeer' }
   if (continuation === 'unknown') return { kind: 'refused', refusal: { kind: 'unknownOrigin' } }
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -5,6 +5,7 @@
  * features request.
  */
 import { createRetryBudget, type RetryBudgetOptions, type RetryBudget } from '../admission/retryBudget.js'
+import type { Address } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
 import { selectDirectoryAddresses } from '../fleet/directory.js'
 import { createLagDetector } from '../fleet/lagDetector.js'
@@ -13,6 +14,7 @@
 import type { ForwardingBounds } from '../forwarding/forwardingContext.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import type { Hash } from '../hash.js'
+import { splitHostPort } from '../hostPort.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
 import { createStoreBudget } from '../placement/storeBudget.js'
 import { peerRequests } from '../placement/workerLoad.js'
@@ -24,6 +26,7 @@
 import { createPoisonRequests } from '../poisonRequests/poisonRequests.js'
 import { createRequestFingerprints } from '../poisonRequests/requestFingerprint.js'
 import { createStreamOrigins } from '../streamOrigins/streamOrigins.js'
+import { createWorkerReach } from '../workerReach/workerReach.js'
 import { createWorkerLimits } from '../workerLimits/workerLimits.js'
 import { createConfigurationInForce } from './configurationInForce.js'
 import { createFeedHandler } from './feedInputs.js'
@@ -126,6 +129,7 @@
       ready: isReady(now),
       leaving: shutdown.isShuttingDown(),
       strained: lagDetector.isLagging(),
+      cutOff: workerReach.isCutOff(),
       configuration: configuration.version(),
       proofAge: lease.age(now),
       storeAge: storeLease.age(now),
@@ -155,6 +159,7 @@
       workerRecordsReceived: records => { if (storeReader.mode() === 'throughPeers') registry.applyFromPeer(records) },
       readerStateReceived: state => storeReader.handleReaderState(state, currentTime.steady),
       streamMessage: (from, message) => streamOrigins.receive(from, message, currentTime.steady),
+      reachMessage: (from, message) => workerReach.receive(from, message, currentTime.steady),
       poisonMessage: (from, message) => poisonRequests.receive(from, message, currentTime.steady),
       limitMessage: (from, message) => limits.receive(from, message, currentTime.steady),
       peerChanged: (peer, change) => {
@@ -184,12 +189,32 @@
     onAnswer: () => forwarding.placeWaiting(currentTime)
   })
 
+  const workerReach = createWorkerReach({
+    serviceOf: worker => workers.get(worker)?.service,
+    liveWorkers: service => workers.live(service),
+    probe: (worker, now) => forwarding.probeWorker(worker, now),
+    somePeers: (count, turn) => fleet.someLivePeers(count, turn, currentTime),
+    acceptsRelays: () => isReady(currentTime) && !lagDetector.isLagging(),
+    send: fleet.send,
+    onChange: () => {
+      fleet.announce(currentTime)
+      if (workerReach.isCutOff() && rolloutLease.holds()) rolloutLease.release(currentTime)
+      forwarding.placeWaiting(currentTime)
+    },
+    log
+  })
+
   const stateOfWorker = (id: string, startedAt: number): 'inService' | 'leaving' | 'over' => {
     const worker = workers.get(id)
     if (worker?.startedAt !== startedAt) return 'over'
     return workers.live(worker.service).includes(worker) ? 'inService' : 'leaving'
   }
 
+  const frontOf = (peer: string): Address | undefined => {
+    const front = fleet.frontOf(peer)
+    return front === undefined ? undefined : splitHostPort(front)
+  }
+
   const fingerprintOf = createRequestFingerprints(hash)
 
   const poisonRequests = createPoisonRequests({
@@ -199,6 +224,7 @@
     somePeers: fleet.somePeers,
     instances: () => fleet.size(currentTime),
     stateOf: stateOfWorker,
+    reachOf: worker => workerReach.reachOf(workers.get(worker)?.service ?? ''),
     probe: (worker, now) => forwarding.probeWorker(worker, now),
     send: fleet.send,
     broadcast: fleet.broadcast,
@@ -254,6 +280,8 @@
     limits,
     poisonRequests,
     fingerprintOf,
+    workerReach,
+    frontOf,
     streamOrigins,
     loadOf,
     cachedPartsOf,
@@ -270,7 +298,10 @@
       if (first || sent.stores || fleet.size(currentTime) <= maxFleetForAllPrompts) fleet.broadcast({ kind: 'fleet.sent', ...sent, parts: [...parts] })
     },
     announceLeaving: (worker, startedAt) => fleet.broadcast({ kind: 'fleet.workerLeaving', worker, startedAt }),
-    announceSuspect: worker => fleet.broadcast({ kind: 'fleet.doubt', worker })
+    announceSuspect: worker => {
+      // An instance that may be cut off knows nothing of the workers.
+      if (workerReach.reachOf(workers.get(worker)?.service ?? '') === 'reached') fleet.broadcast({ kind: 'fleet.doubt', worker })
+    }
   })
 
   const handleFeed = createFeedHandler({ configuration, lease, storeLease, registry, partStore, fleet, storeReader, noteAnnouncedWeights, emit, log })
@@ -310,7 +341,9 @@
     streamOrigins.observe(workers.all(), currentTime)
     fleet.tick(currentTime)
     storeReader.tick(currentTime)
-    if (!shutdown.isShuttingDown()) rollout.tick(currentTime)
+    workerReach.tick(currentTime.steady)
+    // Orders of an instance that reaches no worker would wait for their time limit.
+    if (!shutdown.isShuttingDown() && !workerReach.isCutOff()) rollout.tick(currentTime)
     poisonRequests.tick(currentTime.steady)
     forwarding.tick(currentTime)
     shutdown.tick(currentTime.steady)
@@ -359,7 +392,7 @@
 
   const directory = (now: Moment): DirectoryAnswer => {
     const others = fleet.serving(now)
-    const own = { member: self, strained: lagDetector.isLagging() }
+    const own = { member: self, impaired: lagDetector.isLagging() || workerReach.isCutOff() }
     const serving = isReady(now) || others.length === 0 ? [own, ...others] : others
     return { addresses: selectDirectoryAddresses(self.id, serving, hash), ttl: bounds().addressLife }
   }
--- a/src/poisonRequests/poisonRequests.spec.ts
+++ b/src/poisonRequests/poisonRequests.spec.ts
@@ -37,6 +37,7 @@
       instances: () => instances.length,
       coordinatorsOf: (_model, count) => instances.slice(0, count),
       stateOf: () => 'inService',
+      reachOf: () => 'reached',
       probe: () => { /* Reported by the test. */ },
       send: (to, message) => deliver(self, to, message),
       broadcast: message => { for (const to of instances) deliver(self, to, message) },
--- a/src/poisonRequests/workerCrashes.spec.ts
+++ b/src/poisonRequests/workerCrashes.spec.ts
@@ -1,3 +1,4 @@
+import type { Reach } from '../workerReach/workerReach.js'
 import { createWorkerCrashes, type CutAttempt } from './workerCrashes.js'
 
 const cutAttempt = (cutAt: number, begunAt: number | undefined): CutAttempt =>
@@ -9,9 +10,10 @@
 
 const build = () => {
   const states = new Map<string, 'inService' | 'leaving' | 'over'>()
+  const reaches = new Map<string, Reach>()
   const probes: number[] = []
-  const crashes = createWorkerCrashes({ stateOf: worker => states.get(worker) ?? 'inService', probe: (_worker, now) => { probes.push(now) } })
-  return { crashes, states, probes }
+  const crashes = createWorkerCrashes({ stateOf: worker => states.get(worker) ?? 'inService', reachOf: worker => reaches.get(worker) ?? 'reached', probe: (_worker, now) => { probes.push(now) } })
+  return { crashes, states, reaches, probes }
 }
 
 describe('the end of connections of a worker', () => {
--- a/src/poisonRequests/workerCrashes.ts
+++ b/src/poisonRequests/workerCrashes.ts
@@ -35,6 +35,8 @@
 export interface WorkerCrashesOptions {
   /** State of a lifetime of a worker: listed and not leaving, leaving, or over, in which case the worker is not listed or has started anew. */
   readonly stateOf: (worker: string, startedAt: number) => 'inService' | 'leaving' | 'over'
+  /** Whether this instance reaches the workers of the same service; what it sees says nothing of a worker while that is not so. */
+  readonly reachOf: (worker: string) => 'reached' | 'uncertain' | 'cutOff'
   /** Probes a worker unless that was done a moment ago. */
   readonly probe: (worker: string, now: number) => void
 }
@@ -76,7 +78,7 @@
  *
  * @param options - the worker records and the prober
  */
-export const createWorkerCrashes = ({ stateOf, probe }: WorkerCrashesOptions): WorkerCrashes => {
+export const createWorkerCrashes = ({ stateOf, reachOf, probe }: WorkerCrashesOptions): WorkerCrashes => {
   const doubts = new LRUCache<string, Doubt>({ max: maxWorkers })
 
   const cut = (worker: string, startedAt: number, attempt: CutAttempt): boolean => {
@@ -107,6 +109,8 @@
         continue
       }
       doubt.isCrash ||= state === 'over'
+      const reach = state === 'over' ? 'reached' : reachOf(worker)
+      if (reach !== 'reached') continue
       if (!doubt.isCrash) probe(worker, now)
       else if (doubt.attempts.length > 0 && now - doubt.at >= collectTime) crashes.push({ worker, startedAt: doubt.startedAt, at: doubt.at, attempts: doubt.attempts.splice(0) })
     }
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -35,6 +35,8 @@
   readonly resumeAfter?: string
   /** Id of the caller's attempt that brought the first event of the stream that it resumes. */
   readonly resumes?: string
+  /** Whether another instance has passed the request on, so that it is not passed on again. */
+  readonly relayed?: boolean
   readonly body: Buffer
 }
 
@@ -59,6 +61,17 @@
   readonly model?: ModelDispatch
 }
 
+/** A request that is passed on to another instance. */
+export interface RelayDispatch {
+  readonly call: Call
+  /** Id of the instance. */
+  readonly peer: string
+  /** Where its callers connect. */
+  readonly address: Address
+  /** Time until the deadline, in ms. */
+  readonly timeLeft: number
+}
+
 /** What is sent to model workers in addition to the request. */
 export interface ModelDispatch {
   /** Version of the weights on which the request must run; undefined allows any. */
@@ -166,6 +179,8 @@
   /** Aborts the response, so that the caller can detect that it is incomplete. */
   | { readonly kind: 'call.abort', readonly request: number }
   | { readonly kind: 'attempt.send', readonly attempt: number, readonly dispatch: Dispatch }
+  /** Passes a request on to another instance; what follows are inputs of the attempt. */
+  | { readonly kind: 'relay.send', readonly attempt: number, readonly relay: RelayDispatch }
   | { readonly kind: 'attempt.cancel', readonly attempt: number }
   /** Tests whether a worker is reachable by opening a connection and closing it again. */
   | { readonly kind: 'worker.probe', readonly worker: string, readonly address: Address }
--- a/src/ports/platformPort.ts
+++ b/src/ports/platformPort.ts
@@ -4,7 +4,7 @@
  * translates and performs effects; the gateway makes all decisions.
  */
 import type { Result } from 'neverthrow'
-import type { AnswerHead, Call, CallProblem, Dispatch } from './forwardPort.js'
+import type { AnswerHead, Call, CallProblem, Dispatch, RelayDispatch } from './forwardPort.js'
 import type { ClaimEffect, ClaimInput } from './claimPort.js'
 import type { FeedEffect, FeedInput } from './feedPort.js'
 import type { OrderEffect, OrderInput } from './orderPort.js'
@@ -22,6 +22,8 @@
   readonly decodeCall: (head: RawCall, body: Buffer) => Result<Call, CallProblem>
   /** Returns the headers for the worker, as a flat list that alternates names and values. */
   readonly encodeDispatch: (dispatch: Dispatch) => string[]
+  /** Returns the headers for another instance, as a flat list that alternates names and values; `decodeCall` there yields the same request, marked as relayed. */
+  readonly encodeRelay: (relay: RelayDispatch) => string[]
   /** `headers` is a flat list that alternates names and values. */
   readonly decodeAnswer: (status: number, headers: readonly string[]) => AnswerHead
 }
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -10,6 +10,7 @@
 import { createGateway, tickInterval } from '../gateway/gatewayMachine.js'
 import type { GatewayEffect, GatewayInput, GatewayLogEvent } from '../gateway/gatewayTypes.js'
 import { loadHash } from '../hash.js'
+import { splitHostPort } from '../hostPort.js'
 import type { Moment } from '../lease/readLease.js'
 import { createLogger, droppedLines, type Logger } from '../logger.js'
 import { createGatewayMetrics } from '../metrics/gatewayMetrics.js'
@@ -46,11 +47,6 @@
 
 const delay = (time: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, time) })
 
-const splitHostPort = (endpoint: string): { readonly host: string, readonly port: number } => {
-  const colon = endpoint.lastIndexOf(':')
-  return { host: endpoint.slice(0, colon), port: Number(endpoint.slice(colon + 1)) }
-}
-
 const warningKinds: ReadonlySet<GatewayLogEvent['kind']> = new Set(['attemptFailed', 'refused', 'brokenOff', 'workerDoubted', 'dependencyLost', 'garbledPeerMessage'])
 
 const writeLogEvent = (logger: Logger, event: GatewayLogEvent): void => {
@@ -120,6 +116,7 @@
       case 'call.end':
       case 'call.abort': return front.perform(effect)
       case 'attempt.send': return channels.send(effect.attempt, effect.dispatch)
+      case 'relay.send': return channels.relay(effect.attempt, effect.relay)
       case 'worker.probe': return channels.probe(effect.worker, effect.address)
       case 'attempt.cancel': return channels.cancel(effect.attempt)
       case 'peer.send': return peers.perform(effect)
--- /dev/null
+++ b/src/workerReach/workerReach.ts
@@ -0,0 +1,261 @@
+/**
+ * Whether this instance reaches the workers of a service. An instance that has lost
+ * its links to them looks, from itself, as if all workers had ended; the others
+ * still reach them. When connections to several workers fail, all or a sample of
+ * them are probed; if none is reached, some other instances are asked. If one has
+ * reached a worker just now, this instance is cut off from the service, and knows
+ * by whom its workers can be reached. If none has, the service is down for all.
+ *
+ * While an instance may be cut off, what it sees of these workers says nothing
+ * about them: it reports no crashes and spreads no suspicions.
+ */
+import type { Worker } from '../workers/workersTypes.js'
+import type { ReachMessage } from './workerReachTypes.js'
+
+/** What is known of the way to the workers of a service: some are reached, it is being found out, or none is although others reach them. */
+export type Reach = 'reached' | 'uncertain' | 'cutOff'
+
+/** A log event of the reach of workers; each is one log line. */
+export type ReachLogEvent =
+  /** This instance reaches none of the service's workers, and `peers` other instances do; found `after` ms after the first failure. */
+  | { readonly kind: 'serviceCutOff', readonly service: string, readonly peers: number, readonly after: number }
+  /** It reaches them again, after `after` ms. */
+  | { readonly kind: 'serviceReached', readonly service: string, readonly after: number }
+
+/** What the reach of workers depends on; times in ms. */
+export interface WorkerReachOptions {
+  readonly serviceOf: (worker: string) => string | undefined
+  readonly liveWorkers: (service: string) => readonly Worker[]
+  /** Probes a worker by opening a connection, unless that was done a moment ago. */
+  readonly probe: (worker: string, now: number) => void
+  /** Returns some of the live instances, others with each `turn`. */
+  readonly somePeers: (count: number, turn: number) => readonly string[]
+  /** Whether this instance can take requests of others. */
+  readonly acceptsRelays: () => boolean
+  readonly send: (to: string, message: ReachMessage) => void
+  /** Called when this instance has been cut off from a service, or reaches it again. */
+  readonly onChange: (service: string, reach: Reach) => void
+  readonly log: (event: ReachLogEvent) => void
+}
+
+/** The reach of workers of one instance; times in ms. */
+export interface WorkerReach {
+  /** Records that a connection to the worker was opened. */
+  readonly noteConnected: (worker: string, now: number) => void
+  /** Records that the worker has sent something for a request. */
+  readonly noteHeard: (worker: string, now: number) => void
+  /** Records that no connection to the worker could be opened. */
+  readonly noteUnreachable: (worker: string, now: number) => void
+  readonly reachOf: (service: string) => Reach
+  /** Whether this instance is cut off from any service. */
+  readonly isCutOff: () => boolean
+  /** The other instances that have reached workers of the service lately; none unless this one is cut off from it. */
+  readonly relaysFor: (service: string, now: number) => readonly string[]
+  /** Records that another instance does not take relayed requests. */
+  readonly dropRelay: (peer: string) => void
+  readonly receive: (from: string, message: ReachMessage, now: number) => void
+  readonly tick: (now: number) => void
+  readonly dump: (now: number) => unknown
+}
+
+/** Number of workers that have to be out of reach before the others are probed; all of fewer. */
+const minFailures = 2
+/** Number of workers that are probed at most; if none of them is reached, none of the others is taken to be. */
+const sampleSize = 8
+/** Number of instances that are asked at once. */
+const askedPeers = 6
+/** Time for answers, in ms, after which the service counts as down for all, and until it is asked about again. */
+const answerTime = 250
+const askAgainDelay = 500
+/** Time between two questions while cut off, in ms, and for which an answer counts. */
+const refreshInterval = 1_000
+const relayMemory = 2_500
+/** Time, in ms, by which a worker has to be heard later than another instance has lost it; what was under way may arrive later than the end of its sender is noticed. */
+const minLater = 30
+/** Time for which a question waits for a worker to be reached, in ms. */
+const questionMemory = 250
+/** Number of workers that have to be reached again, or half of the service's if these are fewer, in succession without a failure in between. */
+const minRegained = 4
+
+/** A question of another instance; times in ms. */
+interface Question {
+  readonly askedAt: number
+  /** Time after which a worker has to be reached for the answer. */
+  readonly after: number
+}
+
+interface ServiceState {
+  reach: Reach
+  /** Workers whose last connection failed, and since when connections to them fail. */
+  readonly failures: Map<string, number>
+  /** Workers that were reached since this instance was cut off. */
+  readonly regained: Set<string>
+  /** When a worker was last reached or heard. */
+  lastContactAt: number
+  /** When the first of the present failures happened. */
+  failingSince: number
+  /** When the last of the workers that were probed was found to be out of reach. */
+  lostAt: number
+  /** When the other instances were asked last. */
+  askedAt: number
+  turn: number
+  /** Instances that reach the service, and when they said so. */
+  readonly relays: Map<string, number>
+  /** Instances that asked and were not answered yet. */
+  readonly questions: Map<string, Question>
+}
+
+const createState = (): ServiceState => ({
+  reach: 'reached', failures: new Map(), regained: new Set(), lastContactAt: -Infinity, failingSince: Infinity, lostAt: Infinity, askedAt: -Infinity, turn: 0, relays: new Map(), questions: new Map()
+})
+
+/**
+ * Creates the reach of workers of one instance, which reaches all at first.
+ *
+ * @param options - the workers, the other instances and the log
+ */
+export const createWorkerReach = (options: WorkerReachOptions): WorkerReach => {
+  const states = new Map<string, ServiceState>()
+
+  const stateOf = (service: string): ServiceState => {
+    const state = states.get(service) ?? createState()
+    states.set(service, state)
+    return state
+  }
+
+  const withState = (worker: string, act: (state: ServiceState, service: string) => void): void => {
+    const service = options.serviceOf(worker)
+    if (service !== undefined) act(stateOf(service), service)
+  }
+
+  const setReach = (service: string, state: ServiceState, reach: Reach, now: number): void => {
+    const before = state.reach
+    if (before === reach) return
+    state.reach = reach
+    if (reach === 'cutOff') {
+      state.regained.clear()
+      options.log({ kind: 'serviceCutOff', service, peers: state.relays.size, after: Math.round(now - state.failingSince) })
+    } else if (before === 'cutOff') {
+      options.log({ kind: 'serviceReached', service, after: Math.round(now - state.failingSince) })
+    }
+    if (reach !== 'uncertain' && (reach === 'cutOff' || before === 'cutOff')) options.onChange(service, reach)
+  }
+
+  const answer = (to: string, service: string): void => options.send(to, { kind: 'fleet.reachAnswer', service })
+
+  const answerQuestions = (service: string, state: ServiceState, now: number): void => {
+    if (!options.acceptsRelays()) return
+    for (const [peer, { after }] of state.questions) {
+      if (now < after) continue
+      answer(peer, service)
+      state.questions.delete(peer)
+    }
+  }
+
+  const noteContact = (service: string, state: ServiceState, now: number): void => {
+    state.lastContactAt = now
+    if (state.reach === 'reached') answerQuestions(service, state, now)
+  }
+
+  const noteConnected = (worker: string, now: number): void => withState(worker, (state, service) => {
+    state.failures.delete(worker)
+    if (state.reach !== 'cutOff') {
+      setReach(service, state, 'reached', now)
+      if (state.failures.size === 0) state.failingSince = Infinity
+      return noteContact(service, state, now)
+    }
+    state.regained.add(worker)
+    state.lastContactAt = now
+    const enough = Math.min(minRegained, Math.ceil(options.liveWorkers(service).length / 2))
+    if (state.regained.size < enough) return
+    setReach(service, state, 'reached', now)
+    state.failingSince = Infinity
+  })
+
+  const noteHeard = (worker: string, now: number): void => withState(worker, (state, service) => noteContact(service, state, now))
+
+  const noteUnreachable = (worker: string, now: number): void => withState(worker, state => {
+    if (state.failures.size === 0) state.failingSince = now
+    if (!state.failures.has(worker)) state.failures.set(worker, now)
+    // Links that come and go have to be well for several workers in succession.
+    state.regained.clear()
+  })
+
+  const ask = (service: string, state: ServiceState, now: number): void => {
+    state.askedAt = now
+    state.turn++
+    for (const peer of options.somePeers(askedPeers, state.turn)) options.send(peer, { kind: 'fleet.reachQuestion', service, since: Math.max(0, now - state.lostAt) })
+  }
+
+  /** Forgets workers that are no longer live. */
+  const forgetGone = (state: ServiceState, live: readonly Worker[]): void => {
+    for (const worker of state.failures.keys()) if (!live.some(({ id }) => id === worker)) state.failures.delete(worker)
+  }
+
+  /** Probes the workers, or a sample of them, once several are out of reach; asks the other instances if none is reached. */
+  const lookForCut = (service: string, state: ServiceState, now: number): void => {
+    const live = options.liveWorkers(service)
+    forgetGone(state, live)
+    if (live.length === 0 || state.failures.size < Math.min(minFailures, live.length)) return setReach(service, state, 'reached', now)
+    const wanted = Math.min(sampleSize, live.length)
+    if (state.failures.size < wanted) {
+      for (const { id } of live.filter(worker => !state.failures.has(worker.id)).slice(0, wanted - state.failures.size)) options.probe(id, now)
+      return
+    }
+    if (now - state.askedAt < askAgainDelay) return
+    state.lostAt = Math.max(...state.failures.values())
+    setReach(service, state, 'uncertain', now)
+    ask(service, state, now)
+  }
+
+  const tickService = (service: string, state: ServiceState, now: number): void => {
+    for (const [peer, at] of state.relays) if (now - at > relayMemory) state.relays.delete(peer)
+    for (const [peer, { askedAt }] of state.questions) if (now - askedAt > questionMemory) state.questions.delete(peer)
+    switch (state.reach) {
+      case 'reached': return state.failures.size === 0 ? undefined : lookForCut(service, state, now)
+      case 'uncertain': return now - state.askedAt < answerTime ? undefined : setReach(service, state, 'reached', now)
+      case 'cutOff':
+        if (state.relays.size === 0) return setReach(service, state, 'reached', now)
+        if (now - state.askedAt < refreshInterval) return
+        ask(service, state, now)
+        // The workers that are not suspected are probed, too, so that it shows when the links work again.
+        for (const { id } of options.liveWorkers(service).slice(0, sampleSize)) options.probe(id, now)
+    }
+  }
+
+  const handleQuestion = (from: string, service: string, since: number, now: number): void => {
+    const state = stateOf(service)
+    if (state.reach !== 'reached' || !options.acceptsRelays()) return
+    const after = now - since + minLater
+    if (state.lastContactAt >= after) return answer(from, service)
+    state.questions.set(from, { askedAt: now, after })
+    for (const { id } of options.liveWorkers(service).slice(0, minFailures)) options.probe(id, now)
+  }
+
+  const handleAnswer = (from: string, service: string, now: number): void => {
+    const state = stateOf(service)
+    if (state.reach === 'reached') return
+    state.relays.set(from, now)
+    setReach(service, state, 'cutOff', now)
+  }
+
+  return {
+    noteConnected,
+    noteHeard,
+    noteUnreachable,
+    reachOf: service => states.get(service)?.reach ?? 'reached',
+    isCutOff: () => [...states.values()].some(({ reach }) => reach === 'cutOff'),
+    relaysFor: (service, now) => {
+      const state = states.get(service)
+      return state?.reach === 'cutOff' ? [...state.relays].filter(([, at]) => now - at <= relayMemory).map(([peer]) => peer) : []
+    },
+    dropRelay: peer => { for (const { relays } of states.values()) relays.delete(peer) },
+    receive: (from, message, now) => {
+      if (message.kind === 'fleet.reachQuestion') handleQuestion(from, message.service, message.since, now)
+      else handleAnswer(from, message.service, now)
+    },
+    tick: now => { for (const [service, state] of states) tickService(service, state, now) },
+    dump: now => [...states].map(([service, { reach, failures, relays, lastContactAt }]) =>
+      ({ service, reach, unreachable: failures.size, relays: [...relays.keys()], lastContact: Number.isFinite(lastContactAt) ? Math.round(now - lastContactAt) : undefined }))
+  }
+}
--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -9,7 +9,7 @@
 import type { Hash } from '../../src/hash.js'
 import type { Moment } from '../../src/lease/readLease.js'
 import type { FleetMember } from '../../src/ports/feedPort.js'
-import type { AnswerHead, Call, Dispatch } from '../../src/ports/forwardPort.js'
+import type { AnswerHead, Call, Dispatch, RelayDispatch } from '../../src/ports/forwardPort.js'
 import type { PeerMessage } from '../../src/ports/peerPort.js'
 import { createRandom } from '../../src/random.js'
 import type { Worker } from '../../src/workers/workersTypes.js'
@@ -110,10 +110,20 @@
 const crashDelay = 40
 const crashDelaySpread = 70
 
+/** A request that another instance has passed on. */
+interface RelayedCall {
+  readonly instance: string
+  readonly node: Running
+  readonly attempt: number
+}
+
 interface Running {
   readonly gateway: Gateway
   readonly calls: Map<number, FakeCall>
-  readonly attempts: Map<number, Dispatch>
+  /** Attempts in progress; undefined for one that another instance has. */
+  readonly attempts: Map<number, Dispatch | undefined>
+  /** Requests of other instances, by their number here. */
+  readonly relays: Map<number, RelayedCall>
   lastRequest: number
 }
 
@@ -219,7 +229,11 @@
         node.attempts.set(effect.attempt, effect.dispatch)
         time.after(workerDelay, () => runAt(instance, node, effect.attempt, effect.dispatch))
         return
-      case 'attempt.cancel': node.attempts.delete(effect.attempt); return
+      case 'relay.send':
+        node.attempts.set(effect.attempt, undefined)
+        time.after(workerDelay, () => relayAt(instance, node, effect.attempt, effect.relay))
+        return
+      case 'attempt.cancel': return cancel(node, effect.attempt)
       case 'worker.probe':
         probe(instance, effect.worker)
         return
@@ -232,7 +246,52 @@
     }
   }
 
+  const relayAt = (instance: string, node: Running, attempt: number, { call, peer, timeLeft }: RelayDispatch): void => {
+    const other = running.get(peer)
+    if (other === undefined) return fail(instance, node, attempt, 'unsent')
+    other.lastRequest++
+    other.relays.set(other.lastRequest, { instance, node, attempt })
+    input(peer, { kind: 'call.arrived', request: other.lastRequest, call: { ...call, patience: timeLeft, relayed: true } })
+  }
+
+  const cancel = (node: Running, attempt: number): void => {
+    node.attempts.delete(attempt)
+    for (const [id, other] of running) {
+      for (const [request, relayed] of other.relays) {
+        if (relayed.node !== node || relayed.attempt !== attempt) continue
+        other.relays.delete(request)
+        input(id, { kind: 'call.left', request, id: 'relayed', stage: 'open', reason: 'callerClosed' })
+      }
+    }
+  }
+
+  /** Passes what an instance answers to a relayed request to the one that relayed it. */
+  const answerRelay = (node: Running, { instance, node: origin, attempt }: RelayedCall, effect: Extract<GatewayEffect, { kind: `call.${string}` }>): void => {
+    const pass = (event: GatewayInput): void => inputOfAttempt(instance, origin, attempt, event)
+    const passHead = (status: number, headers: readonly string[]): void =>
+      pass({ kind: 'attempt.head', attempt, head: { status, headers, notRun: false, signed: status === 200 } })
+    const finish = (): void => {
+      node.relays.delete(effect.request)
+      pass({ kind: 'attempt.ended', attempt })
+      origin.attempts.delete(attempt)
+    }
+    switch (effect.kind) {
+      case 'call.open': return passHead(effect.status, effect.headers)
+      case 'call.write': return pass({ kind: 'attempt.data', attempt, bytes: effect.bytes })
+      case 'call.answer':
+        passHead(effect.status, effect.headers)
+        pass({ kind: 'attempt.data', attempt, bytes: effect.body })
+        return finish()
+      case 'call.end': return finish()
+      case 'call.abort':
+        node.relays.delete(effect.request)
+        return fail(instance, origin, attempt, 'cut')
+    }
+  }
+
   const answer = (node: Running, effect: Extract<GatewayEffect, { kind: `call.${string}` }>): void => {
+    const relayed = node.relays.get(effect.request)
+    if (relayed !== undefined) return time.after(workerDelay, () => answerRelay(node, relayed, effect))
     const received = node.calls.get(effect.request)
     if (received === undefined) return
     switch (effect.kind) {
@@ -278,7 +337,7 @@
       hash,
       random: createRandom(count + hash.h32(id))
     })
-    const node: Running = { gateway, calls: new Map(), attempts: new Map(), lastRequest: 0 }
+    const node: Running = { gateway, calls: new Map(), attempts: new Map(), relays: new Map(), lastRequest: 0 }
     running.set(id, node)
     network.join(id, (from, message: PeerMessage) => input(id, { kind: 'peer.message', from, message }))
     every(id, node, storeReadInterval, () => readStore(id))
