Streams that had begun go on through another instance when the links are cut

Cause: only requests that had not begun were passed on; a stream that had waited for a worker until its pause was over. Requests that had no head yet were refused before it was known that the instance was cut off.

Change: when an instance is cut off, streams go on at another instance after their last event, with the id under which that knows where they began, and so do idempotent requests whose worker has sent nothing for 150 ms, within the retry budget. One that the other instance cannot place waits as it would here.

--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -35,7 +35,7 @@
   /** Recognizes requests that come again under another id. */
   readonly fingerprintOf: RequestFingerprints
   /** Whether this instance reaches the workers of a service, and which others do. */
-  readonly workerReach: Pick<WorkerReach, 'reachOf' | 'relaysFor' | 'dropRelay' | 'noteConnected' | 'noteHeard' | 'noteUnreachable'>
+  readonly workerReach: Pick<WorkerReach, 'reachOf' | 'mayBeCutOff' | 'relaysFor' | 'dropRelay' | 'noteConnected' | 'noteHeard' | 'noteUnreachable'>
   /** Where callers of another instance connect; undefined if it is not known. */
   readonly frontOf: (peer: string) => Address | undefined
   /** Where streams began. */
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -14,6 +14,7 @@
 import { createAttemptsInProgress } from './attemptsInProgress.js'
 import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
 import { createCallerResponses } from './callerResponses.js'
+import { isRetryable } from './exchangeKind.js'
 import { isExcludedForGood, mayFindWorker } from './exclusions.js'
 import { createHeldAnswers } from './heldAnswers.js'
 import { createSuspectWorkers } from './suspectWorkers.js'
@@ -45,6 +46,8 @@
   readonly suspectWorker: (worker: string, now: number) => void
   /** Probes a worker that has cut an attempt. */
   readonly probeWorker: (worker: string, now: number) => void
+  /** Lets other instances take the requests of a service from which this one has been cut off. */
+  readonly passOn: (service: string, moment: Moment) => void
   /** Ends the blocked requests that wait, or whose answer has not begun. */
   readonly endBlocked: (moment: Moment) => void
   /** Counts of requests for the state dump. */
@@ -74,7 +77,14 @@
   const attempts = createAttemptsInProgress(context, heldAnswers)
   const relayed = new Map<number, Exchange>()
   const responses = createCallerResponses(context, exchanges, waitingQueue, attempts, relayed)
-  const relays = createRelays(context, relayed, responses, attempts.nextId, (exchange, time) => tryPlacement(exchange, 'unsent', time))
+  const relays = createRelays({
+    context,
+    byId: relayed,
+    responses,
+    nextId: attempts.nextId,
+    placeAgain: (exchange, time) => tryPlacement(exchange, 'unsent', time),
+    retry: (exchange, time) => retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
+  })
   const seconds = createSecondAttempts(context, attempts, responses)
 
   const tryPlacement = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
@@ -109,7 +119,7 @@
       objective: route.objective,
       lastEventAt: hasBegun ? lastEventAt : undefined,
       workersExhausted: hasBegun ? !mayFindWorker(context, exchange) : sentTo.size >= route.maxWorkers,
-      hasLiveWorker: context.workers.live(service).some(worker => !isExcludedForGood(exchange, worker.id) && fitsOrigin(context, exchange, worker, time.now)),
+      hasLiveWorker: context.workerReach.mayBeCutOff(service) || context.workers.live(service).some(worker => !isExcludedForGood(exchange, worker.id) && fitsOrigin(context, exchange, worker, time.now)),
       isRetry: cause !== 'first' && cause !== 'waited',
       pausedUntil: pausedUntil === undefined || interval === 0 ? pausedUntil : pausedUntil + countBefore(exchange) * interval
     }, time.now)
@@ -138,6 +148,8 @@
       attempt: undefined,
       second: undefined,
       relay: undefined,
+      relayCount: 0,
+      relayAfter: now,
       secondCount: 0,
       crashCount: 0,
       nextSecondAt: now,
@@ -282,6 +294,22 @@
     }
   }
 
+  /** Whether the request gets nothing from its worker, and another instance may take it. */
+  const isHeldUp = (exchange: Exchange, attempt: Attempt, now: number): boolean =>
+    !hasRecentData(attempt, now) && isRetryable(exchange) && context.retries(exchange.service).canTake(context.instances(), now)
+
+  const passOn = (service: string, time: DecisionTime): void => {
+    for (const exchange of exchanges.values()) {
+      const { attempt, second } = exchange
+      if (exchange.service !== service || attempt === undefined || !isHeldUp(exchange, attempt, time.now)) continue
+      if (second !== undefined) attempts.fail(exchange, second, 'silent', true, time.now)
+      attempts.fail(exchange, attempt, 'silent', true, time.now)
+      exchange.mayHaveRun = true
+      retry(exchange, exchange.events > 0 ? 'resume' : 'silent', { kind: 'broken' }, time)
+    }
+    placeWaiting(time)
+  }
+
   const endAll = (moment: Moment): void => {
     isEnding = true
     for (const exchange of exchanges.values()) {
@@ -312,6 +340,7 @@
     placeWaiting: moment => placeWaiting({ now: moment.steady, moment }),
     size: () => exchanges.size,
     waiting: waitingQueue.size,
+    passOn: (service, moment) => passOn(service, { now: moment.steady, moment }),
     endBlocked: moment => endBlocked({ now: moment.steady, moment }),
     probeWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'cut', now),
     suspectWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'peer', now),
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -48,6 +48,7 @@
   head: AnswerHead | undefined
   /** Received body of a response that is not streamed. */
   readonly body: ByteBuffer
+  readonly splitter: EventSplitter
 }
 
 /** An attempt that ended without a usable response. */
@@ -83,6 +84,10 @@
   second: Attempt | undefined
   /** The request at another instance, since this one is cut off from the workers of its service. */
   relay: Relay | undefined
+  /** Number of instances that have got the request. */
+  relayCount: number
+  /** When it may be passed on again. */
+  relayAfter: number
   /** Number of second attempts that were sent. */
   secondCount: number
   /** Earliest time of another second attempt. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -256,9 +256,13 @@
   return sent
 }
 
-/** The instances that may take the request, if this one is cut off from its service; one that was relayed before, or whose stream has begun, stays here. */
+/** Number of instances that may get one request. */
+const maxRelays = 3
+
+/** The instances that may take the request, if this one is cut off from its service; one that was relayed here stays. */
 const relayPeers = (context: ForwardingContext, exchange: Exchange, now: number): readonly RelayPeer[] => {
-  if (exchange.call.relayed === true || exchange.headSent) return []
+  // A stream that has begun is lost if it stays, so that only its pause limits it.
+  if (exchange.call.relayed === true || (!exchange.headSent && exchange.relayCount >= maxRelays)) return []
   if (exchange.mayHaveRun && !isRetryable(exchange)) return []
   return context.workerReach.relaysFor(exchange.service, now).flatMap(id => {
     const front = context.frontOf(id)
@@ -284,7 +288,7 @@
   const block = context.poisonRequests.blockOf(exchange, now)
   if (block !== undefined) return { kind: 'refused', refusal: { kind: block } }
   const peers = relayPeers(context, exchange, now)
-  if (peers.length > 0) return { kind: 'relay', peers }
+  if (peers.length > 0) return exchange.relayAfter > now ? { kind: 'noneAvailable', pausedUntil: exchange.relayAfter } : { kind: 'relay', peers }
   if (exchange.call.relayed === true && context.workerReach.reachOf(exchange.service) === 'cutOff') return { kind: 'refused', refusal: { kind: 'noWorker' } }
   const continuation = bindToOrigin(context, exchange, now)
   if (continuation === 'asked') return { kind: 'awaitsPeer' }
--- a/src/forwarding/relays.ts
+++ b/src/forwarding/relays.ts
@@ -2,16 +2,19 @@
  * Requests that this instance passes on to another one, since it is cut off from the
  * workers of their service. The other instance treats such a request as one of its
  * own callers': it alone chooses workers, counts permits, retries and crashes. What
- * it answers is passed on as it comes. A request is relayed once, by one instance:
- * a further one gets it only if the first was not reached.
+ * it answers is passed on as it comes, event by event. A further instance gets the
+ * request only if the first was not reached, or if the request may run again.
  */
 import { createByteBuffer } from '../byteBuffer.js'
 import type { Address } from '../catalog/catalogTypes.js'
-import type { AnswerHead, ForwardInput } from '../ports/forwardPort.js'
+import { assertNever } from '../errors.js'
+import type { AnswerHead, ForwardInput, RelayDispatch } from '../ports/forwardPort.js'
 import type { CallerResponses } from './callerResponses.js'
-import { isStream, isSuccess } from './exchangeKind.js'
+import { createEventSplitter } from './eventSplitter.js'
+import { isRetryable, isStream, isSuccess } from './exchangeKind.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Exchange, Relay } from './forwardingTypes.js'
+import { rejectedRetryAfter } from './waitOrRefuse.js'
 
 /** An instance that takes relayed requests. */
 export interface RelayPeer {
@@ -28,30 +31,43 @@
   readonly handle: (input: Extract<ForwardInput, { readonly attempt: number }>, time: DecisionTime) => boolean
 }
 
+/** What the relayed requests depend on. */
+export interface RelaysOptions {
+  readonly context: ForwardingContext
+  /** The relayed requests in progress, by the id of the relay. */
+  readonly byId: Map<number, Exchange>
+  readonly responses: CallerResponses
+  /** Returns a number that no attempt has. */
+  readonly nextId: () => number
+  /** Places a request that reached no other instance. */
+  readonly placeAgain: (exchange: Exchange, time: DecisionTime) => void
+  /** Retries a request that another instance has not answered whole, if the retry budget allows it, else refuses it. */
+  readonly retry: (exchange: Exchange, time: DecisionTime) => void
+}
+
+/** Where a stream is to go on; nothing for a request whose stream has not begun. */
+const continuationOf = ({ call, lastEventId, streamBegun }: Exchange): Pick<RelayDispatch, 'resumeAfter' | 'resumes'> => {
+  const resumeAfter = lastEventId ?? call.resumeAfter
+  const resumes = call.resumes ?? (streamBegun ? call.id : undefined)
+  return { ...(resumeAfter === undefined ? {} : { resumeAfter }), ...(resumes === undefined ? {} : { resumes }) }
+}
+
 /**
  * Creates the relayed requests of an instance, without any.
  *
- * @param context - state and outputs of the instance
- * @param byId - the relayed requests in progress
- * @param responses - responses to callers
- * @param nextId - returns a number that no attempt has
- * @param placeAgain - places a request that reached no other instance
+ * @param options - state and outputs of the instance
  */
-export const createRelays = (
-  context: ForwardingContext,
-  byId: Map<number, Exchange>,
-  responses: CallerResponses,
-  nextId: () => number,
-  placeAgain: (exchange: Exchange, time: DecisionTime) => void
-): Relays => {
+export const createRelays = ({ context, byId, responses, nextId, placeAgain, retry }: RelaysOptions): Relays => {
   const begin = (exchange: Exchange, peers: readonly RelayPeer[], { now }: DecisionTime): void => {
     const { call, deadline } = exchange
     const { id: peer, front } = peers[context.random.below(peers.length)]
-    const relay: Relay = { id: nextId(), peer, head: undefined, body: createByteBuffer() }
+    const relay: Relay = { id: nextId(), peer, head: undefined, body: createByteBuffer(), splitter: createEventSplitter() }
     exchange.relay = relay
+    exchange.relayCount++
     byId.set(relay.id, exchange)
     context.log({ kind: 'relayed', id: call.id, peer, service: exchange.service })
-    context.emit({ kind: 'relay.send', attempt: relay.id, relay: { call, peer, address: front, timeLeft: Math.max(1, Math.floor(deadline - now)) } })
+    const timeLeft = Math.max(1, Math.floor(deadline - now))
+    context.emit({ kind: 'relay.send', attempt: relay.id, relay: { call, peer, address: front, timeLeft, ...continuationOf(exchange) } })
   }
 
   const end = (exchange: Exchange, relay: Relay): void => {
@@ -63,7 +79,8 @@
     end(exchange, relay)
     exchange.mayHaveRun = true
     context.log({ kind: 'relayFailed', id: exchange.call.id, peer: relay.peer, sent: true })
-    responses.refuse(exchange, { kind: 'broken' }, time)
+    if (isRetryable(exchange)) retry(exchange, time)
+    else responses.refuse(exchange, { kind: 'broken' }, time)
   }
 
   const handleUnsent = (exchange: Exchange, relay: Relay, time: DecisionTime): void => {
@@ -73,6 +90,14 @@
     placeAgain(exchange, time)
   }
 
+  /** The other instance has no worker for a stream that has begun; it waits, as it would here. */
+  const waitForAnother = (exchange: Exchange, relay: Relay, time: DecisionTime): void => {
+    end(exchange, relay)
+    exchange.relayAfter = time.now + rejectedRetryAfter
+    context.log({ kind: 'relayFailed', id: exchange.call.id, peer: relay.peer, sent: true })
+    placeAgain(exchange, time)
+  }
+
   const handleHead = (exchange: Exchange, relay: Relay, head: AnswerHead, time: DecisionTime): void => {
     relay.head = head
     const isOthers = head.requestId !== undefined && head.requestId !== exchange.call.id
@@ -80,24 +105,29 @@
       context.emit({ kind: 'attempt.cancel', attempt: relay.id })
       return fail(exchange, relay, time)
     }
-    if (isStream(exchange, head)) responses.open(exchange, head)
+    if (isStream(exchange, head) && !exchange.headSent) responses.open(exchange, head)
   }
 
   const handleData = (exchange: Exchange, relay: Relay, bytes: Buffer, now: number): void => {
     const { head } = relay
     if (head === undefined) return
     if (!isStream(exchange, head)) return relay.body.push(bytes)
+    const events = relay.splitter.push(bytes)
+    if (events === undefined) return
+    exchange.events += events.count
     exchange.firstEventAt ??= now
     exchange.lastEventAt = now
-    context.emit({ kind: 'call.write', request: exchange.request, bytes })
+    if (events.lastId !== undefined) exchange.lastEventId = events.lastId
+    context.emit({ kind: 'call.write', request: exchange.request, bytes: events.bytes })
   }
 
   const handleEnd = (exchange: Exchange, relay: Relay, time: DecisionTime): void => {
-    const { head, peer, body } = relay
-    if (head === undefined) return fail(exchange, relay, time)
+    const { head, peer, body, splitter } = relay
+    if (head === undefined || splitter.hasPartialEvent()) return fail(exchange, relay, time)
+    // The other instance knows of no attempt before, and a stream that has begun cannot be refused.
+    if (exchange.headSent && !isStream(exchange, head)) return waitForAnother(exchange, relay, time)
+    if (exchange.mayHaveRun && !head.signed) return fail(exchange, relay, time)
     end(exchange, relay)
-    // The other instance promises that the request has not run there, and knows of no other attempt.
-    if (exchange.mayHaveRun && !head.signed) return responses.refuse(exchange, { kind: 'broken' }, time)
     responses.answer(exchange, { worker: peer, head, body: body.bytes() }, time.now)
   }
 
@@ -112,6 +142,8 @@
       case 'attempt.failed':
         if (input.failure === 'unsent') handleUnsent(exchange, relay, time)
         else fail(exchange, relay, time)
+        break
+      default: assertNever(input)
     }
     return true
   }
--- a/src/forwarding/waitOrRefuse.ts
+++ b/src/forwarding/waitOrRefuse.ts
@@ -19,7 +19,7 @@
   readonly lastEventAt: number | undefined
   /** Whether the request has reached as many workers as its route allows. */
   readonly workersExhausted: boolean
-  /** Whether the service has a live worker that has not rejected the request. */
+  /** Whether the service has a live worker that has not rejected the request, or may have one within the reach of another instance. */
   readonly hasLiveWorker: boolean
   /** Whether a worker has had the request already. */
   readonly isRetry: boolean
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -196,10 +196,11 @@
     somePeers: (count, turn) => fleet.someLivePeers(count, turn, currentTime),
     acceptsRelays: () => isReady(currentTime) && !lagDetector.isLagging(),
     send: fleet.send,
-    onChange: () => {
+    onChange: (service, reach) => {
       fleet.announce(currentTime)
       if (workerReach.isCutOff() && rolloutLease.holds()) rolloutLease.release(currentTime)
-      forwarding.placeWaiting(currentTime)
+      if (reach === 'cutOff') forwarding.passOn(service, currentTime)
+      else forwarding.placeWaiting(currentTime)
     },
     log
   })
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -70,6 +70,10 @@
   readonly address: Address
   /** Time until the deadline, in ms. */
   readonly timeLeft: number
+  /** Id of the last event of its stream that the caller has; undefined if it has none. */
+  readonly resumeAfter?: string
+  /** Id of the attempt that brought the first event of the stream. */
+  readonly resumes?: string
 }
 
 /** What is sent to model workers in addition to the request. */
--- a/src/workerReach/instanceWithoutWorkers.spec.ts
+++ b/src/workerReach/instanceWithoutWorkers.spec.ts
@@ -58,6 +58,13 @@
     expect(doubts).toEqual([])
   })
 
+  it.each(['refused', 'hangs'] as const)('lets the streams go on that had begun before the links were cut (%s)', mode => {
+    const { calls } = playPartitioned({ hash, instances: 7, partitioned: 3, cut: { mode }, load: 200 })
+    const begun = calls.filter(([at, { call, instance }]) => at > cutFrom - 200 && at < cutFrom && call.prompt !== undefined && cutOff.includes(instance)).map(([, call]) => call)
+    expect(begun.length).toBeGreaterThan(5)
+    expect(begun.filter(({ state, events }) => state === 'whole' && events.length === 5)).toHaveLength(begun.length)
+  })
+
   it('serves again by itself once the links work, and not before', () => {
     const { fleet } = playPartitioned({ hash, instances: 7, partitioned: 3, cut: { mode: 'hangs' } })
     const relayed = fleet.logEvents.filter(({ event }) => event.kind === 'relayed').map(({ at }) => at)
--- a/src/workerReach/workerReach.ts
+++ b/src/workerReach/workerReach.ts
@@ -47,6 +47,8 @@
   /** Records that no connection to the worker could be opened. */
   readonly noteUnreachable: (worker: string, now: number) => void
   readonly reachOf: (service: string) => Reach
+  /** Whether it is still being found out if this instance is cut off from the service. */
+  readonly mayBeCutOff: (service: string) => boolean
   /** Whether this instance is cut off from any service. */
   readonly isCutOff: () => boolean
   /** The other instances that have reached workers of the service lately; none unless this one is cut off from it. */
@@ -244,6 +246,11 @@
     noteHeard,
     noteUnreachable,
     reachOf: service => states.get(service)?.reach ?? 'reached',
+    mayBeCutOff: service => {
+      const state = states.get(service)
+      if (state === undefined || state.reach === 'cutOff') return false
+      return state.reach === 'uncertain' || (state.failures.size >= minFailures && state.askedAt < state.failingSince)
+    },
     isCutOff: () => [...states.values()].some(({ reach }) => reach === 'cutOff'),
     relaysFor: (service, now) => {
       const state = states.get(service)
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -109,7 +109,7 @@
     limits,
     poisonRequests,
     fingerprintOf,
-    workerReach: { reachOf: () => 'reached', relaysFor: () => [], dropRelay: () => { /* There is no other instance. */ }, noteConnected: () => { /* Not used. */ }, noteHeard: () => { /* Not used. */ }, noteUnreachable: () => { /* Not used. */ } },
+    workerReach: { reachOf: () => 'reached', mayBeCutOff: () => false, relaysFor: () => [], dropRelay: () => { /* There is no other instance. */ }, noteConnected: () => { /* Not used. */ }, noteHeard: () => { /* Not used. */ }, noteUnreachable: () => { /* Not used. */ } },
     frontOf: () => undefined,
     streamOrigins,
     loadOf: worker => getOrCreate(loads, worker, () => createWorkerLoad(worker)),
--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -246,12 +246,12 @@
     }
   }
 
-  const relayAt = (instance: string, node: Running, attempt: number, { call, peer, timeLeft }: RelayDispatch): void => {
+  const relayAt = (instance: string, node: Running, attempt: number, { call, peer, timeLeft, resumeAfter, resumes }: RelayDispatch): void => {
     const other = running.get(peer)
     if (other === undefined) return fail(instance, node, attempt, 'unsent')
     other.lastRequest++
     other.relays.set(other.lastRequest, { instance, node, attempt })
-    input(peer, { kind: 'call.arrived', request: other.lastRequest, call: { ...call, patience: timeLeft, relayed: true } })
+    input(peer, { kind: 'call.arrived', request: other.lastRequest, call: { ...call, patience: timeLeft, relayed: true, ...(resumeAfter === undefined ? {} : { resumeAfter }), ...(resumes === undefined ? {} : { resumes }) } })
   }
 
   const cancel = (node: Running, attempt: number): void => {
