A relayed stream stays at the software version that began it

Cause: the instance that passes a stream on does not know which worker began it, and placed the rest like a new request; the other way round the instance that is to go on was not told where the stream began, and may have just started.

Change: a stream of which the caller has events is always bound to its origin, which is asked for if it is not known here; it is told to the instance that is to go on. When the links work again, what failed before no longer counts, so that an instance is not taken to be cut off once more.

--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -39,7 +39,7 @@
   /** Where callers of another instance connect; undefined if it is not known. */
   readonly frontOf: (peer: string) => Address | undefined
   /** Where streams began. */
-  readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'end' | 'lookUp' | 'fits'>
+  readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'end' | 'lookUp' | 'fits' | 'tell'>
   readonly loadOf: (worker: string) => WorkerLoad
   /** Estimate of the prompt parts in a worker's cache. */
   readonly cachedPartsOf: (worker: string) => CachedPartsEstimate
--- a/src/forwarding/relays.ts
+++ b/src/forwarding/relays.ts
@@ -14,6 +14,7 @@
 import { isRetryable, isStream, isSuccess } from './exchangeKind.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Exchange, Relay } from './forwardingTypes.js'
+import { continuedStream } from './streamContinuation.js'
 import { rejectedRetryAfter } from './waitOrRefuse.js'
 
 /** An instance that takes relayed requests. */
@@ -46,9 +47,9 @@
 }
 
 /** Where a stream is to go on; nothing for a request whose stream has not begun. */
-const continuationOf = ({ call, lastEventId, streamBegun }: Exchange): Pick<RelayDispatch, 'resumeAfter' | 'resumes'> => {
-  const resumeAfter = lastEventId ?? call.resumeAfter
-  const resumes = call.resumes ?? (streamBegun ? call.id : undefined)
+const continuationOf = (exchange: Exchange): Pick<RelayDispatch, 'resumeAfter' | 'resumes'> => {
+  const resumeAfter = exchange.lastEventId ?? exchange.call.resumeAfter
+  const resumes = continuedStream(exchange)
   return { ...(resumeAfter === undefined ? {} : { resumeAfter }), ...(resumes === undefined ? {} : { resumes }) }
 }
 
@@ -66,6 +67,8 @@
     exchange.relayCount++
     byId.set(relay.id, exchange)
     context.log({ kind: 'relayed', id: call.id, peer, service: exchange.service })
+    const stream = continuedStream(exchange)
+    if (stream !== undefined && exchange.origin !== undefined) context.streamOrigins.tell(peer, stream, exchange.origin)
     const timeLeft = Math.max(1, Math.floor(deadline - now))
     context.emit({ kind: 'relay.send', attempt: relay.id, relay: { call, peer, address: front, timeLeft, ...continuationOf(exchange) } })
   }
--- a/src/forwarding/streamContinuation.ts
+++ b/src/forwarding/streamContinuation.ts
@@ -20,6 +20,9 @@
 export const isResumption = (route: Route, { resumeAfter, resumes }: Call): boolean =>
   route.kind === 'stream' && (resumeAfter !== undefined || resumes !== undefined)
 
+/** Id under which the stream began that a new attempt goes on with; undefined if it has not begun, or if the caller does not name it. */
+export const continuedStream = ({ call, events }: Exchange): string | undefined => call.resumes ?? (events > 0 && call.resumeAfter === undefined ? call.id : undefined)
+
 /**
  * Binds a request that resumes a stream to the software version that began it.
  *
@@ -31,8 +34,9 @@
 export const bindToOrigin = (context: ForwardingContext, exchange: Exchange, now: number): Continuation => {
   const { call, route, workspace, service } = exchange
   if (exchange.origin !== undefined) return 'bound'
-  if (!isResumption(route, call)) return 'free'
-  const lookup = context.streamOrigins.lookUp({ stream: call.resumes, service, workspace: workspace?.name }, now)
+  const isContinued = route.kind === 'stream' && exchange.events > 0
+  if (!isResumption(route, call) && !isContinued) return 'free'
+  const lookup = context.streamOrigins.lookUp({ stream: continuedStream(exchange), service, workspace: workspace?.name }, now)
   if (lookup.kind !== 'known') return lookup.kind
   exchange.origin = lookup.origin
   // A route's services share its requests; the stream goes on at the one that began it.
--- a/src/streamOrigins/streamOrigins.ts
+++ b/src/streamOrigins/streamOrigins.ts
@@ -58,6 +58,8 @@
   readonly fits: (origin: StreamOrigin, worker: Worker, now: number) => boolean
   /** Records all known workers. */
   readonly observe: (workers: Iterable<VersionedWorker>, now: Moment) => void
+  /** Tells another instance, which is to go on with the stream, where it began. */
+  readonly tell: (to: string, stream: string, origin: StreamOrigin) => void
   readonly receive: (from: string, message: StreamMessage, now: number) => void
 }
 
@@ -206,5 +208,7 @@
     }
   }
 
-  return { begin, end, lookUp, fits, observe, receive }
+  const tell = (to: string, stream: string, origin: StreamOrigin): void => options.send(to, { kind: 'fleet.streams', streams: [{ id: stream, origin }] })
+
+  return { begin, end, lookUp, fits, observe, tell, receive }
 }
--- a/src/workerReach/workerReach.ts
+++ b/src/workerReach/workerReach.ts
@@ -134,6 +134,8 @@
     const before = state.reach
     if (before === reach) return
     state.reach = reach
+    // What failed before says nothing of the links that work again.
+    if (reach === 'reached' && before === 'cutOff') state.failures.clear()
     if (reach === 'cutOff') {
       state.regained.clear()
       options.log({ kind: 'serviceCutOff', service, peers: state.relays.size, after: Math.round(now - state.failingSince) })
