Whether another instance reaches a worker is asked with a new connection

Cause: an instance that was asked probed a worker, but one that it had reached within 250 ms was not probed, and what it had heard in the last 30 ms did not count, so that with little traffic nobody answered the first question. A connection that was opened after the question counts at once now, and these probes are always made; they are told to no one.

--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -44,8 +44,8 @@
   readonly waiting: () => number
   /** Suspects a worker that another instance could not reach, from `now` (ms) on. */
   readonly suspectWorker: (worker: string, now: number) => void
-  /** Probes a worker that has cut an attempt. */
-  readonly probeWorker: (worker: string, now: number) => void
+  /** Probes a worker that has cut an attempt, or to find out whether it is in reach. */
+  readonly probeWorker: (worker: string, reason: 'cut' | 'reachCheck', now: number) => void
   /** Lets other instances take the requests of a service from which this one has been cut off. */
   readonly passOn: (service: string, moment: Moment) => void
   /** Ends the blocked requests that wait, or whose answer has not begun. */
@@ -342,7 +342,7 @@
     waiting: waitingQueue.size,
     passOn: (service, moment) => passOn(service, { now: moment.steady, moment }),
     endBlocked: moment => endBlocked({ now: moment.steady, moment }),
-    probeWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'cut', now),
+    probeWorker: suspectWorkers.markSuspect,
     suspectWorker: (worker, now) => suspectWorkers.markSuspect(worker, 'peer', now),
     dump: () => ({ requests: exchanges.size, waiting: waitingQueue.size() })
   }
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -136,7 +136,7 @@
   | { readonly kind: 'workerProbed', readonly worker: string, readonly reachable: boolean, readonly doubted: number }
 
 /** Why a worker is suspected to be unreachable. */
-export type SuspectReason = 'unreachable' | 'silent' | 'cut' | 'otherWorker' | 'peer'
+export type SuspectReason = 'unreachable' | 'silent' | 'cut' | 'otherWorker' | 'peer' | 'reachCheck'
 
 /** Why a request is sent to a worker. */
 export type SendCause = 'first' | 'turnedAway' | 'unsent' | 'otherVersion' | 'failed' | 'resume' | 'silent' | 'waited'
--- a/src/forwarding/suspectWorkers.ts
+++ b/src/forwarding/suspectWorkers.ts
@@ -76,7 +76,8 @@
       case 'otherWorker': return now
       case 'cut':
       case 'silent': return now + probeTimeout
-      case 'peer': return Infinity
+      case 'peer':
+      case 'reachCheck': return Infinity
     }
   }
 
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -192,7 +192,7 @@
   const workerReach = createWorkerReach({
     serviceOf: worker => workers.get(worker)?.service,
     liveWorkers: service => workers.live(service),
-    probe: (worker, now) => forwarding.probeWorker(worker, now),
+    probe: (worker, now) => forwarding.probeWorker(worker, 'reachCheck', now),
     somePeers: (count, turn) => fleet.someLivePeers(count, turn, currentTime),
     acceptsRelays: () => isReady(currentTime) && !lagDetector.isLagging(),
     send: fleet.send,
@@ -226,7 +226,7 @@
     instances: () => fleet.size(currentTime),
     stateOf: stateOfWorker,
     reachOf: worker => workerReach.reachOf(workers.get(worker)?.service ?? ''),
-    probe: (worker, now) => forwarding.probeWorker(worker, now),
+    probe: (worker, now) => forwarding.probeWorker(worker, 'cut', now),
     send: fleet.send,
     broadcast: fleet.broadcast,
     onBlocked: () => forwarding.endBlocked(currentTime),
--- a/src/workerReach/workerReach.ts
+++ b/src/workerReach/workerReach.ts
@@ -26,7 +26,7 @@
 export interface WorkerReachOptions {
   readonly serviceOf: (worker: string) => string | undefined
   readonly liveWorkers: (service: string) => readonly Worker[]
-  /** Probes a worker by opening a connection, unless that was done a moment ago. */
+  /** Probes a worker by opening a connection, unless that is under way. */
   readonly probe: (worker: string, now: number) => void
   /** Returns some of the live instances, others with each `turn`. */
   readonly somePeers: (count: number, turn: number) => readonly string[]
@@ -147,18 +147,19 @@
 
   const answer = (to: string, service: string): void => options.send(to, { kind: 'fleet.reachAnswer', service })
 
-  const answerQuestions = (service: string, state: ServiceState, now: number): void => {
+  /** Answers the instances that asked; a connection that was opened is newer than their questions, what was heard may be older. */
+  const answerQuestions = (service: string, state: ServiceState, contact: 'connected' | 'heard', now: number): void => {
     if (!options.acceptsRelays()) return
     for (const [peer, { after }] of state.questions) {
-      if (now < after) continue
+      if (contact === 'heard' && now < after) continue
       answer(peer, service)
       state.questions.delete(peer)
     }
   }
 
-  const noteContact = (service: string, state: ServiceState, now: number): void => {
+  const noteContact = (service: string, state: ServiceState, contact: 'connected' | 'heard', now: number): void => {
     state.lastContactAt = now
-    if (state.reach === 'reached') answerQuestions(service, state, now)
+    if (state.reach === 'reached') answerQuestions(service, state, contact, now)
   }
 
   const noteConnected = (worker: string, now: number): void => withState(worker, (state, service) => {
@@ -166,7 +167,7 @@
     if (state.reach !== 'cutOff') {
       setReach(service, state, 'reached', now)
       if (state.failures.size === 0) state.failingSince = Infinity
-      return noteContact(service, state, now)
+      return noteContact(service, state, 'connected', now)
     }
     state.regained.add(worker)
     state.lastContactAt = now
@@ -176,7 +177,7 @@
     state.failingSince = Infinity
   })
 
-  const noteHeard = (worker: string, now: number): void => withState(worker, (state, service) => noteContact(service, state, now))
+  const noteHeard = (worker: string, now: number): void => withState(worker, (state, service) => noteContact(service, state, 'heard', now))
 
   const noteUnreachable = (worker: string, now: number): void => withState(worker, state => {
     if (state.failures.size === 0) state.failingSince = now
