--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -68,7 +68,7 @@
   /** Whether the instance accepts requests: the proof of its configuration is recent enough to accept keys, and it is not shutting down. */
   readonly isReady: (now: Moment) => boolean
   /** Current values for the metrics; `proofAge` in ms. */
-  readonly gauges: (now: Moment) => { readonly requests: number, readonly waiting: number, readonly proofAge: number, readonly configuration: number, readonly instances: number, readonly workers: number, readonly limitedWorkers: number, readonly blockedParts: number, readonly blockedRequests: number }
+  readonly gauges: (now: Moment) => { readonly requests: number, readonly waiting: number, readonly proofAge: number, readonly configuration: number, readonly instances: number, readonly workers: number, readonly limitedWorkers: number, readonly blockedParts: number, readonly blockedRequests: number, readonly cutOffServices: number }
   /** State of all features, for diagnosis. */
   readonly dump: (now: Moment) => unknown
 }
@@ -129,7 +129,7 @@
       ready: isReady(now),
       leaving: shutdown.isShuttingDown(),
       strained: lagDetector.isLagging(),
-      cutOff: workerReach.isCutOff(),
+      cutOff: workerReach.cutOffCount() > 0,
       configuration: configuration.version(),
       proofAge: lease.age(now),
       storeAge: storeLease.age(now),
@@ -198,7 +198,7 @@
     send: fleet.send,
     onChange: (service, reach) => {
       fleet.announce(currentTime)
-      if (workerReach.isCutOff() && rolloutLease.holds()) rolloutLease.release(currentTime)
+      if (workerReach.cutOffCount() > 0 && rolloutLease.holds()) rolloutLease.release(currentTime)
       if (reach === 'cutOff') forwarding.passOn(service, currentTime)
       else forwarding.placeWaiting(currentTime)
     },
@@ -344,7 +344,7 @@
     storeReader.tick(currentTime)
     workerReach.tick(currentTime.steady)
     // Orders of an instance that reaches no worker would wait for their time limit.
-    if (!shutdown.isShuttingDown() && !workerReach.isCutOff()) rollout.tick(currentTime)
+    if (!shutdown.isShuttingDown() && workerReach.cutOffCount() === 0) rollout.tick(currentTime)
     poisonRequests.tick(currentTime.steady)
     forwarding.tick(currentTime)
     shutdown.tick(currentTime.steady)
@@ -393,7 +393,7 @@
 
   const directory = (now: Moment): DirectoryAnswer => {
     const others = fleet.serving(now)
-    const own = { member: self, impaired: lagDetector.isLagging() || workerReach.isCutOff() }
+    const own = { member: self, impaired: lagDetector.isLagging() || workerReach.cutOffCount() > 0 }
     const serving = isReady(now) || others.length === 0 ? [own, ...others] : others
     return { addresses: selectDirectoryAddresses(self.id, serving, hash), ttl: bounds().addressLife }
   }
@@ -411,7 +411,8 @@
       workers: [...workers.all()].length,
       limitedWorkers: registry.limits.all().length,
       blockedParts: poisonRequests.sizes().parts,
-      blockedRequests: poisonRequests.sizes().requests
+      blockedRequests: poisonRequests.sizes().requests,
+      cutOffServices: workerReach.cutOffCount()
     }),
     dump: now => ({
       self,
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -27,6 +27,8 @@
   readonly blockedParts: number
   /** Whole requests that are kept away from workers. */
   readonly blockedRequests: number
+  /** Services whose workers are out of this instance's reach although others reach them. */
+  readonly cutOffServices: number
   /** Log lines that were dropped. */
   readonly droppedLines: number
 }
--- a/src/workerReach/workerReach.ts
+++ b/src/workerReach/workerReach.ts
@@ -49,8 +49,8 @@
   readonly reachOf: (service: string) => Reach
   /** Whether it is still being found out if this instance is cut off from the service. */
   readonly mayBeCutOff: (service: string) => boolean
-  /** Whether this instance is cut off from any service. */
-  readonly isCutOff: () => boolean
+  /** Number of services from which this instance is cut off. */
+  readonly cutOffCount: () => number
   /** The other instances that have reached workers of the service lately; none unless this one is cut off from it. */
   readonly relaysFor: (service: string, now: number) => readonly string[]
   /** Records that another instance does not take relayed requests. */
@@ -254,7 +254,7 @@
       if (state === undefined || state.reach === 'cutOff') return false
       return state.reach === 'uncertain' || (state.failures.size >= minFailures && state.askedAt < state.failingSince)
     },
-    isCutOff: () => [...states.values()].some(({ reach }) => reach === 'cutOff'),
+    cutOffCount: () => [...states.values()].filter(({ reach }) => reach === 'cutOff').length,
     relaysFor: (service, now) => {
       const state = states.get(service)
       return state?.reach === 'cutOff' ? [...state.relays].filter(([, at]) => now - at <= relayMemory).map(([peer]) => peer) : []
