The head of a stream is sent with its first event

Cause: the head was passed on as it came, and with it went the status of a refusal that would have been true.

Change: the head is sent with the first event or comment, or at the end. A second attempt's head is its own then. A stream is stalled as before once its worker's head has come.

--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -118,25 +118,29 @@
     applyLimit(context, exchange, attempt, head, now)
     applyResponseState(context, exchange, attempt, head, now)
     if (head.notRun) return
-    if (isSuccess(head.status) && !head.signed) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
-    if (!isStream(exchange, head) || exchange.headSent || isSecond(exchange, attempt)) return
-    responses.open(exchange, head)
+    if (isSuccess(head.status) && !head.signed) handleLostAttempt(exchange, attempt, 'garbled', true, time)
   }
 
-  /** Makes the attempt that has brought something the only one of its request. */
-  const settleOn = (exchange: Exchange, attempt: Attempt, now: number): void => {
+  /** Makes the attempt that has brought something the only one of its request, and begins the response if it is a stream. */
+  const settleOn = (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number): void => {
     if (isSecond(exchange, attempt)) seconds.prefer(exchange, now)
     else seconds.cancel(exchange)
-    const holdsComments = attempt.head !== undefined && isStream(exchange, attempt.head) && attempt.body.size() > 0
-    if (!holdsComments) return
+    if (!isStream(exchange, head)) return
+    if (!exchange.headSent) responses.open(exchange, head)
+    if (attempt.body.size() === 0) return
     context.emit({ kind: 'call.write', request: exchange.request, bytes: attempt.body.bytes() })
     attempt.body.clear()
   }
 
   /** Passes comments on, which show that the worker is alive but are no event; those of a second attempt are held until it has brought one. */
-  const passComments = (exchange: Exchange, attempt: Attempt, bytes: Buffer): void => {
-    if (isSecond(exchange, attempt)) attempt.body.push(bytes)
-    else context.emit({ kind: 'call.write', request: exchange.request, bytes })
+  const passComments = (exchange: Exchange, attempt: Attempt, head: AnswerHead, bytes: Buffer): void => {
+    if (bytes.length === 0) return
+    if (isSecond(exchange, attempt)) {
+      attempt.body.push(bytes)
+      return
+    }
+    if (!exchange.headSent) responses.open(exchange, head)
+    context.emit({ kind: 'call.write', request: exchange.request, bytes })
   }
 
   const handleData = (exchange: Exchange, attempt: Attempt, bytes: Buffer, now: number): void => {
@@ -152,8 +156,8 @@
     }
     const events = attempt.splitter.push(bytes)
     if (events === undefined) return
-    if (events.count === 0) return passComments(exchange, attempt, events.bytes)
-    settleOn(exchange, attempt, now)
+    if (events.count === 0) return passComments(exchange, attempt, head, events.bytes)
+    settleOn(exchange, attempt, head, now)
     if (attempt.flight.firstEventAt === undefined) {
       applyFirstEvent(context, exchange, attempt, now)
       context.poisonRequests.noteBegun(poisonAttemptOf(attempt), exchange, now)
@@ -167,7 +171,7 @@
   }
 
   const complete = (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number): void => {
-    settleOn(exchange, attempt, now)
+    settleOn(exchange, attempt, head, now)
     const isPlainSuccess = !isStream(exchange, head) && isSuccess(head.status)
     if (isServerError(head.status)) noteFailure(context.loadOf(attempt.worker))
     noteSuccess(context.loadOf(attempt.worker), isPlainSuccess ? now - attempt.sentAt : undefined)
--- a/src/forwarding/attemptTimeouts.ts
+++ b/src/forwarding/attemptTimeouts.ts
@@ -3,6 +3,7 @@
  * fail, hang or slow down while they have requests: first the worker is probed,
  * then the request is sent to another worker if its route allows it.
  */
+import { isStream } from './exchangeKind.js'
 import type { Attempt, Exchange } from './forwardingTypes.js'
 
 /** An attempt without a response head is silent after this time, in ms, but not before a multiple of its expected time. */
@@ -45,14 +46,14 @@
 export const isSilent = (attempt: Attempt, now: number): boolean => attempt.head === undefined && isOverdue(attempt, now)
 
 /**
- * Whether a stream that the caller already receives has had no data for so long that it should be resumed on another worker.
+ * Whether a stream whose response has begun has had no data for so long that it should be resumed on another worker.
  *
  * @param exchange - the request
  * @param attempt - its current attempt
  * @param now - present time, in ms
  */
-export const isStalled = ({ headSent }: Exchange, { lastDataAt }: Attempt, now: number): boolean =>
-  headSent && now - lastDataAt > stalledAfter
+export const isStalled = (exchange: Exchange, { head, lastDataAt }: Attempt, now: number): boolean =>
+  (exchange.headSent || (head !== undefined && isStream(exchange, head))) && now - lastDataAt > stalledAfter
 
 /**
  * Whether data came so recently that this connection still works, although new ones to the worker fail.
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -85,7 +85,7 @@
     placeAgain: (exchange, time) => tryPlacement(exchange, 'unsent', time),
     retry: (exchange, time) => retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
   })
-  const seconds = createSecondAttempts(context, attempts, responses)
+  const seconds = createSecondAttempts(context, attempts)
 
   const tryPlacement = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
     exchange.awaitsPeerFor = undefined
--- a/src/forwarding/relays.ts
+++ b/src/forwarding/relays.ts
@@ -108,7 +108,6 @@
       context.emit({ kind: 'attempt.cancel', attempt: relay.id })
       return fail(exchange, relay, time)
     }
-    if (isStream(exchange, head) && !exchange.headSent) responses.open(exchange, head)
   }
 
   const handleData = (exchange: Exchange, relay: Relay, bytes: Buffer, now: number): void => {
@@ -117,6 +116,7 @@
     if (!isStream(exchange, head)) return relay.body.push(bytes)
     const events = relay.splitter.push(bytes)
     if (events === undefined) return
+    if (!exchange.headSent) responses.open(exchange, head)
     exchange.events += events.count
     exchange.firstEventAt ??= now
     exchange.lastEventAt = now
@@ -131,6 +131,7 @@
     if (exchange.headSent && !isStream(exchange, head)) return waitForAnother(exchange, relay, time)
     if (exchange.mayHaveRun && !head.signed) return fail(exchange, relay, time)
     end(exchange, relay)
+    if (isStream(exchange, head) && !exchange.headSent) responses.open(exchange, head)
     responses.answer(exchange, { worker: peer, head, body: body.bytes() }, time.now)
   }
 
--- a/src/forwarding/secondAttempts.ts
+++ b/src/forwarding/secondAttempts.ts
@@ -8,7 +8,6 @@
 import { noteFailure } from '../placement/workerLoad.js'
 import type { AttemptsInProgress } from './attemptsInProgress.js'
 import { isOverdue } from './attemptTimeouts.js'
-import type { CallerResponses } from './callerResponses.js'
 import { isRetryable, isStream } from './exchangeKind.js'
 import { exclude, withoutWorkers } from './exclusions.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
@@ -47,9 +46,8 @@
  *
  * @param context - state and outputs of the instance
  * @param attempts - the attempts in progress
- * @param responses - responses to callers
  */
-export const createSecondAttempts = (context: ForwardingContext, attempts: AttemptsInProgress, responses: Pick<CallerResponses, 'open'>): SecondAttempts => {
+export const createSecondAttempts = (context: ForwardingContext, attempts: AttemptsInProgress): SecondAttempts => {
   const drop = (exchange: Exchange, second: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
     exclude(exchange, second.worker)
     attempts.fail(exchange, second, reason, cancel, now)
@@ -94,7 +92,6 @@
     exchange.attempt = second
     // It takes the place of a retry.
     exchange.retryCount++
-    if (second.head !== undefined && isStream(exchange, second.head) && !exchange.headSent) responses.open(exchange, second.head)
     return true
   }
 
