Shutdown: log lines that tell the hypotheses on lost requests apart

A request that ended without an answer around a planned stop left the reason noWorker or broken, the same as a shortage of workers or a worker that broke off; nothing said on which connection or how late in the stop it had been read, how long the event loop had been busy when the signal was handled, or what was left when the process ended.

- leaving names heldUp and grace; arrivedInShutdown names for each request that is read in a shutdown the time that it may take, the time left, the age of its connection and how many requests this carried before.
- What a shutdown refuses or cuts has reasons of its own: shuttingDown (not run; another instance takes it, so Retry-After is the shortest) and cutByShutdown (may have run).
- listenerClosed counts connections by use, stopped what had no whole response.

Which request is taken is unchanged. Ruled out: a counter of its own, since refusals and broken answers are counted by reason already.

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -5,7 +5,7 @@
 import type { Server } from 'node:http'
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
-import type { ConnectionEnd } from '../ports/forwardPort.js'
+import type { ConnectionEnd, ConnectionHistory } from '../ports/forwardPort.js'
 import { afterNextRead } from './nextRead.js'
 
 /** The connections of a server. */
@@ -38,13 +38,28 @@
   readonly closeUnused: () => void
   /** Number of open connections. */
   readonly size: () => number
+  /** Number of open connections by their use. */
+  readonly countByUse: () => ConnectionCounts
+  /** What a connection has carried before its newest request. */
+  readonly historyOf: (socket: Socket) => ConnectionHistory
   /** Resolves when a connection is closed. */
   readonly nextClosed: () => Promise<void>
   /** Closes all connections. */
   readonly destroyAll: (end: ConnectionEnd) => void
 }
 
+/** Numbers of connections: those with a request, those that have carried requests and have none, and those that have carried none. */
+export interface ConnectionCounts {
+  readonly busy: number
+  readonly idle: number
+  readonly unused: number
+}
+
 interface Connection {
+  /** When it was accepted, in ms. */
+  readonly openedAt: number
+  /** Number of requests that it has carried, open ones included. */
+  carried: number
   /** Open requests, in the order of their arrival. */
   readonly requests: Set<number>
   /** Number of bytes that had been read when the last request ended; undefined before the first one. */
@@ -141,6 +156,7 @@
     const connection = open.get(socket)
     if (connection === undefined) return
     connection.requests.add(request)
+    connection.carried++
     connection.newest = request
     connection.keepAlive = server.keepAliveTimeout
   }
@@ -206,8 +222,21 @@
     afterNextRead(() => { if (isUnused()) destroy(socket, 'shutdown') })
   }
 
+  const countByUse = (): ConnectionCounts => {
+    const all = [...open.values()]
+    const busy = all.filter(({ requests }) => requests.size > 0).length
+    const unused = all.filter(({ carried }) => carried === 0).length
+    return { busy, idle: all.length - busy - unused, unused }
+  }
+
+  const historyOf = (socket: Socket): ConnectionHistory => {
+    const connection = open.get(socket)
+    if (connection === undefined) return { age: 0, earlier: 0 }
+    return { age: Math.round(performance.now() - connection.openedAt), earlier: connection.carried - 1 }
+  }
+
   server.on('connection', socket => {
-    const connection: Connection = { requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity, keepAlive: server.keepAliveTimeout }
+    const connection: Connection = { openedAt: performance.now(), carried: 0, requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity, keepAlive: server.keepAliveTimeout }
     open.set(socket, connection)
     // The server calls it after a response that announced the end of its connection.
     socket.destroySoon = () => linger(socket)
@@ -249,6 +278,8 @@
     closeIdle: () => { for (const socket of open.keys()) closeIfIdle(socket) },
     closeUnused: () => { for (const [socket, connection] of open) closeIfUnused(socket, connection) },
     size: () => open.size,
+    countByUse,
+    historyOf,
     nextClosed: () => new Promise(resolve => { closeWaiters.push(resolve) }),
     destroyAll: end => { for (const socket of open.keys()) destroy(socket, end) }
   }
--- a/src/adapters/frontClosing.spec.ts
+++ b/src/adapters/frontClosing.spec.ts
@@ -40,6 +40,18 @@
     expect(caller.text()).toMatch(answerText('two'))
   })
 
+  it('counts its connections by their use', async () => {
+    const [busy, idle] = [await fixture.open(), await fixture.open(), await fixture.open()]
+    busy.socket.write(requestText('first'))
+    idle.socket.write(requestText('second'))
+    await fixture.arrived('first')
+    fixture.answer(await fixture.arrived('second'), 'two')
+    await waitFor(() => answerText('two').test(idle.text()))
+    await waitFor(() => fixture.front.countRequests() === 1)
+    expect(fixture.front.countConnections()).toEqual({ busy: 1, idle: 1, unused: 1 })
+    expect(fixture.inputs).toMatchObject([{ connection: { earlier: 0 } }, { connection: { earlier: 0 } }])
+  })
+
   it('closes idle connections', async () => {
     const caller = await fixture.open()
     caller.socket.write(requestText('first'))
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -6,7 +6,7 @@
 import { Server } from 'node:net'
 import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { RawCall, WireCodec } from '../ports/platformPort.js'
-import { followCallerConnections } from './callerConnections.js'
+import { followCallerConnections, type ConnectionCounts } from './callerConnections.js'
 import { listen, type ReportAdapterError } from './listening.js'
 import { unreadBound, type ReaderCut } from '../slowReaders/slowReaders.js'
 import { afterNextRead } from './nextRead.js'
@@ -57,6 +57,10 @@
   readonly closeListener: () => void
   /** Resolves once no request is being read or answered and, after `closeListener`, no connection is open on which one may come. */
   readonly flushed: () => Promise<void>
+  /** Number of open connections by their use. */
+  readonly countConnections: () => ConnectionCounts
+  /** Number of requests that are being read or answered. */
+  readonly countRequests: () => number
   /** Number of bytes that callers have not read of their responses. */
   readonly unreadBytes: () => number
   /** Stops listening and closes all connections at once. */
@@ -182,6 +186,7 @@
     const openRequest: OpenRequest = { message, response, method: message.method ?? '', stage: 'reading' }
     openRequests.set(request, openRequest)
     connections.addRequest(message.socket, request)
+    const connection = connections.historyOf(message.socket)
 
     const { bodyBytes } = limits
     /** A request may be as long as when it began, or as it may be now. */
@@ -207,7 +212,7 @@
         const decoded = options.decode(headOf(openRequest), chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
         openRequest.stage = 'open'
         decoded.match(
-          call => emit({ kind: 'call.arrived', request, call }),
+          call => emit({ kind: 'call.arrived', request, call, connection }),
           problem => emit({ kind: 'call.unreadable', request, problem })
         )
       } catch (error) {
@@ -330,6 +335,8 @@
       }))
     },
     flushed,
+    countConnections: connections.countByUse,
+    countRequests: () => openRequests.size,
     unreadBytes: unread.measure,
     destroy: () => {
       server.close()
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -29,6 +29,8 @@
   /** Read lease on the configuration. */
   readonly lease: ReadLease
   readonly bounds: () => ForwardingBounds
+  /** The drain before the instance shuts down; undefined while it does not. */
+  readonly drain: (now: number) => Drain | undefined
   readonly workers: WorkersDb
   /** Which version of the weights each worker is known to hold. */
   readonly weights: WeightsTracker
@@ -103,6 +105,14 @@
   readonly weights: number
 }
 
+/** The drain of an instance that shuts down; times in ms. */
+export interface Drain {
+  /** Time since the shutdown began. */
+  readonly since: number
+  /** Time until the requests that are still in progress are refused or broken off. */
+  readonly left: number
+}
+
 /** Present time of one decision. */
 export interface DecisionTime {
   /** The steady clock, in ms. */
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -7,7 +7,7 @@
 import { createWaitingQueue } from '../admission/waitingQueue.js'
 import { assertNever } from '../errors.js'
 import type { Moment } from '../lease/readLease.js'
-import type { Call, ForwardInput } from '../ports/forwardPort.js'
+import type { ConnectionHistory, ForwardInput } from '../ports/forwardPort.js'
 import { noteFailure } from '../placement/workerLoad.js'
 import { admitRequest } from './admitRequest.js'
 import { createAttemptInputs } from './attemptInputs.js'
@@ -135,9 +135,22 @@
     waitingQueue.add({ request, ...context.requestOrder.orderOf(exchange, time.now), expiresAt: decision.until })
   }
 
-  const handleArrival = (request: number, call: Call, time: DecisionTime): void => {
+  const logArrivalInShutdown = ({ call, deadline }: Exchange, connection: ConnectionHistory | undefined, now: number): void => {
+    const drain = context.drain(now)
+    if (drain === undefined) return
+    context.log({
+      kind: 'arrivedInShutdown',
+      id: call.id,
+      since: Math.round(drain.since),
+      needed: Math.round(deadline - now),
+      left: Math.round(drain.left),
+      ...(connection === undefined ? {} : { connectionAge: connection.age, earlier: connection.earlier })
+    })
+  }
+
+  const handleArrival = ({ request, call, connection }: Extract<ForwardInput, { kind: 'call.arrived' }>, time: DecisionTime): void => {
     const { now, moment } = time
-    if (isEnding) return responses.sendRefusal(request, call.id, { kind: 'noWorker' }, 0, moment)
+    if (isEnding) return responses.sendRefusal(request, call.id, { kind: 'shuttingDown' }, 0, moment)
     const admission = admitRequest(context, call, time)
     if (admission.kind === 'refused') return responses.sendRefusal(request, call.id, admission.refusal, 0, moment)
     const { route, workspace, service } = admission
@@ -172,6 +185,7 @@
       firstEventAt: undefined,
       lastEventAt: undefined
     }
+    logArrivalInShutdown(exchange, connection, now)
     exchanges.set(request, exchange)
     context.retries(service).recordRequest(now)
     noteQuotaArrival(context, exchange, now)
@@ -234,7 +248,7 @@
   const handleInput = (input: ForwardInput, time: DecisionTime): void => {
     const { moment } = time
     switch (input.kind) {
-      case 'call.arrived': return handleArrival(input.request, input.call, time)
+      case 'call.arrived': return handleArrival(input, time)
       case 'call.unreadable': return responses.sendRefusal(input.request, 'none', { kind: 'unreadable', problem: input.problem }, 0, moment)
       case 'call.left': {
         const exchange = exchanges.get(input.request)
@@ -349,7 +363,7 @@
     for (const exchange of exchanges.values()) {
       if (isUnderWay(exchange)) exchange.mayHaveRun = true
       const time = { now: moment.steady, moment }
-      isolation.run('endAll', exchange.request, time, () => responses.refuse(exchange, { kind: 'noWorker' }, time))
+      isolation.run('endAll', exchange.request, time, () => responses.refuse(exchange, exchange.mayHaveRun ? { kind: 'cutByShutdown' } : { kind: 'shuttingDown' }, time))
     }
   }
 
--- a/src/forwarding/refusal.ts
+++ b/src/forwarding/refusal.ts
@@ -16,6 +16,8 @@
   | { readonly kind: 'unreadable', readonly problem: CallProblem }
   /** The service has no worker that could take the request. */
   | { readonly kind: 'noWorker' }
+  /** The instance shuts down; another one can take the request at once. */
+  | { readonly kind: 'shuttingDown' }
   /** It is not known which software version began the stream that the request resumes, so that no worker may go on with it. */
   | { readonly kind: 'unknownOrigin' }
   /** The prompt holds a part that crashes workers. */
@@ -38,6 +40,8 @@
   | { readonly kind: 'late' }
   /** The attempt at the worker failed; the request may have run. */
   | { readonly kind: 'broken' }
+  /** The instance has shut down before the worker's response was complete; the request may have run. */
+  | { readonly kind: 'cutByShutdown' }
   /** Handling the request failed with an unexpected error; it may have run. */
   | { readonly kind: 'internalError' }
 
@@ -65,6 +69,7 @@
     case 'noConfiguration':
     case 'unprovenConfiguration':
     case 'noWorker':
+    case 'shuttingDown':
     case 'unknownOrigin':
     case 'blockedPart':
     case 'blockedRequest':
@@ -78,7 +83,8 @@
     case 'unknownKey': return 401
     case 'unreadable': return refusal.problem.kind === 'bodyTooLarge' ? 413 : 400
     case 'late': return 504
-    case 'broken': return 502
+    case 'broken':
+    case 'cutByShutdown': return 502
     case 'internalError': return 500
     default: return assertNever(refusal)
   }
@@ -91,6 +97,7 @@
     case 'noWorker':
     case 'unknownOrigin':
     case 'lateUnsent': return workerRetryAfter
+    case 'shuttingDown': return minRetryAfter
     case 'quotaUnanswered': return granterRetryAfter
     case 'overQuota':
     case 'overloaded':
@@ -103,6 +110,7 @@
     case 'blockedRequest':
     case 'late':
     case 'broken':
+    case 'cutByShutdown':
     case 'internalError': return undefined
     default: return assertNever(refusal)
   }
@@ -118,13 +126,16 @@
  */
 export const promisesNotRun = (status: number): boolean => notRunStatuses.has(status)
 
+/** Refusals of requests that may have run. */
+const unknownOutcomes: ReadonlySet<Refusal['kind']> = new Set(['late', 'broken', 'cutByShutdown', 'internalError'])
+
 /**
  * Whether the request has run, as stated in the response body: `not_run` guarantees that it has not.
  *
  * @param refusal - why the request got no response from a worker
  */
 export const outcomeOf = (refusal: Refusal): 'not_run' | 'unknown' =>
-  refusal.kind === 'late' || refusal.kind === 'broken' || refusal.kind === 'internalError' ? 'unknown' : 'not_run'
+  unknownOutcomes.has(refusal.kind) ? 'unknown' : 'not_run'
 
 /**
  * Builds the HTTP response for a refusal, with a JSON body of its type and outcome.
--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -73,6 +73,16 @@
     expect(effects.at(-1)).toMatchObject({ effect: { kind: 'call.answer', request: 2, status: 503 } })
   })
 
+  it('names for a request that it reads the time that it may take, the time that is left and its connection', () => {
+    const { send, run, effects } = build()
+    run(0, 100)
+    send({ kind: 'gateway.leave' }, 400)
+    send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: 900 }), connection: { age: 5_000, earlier: 0 } }, 1_400)
+    const notes = effects.flatMap(({ effect }) => effect.kind === 'gateway.note' ? [effect.note] : [])
+    expect(notes).toContainEqual({ kind: 'leaving', requests: 0, heldUp: 300, grace: 8_000 })
+    expect(notes).toContainEqual(expect.objectContaining({ kind: 'arrivedInShutdown', since: 1_000, needed: 900, connectionAge: 5_000, earlier: 0 }))
+  })
+
   it('does not claim the rollout lease', () => {
     const { send, run, firstAt } = build()
     send({ kind: 'feed.workers', records: [{ kind: 'present', worker: buildWorker('m1', { service: 'model', models: [{ name: 'llm', version: 1 }] }) }], complete: false }, 50)
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -289,6 +289,7 @@
     catalog: configuration.index,
     lease,
     bounds: () => bounds().forwarding,
+    drain: now => shutdown.drain(now),
     workers,
     weights,
     limits,
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -71,7 +71,8 @@
   | { readonly kind: 'partStoreRestarted' }
   | { readonly kind: 'strainChanged', readonly strained: boolean }
   | { readonly kind: 'readingChanged', readonly reading: StoreReadMode }
-  | { readonly kind: 'leaving', readonly requests: number }
+  /** The shutdown began; the signal may have come up to `heldUp` ms earlier, while the event loop was busy. */
+  | { readonly kind: 'leaving', readonly requests: number, readonly heldUp: number, readonly grace: number }
   | { readonly kind: 'frontClosed', readonly requests: number }
   | { readonly kind: 'garbledPeerMessage', readonly from: string }
 
--- a/src/gateway/shutdown.ts
+++ b/src/gateway/shutdown.ts
@@ -6,6 +6,7 @@
  * responses have been sent, or shortly before the grace period ends. Requests that
  * are still in progress then are refused, or broken off if their response has begun.
  */
+import type { Drain } from '../forwarding/forwardingContext.js'
 import type { GatewayEffect, GatewayLogEvent } from './gatewayTypes.js'
 
 /** Time limits of the shutdown, in ms. */
@@ -37,6 +38,8 @@
   /** Starts the shutdown; further calls have no effect. */
   readonly begin: (now: number) => void
   readonly isShuttingDown: () => boolean
+  /** The drain; undefined until the shutdown has begun. */
+  readonly drain: (now: number) => Drain | undefined
   readonly tick: (now: number) => void
 }
 
@@ -54,6 +57,7 @@
  */
 export const createShutdown = ({ id, bounds, requests, endRequests, announce, emit, log }: ShutdownOptions): Shutdown => {
   let startedAt: number | undefined
+  let lastTickAt: number | undefined
   let frontClosed = false
   let requestsEnded = false
   let exiting = false
@@ -61,7 +65,7 @@
   const begin = (now: number): void => {
     if (startedAt !== undefined) return
     startedAt = now
-    log({ kind: 'leaving', requests: requests() })
+    log({ kind: 'leaving', requests: requests(), heldUp: Math.round(now - (lastTickAt ?? now)), grace: bounds().grace })
     announce()
     emit({ kind: 'gateway.closing' })
   }
@@ -73,7 +77,13 @@
     emit({ kind: 'gateway.closeFront' })
   }
 
+  const drain = (now: number): Drain | undefined => {
+    if (startedAt === undefined) return undefined
+    return { since: now - startedAt, left: startedAt + bounds().grace - graceReserve - refusalTime - now }
+  }
+
   const tick = (now: number): void => {
+    lastTickAt = now
     if (startedAt === undefined) return
     const { addressLife, addressLifeFactor, grace } = bounds()
     const elapsed = now - startedAt
@@ -91,5 +101,5 @@
     emit({ kind: 'gateway.exit', within })
   }
 
-  return { begin, isShuttingDown: () => startedAt !== undefined, tick }
+  return { begin, isShuttingDown: () => startedAt !== undefined, drain, tick }
 }
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -165,12 +165,20 @@
   | 'shutdown'
   | 'unknown'
 
+/** The connection on which a request came. */
+export interface ConnectionHistory {
+  /** Time since it was accepted, in ms. */
+  readonly age: number
+  /** Number of requests that it carried before. */
+  readonly earlier: number
+}
+
 /** How far a request has come: its body is being read, it has been read, the core has it, or its response is being sent to the end. */
 export type CallStage = 'reading' | 'read' | 'open' | 'sending'
 
 /** Inputs of the forwarding core. */
 export type ForwardInput =
-  | { readonly kind: 'call.arrived', readonly request: number, readonly call: Call }
+  | { readonly kind: 'call.arrived', readonly request: number, readonly call: Call, readonly connection?: ConnectionHistory }
   | { readonly kind: 'call.unreadable', readonly request: number, readonly problem: CallProblem }
   /** The connection ended before the whole response was sent; `id` is the caller's id, or `none`. */
   | { readonly kind: 'call.left', readonly request: number, readonly id: string, readonly stage: CallStage, readonly reason: ConnectionEnd }
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -126,6 +126,7 @@
     await Promise.race([front.flushed(), delay(within)])
     clearInterval(timer)
     await delay(flushDelay)
+    const left = { requests: front.countRequests(), connections: front.countConnections() }
     front.destroy()
     peers.close()
     for (const server of servers) {
@@ -133,7 +134,7 @@
       server.closeAllConnections()
     }
     await Promise.all([link.close(), channels.close()])
-    logger.info({ dropped: droppedLines() }, 'stopped')
+    logger.info({ ...left, dropped: droppedLines() }, 'stopped')
     resolveEnded()
   }
 
@@ -165,7 +166,9 @@
       case 'gateway.peers': return peers.setAddresses(new Map(effect.members.map(({ id, peer }) => [id, peer])))
       case 'gateway.limits': return front.setLimits(effect)
       case 'gateway.closing': return front.setClosing()
-      case 'gateway.closeFront': return front.closeListener()
+      case 'gateway.closeFront':
+        logger.info(front.countConnections(), 'listenerClosed')
+        return front.closeListener()
       case 'gateway.exit':
         exit(effect.within)
         return
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -127,6 +127,7 @@
     catalog: () => index,
     lease,
     bounds: () => ({ keys: 4_500, absence: 1_500, weights: 8_000 }),
+    drain: () => undefined,
     workers,
     weights,
     limits,
