Failing tests: a planned stop takes requests that cannot end before the instance does

Callers saw streams that ended without their end around a SIGTERM.

A connection that was opened ahead and has carried no request stays open while any other request is under way. The core of a gateway in virtual time moves from gatewayMachine.spec.ts to the fixtures, unchanged.

--- a/src/adapters/frontDrain.spec.ts
+++ b/src/adapters/frontDrain.spec.ts
@@ -34,6 +34,21 @@
     fixture.close()
   })
 
+  it('closes the connections that have carried no request when it stops listening, though a request of another one is under way', async () => {
+    const fixture = await startFront()
+    const [busy, unused] = [await fixture.open(), await fixture.open()]
+    busy.socket.write(requestText('long'))
+    const long = await fixture.arrived('long')
+    fixture.front.setClosing()
+    fixture.front.closeListener()
+    await waitFor(() => unused.isClosed())
+    expect(busy.isClosed()).toBe(false)
+    fixture.answer(long, 'long')
+    await waitFor(() => busy.isClosed())
+    expect(busy.text()).toMatch(/long$/)
+    fixture.close()
+  })
+
   it('reads no request after it reports that nothing is left to answer', async () => {
     const fixture = await startFront()
     const unused = await fixture.open()
--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -1,10 +1,7 @@
 import { buildCall, buildCatalog, buildRoute, buildWorker } from '../../test/fixtures/forwarding.js'
-import { buildGatewayBounds } from '../../test/fixtures/gateway.js'
+import { buildGatewayPlay } from '../../test/fixtures/gateway.js'
 import { loadHash, type Hash } from '../hash.js'
 import type { Moment } from '../lease/readLease.js'
-import { createRandom } from '../random.js'
-import { createGateway } from './gatewayMachine.js'
-import type { GatewayEffect, GatewayInput } from './gatewayTypes.js'
 
 let hash: Hash
 
@@ -12,27 +9,7 @@
 
 const at = (steady: number): Moment => ({ steady, wall: steady })
 
-const build = (workers = 1, catalog = buildCatalog()) => {
-  const effects: { readonly at: number, readonly effect: GatewayEffect }[] = []
-  const gateway = createGateway({
-    self: { id: 'a', incarnation: 'a-1', dataCentre: 'a', front: '10.0.0.1:80', peer: { host: '10.0.0.1', port: 90 }, capacity: 1 },
-    bounds: buildGatewayBounds,
-    hash,
-    random: createRandom(1)
-  })
-  const send = (input: GatewayInput, now: number): void => {
-    for (const effect of gateway.handle(input, at(now))) effects.push({ at: now, effect })
-  }
-  const run = (from: number, to: number): void => {
-    for (let now = from; now <= to; now += 20) send({ kind: 'tick' }, now)
-  }
-  /** Time at which an effect was first requested. */
-  const firstAt = (kind: GatewayEffect['kind']): number | undefined => effects.find(({ effect }) => effect.kind === kind)?.at
-  send({ kind: 'feed.catalog', catalog }, 0)
-  send({ kind: 'feed.proof', asOf: at(0) }, 0)
-  send({ kind: 'feed.workers', records: Array.from({ length: workers }, (_, index) => ({ kind: 'present', worker: buildWorker(`w${index + 1}`) })), complete: true }, 0)
-  return { gateway, send, run, firstAt, effects }
-}
+const build = (workers = 1, catalog = buildCatalog()) => buildGatewayPlay(hash, workers, catalog)
 
 describe('a gateway that shuts down', () => {
   it('announces the shutdown at once, and accepts requests for as long as callers may cache its address', () => {
@@ -74,13 +51,12 @@
   })
 
   it('names for a request that it reads the time that it may take, the time that is left and its connection', () => {
-    const { send, run, effects } = build()
+    const { send, run, logEvents } = build()
     run(0, 100)
     send({ kind: 'gateway.leave' }, 400)
     send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: 900 }), connection: { age: 5_000, earlier: 0 } }, 1_400)
-    const notes = effects.flatMap(({ effect }) => effect.kind === 'gateway.note' ? [effect.note] : [])
-    expect(notes).toContainEqual({ kind: 'leaving', requests: 0, heldUp: 300, grace: 8_000 })
-    expect(notes).toContainEqual(expect.objectContaining({ kind: 'arrivedInShutdown', since: 1_000, needed: 900, connectionAge: 5_000, earlier: 0 }))
+    expect(logEvents()).toContainEqual({ kind: 'leaving', requests: 0, heldUp: 300, grace: 8_000 })
+    expect(logEvents()).toContainEqual(expect.objectContaining({ kind: 'arrivedInShutdown', since: 1_000, needed: 900, connectionAge: 5_000, earlier: 0 }))
   })
 
   it('does not claim the rollout lease', () => {
--- /dev/null
+++ b/src/gateway/plannedStop.spec.ts
@@ -0,0 +1,59 @@
+/** Guards against a planned stop that takes a request which cannot end before the instance does, and breaks it off. */
+import { buildCall, buildCatalog, buildRoute } from '../../test/fixtures/forwarding.js'
+import { buildGatewayPlay, type GatewayPlay } from '../../test/fixtures/gateway.js'
+import { loadHash, type Hash } from '../hash.js'
+
+let hash: Hash
+
+beforeAll(async () => { hash = await loadHash() })
+
+/** When the instance is asked to shut down. */
+const leftAt = 1_000
+/** Grace period of the fixture. */
+const grace = 8_000
+
+const build = (timeout: number): GatewayPlay => buildGatewayPlay(hash, 1, buildCatalog({ routes: [buildRoute({ kind: 'stream', resumable: false, timeout, objective: 600 })] }))
+
+/** Plays the whole stop of an instance that reads one request, whose worker never ends it. */
+const playStop = (readAfter: number, limit: number, heldUp = 0) => {
+  const play = build(limit)
+  const readAt = leftAt + readAfter
+  play.run(0, leftAt - heldUp)
+  play.send({ kind: 'gateway.leave' }, leftAt)
+  play.run(leftAt + 20, readAt)
+  play.send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: limit }) }, readAt)
+  play.run(readAt + 20, leftAt + grace)
+  const answer = play.effects.find(({ effect }) => effect.kind === 'call.answer')
+  return {
+    wasSent: play.firstAt('attempt.send') !== undefined,
+    answeredAfter: answer === undefined ? undefined : answer.at - readAt,
+    status: answer?.effect.kind === 'call.answer' ? answer.effect.status : undefined,
+    reasons: play.logEvents().flatMap(event => event.kind === 'refused' ? [event.reason] : [])
+  }
+}
+
+const readTimes = [0, 100, 1_500, 2_380, 2_420, 2_900, 3_500, 5_000, 7_000, 7_380]
+
+describe('an instance that shuts down', () => {
+  it('ends no request that it has read and sent to a worker before its limit', () => {
+    const cut = [4_000, 5_000, 15_000].flatMap(limit => readTimes.flatMap(readAfter => {
+      const { wasSent, answeredAfter } = playStop(readAfter, limit)
+      return wasSent && answeredAfter !== limit ? [{ limit, readAfter, answeredAfter }] : []
+    }))
+    expect(cut).toEqual([])
+  })
+
+  it('refuses a request at once that may last longer than the instance', () => {
+    const refusal = { wasSent: false, answeredAfter: 0, status: 503, reasons: ['shuttingDown'] }
+    expect(readTimes.map(readAfter => playStop(readAfter, 15_000))).toEqual(readTimes.map(() => refusal))
+  })
+
+  it('takes a request whose time is over before its own', () => {
+    for (const readAfter of readTimes.slice(0, 5)) expect(playStop(readAfter, 3_000)).toMatchObject({ wasSent: true, answeredAfter: 3_000, status: 504 })
+  })
+
+  it('counts its grace period from the earliest moment at which the signal may have come', () => {
+    expect(playStop(100, 6_900, 900)).toMatchObject({ wasSent: false, status: 503 })
+    expect(playStop(100, 6_300, 900)).toMatchObject({ wasSent: true })
+  })
+})
