--- a/src/adapters/frontDrain.spec.ts
+++ b/src/adapters/frontDrain.spec.ts
@@ -42,6 +42,7 @@
     fixture.front.setClosing()
     fixture.front.closeListener()
     await waitFor(() => unused.isClosed())
+    expect(fixture.ends).toEqual(['shutdown'])
     expect(busy.isClosed()).toBe(false)
     fixture.answer(long, 'long')
     await waitFor(() => busy.isClosed())
