A stopping instance takes only requests that can end before it does

Cause: a shutdown closed the ways on which requests come, one by one, but never compared the time that a request may take with the time that was left. What came on a way that was still open (a connection without a request so far, one with a part of a head, a busy one) was sent to a worker and broken off 7.4 s after the signal. Class: work is taken on that the process cannot live to end.

Change: - During a shutdown a request is taken if its deadline lies before the end of the requests, or, while callers may still have the address, if the longest recent request of its route fits twice into what is left. Any other one is refused at once as not run (shuttingDown), with the shortest Retry-After, so that its caller goes to another instance. The decision is one module (shutdownAdmission), the durations another (routeDurations); nothing is shared between instances, so that it holds for 7 as for 320. - The grace period counts from the earliest moment at which the signal may have come, the last tick: the event loop may have been busy since. Requests that no worker has had are refused by that clock; those that workers have keep the time from the handling, which the process may live. - When the listener closes, connections that have carried no request are closed as idle ones are, unless something has arrived.

Ruled out: passing a late request on to another instance (the connection of its caller ends with this process); refusing all from the signal on (callers with a cached address would pay for every stop); waiting longer (the platform's kill).

--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -32,8 +32,6 @@
   readonly destroy: (socket: Duplex, end: ConnectionEnd) => void
   /** Closes a connection that has carried requests and has none, unless the next one has arrived. */
   readonly closeIfIdle: (socket: Socket) => void
-  /** Closes all connections that have carried requests and have none, unless the next one has arrived. */
-  readonly closeIdle: () => void
   /** Closes the connections that have no request and from which nothing has been read since the last one, if any, unless something has arrived. */
   readonly closeUnused: () => void
   /** Number of open connections. */
@@ -275,7 +273,6 @@
     endOf,
     destroy,
     closeIfIdle,
-    closeIdle: () => { for (const socket of open.keys()) closeIfIdle(socket) },
     closeUnused: () => { for (const [socket, connection] of open) closeIfUnused(socket, connection) },
     size: () => open.size,
     countByUse,
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -53,7 +53,7 @@
   readonly setLimits: (limits: FrontLimits) => void
   /** Sends `Connection: close` with every further response, so that callers do not reuse their connections. */
   readonly setClosing: () => void
-  /** Stops accepting connections, after those that wait to be accepted, and closes idle ones; the others are closed after their response. */
+  /** Stops accepting connections, after those that wait to be accepted, and closes those without a request, also if they have carried none yet; the others are closed after their response. */
   readonly closeListener: () => void
   /** Resolves once no request is being read or answered and, after `closeListener`, no connection is open on which one may come. */
   readonly flushed: () => Promise<void>
@@ -326,7 +326,7 @@
     setClosing: () => { closing = true },
     closeListener: () => {
       listenerClosed = true
-      connections.closeIdle()
+      connections.closeUnused()
       // What waits in the kernel to be accepted would be reset.
       listenerClosing = new Promise(resolve => afterNextRead(() => {
         // The method of the HTTP server would also close connections whose response has been given whole but not sent.
--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -20,6 +20,8 @@
 import type { WorkersDb } from '../workers/workersDb.js'
 import type { ForwardLogEvent } from './forwardingTypes.js'
 import type { RequestOrder } from './requestOrder.js'
+import type { RouteDurations } from './routeDurations.js'
+import type { ShutdownProgress } from './shutdownAdmission.js'
 
 /** State of one instance that forwarding reads and updates, and its outputs. */
 export interface ForwardingContext {
@@ -29,8 +31,10 @@
   /** Read lease on the configuration. */
   readonly lease: ReadLease
   readonly bounds: () => ForwardingBounds
-  /** The drain before the instance shuts down; undefined while it does not. */
-  readonly drain: (now: number) => Drain | undefined
+  /** How far the shutdown of the instance is; undefined while it does not shut down. */
+  readonly shutdownProgress: (now: number) => ShutdownProgress | undefined
+  /** How long requests last. */
+  readonly durations: RouteDurations
   readonly workers: WorkersDb
   /** Which version of the weights each worker is known to hold. */
   readonly weights: WeightsTracker
@@ -105,14 +109,6 @@
   readonly weights: number
 }
 
-/** The drain of an instance that shuts down; times in ms. */
-export interface Drain {
-  /** Time since the shutdown began. */
-  readonly since: number
-  /** Time until the requests that are still in progress are refused or broken off. */
-  readonly left: number
-}
-
 /** Present time of one decision. */
 export interface DecisionTime {
   /** The steady clock, in ms. */
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -7,13 +7,14 @@
 import { createWaitingQueue } from '../admission/waitingQueue.js'
 import { assertNever } from '../errors.js'
 import type { Moment } from '../lease/readLease.js'
-import type { ConnectionHistory, ForwardInput } from '../ports/forwardPort.js'
+import type { ForwardInput } from '../ports/forwardPort.js'
 import { noteFailure } from '../placement/workerLoad.js'
 import { admitRequest } from './admitRequest.js'
 import { createAttemptInputs } from './attemptInputs.js'
 import { createAttemptsInProgress } from './attemptsInProgress.js'
 import { hasRecentData, isLate, isSilent, isStalled } from './attemptTimeouts.js'
 import { createCallerResponses } from './callerResponses.js'
+import { createExchange } from './createExchange.js'
 import { isRetryable } from './exchangeKind.js'
 import { isExcludedForGood, mayFindWorker } from './exclusions.js'
 import { createHeldAnswers } from './heldAnswers.js'
@@ -27,6 +28,7 @@
 import { createRelays } from './relays.js'
 import { priorityOf } from './requestPriority.js'
 import { createRequestIsolation } from './requestIsolation.js'
+import { createRequestShutdown } from './requestShutdown.js'
 import { createSecondAttempts } from './secondAttempts.js'
 import { decideWait } from './waitOrRefuse.js'
 import { fitsOrigin } from './streamContinuation.js'
@@ -41,7 +43,9 @@
   readonly placeWaiting: (moment: Moment) => void
   /** Tries to place a waiting request, as the coordinator that was asked has answered. */
   readonly placeOne: (request: number, moment: Moment) => void
-  /** Refuses the requests in progress, or breaks their responses off, and refuses all that arrive from now on. */
+  /** Refuses the requests that no worker has had. */
+  readonly endWaiting: (moment: Moment) => void
+  /** Refuses the requests in progress, or breaks their responses off. */
   readonly endAll: (moment: Moment) => void
   /** Number of requests in progress, waiting ones included. */
   readonly size: () => number
@@ -76,7 +80,6 @@
   const exchanges = new Map<number, Exchange>()
   const waitingQueue = createWaitingQueue()
   let lastTickAt = -Infinity
-  let isEnding = false
   const hasRequestsAt = (worker: string): boolean =>
     [...exchanges.values()].some(({ attempt, second }) => attempt?.worker === worker || second?.worker === worker)
   const suspectWorkers = createSuspectWorkers({ ...context, hasRequestsAt })
@@ -94,6 +97,7 @@
     retry: (exchange, time) => retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
   })
   const seconds = createSecondAttempts(context, attempts)
+  const shutdown = createRequestShutdown({ context, exchanges, responses, isolation })
 
   const tryPlacement = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
     exchange.awaitsPeerFor = undefined
@@ -135,57 +139,13 @@
     waitingQueue.add({ request, ...context.requestOrder.orderOf(exchange, time.now), expiresAt: decision.until })
   }
 
-  const logArrivalInShutdown = ({ call, deadline }: Exchange, connection: ConnectionHistory | undefined, now: number): void => {
-    const drain = context.drain(now)
-    if (drain === undefined) return
-    context.log({
-      kind: 'arrivedInShutdown',
-      id: call.id,
-      since: Math.round(drain.since),
-      needed: Math.round(deadline - now),
-      left: Math.round(drain.left),
-      ...(connection === undefined ? {} : { connectionAge: connection.age, earlier: connection.earlier })
-    })
-  }
-
   const handleArrival = ({ request, call, connection }: Extract<ForwardInput, { kind: 'call.arrived' }>, time: DecisionTime): void => {
     const { now, moment } = time
-    if (isEnding) return responses.sendRefusal(request, call.id, { kind: 'shuttingDown' }, 0, moment)
     const admission = admitRequest(context, call, time)
     if (admission.kind === 'refused') return responses.sendRefusal(request, call.id, admission.refusal, 0, moment)
     const { route, workspace, service } = admission
-    const exchange: Exchange = {
-      request,
-      call,
-      route,
-      workspace,
-      service,
-      arrivedAt: now,
-      deadline: now + Math.min(call.patience ?? Infinity, route.timeout),
-      sentTo: new Set(),
-      excluded: new Map(),
-      credit: undefined,
-      retryCount: 0,
-      mayHaveRun: false,
-      attempt: undefined,
-      second: undefined,
-      relay: undefined,
-      relayCount: 0,
-      relayAfter: now,
-      secondCount: 0,
-      crashCount: 0,
-      nextSecondAt: now,
-      lastFailure: undefined,
-      awaitsPeerFor: undefined,
-      origin: undefined,
-      streamBegun: false,
-      headSent: false,
-      lastEventId: undefined,
-      events: 0,
-      firstEventAt: undefined,
-      lastEventAt: undefined
-    }
-    logArrivalInShutdown(exchange, connection, now)
+    const exchange = createExchange({ request, call, route, workspace, service }, now)
+    if (!shutdown.takes(exchange, connection, now)) return responses.sendRefusal(request, call.id, { kind: 'shuttingDown' }, 0, moment)
     exchanges.set(request, exchange)
     context.retries(service).recordRequest(now)
     noteQuotaArrival(context, exchange, now)
@@ -358,15 +318,6 @@
     placeWaiting(time)
   }
 
-  const endAll = (moment: Moment): void => {
-    isEnding = true
-    for (const exchange of exchanges.values()) {
-      if (isUnderWay(exchange)) exchange.mayHaveRun = true
-      const time = { now: moment.steady, moment }
-      isolation.run('endAll', exchange.request, time, () => responses.refuse(exchange, exchange.mayHaveRun ? { kind: 'cutByShutdown' } : { kind: 'shuttingDown' }, time))
-    }
-  }
-
   const tick = (moment: Moment): void => {
     const time = { now: moment.steady, moment }
     const mayHaveUnread = wasHeldUp(time.now)
@@ -387,7 +338,8 @@
   return {
     handle,
     tick,
-    endAll,
+    endWaiting: moment => shutdown.endWaiting({ now: moment.steady, moment }),
+    endAll: moment => shutdown.endAll({ now: moment.steady, moment }),
     placeWaiting: moment => placeWaiting({ now: moment.steady, moment }),
     placeOne: (request, moment) => placeOne(request, { now: moment.steady, moment }),
     size: () => exchanges.size,
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -128,8 +128,8 @@
   | { readonly kind: 'answered', readonly id: string, readonly worker: string, readonly status: number, readonly after: number, readonly events: number, /** Time to the first event of a stream. */ readonly first?: number }
   | { readonly kind: 'brokenOff', readonly id: string, readonly reason: string, readonly after: number, readonly events: number, /** Why its last attempt ended, and at which worker. */ readonly lastAttempt?: AttemptEnd, readonly worker?: string }
   | { readonly kind: 'callerLeft', readonly id: string, readonly reason: ConnectionEnd, readonly after: number, readonly events: number }
-  /** The request was read `since` ms after the shutdown of this instance had begun; its deadline is in `needed` ms, the remaining requests are ended in `left` ms. */
-  | { readonly kind: 'arrivedInShutdown', readonly id: string, readonly since: number, readonly needed: number, readonly left: number, /** Age of its connection, and the number of requests that this carried before. */ readonly connectionAge?: number, readonly earlier?: number }
+  /** The request was read up to `since` ms after the signal to shut down, and `taken` or refused; its deadline is in `needed` ms, the remaining requests are ended in `left` ms. */
+  | { readonly kind: 'arrivedInShutdown', readonly id: string, readonly taken: boolean, readonly since: number, readonly needed: number, readonly left: number, /** Age of its connection, and the number of requests that this carried before. */ readonly connectionAge?: number, readonly earlier?: number }
   /** The worker stated in the response to `id` that it is leaving. */
   | { readonly kind: 'workerLeaving', readonly id: string, readonly worker: string }
   /** The worker asked in the response to `id` for no further requests for `time` ms. */
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -13,6 +13,7 @@
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import { createRequestOrder } from '../forwarding/requestOrder.js'
+import { createRouteDurations } from '../forwarding/routeDurations.js'
 import { splitHostPort } from '../hostPort.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
 import { createStoreBudget } from '../placement/storeBudget.js'
@@ -289,7 +290,8 @@
     catalog: configuration.index,
     lease,
     bounds: () => bounds().forwarding,
-    drain: now => shutdown.drain(now),
+    shutdownProgress: now => shutdown.progress(now),
+    durations: createRouteDurations(),
     workers,
     weights,
     limits,
@@ -334,6 +336,7 @@
     id: self.id,
     bounds,
     requests: () => forwarding.size(),
+    endWaiting: () => forwarding.endWaiting(currentTime),
     endRequests: () => forwarding.endAll(currentTime),
     announce: () => {
       fleet.announce(currentTime)
--- a/src/gateway/plannedStop.spec.ts
+++ b/src/gateway/plannedStop.spec.ts
@@ -52,6 +52,25 @@
     for (const readAfter of readTimes.slice(0, 5)) expect(playStop(readAfter, 3_000)).toMatchObject({ wasSent: true, answeredAfter: 3_000, status: 504 })
   })
 
+  it('takes a request that may last longer while callers may have its address, if requests of the route have lately been much shorter', () => {
+    const play = build(15_000)
+    for (let request = 1; request <= 30; request++) {
+      const now = request * 10
+      play.send({ kind: 'call.arrived', request, call: buildCall({ id: `r${request}` }) }, now)
+      play.send({ kind: 'call.left', request, id: `r${request}`, stage: 'open', reason: 'callerClosed' }, now + 700)
+    }
+    play.run(600, leftAt)
+    play.send({ kind: 'gateway.leave' }, leftAt)
+    const isTaken = (request: number, readAfter: number): boolean => {
+      play.run(leftAt + readAfter - 100, leftAt + readAfter)
+      play.send({ kind: 'call.arrived', request, call: buildCall({ id: `late${request}`, patience: 15_000 }) }, leftAt + readAfter)
+      return play.logEvents().some(event => event.kind === 'sent' && event.id === `late${request}`)
+    }
+    expect(isTaken(101, 100)).toBe(true)
+    expect(isTaken(102, 2_500)).toBe(true)
+    expect(isTaken(103, 3_000)).toBe(false)
+  })
+
   it('counts its grace period from the earliest moment at which the signal may have come', () => {
     expect(playStop(100, 6_900, 900)).toMatchObject({ wasSent: false, status: 503 })
     expect(playStop(100, 6_300, 900)).toMatchObject({ wasSent: true })
