The directory of a stopping instance no longer lists an address that refuses connections

While no other instance is ready (all are stopped in turn, or the others have just started), the directory of a stopping instance lists the instance itself, also after its listener has closed: callers connect to a closed port until the process ends. It now lists itself for as long as it accepts connections, then nothing, which callers take as a failure and ask another instance. The test failed before (one address listed 3.9 s after the signal). Found by reading, not seen in the record.

--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -72,4 +72,15 @@
   it('lists the instance itself while no other is known', () => {
     expect(build().gateway.directory(at(10))).toEqual({ addresses: ['10.0.0.1:80'], ttl: 800 })
   })
+
+  it('lists an instance that shuts down for as long as it accepts connections, and no longer, while no other is known', () => {
+    const { gateway, send, run, firstAt } = build()
+    send({ kind: 'gateway.leave' }, 100)
+    run(120, 2_500)
+    expect(firstAt('gateway.closeFront')).toBeUndefined()
+    expect(gateway.directory(at(2_500)).addresses).toEqual(['10.0.0.1:80'])
+    run(2_520, 4_000)
+    expect(firstAt('gateway.closeFront')).toBeLessThan(4_000)
+    expect(gateway.directory(at(4_000)).addresses).toEqual([])
+  })
 })
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -417,10 +417,13 @@
     return effects.splice(0)
   }
 
+  const acceptsCallers = (now: Moment): boolean => shutdown.progress(now.steady)?.accepting ?? true
+
   const directory = (now: Moment): DirectoryAnswer => {
     const others = fleet.serving(now)
     const own = { member: self, impaired: lagDetector.isLagging() || workerReach.cutOffCount() > 0 }
-    const serving = isReady(now) || others.length === 0 ? [own, ...others] : others
+    const isLastResort = others.length === 0 && acceptsCallers(now)
+    const serving = isReady(now) || isLastResort ? [own, ...others] : others
     return { addresses: selectDirectoryAddresses(self.id, serving, hash), ttl: bounds().addressLife }
   }
 
