A stopping instance stays a member of the fleet until its last request has ended

Cause: the instance withdrew its record when it closed its front, 4.7 s before it ended. The others then sent it no more heartbeats, so that it took itself for the last one alive while it still had requests: its directory ran dry, its proof of the configuration aged, it became the granter of quotas and limits. Class: a role is given up before the work that depends on it has ended.

Change: the record is withdrawn when the process is about to exit; its heartbeats say that it is leaving all the while, as before. The test failed before (withdrawn at 2.9 s, expected at the end of the request at 5.0 s). A late withdrawal of a restarted instance is undone as before (storeFeed.spec.ts).

--- a/src/gateway/gatewayMachine.spec.ts
+++ b/src/gateway/gatewayMachine.spec.ts
@@ -37,6 +37,18 @@
     expect(exits.map(({ at, effect }) => effect.kind === 'gateway.exit' ? at + effect.within : 0)).toEqual([100 + 8_000 - 500])
   })
 
+  it('stays a member of the fleet, and hears the others, until its last request has ended', () => {
+    const { send, run, firstAt } = build(1, buildCatalog({ routes: [buildRoute({ timeout: 60_000 })] }))
+    send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: 1_000_000 }) }, 90)
+    send({ kind: 'gateway.leave' }, 100)
+    run(120, 5_000)
+    expect(firstAt('gateway.closeFront')).toBeLessThan(5_000)
+    expect(firstAt('member.withdraw')).toBeUndefined()
+    send({ kind: 'call.left', request: 1, id: 'r1', stage: 'open', reason: 'callerClosed' }, 5_010)
+    run(5_020, 5_040)
+    expect(firstAt('member.withdraw')).toBe(5_020)
+  })
+
   it.each([['sent to a worker', 1, 502], ['that waits for one', 0, 503]])('refuses a request %s before its grace period ends', (_name, workers, status) => {
     const { send, run, effects } = build(workers, buildCatalog({ routes: [buildRoute({ timeout: 60_000, objective: 60_000 })] }))
     send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: 60_000 }) }, 50)
--- a/src/gateway/shutdown.ts
+++ b/src/gateway/shutdown.ts
@@ -99,7 +99,6 @@
 
   const closeFront = (): void => {
     log({ kind: 'frontClosed', requests: requests() })
-    emit({ kind: 'member.withdraw', id })
     emit({ kind: 'gateway.closeFront' })
   }
 
@@ -125,6 +124,8 @@
     const within = Math.max(0, state.handledAt + bounds().grace - graceReserve - now)
     if (requests() > 0 && within > 0) return
     state.exiting = true
+    // The others send heartbeats only to members, and without these the instance would take itself for the last one.
+    emit({ kind: 'member.withdraw', id })
     emit({ kind: 'gateway.exit', within })
   }
 
