Requests no longer begin on old weights at a worker that a coordinator's group leaves alone

Cause: outdated workers were left out only if others were left among the candidates of one choice, and a coordinator's choice is about one group, its workers with room near the mean load: a group of one returned worker passes. Class: a rule over all workers that is judged on a part of them. Without coordinators the part was what is left for one request after rejections and pauses.

Change: whether others hold usable weights is judged over all live workers of the service, in one place before any choice (usableWeights.ts); the coordinator gets the outdated ones as excluded. modelPlacement no longer judges it; its test moves to usableWeights.spec.ts, with the boundary and the single candidate added.

The fake fleet can announce weights.

--- a/src/forwarding/modelQuery.ts
+++ b/src/forwarding/modelQuery.ts
@@ -8,7 +8,7 @@
 import type { ForwardingContext } from './forwardingContext.js'
 
 /** What the description depends on. */
-export type ModelQueryContext = Pick<ForwardingContext, 'weights' | 'cachedPartsOf' | 'dataCentre' | 'partStoreOf' | 'bounds'>
+export type ModelQueryContext = Pick<ForwardingContext, 'weights' | 'cachedPartsOf' | 'dataCentre' | 'partStoreOf'>
 
 /** The prompt and the workers that may get it. */
 export interface ModelQuery {
@@ -34,7 +34,7 @@
  * @param now - present time, in ms
  */
 export const modelQuery = (context: ModelQueryContext, prompt: Prompt, purpose: ModelPurpose, workspace: Workspace | undefined, workers: readonly Worker[], loadOf: (worker: string) => WorkerLoad, now: number): ModelQuery => ({
-  input: { prompt, purpose, stored: context.partStoreOf(sharedParts(prompt))?.index, maxOutdatedTime: context.bounds().weights, meanTokenCost: meanTokenCost(workers, loadOf) },
+  input: { prompt, purpose, stored: context.partStoreOf(sharedParts(prompt))?.index, meanTokenCost: meanTokenCost(workers, loadOf) },
   candidates: workers
     .filter(worker => !context.weights.isLoading(worker.id, now))
     .map((worker): ModelCandidate => ({
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -21,6 +21,7 @@
 import { priorityOf, workerPriority } from './requestPriority.js'
 import { bindToOrigin, fitsOrigin } from './streamContinuation.js'
 import { createStreamProgress } from './streamProgress.js'
+import { withUsableWeights } from './usableWeights.js'
 
 /** Result of an attempt to place a request on a worker. */
 export type PlacementResult =
@@ -298,7 +299,7 @@
   }
   const obstacle = checkCredit(context, exchange, now)
   if (obstacle !== undefined) return obstacle
-  const workers = eligible(context, exchange, now)
+  const workers = withUsableWeights(context, exchange, eligible(context, exchange, now), now)
   const accepting = workers.filter(worker => acceptsFrom(context, worker, now) <= now)
   if (accepting.length === 0 && workers.length > 0) {
     return { kind: 'noneAvailable', pausedUntil: Math.min(...workers.map(worker => acceptsFrom(context, worker, now))), interval: permitInterval(context, workers) }
--- a/src/gateway/gatewayCoordination.ts
+++ b/src/gateway/gatewayCoordination.ts
@@ -17,7 +17,7 @@
 import type { WorkerRegistry } from './workerRegistry.js'
 
 /** What the connection depends on. */
-export interface GatewayCoordinationOptions extends Pick<ModelQueryContext, 'partStoreOf' | 'bounds'> {
+export interface GatewayCoordinationOptions extends Pick<ModelQueryContext, 'partStoreOf'> {
   readonly self: FleetMember
   readonly hash: Hash
   readonly random: Random
@@ -35,9 +35,9 @@
  *
  * @param options - state of the gateway
  */
-export const createGatewayCoordination = ({ self, hash, random, fleet, registry, catalog, partStoreOf, bounds, now: currentTime, onAnswer, log }: GatewayCoordinationOptions): PlacementCoordination => {
+export const createGatewayCoordination = ({ self, hash, random, fleet, registry, catalog, partStoreOf, now: currentTime, onAnswer, log }: GatewayCoordinationOptions): PlacementCoordination => {
   const { workers, weights, loadOf, cachedPartsOf } = registry
-  const context: ModelQueryContext = { weights, cachedPartsOf, dataCentre: self.dataCentre, partStoreOf, bounds }
+  const context: ModelQueryContext = { weights, cachedPartsOf, dataCentre: self.dataCentre, partStoreOf }
 
   const limitsOf = ({ service, slots }: Worker): RoomLimits => {
     const purpose = catalog()?.service(service)?.purpose
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -191,7 +191,6 @@
     registry,
     catalog: configuration.index,
     partStoreOf: partStores.storeOf,
-    bounds: () => bounds().forwarding,
     now: () => currentTime,
     onAnswer: request => forwarding.placeOne(request, currentTime),
     log
--- a/src/placement/modelPlacement.spec.ts
+++ b/src/placement/modelPlacement.spec.ts
@@ -26,7 +26,6 @@
   prompt: { model: 'm', inputTokens: sharedTokens + ownTokens, maxOutputTokens: 20, parts: [{ id: part, tokens: sharedTokens }, { id: `${part}-own`, tokens: ownTokens }] },
   purpose,
   stored: undefined,
-  maxOutdatedTime: 8_000,
   meanTokenCost: 0.02
 })
 
@@ -72,12 +71,6 @@
     expect(chosen([suspected, buildCandidate('w2')])).toBe('w2')
     expect(chosen([suspected])).toBe('w1')
   })
-
-  it('avoids a worker whose weights have long been outdated, even if the other one is busy', () => {
-    const outdated = buildCandidate('w1', { outdatedFor: 6_000 })
-    const busy = buildCandidate('w2', { load: { ...createWorkerLoad('w2'), pendingTokens: 200_000 } })
-    expect(chosen([outdated, busy])).toBe('w2')
-  })
 })
 
 interface Simulation {
--- a/src/placement/modelPlacement.ts
+++ b/src/placement/modelPlacement.ts
@@ -38,8 +38,6 @@
   readonly purpose: ModelPurpose
   /** Parts that the part store is estimated to hold; undefined if no store is reachable. */
   readonly stored: CachedPartsEstimate | undefined
-  /** Time from the announcement of newer weights after which requests may no longer begin on outdated ones, in ms. */
-  readonly maxOutdatedTime: number
   /** Mean prefill time per token of the workers for which it has been measured, in ms; 0 if there are none. */
   readonly meanTokenCost: number
 }
@@ -84,8 +82,6 @@
 const longOutdatedCost = 500
 /** Age of newer weights, in ms, from which runs on older ones are worth markedly less. */
 const outdatedGrace = 1_200
-/** Fraction of the maximum outdated time after which a worker gets no new request, since a request may wait at the worker before it begins. */
-const usableShare = 0.7
 /** Cost of each request in flight at the worker, in ms: it slows down the other requests' tokens. */
 const runningCost = 3
 /** Fraction of a worker's memory beyond which runs are likely to be preempted. */
@@ -118,12 +114,6 @@
   return outdatedFor < outdatedGrace ? outdatedCost : longOutdatedCost
 }
 
-/** Leaves out workers whose weights have been outdated for long, as after an absence, so that the rollout updates them first; they stay if there are no others. */
-const withUsableWeights = (candidates: readonly ModelCandidate[], maxOutdatedTime: number): readonly ModelCandidate[] => {
-  const usable = candidates.filter(({ outdatedFor }) => outdatedFor < maxOutdatedTime * usableShare)
-  return usable.length > 0 ? usable : candidates
-}
-
 /** Estimates the time to the first event and the token counts of a request at one worker. */
 const estimateAt = (candidate: ModelCandidate, input: ModelPlacementInput, now: number): ModelChoice => {
   const { prompt, purpose, stored, meanTokenCost } = input
@@ -192,12 +182,11 @@
  * @returns the best choice, or undefined if there is no candidate; suspected workers are chosen only if all are
  */
 export const placeModelRequest = (input: ModelPlacementInput, candidates: readonly ModelCandidate[], hash: Hash, now: number): ModelChoice | undefined => {
-  const usable = withUsableWeights(candidates, input.maxOutdatedTime)
-  const reachable = usable.filter(({ load }) => isPresumedReachable(load))
+  const reachable = candidates.filter(({ load }) => isPresumedReachable(load))
   const preferred = affinityWorker(hash, input, candidates)
   let best: ModelChoice | undefined
   let bestScore = Infinity
-  for (const candidate of reachable.length > 0 ? reachable : usable) {
+  for (const candidate of reachable.length > 0 ? reachable : candidates) {
     const choice = estimateAt(candidate, input, now)
     const score = scoreOf(choice, input, candidate.id === preferred, now)
     if (score >= bestScore) continue
@@ -224,7 +213,7 @@
  */
 export const scoreModelCandidates = (input: ModelPlacementInput, candidates: readonly ModelCandidate[], group: readonly ModelCandidate[], hash: Hash, now: number): readonly ScoredModelChoice[] => {
   const preferred = affinityWorker(hash, input, group)
-  return withUsableWeights(candidates, input.maxOutdatedTime).map(candidate => {
+  return candidates.map(candidate => {
     const choice = estimateAt(candidate, input, now)
     return { choice, score: scoreOf(choice, input, candidate.id === preferred, now) }
   })
--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -102,6 +102,8 @@
   readonly setStoreReachable: (instance: string, reachable: boolean) => void
   /** Announces a worker, or a change of it. */
   readonly register: (worker: Worker) => void
+  /** Announces weights of a model to all live instances. */
+  readonly announceWeights: (model: string, version: number) => void
   /** Ends a worker at once; its streams break off and its record is removed. */
   readonly endWorker: (worker: string) => void
   /** Ends a worker and starts it anew under its id; its streams break off. */
@@ -417,6 +419,7 @@
       else storeCutOff.add(instance)
     },
     register: workers.register,
+    announceWeights: (model, version) => { for (const id of running.keys()) input(id, { kind: 'feed.weights', model, version }) },
     endWorker: workers.end,
     restartWorker: workers.restart,
     cutLinks: (cutOff, cut) => { for (const instance of cutOff) linkCuts.set(instance, cut) },
--- a/test/fakes/fakePlacement.ts
+++ b/test/fakes/fakePlacement.ts
@@ -129,7 +129,7 @@
     ids.map(id => ({ id, load: load(id), kept: keptOf(node, id), slots, outdatedFor: 0, scope, sameDataCentre: true }))
   const inputOf = (prompt: Prompt, loads: readonly WorkerLoad[]): ModelPlacementInput => {
     const known = loads.map(load => load.tokenCost).filter(cost => cost > 0)
-    return { prompt, purpose, stored: undefined, maxOutdatedTime: 8_000, meanTokenCost: known.length === 0 ? 0 : known.reduce((sum, cost) => sum + cost, 0) / known.length }
+    return { prompt, purpose, stored: undefined, meanTokenCost: known.length === 0 ? 0 : known.reduce((sum, cost) => sum + cost, 0) / known.length }
   }
   const deliver = (from: string, to: string, message: CoordinationMessage): void => {
     figures.messages++
