A success that is no event stream neither goes on with a stream nor ends it

Cause: the body of each 2xx on a streaming route counted as events, whatever its status and media type said. A body without bytes leaves no event open, so its end was taken for the end of the stream; a body with empty lines was taken for events.

Change: the codec states the media type; a response of a streaming route is a series of events only if it is a success with a body whose media type is text/event-stream or is not stated. Any other 2xx is a plain answer: passed on whole if the stream has not begun, else it counts as failed, as a 5xx does.

--- a/src/forwarding/exchangeKind.ts
+++ b/src/forwarding/exchangeKind.ts
@@ -16,5 +16,13 @@
 export const isRetryable = (exchange: Exchange): boolean =>
   exchange.route.kind === 'idempotent' || (exchange.route.kind === 'stream' && exchange.route.resumable && canResume(exchange))
 
-/** Whether the body of the response is passed on event by event. */
-export const isStream = ({ route }: Exchange, head: AnswerHead): boolean => route.kind === 'stream' && isSuccess(head.status)
+/** HTTP statuses of successes that have no body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 205])
+const eventStream = 'text/event-stream'
+
+/** Whether the response is a series of events, as one that states no media type may be. */
+const hasEvents = ({ status, mediaType = eventStream }: AnswerHead): boolean =>
+  isSuccess(status) && !bodilessStatuses.has(status) && mediaType === eventStream
+
+/** Whether the body of the response is passed on event by event; what is no series of events neither goes on with a stream nor ends it. */
+export const isStream = ({ route }: Exchange, head: AnswerHead): boolean => route.kind === 'stream' && hasEvents(head)
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -112,6 +112,8 @@
   readonly status: number
   /** Headers to pass on. */
   readonly headers: readonly string[]
+  /** Media type of the body in lower case, without parameters, if the worker states it. */
+  readonly mediaType?: string
   /** Id of the request that this responds to, if the worker states it. */
   readonly requestId?: string
   /** Whether the worker states that it has not run the request. */
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -210,6 +210,7 @@
     fail: (attempt: number, failure: 'unsent' | 'cut' | 'garbled', now: number): void => forwarding.handle({ kind: 'attempt.failed', attempt, failure }, momentAt(now)),
     leave: (request: number, now: number): void => forwarding.handle({ kind: 'call.left', request, id: `r${request}`, stage: 'open', reason: 'callerClosed' }, momentAt(now)),
     tick: (now: number): void => forwarding.tick(momentAt(now)),
+    endAll: (now: number): void => forwarding.endAll(momentAt(now)),
     probed: (worker: string, reachable: boolean, now: number): void => forwarding.handle({ kind: 'worker.probed', worker, reachable }, momentAt(now)),
     probes: (): readonly string[] => effects.flatMap(effect => effect.kind === 'worker.probe' ? [effect.worker] : []),
     cancelled: (): readonly number[] => effects.flatMap(effect => effect.kind === 'attempt.cancel' ? [effect.attempt] : [])
--- /dev/null
+++ b/test/forwarding/brokenStreams.spec.ts
@@ -0,0 +1,71 @@
+import { loadHash, type Hash } from '../../src/hash.js'
+import { closeRawServers } from '../fakes/rawServer.js'
+import { playBrokenStream, type BrokenStreamOutcome } from '../fixtures/brokenStream.js'
+import { breaks, eventsText, foreignText, goesOn, noContinuations } from '../fixtures/brokenStreamCases.js'
+import { buildRoute } from '../fixtures/forwarding.js'
+
+let hash: Hash
+
+beforeAll(async () => { hash = await loadHash() })
+
+afterEach(closeRawServers)
+
+const resumable = buildRoute({ kind: 'stream', resumable: true, timeout: 5_000, maxWorkers: 3 })
+const once = buildRoute({ kind: 'stream', resumable: false, timeout: 5_000, maxWorkers: 3 })
+
+/** A part of the event after the given number of events. */
+const partAfter = (events: number): string => `id: ${events + 1}\nda`
+
+const statusLines = ({ raw }: BrokenStreamOutcome): number => [...raw.matchAll(/HTTP\/1\.[01] /g)].length
+
+/** What holds for the bytes of every stream that has begun: they have the head of its first worker, and nothing of an answer that is no stream. */
+const expectOneStream = (outcome: BrokenStreamOutcome): void => {
+  expect(outcome).toMatchObject({ status: 200, head: expect.stringMatching(/^X-Response-Signature: first\r?$/im), errors: [] })
+  expect(statusLines(outcome)).toBe(1)
+  expect(outcome.raw).not.toContain(foreignText)
+}
+
+describe.each(breaks)('a stream that $name after an event and a part of one', ({ answer }) => {
+  const first = answer(eventsText(0, 1) + partAfter(1))
+
+  it.each(noContinuations)('goes on at a third worker after $name of the second', async next => {
+    const outcome = await playBrokenStream({ hash, route: resumable, answers: [first, next.answer, goesOn] })
+    expectOneStream(outcome)
+    expect(outcome).toMatchObject({ body: eventsText(0), end: 'whole' })
+    expect(outcome.requests[1]).toMatch(/^Last-Event-Id: 1\r$/m)
+  })
+})
+
+// One kind each of a broken connection, an early end and silence.
+describe.each(breaks.filter(({ name }) => ['is cut', 'ends early with a last chunk', 'falls silent'].includes(name)))('a stream that $name', ({ answer }) => {
+  it.each(noContinuations)('is broken off after its whole events if all others answer with $name', async next => {
+    const outcome = await playBrokenStream({ hash, route: resumable, answers: [answer(eventsText(0, 3) + partAfter(3)), next.answer] })
+    expectOneStream(outcome)
+    expect(outcome).toMatchObject({ body: eventsText(0, 3), end: 'broken' })
+  })
+
+  it.each(noContinuations)('before its first event gets $name of the second worker as a whole answer or not at all', async next => {
+    const outcome = await playBrokenStream({ hash, route: resumable, answers: [answer('id: 1'), next.answer, goesOn] })
+    expect(outcome).toMatchObject({ end: 'whole', errors: [] })
+    expect(statusLines(outcome)).toBe(1)
+    expect(outcome.head).not.toContain('Signature: first')
+    if (outcome.head.includes('Signature: last')) expect(outcome).toMatchObject({ status: 200, body: eventsText(0) })
+    else expect([next.status, 502, 503, 504]).toContain(outcome.status)
+  })
+})
+
+describe.each(breaks.filter(({ insideEvent }) => !insideEvent))('a stream that $name', ({ answer }) => {
+  it.each([0, 1, 3])('between two events goes on after %i events', async events => {
+    const outcome = await playBrokenStream({ hash, route: resumable, answers: [answer(eventsText(0, events)), goesOn] })
+    expect(outcome).toMatchObject({ status: 200, body: eventsText(0), end: 'whole', errors: [] })
+  })
+})
+
+describe.each(breaks)('a stream that may not be resumed and $name', ({ answer }) => {
+  it.each([1, 3])('is broken off after some of its %i whole events', async events => {
+    const outcome = await playBrokenStream({ hash, route: once, answers: [answer(eventsText(0, events) + partAfter(events)), goesOn] })
+    expectOneStream(outcome)
+    expect(outcome).toMatchObject({ end: 'broken', requests: [expect.anything()] })
+    expect(Array.from({ length: events + 1 }, (_, count) => eventsText(0, count))).toContain(outcome.body)
+  })
+})
