Events that do not go on after the last one are no continuation of a stream

Cause: the first event of a new attempt was taken for the next one of the stream without a look at its id, also if it had none.

Also relayed requests took such a stream.

Change: where the caller has events, the first event of an attempt or a relay has to bear an id after that of the last one (greater if both are integers, else another one) and to consist of lines of an event stream. Otherwise the attempt is cancelled as garbled and the request goes on elsewhere, or is broken off. The first response of a stream is passed on as it comes, as before.

Not covered: a worker that goes on after a later event than the last one, as ids may rise by more than one.

--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -19,7 +19,7 @@
 import { rejectionReason } from './rejection.js'
 import { maxCrashes } from './retryLimits.js'
 import type { SecondAttempts } from './secondAttempts.js'
-import { noteStreamEvent } from './streamContinuation.js'
+import { goesOn, noteStreamEvent } from './streamContinuation.js'
 import { noteBegin, noteEvents } from './streamProgress.js'
 import type { SuspectWorkers } from './suspectWorkers.js'
 import { rejectedRetryAfter } from './waitOrRefuse.js'
@@ -148,7 +148,8 @@
     context.emit({ kind: 'call.write', request: exchange.request, bytes })
   }
 
-  const handleData = (exchange: Exchange, attempt: Attempt, bytes: Buffer, now: number): void => {
+  const handleData = (exchange: Exchange, attempt: Attempt, bytes: Buffer, time: DecisionTime): void => {
+    const { now } = time
     attempt.lastDataAt = now
     const { head } = attempt
     if (head === undefined) return
@@ -162,10 +163,12 @@
     const events = attempt.splitter.push(bytes)
     if (events === undefined) return
     if (events.count === 0) return passComments(exchange, attempt, head, events.bytes)
+    const isFirst = attempt.flight.firstEventAt === undefined
+    if (isFirst && !goesOn(exchange, events.bytes)) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
     attempt.silent = false
     noteEvents(attempt.progress, now)
     settleOn(exchange, attempt, head, now)
-    if (attempt.flight.firstEventAt === undefined) {
+    if (isFirst) {
       applyFirstEvent(context, exchange, attempt, now)
       context.poisonRequests.noteBegun(poisonAttemptOf(attempt), exchange, now)
     }
@@ -220,7 +223,7 @@
     switch (input.kind) {
       case 'attempt.head': return handleHead(exchange, attempt, input.head, time)
       case 'attempt.data':
-        handleData(exchange, attempt, input.bytes, time.now)
+        handleData(exchange, attempt, input.bytes, time)
         return attempts.find(attempt.id) === undefined ? undefined : giveUpOversized(heldAnswers.note(attempt), time)
       case 'attempt.ended': return handleEnd(exchange, attempt, time)
       case 'attempt.failed':
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -53,6 +53,8 @@
   /** Received body of a response that is not streamed. */
   readonly body: ByteBuffer
   readonly splitter: EventSplitter
+  /** Whether it has brought an event. */
+  hasEvents: boolean
 }
 
 /** An attempt that ended without a usable response. */
--- a/src/forwarding/relays.ts
+++ b/src/forwarding/relays.ts
@@ -16,7 +16,7 @@
 import type { Exchange, Relay } from './forwardingTypes.js'
 import { handCreditOver } from './quotaCredit.js'
 import { promisesNotRun } from './refusal.js'
-import { continuedStream } from './streamContinuation.js'
+import { continuedStream, goesOn } from './streamContinuation.js'
 import { rejectedRetryAfter } from './waitOrRefuse.js'
 
 /** An instance that takes relayed requests. */
@@ -64,7 +64,7 @@
   const begin = (exchange: Exchange, peers: readonly RelayPeer[], { now }: DecisionTime): void => {
     const { call, deadline } = exchange
     const { id: peer, front } = peers[context.random.below(peers.length)]
-    const relay: Relay = { id: nextId(), peer, head: undefined, body: createByteBuffer(), splitter: createEventSplitter() }
+    const relay: Relay = { id: nextId(), peer, head: undefined, body: createByteBuffer(), splitter: createEventSplitter(), hasEvents: false }
     exchange.relay = relay
     exchange.relayCount++
     byId.set(relay.id, exchange)
@@ -105,21 +105,27 @@
     placeAgain(exchange, time)
   }
 
+  /** Gives up a response that is of no use, although it goes on. */
+  const giveUp = (exchange: Exchange, relay: Relay, time: DecisionTime): void => {
+    context.emit({ kind: 'attempt.cancel', attempt: relay.id })
+    fail(exchange, relay, time)
+  }
+
   const handleHead = (exchange: Exchange, relay: Relay, head: AnswerHead, time: DecisionTime): void => {
     relay.head = head
     const isOthers = head.requestId !== undefined && head.requestId !== exchange.call.id
-    if (isOthers || (isSuccess(head.status) && !head.signed)) {
-      context.emit({ kind: 'attempt.cancel', attempt: relay.id })
-      return fail(exchange, relay, time)
-    }
+    if (isOthers || (isSuccess(head.status) && !head.signed)) giveUp(exchange, relay, time)
   }
 
-  const handleData = (exchange: Exchange, relay: Relay, bytes: Buffer, now: number): void => {
+  const handleData = (exchange: Exchange, relay: Relay, bytes: Buffer, time: DecisionTime): void => {
+    const { now } = time
     const { head } = relay
     if (head === undefined) return
     if (!isStream(exchange, head)) return relay.body.push(bytes)
     const events = relay.splitter.push(bytes)
     if (events === undefined) return
+    if (events.count > 0 && !relay.hasEvents && !goesOn(exchange, events.bytes)) return giveUp(exchange, relay, time)
+    relay.hasEvents ||= events.count > 0
     if (!exchange.headSent) responses.open(exchange, head)
     exchange.events += events.count
     exchange.firstEventAt ??= now
@@ -145,7 +151,7 @@
     if (exchange === undefined || relay?.id !== input.attempt) return false
     switch (input.kind) {
       case 'attempt.head': handleHead(exchange, relay, input.head, time); break
-      case 'attempt.data': handleData(exchange, relay, input.bytes, time.now); break
+      case 'attempt.data': handleData(exchange, relay, input.bytes, time); break
       case 'attempt.ended': handleEnd(exchange, relay, time); break
       case 'attempt.failed':
         if (input.failure === 'unsent') handleUnsent(exchange, relay, time)
--- a/src/forwarding/streamContinuation.ts
+++ b/src/forwarding/streamContinuation.ts
@@ -1,4 +1,4 @@
-/** Keeps a stream at the software version that began it, over retries and over the attempts of its caller. */
+/** Keeps a stream in order and at the software version that began it, over retries and over the attempts of its caller. */
 import type { Route } from '../catalog/catalogTypes.js'
 import type { Call } from '../ports/forwardPort.js'
 import type { StreamOrigin } from '../streamOrigins/streamOriginsTypes.js'
@@ -16,6 +16,38 @@
 export const canResume = ({ events, lastEventId }: Exchange): boolean =>
   lastEventId === undefined ? events === 0 : sendableId.test(lastEventId)
 
+const lineEnd = /\r\n|\n|\r/
+/** A line of an event stream: a comment, or a field with its name. */
+const streamLine = /^(?::|[\w-]+:|(?:data|event|id|retry)$)/
+const idLine = /^id:[ ]?(.*)$/
+const integer = /^\d{1,15}$/
+
+/** The lines of the first event, without the comments before it. */
+const firstEventLines = (bytes: Buffer): readonly string[] => {
+  const lines = bytes.toString('latin1').split(lineEnd)
+  const start = lines.findIndex(line => line !== '' && !line.startsWith(':'))
+  if (start < 0) return []
+  return lines.slice(start, lines.indexOf('', start))
+}
+
+/** Whether an event with this id comes after another one; ids that are no integers only have to differ. */
+const comesAfter = (id: string, lastId: string): boolean =>
+  integer.test(id) && integer.test(lastId) ? Number(id) > Number(lastId) : id !== lastId
+
+/**
+ * Whether events of a new attempt go on after those that the caller has. A worker
+ * that cannot resume a stream may begin it anew, or report an error in its place.
+ *
+ * @param exchange - the request
+ * @param bytes - the first complete events of the attempt
+ */
+export const goesOn = ({ events, lastEventId }: Exchange, bytes: Buffer): boolean => {
+  if (events === 0 || lastEventId === undefined) return true
+  const lines = firstEventLines(bytes)
+  const id = lines.map(line => idLine.exec(line)?.[1]).findLast(found => found !== undefined)
+  return id !== undefined && comesAfter(id, lastEventId) && lines.every(line => streamLine.test(line))
+}
+
 /** Whether a request resumes a stream that an earlier attempt of its caller began. */
 export const isResumption = (route: Route, { resumeAfter, resumes }: Call): boolean =>
   route.kind === 'stream' && (resumeAfter !== undefined || resumes !== undefined)
--- a/test/forwarding/brokenStreams.spec.ts
+++ b/test/forwarding/brokenStreams.spec.ts
@@ -1,7 +1,7 @@
 import { loadHash, type Hash } from '../../src/hash.js'
 import { closeRawServers } from '../fakes/rawServer.js'
 import { playBrokenStream, type BrokenStreamOutcome } from '../fixtures/brokenStream.js'
-import { breaks, eventsText, foreignText, goesOn, noContinuations } from '../fixtures/brokenStreamCases.js'
+import { breaks, eventsText, foreignText, goesOn, noContinuations, wrongContinuations } from '../fixtures/brokenStreamCases.js'
 import { buildRoute } from '../fixtures/forwarding.js'
 
 let hash: Hash
@@ -28,7 +28,7 @@
 describe.each(breaks)('a stream that $name after an event and a part of one', ({ answer }) => {
   const first = answer(eventsText(0, 1) + partAfter(1))
 
-  it.each(noContinuations)('goes on at a third worker after $name of the second', async next => {
+  it.each([...noContinuations, ...wrongContinuations])('goes on at a third worker after $name of the second', async next => {
     const outcome = await playBrokenStream({ hash, route: resumable, answers: [first, next.answer, goesOn] })
     expectOneStream(outcome)
     expect(outcome).toMatchObject({ body: eventsText(0), end: 'whole' })
@@ -38,7 +38,7 @@
 
 // One kind each of a broken connection, an early end and silence.
 describe.each(breaks.filter(({ name }) => ['is cut', 'ends early with a last chunk', 'falls silent'].includes(name)))('a stream that $name', ({ answer }) => {
-  it.each(noContinuations)('is broken off after its whole events if all others answer with $name', async next => {
+  it.each([...noContinuations, ...wrongContinuations])('is broken off after its whole events if all others answer with $name', async next => {
     const outcome = await playBrokenStream({ hash, route: resumable, answers: [answer(eventsText(0, 3) + partAfter(3)), next.answer] })
     expectOneStream(outcome)
     expect(outcome).toMatchObject({ body: eventsText(0, 3), end: 'broken' })
