Guards: broken streams through other instances, second attempts, ends and resumptions

Seen and left as it is: another instance that falls silent in a stream is not replaced before the deadline, at which the stream is broken off.

--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -5,6 +5,7 @@
 import { createForwarding } from '../../src/forwarding/forwardingMachine.js'
 import { createRequestOrder } from '../../src/forwarding/requestOrder.js'
 import type { ForwardLogEvent } from '../../src/forwarding/forwardingTypes.js'
+import type { RelayPeer } from '../../src/forwarding/relays.js'
 import type { Hash } from '../../src/hash.js'
 import { createReadLease, type Moment } from '../../src/lease/readLease.js'
 import { createCachedPartsEstimate, type CachedPartsEstimate } from '../../src/placement/cachedPartsEstimate.js'
@@ -29,6 +30,10 @@
   readonly seed?: number
   /** Whether workspaces have a quota; not by default. */
   readonly hasQuota?: boolean
+  /** Number of retries that are allowed whatever the number of requests; 50 by default. */
+  readonly retrySlack?: number
+  /** Other instances that take the requests, as this one is cut off from all workers; none by default. */
+  readonly relayPeers?: readonly RelayPeer[]
   /** Performs the effects, besides their being recorded. */
   readonly perform?: (effect: ForwardEffect) => void
 }
@@ -53,6 +58,7 @@
  * @returns functions that pass inputs to the machine at a time in ms, and its recorded effects
  */
 export const createFakeForwarding = (options: FakeForwardingOptions) => {
+  const { relayPeers = [] } = options
   const effects: ForwardEffect[] = []
   const logEvents: ForwardLogEvent[] = []
   const errors: { readonly place: string, readonly error: unknown }[] = []
@@ -108,7 +114,7 @@
     onAnswer: () => { /* There is no other instance. */ }
   })
   const lease = createReadLease()
-  const retryBudget = createRetryBudget({ fraction: 0.2, slack: 50, window: 10_000 })
+  const retryBudget = createRetryBudget({ fraction: 0.2, slack: options.retrySlack ?? 50, window: 10_000 })
   let index = options.catalog === undefined ? undefined : indexCatalog(options.catalog)
   workers.apply(options.workers.map(worker => ({ kind: 'present', worker })), true, 0)
   lease.renew(momentAt(0))
@@ -134,8 +140,8 @@
     coordination: { place: (_request, among) => ({ kind: 'byItself', workers: among }) },
     poisonRequests,
     fingerprintOf,
-    workerReach: { reachOf: () => 'reached', mayBeCutOff: () => false, relaysFor: () => [], dropRelay: () => { /* There is no other instance. */ }, noteConnected: () => { /* Not used. */ }, noteHeard: () => { /* Not used. */ }, noteUnreachable: () => { /* Not used. */ } },
-    frontOf: () => undefined,
+    workerReach: { reachOf: () => 'reached', mayBeCutOff: () => false, relaysFor: () => relayPeers.map(({ id }) => id), dropRelay: () => { /* There is no other instance. */ }, noteConnected: () => { /* Not used. */ }, noteHeard: () => { /* Not used. */ }, noteUnreachable: () => { /* Not used. */ } },
+    frontOf: id => relayPeers.find(peer => peer.id === id)?.front,
     streamOrigins,
     loadOf,
     cachedPartsOf: worker => getOrCreate(cachedParts, worker, () => createCachedPartsEstimate(memoryTokens)),
@@ -202,6 +208,7 @@
     weights,
     workers,
     lease,
+    streamOrigins,
     loadOf: (worker: string) => loads.get(worker),
     head,
     hasHead: (attempt: number): boolean => withHead.has(attempt),
--- a/test/forwarding/brokenStreams.spec.ts
+++ b/test/forwarding/brokenStreams.spec.ts
@@ -1,7 +1,7 @@
 import { loadHash, type Hash } from '../../src/hash.js'
 import { closeRawServers } from '../fakes/rawServer.js'
-import { playBrokenStream, type BrokenStreamOutcome } from '../fixtures/brokenStream.js'
-import { breaks, eventsText, foreignText, goesOn, noContinuations, wrongContinuations } from '../fixtures/brokenStreamCases.js'
+import { playBrokenStream } from '../fixtures/brokenStream.js'
+import { breaks, eventsText, expectOneStream, goesOn, noContinuations, partAfter, statusLines, wrongContinuations } from '../fixtures/brokenStreamCases.js'
 import { buildRoute } from '../fixtures/forwarding.js'
 
 let hash: Hash
@@ -13,18 +13,6 @@
 const resumable = buildRoute({ kind: 'stream', resumable: true, timeout: 5_000, maxWorkers: 3 })
 const once = buildRoute({ kind: 'stream', resumable: false, timeout: 5_000, maxWorkers: 3 })
 
-/** A part of the event after the given number of events. */
-const partAfter = (events: number): string => `id: ${events + 1}\nda`
-
-const statusLines = ({ raw }: BrokenStreamOutcome): number => [...raw.matchAll(/HTTP\/1\.[01] /g)].length
-
-/** What holds for the bytes of every stream that has begun: they have the head of its first worker, and nothing of an answer that is no stream. */
-const expectOneStream = (outcome: BrokenStreamOutcome): void => {
-  expect(outcome).toMatchObject({ status: 200, head: expect.stringMatching(/^X-Response-Signature: first\r?$/im), errors: [] })
-  expect(statusLines(outcome)).toBe(1)
-  expect(outcome.raw).not.toContain(foreignText)
-}
-
 describe.each(breaks)('a stream that $name after an event and a part of one', ({ answer }) => {
   const first = answer(eventsText(0, 1) + partAfter(1))
 
