A response that ends with its connection is reset when it is broken off

Cause: the server for callers breaks a response off by closing its connection, which only shows where chunks or a length say that something is missing.

Ruled out: HTTP/1.1 callers, whose streams always come in chunks, and answers with a length.

Change: such a connection is reset when the core aborts the response, its handling fails, its caller reads too slowly, or the server is destroyed.

--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -6,6 +6,7 @@
 import { Server } from 'node:net'
 import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { RawCall, WireCodec } from '../ports/platformPort.js'
+import { breakOff } from './brokenResponse.js'
 import { followCallerConnections } from './callerConnections.js'
 import { listen, type ReportAdapterError } from './listening.js'
 import { unreadBound, type ReaderCut } from '../slowReaders/slowReaders.js'
@@ -129,7 +130,7 @@
     reportError(place, error)
     connections.noteEnd(message.socket, 'aborted')
     openRequest.stage = 'ended'
-    if (response.headersSent) response.destroy()
+    if (response.headersSent) breakOff(openRequest)
     else response.writeHead(500, { 'Content-Type': 'application/json', 'Content-Length': errorBody.length }).end(errorBody)
     if (stage === 'open') emit({ kind: 'call.left', request, id: idOf(openRequest), stage, reason: 'aborted' })
   }
@@ -269,7 +270,10 @@
     if (openRequest === undefined) return
     options.onReaderCut?.({ ...cut, id: idOf(openRequest) })
     if (cut.told === 'error') openRequest.response.writeHead(502, { 'Content-Type': 'application/json', 'Content-Length': slowReaderBody.length }).end(slowReaderBody)
-    else connections.destroy(openRequest.message.socket, 'backlog')
+    else {
+      connections.noteEnd(openRequest.message.socket, 'backlog')
+      breakOff(openRequest)
+    }
   }
   const unread = createUnreadResponses({ bound: options.unreadBound ?? (() => unreadBound(0, undefined)), now: () => performance.now(), cut: cutReader })
 
@@ -304,7 +308,7 @@
         return
       case 'call.abort':
         connections.noteEnd(openRequest.message.socket, 'aborted')
-        openRequest.response.destroy()
+        breakOff(openRequest)
     }
   }
 
@@ -333,6 +337,10 @@
     unreadBytes: unread.measure,
     destroy: () => {
       server.close()
+      for (const openRequest of openRequests.values()) {
+        connections.noteEnd(openRequest.message.socket, 'shutdown')
+        breakOff(openRequest)
+      }
       connections.destroyAll('shutdown')
     }
   }
