Events that arrived before a stream is broken off reach its caller

What callers saw: a stream that ended inside an event, with a last chunk or with a length that was too short, was broken off without its last whole events if these had arrived in the same packet as the end.

Cause: Node.js holds what is written to a response until the end of the turn, and breaking the response off in that turn dropped it.

Evidence: test/forwarding/brokenStreams.spec.ts and brokenRelays.spec.ts, 6 of 27 cases of streams that may not be resumed failed on the code before; the check of the other kinds of break is now that all whole events arrive, and no longer some of them.

Change: what the response holds back is handed to the system before its connection is closed.

--- a/src/adapters/brokenResponse.ts
+++ b/src/adapters/brokenResponse.ts
@@ -1,5 +1,6 @@
-/** Breaks responses to callers off, so that they do not look complete. */
+/** Breaks responses to callers off, so that they do not look complete and nothing that was given before is lost. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 
 /** A request and its response. */
 export interface AnsweredRequest {
@@ -11,6 +12,9 @@
 const endsWithConnection = ({ message, response }: AnsweredRequest): boolean =>
   message.httpVersion === '1.0' && response.headersSent
 
+/** Hands what the response holds back until the end of this turn to the system. */
+const flush = (socket: Socket): void => { while (socket.writableCorked > 0) socket.uncork() }
+
 /**
  * Breaks a response off. One that ends with its connection would look complete if
  * that was closed, so it is reset.
@@ -19,6 +23,8 @@
  */
 export const breakOff = (request: AnsweredRequest): void => {
   const { response } = request
-  if (response.socket !== null && endsWithConnection(request)) response.socket.resetAndDestroy()
+  const { socket } = response
+  if (socket !== null) flush(socket)
+  if (socket !== null && endsWithConnection(request)) socket.resetAndDestroy()
   else response.destroy()
 }
--- a/test/forwarding/brokenRelays.spec.ts
+++ b/test/forwarding/brokenRelays.spec.ts
@@ -34,10 +34,9 @@
 })
 
 describe.each(breaks)('a stream at another instance that may not be resumed and $name', ({ answer }) => {
-  it('is broken off after some of its whole events', async () => {
+  it('is broken off after its whole events', async () => {
     const outcome = await playBrokenStream({ hash, route: once, relayed: true, answers: [answer(eventsText(0, 3) + partAfter(3)), goesOn] })
     expectOneStream(outcome)
-    expect(outcome).toMatchObject({ end: 'broken', requests: [expect.anything()] })
-    expect([0, 1, 2, 3].map(count => eventsText(0, count))).toContain(outcome.body)
+    expect(outcome).toMatchObject({ body: eventsText(0, 3), end: 'broken', requests: [expect.anything()] })
   })
 })
--- a/test/forwarding/brokenStreams.spec.ts
+++ b/test/forwarding/brokenStreams.spec.ts
@@ -50,10 +50,9 @@
 })
 
 describe.each(breaks)('a stream that may not be resumed and $name', ({ answer }) => {
-  it.each([1, 3])('is broken off after some of its %i whole events', async events => {
+  it.each([1, 3])('is broken off after its %i whole events', async events => {
     const outcome = await playBrokenStream({ hash, route: once, answers: [answer(eventsText(0, events) + partAfter(events)), goesOn] })
     expectOneStream(outcome)
-    expect(outcome).toMatchObject({ end: 'broken', requests: [expect.anything()] })
-    expect(Array.from({ length: events + 1 }, (_, count) => eventsText(0, count))).toContain(outcome.body)
+    expect(outcome).toMatchObject({ body: eventsText(0, events), end: 'broken', requests: [expect.anything()] })
   })
 })
