--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -6,6 +6,7 @@
 import { createRequestOrder } from '../../src/forwarding/requestOrder.js'
 import { createRouteDurations } from '../../src/forwarding/routeDurations.js'
 import type { ForwardLogEvent } from '../../src/forwarding/forwardingTypes.js'
+import type { RelayPeer } from '../../src/forwarding/relays.js'
 import type { Hash } from '../../src/hash.js'
 import { createReadLease, type Moment } from '../../src/lease/readLease.js'
 import { createCachedPartsEstimate, type CachedPartsEstimate } from '../../src/placement/cachedPartsEstimate.js'
@@ -30,6 +31,10 @@
   readonly seed?: number
   /** Whether workspaces have a quota; not by default. */
   readonly hasQuota?: boolean
+  /** Number of retries that are allowed whatever the number of requests; 50 by default. */
+  readonly retrySlack?: number
+  /** Other instances that take the requests, as this one is cut off from all workers; none by default. */
+  readonly relayPeers?: readonly RelayPeer[]
   /** Performs the effects, besides their being recorded. */
   readonly perform?: (effect: ForwardEffect) => void
 }
@@ -54,6 +59,7 @@
  * @returns functions that pass inputs to the machine at a time in ms, and its recorded effects
  */
 export const createFakeForwarding = (options: FakeForwardingOptions) => {
+  const { relayPeers = [] } = options
   const effects: ForwardEffect[] = []
   const logEvents: ForwardLogEvent[] = []
   const errors: { readonly place: string, readonly error: unknown }[] = []
@@ -109,7 +115,7 @@
     onAnswer: () => { /* There is no other instance. */ }
   })
   const lease = createReadLease()
-  const retryBudget = createRetryBudget({ fraction: 0.2, slack: 50, window: 10_000 })
+  const retryBudget = createRetryBudget({ fraction: 0.2, slack: options.retrySlack ?? 50, window: 10_000 })
   let index = options.catalog === undefined ? undefined : indexCatalog(options.catalog)
   workers.apply(options.workers.map(worker => ({ kind: 'present', worker })), true, 0)
   lease.renew(momentAt(0))
@@ -137,8 +143,8 @@
     coordination: { place: (_request, among) => ({ kind: 'byItself', workers: among }) },
     poisonRequests,
     fingerprintOf,
-    workerReach: { reachOf: () => 'reached', mayBeCutOff: () => false, relaysFor: () => [], dropRelay: () => { /* There is no other instance. */ }, noteConnected: () => { /* Not used. */ }, noteHeard: () => { /* Not used. */ }, noteUnreachable: () => { /* Not used. */ } },
-    frontOf: () => undefined,
+    workerReach: { reachOf: () => 'reached', mayBeCutOff: () => false, relaysFor: () => relayPeers.map(({ id }) => id), dropRelay: () => { /* There is no other instance. */ }, noteConnected: () => { /* Not used. */ }, noteHeard: () => { /* Not used. */ }, noteUnreachable: () => { /* Not used. */ } },
+    frontOf: id => relayPeers.find(peer => peer.id === id)?.front,
     streamOrigins,
     loadOf,
     cachedPartsOf: worker => getOrCreate(cachedParts, worker, () => createCachedPartsEstimate(memoryTokens)),
@@ -205,6 +211,7 @@
     weights,
     workers,
     lease,
+    streamOrigins,
     loadOf: (worker: string) => loads.get(worker),
     head,
     hasHead: (attempt: number): boolean => withHead.has(attempt),
@@ -213,6 +220,7 @@
     fail: (attempt: number, failure: 'unsent' | 'cut' | 'garbled', now: number): void => forwarding.handle({ kind: 'attempt.failed', attempt, failure }, momentAt(now)),
     leave: (request: number, now: number): void => forwarding.handle({ kind: 'call.left', request, id: `r${request}`, stage: 'open', reason: 'callerClosed' }, momentAt(now)),
     tick: (now: number): void => forwarding.tick(momentAt(now)),
+    endAll: (now: number): void => forwarding.endAll(momentAt(now)),
     probed: (worker: string, reachable: boolean, now: number): void => forwarding.handle({ kind: 'worker.probed', worker, reachable }, momentAt(now)),
     probes: (): readonly string[] => effects.flatMap(effect => effect.kind === 'worker.probe' ? [effect.worker] : []),
     cancelled: (): readonly number[] => effects.flatMap(effect => effect.kind === 'attempt.cancel' ? [effect.attempt] : [])
