An instance's own responses name their request

Callers saw nothing yet.

Cause: only heads of workers carry the id; refusals are built here without it.

Change: the platform's codec adds the id to responses that name none (nameRequest), used where the front server writes a head. Ruled out: the core knows no header names, so it cannot do this. Responses after an error in this adapter (500, 502 of a slow reader) are not named.

Between an instance of this version and an older one, a refusal is unnamed as before, until all run this version.

--- a/src/adapters/adapterErrors.spec.ts
+++ b/src/adapters/adapterErrors.spec.ts
@@ -53,7 +53,7 @@
 
 describe('a listener', () => {
   it.each([
-    ['callers', (report: (place: string) => void) => createFrontServer({ host: '127.0.0.1', port: 0, headerBytes: 16_384, decode: wireCodec.decodeCall, reportError: report }, () => { /* No request comes. */ })],
+    ['callers', (report: (place: string) => void) => createFrontServer({ host: '127.0.0.1', port: 0, headerBytes: 16_384, decode: wireCodec.decodeCall, nameRequest: wireCodec.nameRequest, reportError: report }, () => { /* No request comes. */ })],
     ['peers', (report: (place: string) => void) => createPeerTcp({ id: 'a', incarnation: 'a-1', host: '127.0.0.1', port: 0, frameLimit: 64 }, { emit: () => { /* None comes. */ }, garbled: () => { /* None. */ }, sent: () => { /* None. */ }, received: () => { /* None. */ }, reportError: report })]
   ])('for %s outlives accepts that fail again and again, as without free file descriptors', async (_whom, create) => {
     const { errors, report } = buildErrors()
@@ -72,7 +72,7 @@
   const start = async (decode: typeof wireCodec.decodeCall) => {
     const { errors, report } = buildErrors()
     const inputs: ForwardInput[] = []
-    const front = createFrontServer({ host: '127.0.0.1', port: 0, headerBytes: 16_384, decode, reportError: report }, input => {
+    const front = createFrontServer({ host: '127.0.0.1', port: 0, headerBytes: 16_384, decode, nameRequest: wireCodec.nameRequest, reportError: report }, input => {
       inputs.push(input)
       if (input.kind === 'call.arrived') onArrival(input.request, input.call.id)
     })
--- a/src/adapters/frontServer.spec.ts
+++ b/src/adapters/frontServer.spec.ts
@@ -21,7 +21,7 @@
 beforeEach(async () => {
   const inputs: ForwardInput[] = []
   const waiting: (() => void)[] = []
-  const front = createFrontServer({ host: '127.0.0.1', port: 0, headerBytes: 16_384, decode: wireCodec.decodeCall }, input => {
+  const front = createFrontServer({ host: '127.0.0.1', port: 0, headerBytes: 16_384, decode: wireCodec.decodeCall, nameRequest: wireCodec.nameRequest }, input => {
     inputs.push(input)
     for (const check of waiting) check()
   })
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -23,6 +23,8 @@
   readonly headerBytes: number
   /** Decodes a received request. */
   readonly decode: WireCodec['decodeCall']
+  /** Adds the id of the request to the headers of its response. */
+  readonly nameRequest: WireCodec['nameRequest']
   /** Called for each closed connection. */
   readonly onConnectionClosed?: (end: ConnectionEnd) => void
   /** Bound for what callers have not read of their responses, in bytes; by default as without a known limit of the memory. */
@@ -250,7 +252,7 @@
   const writeHead = (request: number, openRequest: OpenRequest, status: number, headers: readonly string[]): void => {
     const { message, response } = openRequest
     if (closing && connections.isNewest(message.socket, request)) announceEnd(request, openRequest)
-    response.writeHead(status, [...headers])
+    response.writeHead(status, [...options.nameRequest(headOf(openRequest), headers)])
   }
 
   const answer = (openRequest: OpenRequest, effect: Extract<CallEffect, { kind: 'call.answer' }>): void => {
--- a/src/ports/platformPort.ts
+++ b/src/ports/platformPort.ts
@@ -26,6 +26,8 @@
   readonly encodeRelay: (relay: RelayDispatch) => string[]
   /** `headers` is a flat list that alternates names and values. */
   readonly decodeAnswer: (status: number, headers: readonly string[]) => AnswerHead
+  /** Returns the headers of the response to a request, which name the request if the given ones, a flat list that alternates names and values, do not. */
+  readonly nameRequest: (call: RawCall, headers: readonly string[]) => readonly string[]
 }
 
 /** Paths and response formats of the HTTP interfaces that the platform itself queries. */
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -109,7 +109,7 @@
     metrics.readerCut(cut.told)
     logger.warn({ id: cut.id, workspace: cut.workspace, held: cut.held, stalled: cut.stalled, told: cut.told, bound: unread }, 'slowReaderCut')
   }
-  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall, onConnectionClosed: metrics.callerConnectionClosed, reportError, unreadBound: () => unread, onReaderCut }, receive)
+  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall, nameRequest: platform.codec.nameRequest, onConnectionClosed: metrics.callerConnectionClosed, reportError, unreadBound: () => unread, onReaderCut }, receive)
   const channels = createWorkerChannels({ codec: platform.codec, emit: receive, onConnectionOpened: metrics.connectionOpened, reportError })
   const peers = createPeerTcp({ id: instance.id, incarnation, host: instance.host, port: listen.peer_port, frameLimit, connectTimeout: peerConnectTimeout, reconnectDelay: peerReconnectDelay }, {
     emit: receive,
