A refusal that names no request does not count on a kept connection

Callers were told 503, not run, for requests that two workers had run: a worker wrote an earlier refusal once more on a kept connection, without the id of its request, before it answered the next one.

Cause: an answer without X-Request-Id was taken for the answer to the request in progress on any connection.

So each response after the first one of a connection has to name its request; else the attempt fails as garbled, may have run, and the connection is closed. The first response of a connection needs no id, since only one request has been sent there: workers that never echo an id stay usable, as their connections are never kept.

Ruled out: requiring the id on every connection (a worker without ids could not be used); never keeping a connection after a refusal (a new one for each refusal while workers are full).

--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -3,7 +3,8 @@
  * and belongs to one incarnation of one worker. A connection that delivered
  * anything other than the one expected response is not reused, nor is one whose
  * response did not name its request: a late second copy of that response could not
- * be told from the response to the next request. A response without
+ * be told from the response to the next request. For the same reason each response
+ * after the first one of a connection has to name its request. A response without
  * a length ends when the connection is closed; a reset does not count as its end.
  */
 import { connect, type Socket } from 'node:net'
@@ -65,6 +66,11 @@
   override readonly name = 'UndecodableHead'
 }
 
+/** A response names no request, although the one before it on its connection did. */
+class UnnamedResponse extends Error {
+  override readonly name = 'UnnamedResponse'
+}
+
 /** The worker did not accept the connection within the time limit. */
 class ConnectTimeout extends Error {
   override readonly name = 'ConnectTimeout'
@@ -87,7 +93,7 @@
 
 const classifyError = (error: Error, connection: WorkerConnection | undefined): AttemptFailure => {
   if (error instanceof OversizedFraming || error instanceof errors.HeadersOverflowError) return 'oversized'
-  if (error instanceof UndecodableHead) return 'garbled'
+  if (error instanceof UndecodableHead || error instanceof UnnamedResponse) return 'garbled'
   // Chunks that end early with their connection are a parser error, too.
   return error instanceof errors.HTTPParserError && connection?.hasEnded() !== true ? 'garbled' : 'cut'
 }
@@ -195,6 +201,7 @@
         if (connection !== undefined) connection.receiving = true
         connection?.noteProgress()
         const head = decodeHead(status, controller.rawHeaders as Buffer[] | null)
+        if (head.requestId === undefined && connection?.reused === true) throw new UnnamedResponse()
         namesRequest = head.requestId === request
         running.channel.rejected = status < 300 ? undefined : request
         emit({ kind: 'attempt.head', attempt, head })
@@ -206,7 +213,10 @@
       onResponseEnd: () => {
         const { connection } = running.channel
         if (connection?.isReset() === true) return fail('cut')
-        if (connection !== undefined) connection.receiving = false
+        if (connection !== undefined) {
+          connection.receiving = false
+          connection.reused = true
+        }
         if (!finish()) return discard(running.channel)
         if (namesRequest) release(running.channel)
         else discard(running.channel)
--- a/src/adapters/workerConnection.ts
+++ b/src/adapters/workerConnection.ts
@@ -9,6 +9,8 @@
 export interface WorkerConnection {
   /** Whether a response is being received, which may end with the connection. */
   receiving: boolean
+  /** Whether it has carried a whole answer, which named its request. */
+  reused: boolean
   /** Notes that the head of a response, or a part of its body, has been received. */
   readonly noteProgress: () => void
   /** Whether the connection was reset. */
@@ -53,7 +55,7 @@
 export const observeConnection = (socket: Socket): WorkerConnection => {
   let reset = false
   let ended = false
-  const connection: WorkerConnection = { receiving: false, noteProgress: limitFraming(socket), isReset: () => reset, hasEnded: () => ended }
+  const connection: WorkerConnection = { receiving: false, reused: false, noteProgress: limitFraming(socket), isReset: () => reset, hasEnded: () => ended }
   socket.once('error', () => { reset = true })
   socket.once('end', () => {
     ended = true
