--- a/test/fakes/copyingWorkers.ts
+++ b/test/fakes/copyingWorkers.ts
@@ -16,7 +16,7 @@
 }
 
 /** What the copy names as its request. */
-export const idVariants = ['earlier', 'none', 'empty', 'repeatedEarlierFirst', 'listed', 'otherCase'] as const
+export const idVariants = ['earlier', 'none', 'empty', 'repeatedEarlierFirst', 'repeatedOwnFirst', 'listed', 'otherCase'] as const
 export type IdVariant = typeof idVariants[number]
 
 /** When a worker writes the copy while it handles the next request on the connection. */
@@ -38,6 +38,7 @@
     case 'none': return ''
     case 'empty': return line('')
     case 'repeatedEarlierFirst': return line(earlier) + line(own)
+    case 'repeatedOwnFirst': return line(own) + line(earlier)
     case 'listed': return line(`${own}, ${earlier}`)
     case 'otherCase': return line(own.toUpperCase())
   }
@@ -57,8 +58,12 @@
 /** What one worker knows of a connection. */
 interface Line {
   readonly socket: Socket
-  bytes: string
+  /** What has arrived of the next head. */
+  text: string
+  /** Id of the request whose body is being read. */
   current: string | undefined
+  /** Bytes of its body that have not arrived. */
+  missing: number
   lastRefusal: { readonly id: string, readonly kind: RefusalKind } | undefined
   copied: boolean
 }
@@ -73,6 +78,14 @@
   socket.write(first, () => setImmediate(() => writeEach(socket, rest)))
 }
 
+const running = new Set<() => Promise<void>>()
+
+/** Closes the connections of all instances that were started; called after each test. */
+export const closeCopyingWorkers = async (): Promise<void> => {
+  await Promise.all([...running].map(close => close()))
+  running.clear()
+}
+
 /**
  * Starts two workers and an instance before them.
  *
@@ -119,16 +132,24 @@
     }
   }
 
-  const handleBytes = (line: Line): void => {
-    const end = line.bytes.indexOf(headEnd)
+  /** Takes the head of the next request, once it is whole. */
+  const takeHead = (line: Line): void => {
+    const end = line.text.indexOf(headEnd)
     if (end < 0) return
-    const head = line.bytes.slice(0, end)
-    const id = idOf(head)
-    if (line.current === undefined) handleHead(line, id)
-    line.current = id
-    const length = end + headEnd.length + lengthOf(head)
-    if (line.bytes.length < length) return
-    line.bytes = line.bytes.slice(length)
+    const head = line.text.slice(0, end)
+    line.current = idOf(head)
+    line.missing = end + headEnd.length + lengthOf(head) - line.text.length
+    line.text = ''
+    handleHead(line, line.current)
+  }
+
+  const handleBytes = (line: Line, bytes: Buffer): void => {
+    if (line.current === undefined) {
+      line.text += bytes.toString('latin1')
+      takeHead(line)
+    } else line.missing -= bytes.length
+    if (line.current === undefined || line.missing > 0) return
+    const id = line.current
     line.current = undefined
     handleWhole(line, id)
   }
@@ -136,11 +157,11 @@
   const onBytes = (socket: Socket, bytes: Buffer): void => {
     let line = lines.find(known => known.socket === socket)
     if (line === undefined) {
-      line = { socket, bytes: '', current: undefined, lastRefusal: undefined, copied: false }
+      socket.setNoDelay()
+      line = { socket, text: '', current: undefined, missing: 0, lastRefusal: undefined, copied: false }
       lines.push(line)
     }
-    line.bytes += bytes.toString('latin1')
-    handleBytes(line)
+    handleBytes(line, bytes)
   }
 
   const servers = await Promise.all([1, 2].map(() => startRawServer(onBytes)))
@@ -155,6 +176,8 @@
     }
   })
 
+  running.add(channels.close)
+
   /** Sends a request, which the workers treat so, and waits for what its caller gets. */
   const request = async (id: string, how: Treatment, body = Buffer.alloc(0)): Promise<CallerView> => {
     treatment = how
@@ -179,8 +202,7 @@
     /** Number of copies written. */
     copies: (): number => copies,
     /** Number of requests that came on a connection on which a copy had been written before. */
-    requestsBehindCopies: (): number => requestsBehindCopies,
-    close: channels.close
+    requestsBehindCopies: (): number => requestsBehindCopies
   }
 }
 
