A request never uses a connection again that has refused it

A request comes again where a worker held another version of the weights, where a stream goes on, or where a caller sends an id twice.

Cause: a connection remembered only the last request that it had answered without success, and the pool entry rather than the connection held this.

Change: a connection keeps the ids of all requests that it answered without success, and is closed after 256 of these. Ruled out: one connection for each refusal, as workers refuse most while they are full.

--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -51,6 +51,8 @@
 const idleTimeoutMargin = 1_200
 /** Maximum number of idle connections kept per worker incarnation. */
 const maxIdlePerWorker = 32
+/** Number of requests that a connection answers without success before it is closed, since the id of each is kept. */
+const maxUnsuccessful = 256
 /** Maximum size of a response's headers, in bytes. */
 const headerBytes = 65_536
 /** Idle time of a connection before the first TCP keep-alive probe, in ms. */
@@ -81,8 +83,6 @@
   readonly key: string
   /** The connection that is open or was open last; undefined before the first one. */
   connection: WorkerConnection | undefined
-  /** Id of the last request if its response was no success, so that it may be sent again. */
-  rejected: string | undefined
 }
 
 interface RunningAttempt {
@@ -147,15 +147,15 @@
         error => callback(error, null)
       )
     })
-    const channel: Channel = { client, key, connection: undefined, rejected: undefined }
+    const channel: Channel = { client, key, connection: undefined }
     return channel
   }
 
-  /** Takes an idle connection to a process, or opens one. A request that is sent again does not use the connection of its last response, a copy of which would name it, too. */
+  /** Takes an idle connection to a process, or opens one. A request that is sent again uses no connection of its earlier responses, a copy of which would name it, too. */
   const acquire = (id: string, address: Address, request: string): Channel => {
     const key = `${id}@${address.host}:${address.port}`
     const list = idle.get(key) ?? []
-    const index = list.findLastIndex(channel => channel.rejected !== request)
+    const index = list.findLastIndex(({ connection }) => connection?.unsuccessful.has(request) !== true)
     return index < 0 ? openChannel(key, address) : list.splice(index, 1)[0]
   }
 
@@ -166,7 +166,8 @@
   const release = (channel: Channel): void => {
     const list = idle.get(channel.key) ?? []
     idle.set(channel.key, list)
-    if (list.length >= maxIdlePerWorker) discard(channel)
+    const isSpent = (channel.connection?.unsuccessful.size ?? 0) >= maxUnsuccessful
+    if (list.length >= maxIdlePerWorker || isSpent) discard(channel)
     else list.push(channel)
   }
 
@@ -203,7 +204,7 @@
         const head = decodeHead(status, controller.rawHeaders as Buffer[] | null)
         if (head.requestId === undefined && connection?.reused === true) throw new UnnamedResponse()
         namesRequest = head.requestId === request
-        running.channel.rejected = status < 300 ? undefined : request
+        if (status >= 300) connection?.unsuccessful.add(request)
         emit({ kind: 'attempt.head', attempt, head })
       },
       onResponseData: (_controller, bytes) => {
--- a/src/adapters/workerConnection.ts
+++ b/src/adapters/workerConnection.ts
@@ -11,6 +11,8 @@
   receiving: boolean
   /** Whether it has carried a whole answer, which named its request. */
   reused: boolean
+  /** Ids of the requests that it answered without success, and which may be sent again. */
+  readonly unsuccessful: Set<string>
   /** Notes that the head of a response, or a part of its body, has been received. */
   readonly noteProgress: () => void
   /** Whether the connection was reset. */
@@ -55,7 +57,7 @@
 export const observeConnection = (socket: Socket): WorkerConnection => {
   let reset = false
   let ended = false
-  const connection: WorkerConnection = { receiving: false, reused: false, noteProgress: limitFraming(socket), isReset: () => reset, hasEnded: () => ended }
+  const connection: WorkerConnection = { receiving: false, reused: false, unsuccessful: new Set(), noteProgress: limitFraming(socket), isReset: () => reset, hasEnded: () => ended }
   socket.once('error', () => { reset = true })
   socket.once('end', () => {
     ended = true
--- a/test/forwarding/lateRefusals.spec.ts
+++ b/test/forwarding/lateRefusals.spec.ts
@@ -1,7 +1,7 @@
 /** Guards against an earlier refusal that a worker writes once more on a kept connection, and that is taken for the refusal of a request that runs there. */
 import type { Route } from '../../src/catalog/catalogTypes.js'
 import { loadHash, type Hash } from '../../src/hash.js'
-import { busyMoments, closeCopyingWorkers, idVariants, promises, startCopyingWorkers, type BusyMoment, type IdVariant, type RefusalKind } from '../fakes/copyingWorkers.js'
+import { busyMoments, closeCopyingWorkers, idVariants, promises, startCopyingWorkers, type RefusalKind } from '../fakes/copyingWorkers.js'
 import { closeRawServers } from '../fakes/rawServer.js'
 import { waitFor } from '../fakes/waitFor.js'
 import { buildRoute } from '../fixtures/forwarding.js'
@@ -72,6 +72,18 @@
     expectKept(workers, route, id, status)
   }))
 
+  // The connection has carried another request since.
+  it.each(busyMoments)('that names the request, %s, is no refusal of a later send of it', async moment => {
+    const workers = await startCopyingWorkers(hash, route)
+    for (const [index, refusal] of kinds.entries()) {
+      const id = `one-${index}`
+      await workers.request(id, { refusal })
+      for (const other of ['a', 'b', 'c', 'd']) expect((await workers.request(`${other}-${index}`, {})).status).toBe(200)
+      const { status } = await workers.request(id, { copy: { ids: 'earlier', moment } })
+      expectKept(workers, route, id, status)
+    }
+  })
+
   it('does not keep real refusals from being retried and counted', async () => {
     const workers = await startCopyingWorkers(hash, route)
     for (const kind of kinds) {
@@ -80,5 +92,5 @@
       expect(view.text).toContain('not_run')
     }
     expect((await workers.request('two', {})).status).toBe(200)
-    })
+  })
 })
