An answer that names another request fails an attempt at an endpoint

Entry instances: a late copy of an earlier answer on a connection in use again was taken for the answer to the next request.

Cause: the ids of model streams were compared, those of whole answers were not.

Change: rejectOtherResponses (src/adapters/otherResponses.ts) fails the exchange as garbled, sent, and closes the connection. Streams go on to the core, which tells them as crossed. Not covered: answers without x-request-id, which engines and services may give; the HTTP library's pool picks their connections.

Replaced: two tests of endpointHttp.spec.ts had a server that named request 'a' for 'b-1' and 'b-2', so it played this fault by accident and their first answer no longer came. The server now names each request; the assertions are the same.

Not run: test/matrix.

--- a/src/adapters/endpointHttp.spec.ts
+++ b/src/adapters/endpointHttp.spec.ts
@@ -94,7 +94,7 @@
 /** Waits for the client to return a connection to its pool, which happens one event loop turn after the end of the response. */
 const returnToPool = (): Promise<void> => new Promise(resolve => { setImmediate(resolve) })
 
-const emptyAnswer = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-request-id: a\r\n\r\n{}'
+const emptyAnswer = (id: string): string => `HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-request-id: ${id}\r\n\r\n{}`
 
 describe('model requests', () => {
   test('yield the complete stream in order, with the identity that served it', async () => {
@@ -271,7 +271,7 @@
 
   test('are sent only once if the server resets a reused connection when the request arrives', async () => {
     const { address, seen } = await startRawServer((socket, count) => {
-      if (count === 1) socket.write(emptyAnswer)
+      if (count === 1) socket.write(emptyAnswer('b-1'))
       else socket.resetAndDestroy()
     })
     const adapter = createAdapter()
@@ -284,7 +284,7 @@
   })
 
   test('are not sent over an idle connection that the server has closed, or fail as sent', async () => {
-    const { address, seen, sockets } = await startRawServer(socket => socket.write(emptyAnswer))
+    const { address, seen, sockets } = await startRawServer((socket, count) => socket.write(emptyAnswer(`b-${count}`)))
     const adapter = createAdapter()
     adapter.perform(dispatch(1, address, booking('b-1')))
     await adapter.next(isKind('endpoint.answer'))
--- a/src/adapters/endpointHttp.ts
+++ b/src/adapters/endpointHttp.ts
@@ -12,6 +12,7 @@
 import { createHttpClient, jsonRequest } from './httpExchange.js'
 import type { Exchange, HttpClientOptions, HttpRequest } from './httpExchange.js'
 import { endToEndHeaders } from './httpHeaders.js'
+import { rejectOtherResponses } from './otherResponses.js'
 
 /** Settings of the adapter. */
 export interface EndpointHttpOptions extends HttpClientOptions {
@@ -115,7 +116,7 @@
       abort: () => { running.exchange?.abort() }
     }
     const listener = request.kind === 'model' ? createModelResponseListener(listenerOptions) : createServiceResponseListener(listenerOptions)
-    running.exchange = client.start(address, httpRequest(request), listener)
+    running.exchange = client.start(address, httpRequest(request), rejectOtherResponses(request.id, listener, listenerOptions.abort, request.kind === 'model'))
   }
 
   const detach = (attempt: number): Attempt | undefined => {
