What a copy of another answer states of its worker is not applied

Evidence: src/forwarding/otherAnswers.spec.ts failed before: paused until 410 in place of never. Change: the id is compared first. After: 140 tests of src/forwarding and test/layout pass.

--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -118,8 +118,8 @@
     attempt.lastDataAt = now
     noteBegin(attempt.progress, now)
     context.workerReach.noteHeard(attempt.worker, now)
-    applyWorkerNotices(context, exchange, attempt, head, now)
     if (head.requestId !== undefined && head.requestId !== call.id) return handleLostAttempt(exchange, attempt, 'garbled', true, time)
+    applyWorkerNotices(context, exchange, attempt, head, now)
     applyLimit(context, exchange, attempt, head, now)
     applyResponseState(context, exchange, attempt, head, now)
     if (head.notRun) return
