--- a/src/adapters/workerChannels.ts
+++ b/src/adapters/workerChannels.ts
@@ -3,7 +3,8 @@
  * and belongs to one incarnation of one worker. A connection that delivered
  * anything other than the one expected response is not reused, nor is one whose
  * response did not name its request: a late second copy of that response could not
- * be told from the response to the next request. A response without
+ * be told from the response to the next request. For the same reason each response
+ * after the first one of a connection has to name its request. A response without
  * a length ends when the connection is closed; a reset does not count as its end.
  */
 import { connect, type Socket } from 'node:net'
@@ -50,6 +51,8 @@
 const idleTimeoutMargin = 1_200
 /** Maximum number of idle connections kept per worker incarnation. */
 const maxIdlePerWorker = 32
+/** Number of requests that a connection answers without success before it is closed, since the id of each is kept. */
+const maxUnsuccessful = 256
 /** Maximum size of a response's headers, in bytes. */
 const headerBytes = 65_536
 /** Idle time of a connection before the first TCP keep-alive probe, in ms. */
@@ -65,6 +68,11 @@
   override readonly name = 'UndecodableHead'
 }
 
+/** A response names no request, although the one before it on its connection did. */
+class UnnamedResponse extends Error {
+  override readonly name = 'UnnamedResponse'
+}
+
 /** The worker did not accept the connection within the time limit. */
 class ConnectTimeout extends Error {
   override readonly name = 'ConnectTimeout'
@@ -75,8 +83,6 @@
   readonly key: string
   /** The connection that is open or was open last; undefined before the first one. */
   connection: WorkerConnection | undefined
-  /** Id of the last request if its response was no success, so that it may be sent again. */
-  rejected: string | undefined
 }
 
 interface RunningAttempt {
@@ -87,7 +93,7 @@
 
 const classifyError = (error: Error, connection: WorkerConnection | undefined): AttemptFailure => {
   if (error instanceof OversizedFraming || error instanceof errors.HeadersOverflowError) return 'oversized'
-  if (error instanceof UndecodableHead) return 'garbled'
+  if (error instanceof UndecodableHead || error instanceof UnnamedResponse) return 'garbled'
   // Chunks that end early with their connection are a parser error, too.
   return error instanceof errors.HTTPParserError && connection?.hasEnded() !== true ? 'garbled' : 'cut'
 }
@@ -141,15 +147,15 @@
         error => callback(error, null)
       )
     })
-    const channel: Channel = { client, key, connection: undefined, rejected: undefined }
+    const channel: Channel = { client, key, connection: undefined }
     return channel
   }
 
-  /** Takes an idle connection to a process, or opens one. A request that is sent again does not use the connection of its last response, a copy of which would name it, too. */
+  /** Takes an idle connection to a process, or opens one. A request that is sent again uses no connection of its earlier responses, a copy of which would name it, too. */
   const acquire = (id: string, address: Address, request: string): Channel => {
     const key = `${id}@${address.host}:${address.port}`
     const list = idle.get(key) ?? []
-    const index = list.findLastIndex(channel => channel.rejected !== request)
+    const index = list.findLastIndex(({ connection }) => connection?.unsuccessful.has(request) !== true)
     return index < 0 ? openChannel(key, address) : list.splice(index, 1)[0]
   }
 
@@ -160,7 +166,8 @@
   const release = (channel: Channel): void => {
     const list = idle.get(channel.key) ?? []
     idle.set(channel.key, list)
-    if (list.length >= maxIdlePerWorker) discard(channel)
+    const isSpent = (channel.connection?.unsuccessful.size ?? 0) >= maxUnsuccessful
+    if (list.length >= maxIdlePerWorker || isSpent) discard(channel)
     else list.push(channel)
   }
 
@@ -195,8 +202,9 @@
         if (connection !== undefined) connection.receiving = true
         connection?.noteProgress()
         const head = decodeHead(status, controller.rawHeaders as Buffer[] | null)
+        if (head.requestId === undefined && connection?.reused === true) throw new UnnamedResponse()
         namesRequest = head.requestId === request
-        running.channel.rejected = status < 300 ? undefined : request
+        if (status >= 300) connection?.unsuccessful.add(request)
         emit({ kind: 'attempt.head', attempt, head })
       },
       onResponseData: (_controller, bytes) => {
@@ -206,7 +214,10 @@
       onResponseEnd: () => {
         const { connection } = running.channel
         if (connection?.isReset() === true) return fail('cut')
-        if (connection !== undefined) connection.receiving = false
+        if (connection !== undefined) {
+          connection.receiving = false
+          connection.reused = true
+        }
         if (!finish()) return discard(running.channel)
         if (namesRequest) release(running.channel)
         else discard(running.channel)
