Signals during the start: SIGTERM ends the process cleanly, SIGHUP is done afterwards

What was seen: a process that was stopped while it started ended by the signal (status 143) rather than with 0, also when it was listening for callers and, once it had logged `started`, may have accepted a request.

Cause: the handlers were installed after startGateway and startEntry had resolved.

Evidence: test/start/startSignals.spec.ts, real processes that signal themselves at moments of their start.

Change: src/cli/startSignals.ts follows the signals from before the settings are read. SIGTERM ends the process at once until it listens for callers; before it does, it receives what has come. Later ones wait for the handover, and carry the moment at which they were received into `gateway.leave` (`signalledAt`, not used yet). The bundle and its starter end by SIGTERM with 0 until then. A second SIGTERM or SIGINT no longer ends an entry instance whose requests are being finished.

--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -5,8 +5,11 @@
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
 const optionalPackages = ['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'cbor-extract']
 
-// An instance gets SIGHUP when its settings change, also while it starts. Without a handler the signal would end it.
-const ignoreSighup = `if (['gateway', 'entry'].some(command => process.argv.includes(command))) process.on('SIGHUP', () => {});
+// Signals of an instance that come before src/cli/startSignals.ts follows them. Until then nothing has been read that SIGHUP could concern, and no request taken.
+const earlySignals = `if (['gateway', 'entry'].some(command => process.argv.includes(command))) {
+  process.on('SIGHUP', () => {});
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(0));
+}
 `
 
 // Bunyan and cbor-x require optional packages. In a single executable `require` prints a warning for each, so this wrapper throws MODULE_NOT_FOUND instead.
@@ -48,11 +51,11 @@
 })
 
 /**
- * Bundles the program, preceded by its SIGHUP handler and the guard of optional packages.
+ * Bundles the program, preceded by handlers of early signals and the guard of optional packages.
  *
  * @param outfile - path of the bundle
  */
 export const bundleProgram = async outfile => {
   await bundle('src/cli/main.ts', outfile)
-  writeFileSync(outfile, ignoreSighup + optionalPackageGuard + readFileSync(outfile, 'utf8'))
+  writeFileSync(outfile, earlySignals + optionalPackageGuard + readFileSync(outfile, 'utf8'))
 }
--- a/scripts/startCached.cjs
+++ b/scripts/startCached.cjs
@@ -4,8 +4,11 @@
 const { join } = require('node:path')
 const { Script } = require('node:vm')
 
-// Without a handler SIGHUP ends the process; it may arrive while the program is still being loaded.
+// Signals may arrive while the program is still being loaded; src/cli/startSignals.ts takes over.
 process.on('SIGHUP', () => {})
+if (['gateway', 'entry'].some(command => process.argv.includes(command))) {
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(0))
+}
 
 const filename = join(__dirname, 'program.cjs')
 const cacheFile = join(__dirname, 'program.cache')
--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -6,6 +6,7 @@
 import { reportUncaughtErrors } from '../processes/lastResort.js'
 import type { Settings } from '../settings/settingsSchema.js'
 import { printError, exitCodeHelp, exitCodes, print, printResult } from './output.js'
+import { followSignalsOfProcess } from './startSignals.js'
 import { describeUnreadable, readTextFile, type UnreadableFile } from './textFile.js'
 
 const load = (file: string): Result<Settings, UnreadableFile | readonly SettingProblem[]> => {
@@ -17,18 +18,17 @@
   'kind' in problem ? describeUnreadable(problem) : problem.map(describeProblem).join('\n')
 
 const run = async (options: { readonly settings: string }): Promise<void> => {
+  const signals = followSignalsOfProcess()
   const settings = load(options.settings)
   if (settings.isErr()) {
     printError(describe(settings.error))
     process.exitCode = exitCodes.usage
     return
   }
-  const entry = await startEntry(settings.value)
+  const entry = await startEntry(settings.value, signals.beforeListening)
   reportUncaughtErrors(process, entry.reportError)
   print(JSON.stringify({ kind: 'started', callerPort: entry.callerPort, operatorPort: entry.operatorPort, peerPort: entry.peerPort }))
-  process.once('SIGTERM', entry.drain)
-  process.once('SIGINT', entry.drain)
-  process.on('SIGHUP', entry.reload)
+  signals.handOver({ stop: entry.drain, reload: entry.reload })
   await entry.ended
   process.exitCode = exitCodes.done
 }
--- a/src/cli/gatewayCommand.ts
+++ b/src/cli/gatewayCommand.ts
@@ -7,6 +7,7 @@
 import { gatewaySettingsSchema, type GatewaySettings } from '../settings/gatewaySettings.js'
 import { describeProblem, readSettingsWithSchema, type SettingProblem } from '../settings/settingsReader.js'
 import { printError, exitCodeHelp, exitCodes, print } from './output.js'
+import { followSignalsOfProcess } from './startSignals.js'
 import { createFileWatcher } from './fileWatcher.js'
 import { describeUnreadable, readTextFile, type UnreadableFile } from './textFile.js'
 
@@ -35,6 +36,7 @@
 
 const run = async (options: { readonly settings?: string, readonly check?: boolean }): Promise<void> => {
   const file = options.settings ?? process.env[settingsVariable] ?? ''
+  const signals = followSignalsOfProcess()
   const loaded = load(file)
   if (loaded.isErr()) {
     printError(describe(loaded.error))
@@ -46,13 +48,11 @@
     print(`${file}: valid settings of ${settings.instance.id}`)
     return
   }
-  const gateway = await startGateway(settings, createPlatform)
+  const gateway = await startGateway(settings, createPlatform, signals.beforeListening)
   reportUncaughtErrors(process, gateway.reportError)
   const checkFile = createFileWatcher({ read: () => readTextFile(file), onChange: () => reload(file, gateway) }, text)
-  process.on('SIGTERM', gateway.shutDown)
-  process.on('SIGINT', gateway.shutDown)
-  process.on('SIGHUP', () => reload(file, gateway))
   checkFile()
+  signals.handOver({ stop: gateway.shutDown, reload: () => reload(file, gateway) })
   const timer = setInterval(checkFile, fileCheckIntervalMs)
   await gateway.ended
   clearInterval(timer)
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -23,8 +23,8 @@
   | OrderInput
   | PeerInput
   | Tick
-  /** The instance has been asked to shut down. */
-  | { readonly kind: 'gateway.leave' }
+  /** The instance has been asked to shut down; `signalledAt` is when the process received the signal, on the steady clock, in ms. */
+  | { readonly kind: 'gateway.leave', readonly signalledAt?: number }
 
 /** An effect that the core requests from an adapter. */
 export type GatewayEffect =
--- a/src/processes/entry.ts
+++ b/src/processes/entry.ts
@@ -114,9 +114,10 @@
  * Starts an entry instance.
  *
  * @param settings - validated settings
+ * @param beforeListening - awaited before callers can connect; by default nothing
  * @returns the running instance, once it listens on its ports
  */
-export const startEntry = async (settings: Settings): Promise<EntryProcess> => {
+export const startEntry = async (settings: Settings, beforeListening: () => Promise<void> = async () => {}): Promise<EntryProcess> => {
   const incarnation = settings.instance.incarnation || `${Date.now().toString(36)}-${randomBytes(incarnationBytes).toString('hex')}`
   const logger = createLogger(settings.instance.id, settings.instance.log_level)
   const metrics = createMetrics({ processMetrics: true })
@@ -136,6 +137,7 @@
   const servers = createServers(settings, incarnation, metrics, credentials, handleInput, reportError)
   const peerPort = await servers.peers.listen()
   const operatorPort = await servers.operators.listen()
+  await beforeListening()
   const callerPort = await servers.callers.listen()
 
   const endpoints = createEndpointHttp({ ...tlsOptions, emit: handleInput, kindOf: id => settings.service[id] === undefined ? 'worker' : 'service' })
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -25,8 +25,8 @@
 export interface GatewayProcess {
   /** Resolves once the gateway has shut down. */
   readonly ended: Promise<void>
-  /** Starts a graceful shutdown, which lets requests in progress complete. */
-  readonly shutDown: () => void
+  /** Starts a graceful shutdown, which lets requests in progress complete; `signalledAt` is when the signal was received, on the steady clock, in ms. */
+  readonly shutDown: (signalledAt?: number) => void
   /** Applies changed settings. Limits take effect at once; addresses do not change. */
   readonly reload: (settings: GatewaySettings) => void
   /** Counts and logs an unexpected error of a place. */
@@ -65,9 +65,10 @@
  *
  * @param initialSettings - validated settings
  * @param createPlatform - creates the platform from the address of its store
+ * @param beforeListening - awaited before callers can connect; by default nothing
  * @returns the running gateway, once it listens on its ports
  */
-export const startGateway = async (initialSettings: GatewaySettings, createPlatform: (store: string, clock: () => Moment) => Platform): Promise<GatewayProcess> => {
+export const startGateway = async (initialSettings: GatewaySettings, createPlatform: (store: string, clock: () => Moment) => Platform, beforeListening: () => Promise<void> = async () => {}): Promise<GatewayProcess> => {
   const { instance, listen } = initialSettings
   const logger = createLogger(instance.id, instance.log_level)
   const incarnation = `${Date.now().toString(36)}-${randomBytes(4).toString('hex')}`
@@ -200,6 +201,7 @@
     logger.warn(problem, 'platformTrouble')
   })
   await peers.listen()
+  await beforeListening()
   await front.listen()
   const timer = setInterval(() => receive({ kind: 'tick' }), tickInterval)
   logger.info({ incarnation, front: listen.front, store: initialSettings.platform.store }, 'started')
@@ -207,7 +209,7 @@
   return {
     ended,
     reportError,
-    shutDown: () => receive({ kind: 'gateway.leave' }),
+    shutDown: signalledAt => receive({ kind: 'gateway.leave', signalledAt }),
     reload: settings => {
       bounds = boundsOf(settings)
       unread = unreadBound(settings.memory.unread, processMemory(readMemoryLimits()))
