The built program beside the binary handles signals before it is compiled

What was seen (trial, busy machine, one signal for each delay): SIGHUP 100 to 200 ms after the start of `node dist/wasabireel.cjs gateway`, as the soak starts it, ended the process. Node.js itself starts in about 95 ms here; the rest was the compilation of 2.8 MB before the first statement.

Change: dist/wasabireel.cjs is scripts/startCached.cjs, as in target/, and loads dist/program.cjs, which is also the code of the single executable.

Not mended: a signal during the start of Node.js itself, which resets handlers and ignored signals (SIGHUP ignored before exec is not ignored afterwards), ends the process.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,13 +7,15 @@
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
 mkdirSync('dist', { recursive: true })
-await bundleProgram('dist/wasabireel.cjs')
+await bundleProgram('dist/program.cjs')
+// It handles signals before the program has been compiled.
+copyFileSync('scripts/startCached.cjs', 'dist/wasabireel.cjs')
 for (const [entry, outfile] of [['src/standins/main.ts', 'dist/standins.cjs'], ['demo/main.ts', 'dist/demo.cjs']]) {
   if (existsSync(entry)) await bundle(entry, outfile)
 }
 
 writeFileSync('dist/sea.json', JSON.stringify({
-  main: 'dist/wasabireel.cjs',
+  main: 'dist/program.cjs',
   output: 'dist/wasabireel.blob',
   disableExperimentalSEAWarning: true,
   useCodeCache: true
