The entry's server waits for what it has read before an instance exits

What callers saw: an entry instance that stopped closed connections whose request it was reading, or whose whole answer had not been sent; and one that came on a kept connection between the last answer and the exit was passed to the node, whose endpoints were closed, and cut.

Cause: the exit waited only for requests that the core had. The server counted neither those being read nor answers under way, unused connections stayed open until the process ended, and connections that waited in the kernel were reset when the listener closed.

Change: `flushed` of the server resolves once all connections are closed: busy ones after their answers, unused and idle ones as soon as the listener closes unless something has arrived. It gives up on callers that take nothing of a whole answer, or send nothing more of a request, for the receive timeout. The exit awaits it for callers, then the requests that the core still has (by reading; no test plays a caller that leaves then), then for operators; the node, peers, log and ticks go on meanwhile. `Connection: close` is decided when the head of a response is written, for the newest request of its connection. The timeout of an idle connection no longer ends one with work.

--- a/src/adapters/httpServer.ts
+++ b/src/adapters/httpServer.ts
@@ -10,7 +10,8 @@
 import { errorAnswer, type CallerError } from '../requests/requestsErrors.js'
 import type { Credentials } from './credentials.js'
 import { listen, type ReportAdapterError } from './listening.js'
-import { createUsedConnections } from './usedConnections.js'
+import { afterNextRead } from './nextRead.js'
+import { followUsedConnections } from './usedConnections.js'
 
 /** A request that was received completely. */
 export interface ReceivedRequest {
@@ -62,8 +63,15 @@
   readonly listen: () => Promise<number>
   /** Performs an effect on a request; ignored if the request has ended. */
   readonly perform: (effect: CallerEffect) => void
-  /** Stops accepting connections; requests in progress are completed. */
+  /** Sends `Connection: close` with every further response, so that callers do not reuse their connections. */
+  readonly setClosing: () => void
+  /** Stops accepting connections, after those that wait to be accepted, and closes idle ones; requests in progress are completed. */
   readonly closeListener: () => void
+  /**
+   * After `closeListener`: resolves once no connection is open on which a request is being read or answered, or may come.
+   * It does not wait for a caller that takes nothing of its whole answer for the receive timeout.
+   */
+  readonly flushed: () => Promise<void>
   /** Number of requests in progress. */
   readonly busy: () => number
   /** Closes all connections. */
@@ -107,9 +115,11 @@
 export const createHttpServer = (options: HttpServerOptions, events: HttpServerEvents): HttpServer => {
   const responses = new Map<number, ServerResponse>()
   const blocked = new Set<number>()
-  const connections = createUsedConnections()
+  const newestRequests = new WeakMap<Socket, number>()
   let lastRequest = 0
-  let draining = false
+  let closing = false
+  let flushing = false
+  let listenerClosing: Promise<void> | undefined
 
   const readBody = (message: IncomingMessage, response: ServerResponse, request: number): void => {
     const chunks: Buffer[] = []
@@ -141,6 +151,7 @@
       if (responses.delete(request) && !response.writableFinished) events.gone(request)
     }
     connections.begin(message.socket, close)
+    newestRequests.set(message.socket, request)
     response.on('close', close)
     const declared = Number(message.headers['content-length'] ?? 0)
     if (declared > options.bodyLimit) return refuse(response, { kind: 'body_too_large', limit: options.bodyLimit })
@@ -148,7 +159,6 @@
     response.on('drain', () => {
       if (blocked.delete(request)) events.ready(request)
     })
-    if (draining) response.setHeader('connection', 'close')
     readBody(message, response, request)
   }
 
@@ -156,12 +166,29 @@
   const server: Server = options.credentials === undefined
     ? createPlainServer(limits, handleRequest)
     : createTlsServer({ ...limits, ...options.credentials.server }, handleRequest)
+  const connections = followUsedConnections(server, options.credentials === undefined ? 'connection' : 'secureConnection')
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     const callerError = callerErrorOf(error.code)
     if (error.code !== 'ECONNRESET') events.refused(callerError)
     answerOnSocket(socket, callerError)
   })
 
+  /** Responses to earlier requests of a connection must not announce its end. */
+  const announceClose = (request: number, response: ServerResponse): void => {
+    if (closing && newestRequests.get(response.req.socket) === request) response.shouldKeepAlive = false
+  }
+
+  const boundFlush = (socket: Socket): void => {
+    if (flushing) socket.setTimeout(options.receiveTimeout)
+  }
+
+  /** Whether a request of the connection is being read or has no whole answer yet. */
+  const hasWork = (socket: Socket): boolean =>
+    !socket.writableEnded && [...responses.values()].some(response => response.req.socket === socket && !response.writableEnded)
+
+  // Nothing has been sent or received for the keep-alive timeout or, while flushing, the receive timeout.
+  server.on('timeout', (socket: Socket) => { if (!hasWork(socket)) socket.destroy() })
+
   const write = (request: number, response: ServerResponse, data: string): void => {
     response.write(data)
     if (response.writableLength <= options.writeBuffer || blocked.has(request)) return
@@ -173,8 +200,13 @@
     const response = responses.get(effect.request)
     if (response === undefined) return
     switch (effect.kind) {
-      case 'caller.answer': return answer(response, effect.status, effect.headers, effect.body)
+      case 'caller.answer': {
+        announceClose(effect.request, response)
+        answer(response, effect.status, effect.headers, effect.body)
+        return boundFlush(response.req.socket)
+      }
       case 'caller.open': {
+        announceClose(effect.request, response)
         response.writeHead(effect.status, effect.headers)
         response.flushHeaders()
         return
@@ -182,7 +214,7 @@
       case 'caller.write': return write(effect.request, response, effect.data)
       case 'caller.end': {
         response.end()
-        return
+        return boundFlush(response.req.socket)
       }
       case 'caller.abort': {
         response.destroy()
@@ -197,11 +229,26 @@
   }
 
   const closeListener = (): void => {
-    draining = true
-    // The method of the HTTP server would also close connections whose response has been given whole but not sent.
-    NetServer.prototype.close.call(server)
+    closing = true
     connections.closeIdle()
+    // What waits in the kernel to be accepted would be reset.
+    listenerClosing ??= new Promise(resolve => afterNextRead(() => {
+      // The method of the HTTP server would also close connections whose response has been given whole but not sent.
+      NetServer.prototype.close.call(server)
+      connections.closeIdle()
+      resolve()
+    }))
+  }
+
+  const flushed = async (): Promise<void> => {
+    await listenerClosing
+    flushing = true
+    for (const socket of connections.list()) boundFlush(socket)
+    while (connections.size() > 0) {
+      connections.closeIdle()
+      await connections.nextEnd()
+    }
   }
 
-  return { listen: startListening, perform, closeListener, busy: () => responses.size, destroy: () => server.closeAllConnections() }
+  return { listen: startListening, perform, setClosing: () => { closing = true }, closeListener, flushed, busy: () => responses.size, destroy: () => server.closeAllConnections() }
 }
--- a/src/adapters/tls.spec.ts
+++ b/src/adapters/tls.spec.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { request as httpsRequest } from 'node:https'
 import { connect as connectPlain } from 'node:net'
@@ -91,7 +92,8 @@
   })
 })
 
-const serve = async (credentials: Credentials): Promise<number> => {
+/** Serves callers over TLS; passes the server to `use`. */
+const serve = async (credentials: Credentials, use: (server: HttpServer) => void = () => {}): Promise<number> => {
   const server: HttpServer = createHttpServer({ host: '127.0.0.1', port: 0, bodyLimit: 1_024, headerLimit: 16_384, receiveTimeout: 5_000, writeBuffer: 1_024, credentials }, {
     arrived: ({ request }) => server.perform({ kind: 'caller.answer', request, status: 200, headers: {}, body: 'whole' }),
     gone: () => {},
@@ -103,6 +105,7 @@
     server.closeListener()
     server.destroy()
   })
+  use(server)
   return server.listen()
 }
 
@@ -184,3 +187,25 @@
     expect((await fetchOver(port)).body).toBe('whole')
   })
 })
+
+describe('a server for callers over TLS that stops', () => {
+  it('closes unused and idle connections, and has then nothing left to answer', async () => {
+    const servers: HttpServer[] = []
+    const port = await serve(credentialsOf('e1'), server => servers.push(server))
+    const openTls = async (): Promise<TLSSocket> => {
+      const socket = connectTls({ host: '127.0.0.1', port, ca: readFileSync(fixture('ca.pem'), 'utf8'), servername: 'e1' })
+      socket.on('error', () => { /* The close event follows. */ })
+      await once(socket, 'secureConnect')
+      return socket
+    }
+    const [unused, idle] = [await openTls(), await openTls()]
+    const closed = Promise.all([unused, idle].map(socket => once(socket, 'close')))
+    unused.resume()
+    idle.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n')
+    await once(idle, 'data')
+    servers[0].setClosing()
+    servers[0].closeListener()
+    await servers[0].flushed()
+    await closed
+  })
+})
--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -74,6 +74,8 @@
 export interface Node {
   /** Handles an input and everything that follows from it inside the node. */
   readonly handle: (input: NodeInput, now: number) => readonly NodeEffect[]
+  /** Returns the number of unfinished requests of callers, including calls whose callers have left. */
+  readonly running: () => number
   /** Returns the state of all features as plain JSON. */
   readonly dump: () => Readonly<Record<string, unknown>>
 }
@@ -245,5 +247,5 @@
 
   const dump = (): Readonly<Record<string, unknown>> => ({ instance: membership.self(), ...registry.dump() })
 
-  return { handle, dump }
+  return { handle, running: requests.running, dump }
 }
--- a/src/processes/entry.ts
+++ b/src/processes/entry.ts
@@ -47,6 +47,8 @@
 /** Response to a request whose handling failed with an unexpected error; it may have run. Ignored if the request has been answered. */
 const internalErrorAnswer = { status: 500, headers: { 'content-type': 'application/json' }, body: '{"error":{"type":"internal_error","outcome":"unknown"}}' }
 
+const delay = (time: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, time) })
+
 interface EntryServers {
   readonly callers: HttpServer
   readonly operators: HttpServer
@@ -149,9 +151,13 @@
   let resolveEnded: () => void = () => { /* Replaced by the promise below. */ }
   const ended = new Promise<void>(resolve => { resolveEnded = resolve })
 
+  /** What callers or operators have sent is still answered, for which the node, its peers and the log are needed. */
   const exit = async (): Promise<void> => {
-    clearInterval(timer)
+    await servers.callers.flushed()
+    while (node.running() > 0) await delay(tickInterval)
     servers.operators.closeListener()
+    await servers.operators.flushed()
+    clearInterval(timer)
     servers.peers.close()
     await Promise.all([endpoints.close(), log?.close(), membership?.close()])
     servers.callers.destroy()
