A draining entry instance tells its callers at once not to reuse connections

What callers saw: answers said keep-alive until the listener had closed, so that callers went on sending on connections that were about to be closed.

Cause: the server announced the end only for requests that began after the listener had closed; the node kept the start of the drain to itself.

Evidence: entryDrain.spec.ts, a second request on a kept connection right after the start of the drain. Before: answered with `connection: keep-alive`.

Change: the node passes `drain.announce` on, and the servers for callers and operators send `Connection: close` from then on, as a gateway does.

--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -185,7 +185,7 @@
 
   const expandDrainEffects = (effects: readonly DrainEffect[], now: number): readonly AnyEffect[] =>
     effects.flatMap((effect): readonly AnyEffect[] => effect.kind === 'drain.announce'
-      ? [...membership.leave(now), { kind: 'node.changed', change: { kind: 'drainStarted' } }]
+      ? [effect, ...membership.leave(now), { kind: 'node.changed', change: { kind: 'drainStarted' } }]
       : [effect])
 
   const advanceDrain = (input: AnyInput, now: number): readonly AnyEffect[] => {
--- a/src/processes/entry.ts
+++ b/src/processes/entry.ts
@@ -191,7 +191,11 @@
         else membership.perform(effect)
         return
       }
-      case 'drain.announce': return
+      case 'drain.announce': {
+        servers.callers.setClosing()
+        servers.operators.setClosing()
+        return
+      }
       case 'drain.closeListener': return servers.callers.closeListener()
       case 'drain.exit': {
         exit()
--- a/src/processes/entryDrain.spec.ts
+++ b/src/processes/entryDrain.spec.ts
@@ -41,6 +41,19 @@
 beforeEach(async () => { entry = await startEntry(readSettings('a', settingsText)._unsafeUnwrap()) })
 
 describe('an entry instance that stops', () => {
+  it('tells its callers, from the start of its drain, not to use their connections again', async () => {
+    const caller = await open(entry.callerPort)
+    caller.socket.write(`${head}body`)
+    await waitFor(() => caller.text().endsWith('}'))
+    entry.drain()
+    caller.socket.write(`${head}body`)
+    await waitFor(() => caller.isClosed())
+    const [, first, second] = caller.text().toLowerCase().split('http/1.1 ')
+    expect(first).not.toContain('connection: close')
+    expect(second).toContain('connection: close')
+    await entry.ended
+  })
+
   it.each(['callerPort', 'operatorPort'] as const)('answers a request that was being read when its listener closed: %s', async port => {
     const unused = await open(entry.callerPort)
     const [inBody, inHead] = [await open(entry[port]), await open(entry[port])]
