An entry instance that exits first records the outcomes of its calls

What callers saw: a call that may run once ran at an instance that was stopping, and its outcome was not in the log when the process had ended. Another instance answered the same key with `in_progress`, outcome unknown, instead of repeating the answer.

Cause: a claim knows whether everything is recorded (`isDrained`), and nothing asked it. The drain waited for requests alone; peers and the log were closed while the record of the end was on its way.

Change: the exit waits until the outcomes are recorded, for 5 s at most as the log may be away for long; what is not recorded then ends as unknown, as after a kill.

--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -76,6 +76,8 @@
   readonly handle: (input: NodeInput, now: number) => readonly NodeEffect[]
   /** Returns the number of unfinished requests of callers, including calls whose callers have left. */
   readonly running: () => number
+  /** Whether the outcomes of all calls that may run once have been recorded. */
+  readonly hasRecordedOutcomes: () => boolean
   /** Returns the state of all features as plain JSON. */
   readonly dump: () => Readonly<Record<string, unknown>>
 }
@@ -247,5 +249,5 @@
 
   const dump = (): Readonly<Record<string, unknown>> => ({ instance: membership.self(), ...registry.dump() })
 
-  return { handle, running: requests.running, dump }
+  return { handle, running: requests.running, hasRecordedOutcomes: claims.isDrained, dump }
 }
--- a/src/processes/entry.ts
+++ b/src/processes/entry.ts
@@ -41,6 +41,8 @@
 const operatorReceiveTimeout = 15_000
 /** Maximum size of the body of an operator's request, in bytes. */
 const operatorBodyLimit = 16 * 1024 * 1024
+/** Time for which an instance that exits waits until the outcomes of its calls have been recorded, in ms; the log may be unavailable for long. */
+const recordTimeout = 5_000
 /** Number of random bytes in a generated incarnation id. */
 const incarnationBytes = 6
 
@@ -155,6 +157,8 @@
   const exit = async (): Promise<void> => {
     await servers.callers.flushed()
     while (node.running() > 0) await delay(tickInterval)
+    const recordBy = performance.now() + recordTimeout
+    while (!node.hasRecordedOutcomes() && performance.now() < recordBy) await delay(tickInterval)
     servers.operators.closeListener()
     await servers.operators.flushed()
     clearInterval(timer)
--- a/test/path/pathFixture.ts
+++ b/test/path/pathFixture.ts
@@ -24,6 +24,7 @@
   readonly services: readonly StandIn<ServiceRun>[]
   readonly log: StandIn<AppendedRecord>
   readonly origins: readonly Origin[]
+  readonly entries: readonly EntryProcess[]
   /** Creates a caller that tries the instances with the given indexes in order, once each. */
   readonly callerAt: (workspace: string, ...instances: number[]) => Caller
   /** Number of runs with an idempotency key, over all services. */
@@ -40,6 +41,7 @@
     `workspace ${name} deadline=5s # asked by the test`,
     `key workspace=${name} hash=sha256:${createHash('sha256').update(`demo-key-${name}`).digest('hex')} # asked by the test`
   ]),
+  `key role=read hash=sha256:${createHash('sha256').update('demo-operator-read').digest('hex')} # asked by the test`,
   'model drafter version=1 # asked by the test',
   'once service=bookings method=POST # asked by the test'
 ].join('\n')
@@ -68,14 +70,15 @@
 /**
  * Starts two engines, two services and two entry instances.
  *
+ * @param serviceRunTime - processing time of a service's call, in ms
  * @returns the fleet, with the rules in force and every instance ready
  */
-export const startPathFleet = async (): Promise<PathFleet> => {
+export const startPathFleet = async (serviceRunTime = 2): Promise<PathFleet> => {
   const hash = await loadHash()
   const log = createLogService()
   const membership = createMembershipList()
   const engines = [0, 1].map(index => createEngine(hash, { id: `w${index}`, decodeTime: 5 }))
-  const services = [0, 1].map(index => createService({ id: `s${index}` }))
+  const services = [0, 1].map(index => createService({ id: `s${index}`, runTime: serviceRunTime }))
   const listening = await Promise.all([log, membership, ...engines, ...services].map(standIn => standIn.listen()))
   const [logOrigin, membershipOrigin, ...endpointOrigins] = listening
   const endpoints = { engines: endpointOrigins.slice(0, 2), services: endpointOrigins.slice(2) }
@@ -102,7 +105,7 @@
 
   const runsOf = (key: string): number => services.flatMap(({ record }) => record).filter(run => run.key === key).length
 
-  return { engines, services, log, origins, callerAt, runsOf, close }
+  return { engines, services, log, origins, entries, callerAt, runsOf, close }
 }
 
 /**
