--- a/test/start/startSignals.spec.ts
+++ b/test/start/startSignals.spec.ts
@@ -1,5 +1,5 @@
 /** Guards against signals that end a process while it starts, or that are lost: real processes, signalled at moments of their start. */
-import { spawn, spawnSync } from 'node:child_process'
+import { spawn, spawnSync, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { copyFileSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -19,6 +19,7 @@
 const host = '127.0.0.1'
 let folder: string
 let program: string
+let child: ChildProcess | undefined
 
 beforeAll(() => {
   folder = mkdtempSync(join(tmpdir(), 'wasabireel-signals-'))
@@ -28,6 +29,9 @@
   copyFileSync('scripts/startCached.cjs', program)
 })
 
+// A failed test may leave its process running.
+afterEach(() => { child?.kill('SIGKILL') })
+
 afterAll(() => { rmSync(folder, { recursive: true, force: true }) })
 
 const gatewaySettings = async (): Promise<object> => {
@@ -66,22 +70,23 @@
 const run = async (command: Command, signal: NodeJS.Signals, moment: string, until?: string): Promise<Run> => {
   const settings = join(folder, `${command}-${moment}-${signal}.ini`)
   writeFileSync(settings, stringify(command === 'gateway' ? await gatewaySettings() : await entrySettings()))
-  const child = spawn(process.execPath, ['--require', resolve('test/start/signalAt.cjs'), program, command, '--settings', settings], {
+  const started = spawn(process.execPath, ['--require', resolve('test/start/signalAt.cjs'), program, command, '--settings', settings], {
     env: { ...process.env, SIGNAL: signal, MOMENT: moment, SETTINGS: settings },
     stdio: ['ignore', 'pipe', 'pipe']
   })
+  child = started
   let output = ''
   let problems = ''
   let stopped = false
   const log = (): string[] => output.split('\n').filter(line => line !== '').map(messageOf)
-  child.stdout.on('data', bytes => {
+  started.stdout.on('data', bytes => {
     output += String(bytes)
     if (stopped || until === undefined || !log().includes(until)) return
     stopped = true
-    child.kill('SIGTERM')
+    started.kill('SIGTERM')
   })
-  child.stderr.on('data', bytes => { problems += String(bytes) })
-  const [code, endedBy] = await once(child, 'close') as [number | null, NodeJS.Signals | null]
+  started.stderr.on('data', bytes => { problems += String(bytes) })
+  const [code, endedBy] = await once(started, 'close') as [number | null, NodeJS.Signals | null]
   // A process that the signal ends does not come to write that it was sent.
   if (endedBy === null) expect(problems).toBe('signalled\n')
   return { log: log(), code, signal: endedBy }
