--- a/src/node/nodeMachine.ts
+++ b/src/node/nodeMachine.ts
@@ -74,6 +74,10 @@
 export interface Node {
   /** Handles an input and everything that follows from it inside the node. */
   readonly handle: (input: NodeInput, now: number) => readonly NodeEffect[]
+  /** Returns the number of unfinished requests of callers, including calls whose callers have left. */
+  readonly running: () => number
+  /** Whether the outcomes of all calls that may run once have been recorded. */
+  readonly hasRecordedOutcomes: () => boolean
   /** Returns the state of all features as plain JSON. */
   readonly dump: () => Readonly<Record<string, unknown>>
 }
@@ -183,7 +187,7 @@
 
   const expandDrainEffects = (effects: readonly DrainEffect[], now: number): readonly AnyEffect[] =>
     effects.flatMap((effect): readonly AnyEffect[] => effect.kind === 'drain.announce'
-      ? [...membership.leave(now), { kind: 'node.changed', change: { kind: 'drainStarted' } }]
+      ? [effect, ...membership.leave(now), { kind: 'node.changed', change: { kind: 'drainStarted' } }]
       : [effect])
 
   const advanceDrain = (input: AnyInput, now: number): readonly AnyEffect[] => {
@@ -245,5 +249,5 @@
 
   const dump = (): Readonly<Record<string, unknown>> => ({ instance: membership.self(), ...registry.dump() })
 
-  return { handle, dump }
+  return { handle, running: requests.running, hasRecordedOutcomes: claims.isDrained, dump }
 }
