A stopping instance takes no relayed requests that it would refuse

Callers: at an instance that is cut off from its workers, some got 503 shuttingDown though it does not shut down and two other instances served.

Cause: since a stopping instance refuses what it may not live to end, it also refuses what others pass on to it; its 503 goes to the caller. An instance that had answered the question for a relay stayed in the list for 2.5 s after it had begun to stop.

Test before: 5 instances, one cut off, two leave at once, limit 15 s: refused 0.2 and 1.4 s after the signal (the list then is empty of them 2.5 s after it).

Change: a peer that says that it leaves is dropped from the relays. Requests that are on their way when it says so can still be refused.

--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -154,6 +154,7 @@
           tellLeavingWorkers(peer)
         }
         poisonRequests.peerChanged(peer, change, currentTime.steady)
+        if (change === 'leaving') workerReach.dropRelay(peer)
         log({ kind: 'peerChanged', peer, change })
       }
     }
--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -96,6 +96,8 @@
   readonly send: (instance: string, call: Call) => FakeCall
   /** Ends an instance at once; its callers' responses break off. */
   readonly kill: (instance: string) => void
+  /** Asks an instance to shut down; it goes on for as long as its grace period until it is killed. */
+  readonly leave: (instance: string) => void
   /** Starts an instance that was killed, without state. */
   readonly start: (instance: string) => void
   /** Stops reading the store at an instance, or reads it again. */
@@ -413,6 +415,7 @@
     live: () => [...running.keys()],
     send,
     kill,
+    leave: instance => input(instance, { kind: 'gateway.leave' }),
     start,
     setStoreReachable: (instance, reachable) => {
       if (reachable) storeCutOff.delete(instance)
