--- /dev/null
+++ b/src/adapters/frontLateRequests.spec.ts
@@ -0,0 +1,100 @@
+/** Guards against requests that are lost because they come late, or in parts, on a connection of a front that closes. */
+import { requestText, startFront } from '../../test/fixtures/front.js'
+import { waitFor } from '../../test/fakes/waitFor.js'
+
+const refuse = (fixture: Awaited<ReturnType<typeof startFront>>, request: number): void =>
+  fixture.front.perform({ kind: 'call.answer', request, status: 503, headers: ['Retry-After', '0.05'], body: Buffer.from('no') })
+
+describe('a front that closes', () => {
+  it('answers a request whose head was half sent before', async () => {
+    const fixture = await startFront()
+    const caller = await fixture.open()
+    const text = requestText('half')
+    caller.socket.write(text.slice(0, 20))
+    const other = await fixture.open()
+    other.socket.write(requestText('other'))
+    await fixture.arrived('other')
+    fixture.front.setClosing()
+    fixture.front.closeListener()
+    await waitFor(() => fixture.inputs.length === 1)
+    caller.socket.write(text.slice(20))
+    refuse(fixture, await fixture.arrived('half'))
+    await waitFor(() => caller.isClosed())
+    expect(caller.text()).toMatch(/ 503 [^]*Connection: close[^]*no$/)
+    fixture.close()
+  })
+
+  it('answers a request whose body ends late, and one pipelined behind a stream', async () => {
+    const fixture = await startFront()
+    const caller = await fixture.open()
+    const text = requestText('slow', 'abcdef')
+    caller.socket.write(text.slice(0, -3))
+    const piped = await fixture.open()
+    piped.socket.write(requestText('first'))
+    const first = await fixture.arrived('first')
+    fixture.front.perform({ kind: 'call.open', request: first, status: 200, headers: [] })
+    fixture.front.setClosing()
+    fixture.front.closeListener()
+    const flushed = fixture.front.flushed()
+    caller.socket.write('def')
+    refuse(fixture, await fixture.arrived('slow'))
+    await waitFor(() => caller.isClosed())
+    expect(caller.text()).toMatch(/ 503 [^]*no$/)
+    piped.socket.write(requestText('second'))
+    refuse(fixture, await fixture.arrived('second'))
+    fixture.front.perform({ kind: 'call.write', request: first, bytes: Buffer.from('event') })
+    fixture.front.perform({ kind: 'call.end', request: first })
+    await waitFor(() => piped.isClosed())
+    expect(piped.text()).toMatch(/ 200 [^]*event[^]* 503 [^]*no$/)
+    await flushed
+    fixture.close()
+  })
+
+  it('answers the refused request that is pipelined behind a stream which is broken off', async () => {
+    const fixture = await startFront()
+    const piped = await fixture.open()
+    piped.socket.write(requestText('first') + requestText('second'))
+    const first = await fixture.arrived('first')
+    const second = await fixture.arrived('second')
+    fixture.front.setClosing()
+    fixture.front.closeListener()
+    refuse(fixture, second)
+    fixture.front.perform({ kind: 'call.answer', request: first, status: 502, headers: [], body: Buffer.from('cut') })
+    await waitFor(() => piped.isClosed())
+    expect(piped.text()).toMatch(/ 502 [^]*cut[^]* 503 [^]*no$/)
+    fixture.close()
+  })
+
+  it('answers a request with Expect: 100-continue whose body comes after the listener has closed', async () => {
+    const fixture = await startFront()
+    const caller = await fixture.open()
+    caller.socket.write('POST /a/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: e\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n')
+    await waitFor(() => / 100 /.test(caller.text()))
+    fixture.front.setClosing()
+    fixture.front.closeListener()
+    caller.socket.write('abc')
+    refuse(fixture, await fixture.arrived('e'))
+    await waitFor(() => caller.isClosed())
+    expect(caller.text()).toMatch(/ 503 [^]*no$/)
+    fixture.close()
+  })
+
+  it('reads a request that has arrived on an unused connection in the turn in which it closes', async () => {
+    for (let round = 0; round < 20; round++) {
+      const fixture = await startFront()
+      const busy = await fixture.open()
+      busy.socket.write(requestText('busy'))
+      await fixture.arrived('busy')
+      const caller = await fixture.open()
+      caller.socket.write(requestText('late'))
+      fixture.front.setClosing()
+      fixture.front.closeListener()
+      await waitFor(() => caller.isClosed() || fixture.inputs.length > 1)
+      expect(fixture.inputs.length).toBe(2)
+      refuse(fixture, await fixture.arrived('late'))
+      await waitFor(() => caller.isClosed())
+      expect(caller.text()).toMatch(/ 503 /)
+      fixture.close()
+    }
+  })
+})
