A stop keeps the grace period with which it began, from the receipt of its signal

Callers: SIGHUP or a changed settings file in the middle of a stop moved the end of what had been promised (grace 8 s, then 30 s at 4 s: nothing was ended before the kill). And a signal that came while the process was starting counted from the end of the start.

The time limits are taken once, in begin; gateway.leave names when the process received the signal (startSignals).

--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -406,7 +406,7 @@
       case 'peer.message': return handlePeerMessage(input.from, input.message)
       case 'peer.lost': return
       case 'tick': return tick()
-      case 'gateway.leave': return shutdown.begin(currentTime.steady)
+      case 'gateway.leave': return shutdown.begin(currentTime.steady, input.signalledAt)
       default: assertNever(input)
     }
   }
--- a/src/gateway/plannedStop.spec.ts
+++ b/src/gateway/plannedStop.spec.ts
@@ -82,4 +82,16 @@
     expect(playStop(100, 6_900, 900, true)).toMatchObject({ wasSent: false, status: 503 })
     expect(playStop(100, 6_300, 900, true)).toMatchObject({ wasSent: true })
   })
+
+  it('counts its grace period from the receipt of a signal that came while the process was starting', () => {
+    const play = build(15_000)
+    play.send({ kind: 'gateway.leave', signalledAt: leftAt - 3_000 }, leftAt)
+    const isTaken = (request: number, limit: number): boolean => {
+      play.send({ kind: 'call.arrived', request, call: buildCall({ id: `r${request}`, patience: limit }) }, leftAt)
+      return play.logEvents().some(event => event.kind === 'sent' && event.id === `r${request}`)
+    }
+    expect([isTaken(1, 4_300), isTaken(2, 4_500)]).toEqual([true, false])
+    play.run(leftAt + 20, leftAt + 5_000)
+    expect(play.firstAt('gateway.exit')).toBeLessThanOrEqual(leftAt + 5_000 - 500)
+  })
 })
--- a/src/gateway/shutdown.ts
+++ b/src/gateway/shutdown.ts
@@ -45,8 +45,8 @@
 
 /** The shutdown of one instance; `now` in ms. */
 export interface Shutdown {
-  /** Starts the shutdown; further calls have no effect. */
-  readonly begin: (now: number) => void
+  /** Starts the shutdown, after a signal that the process received at `receivedAt` (ms), by default now; further calls have no effect. */
+  readonly begin: (now: number, receivedAt?: number) => void
   readonly isShuttingDown: () => boolean
   /** How far the shutdown is; undefined until it has begun. */
   readonly progress: (now: number) => ShutdownProgress | undefined
@@ -55,6 +55,8 @@
 
 /** The shutdown once it has begun. */
 interface Begun {
+  /** The time limits with which it began; settings that change meanwhile do not change what is promised. */
+  readonly limits: ShutdownBounds
   /** When the signal was handled, in ms. */
   readonly handledAt: number
   /** Earliest time at which it may have come, in ms. */
@@ -72,6 +74,13 @@
 /** Time before that exit at which the remaining requests are refused or broken off, so that their callers are told, in ms. */
 const refusalTime = 100
 
+/** Time from the signal to the end of the remaining requests, in ms. */
+const requestTime = ({ grace }: ShutdownBounds): number => grace - graceReserve - refusalTime
+
+/** Time from the signal to the end of the listener, in ms. */
+const acceptTime = ({ addressLife, addressLifeFactor, grace }: ShutdownBounds): number =>
+  Math.min(addressLife * addressLifeFactor + announceDelay, grace / 2)
+
 /**
  * Creates the shutdown of an instance; it does nothing until `begin` is called.
  *
@@ -82,20 +91,12 @@
   let lastTickAt: number | undefined
   let tickBeforeAt: number | undefined
 
-  /** Time from the signal to the end of the remaining requests. */
-  const requestTime = (): number => bounds().grace - graceReserve - refusalTime
-
-  /** Time from the signal to the end of the listener. */
-  const acceptTime = (): number => {
-    const { addressLife, addressLifeFactor, grace } = bounds()
-    return Math.min(addressLife * addressLifeFactor + announceDelay, grace / 2)
-  }
-
-  const begin = (now: number): void => {
+  const begin = (now: number, receivedAt = now): void => {
     if (begun !== undefined) return
-    const signalledAt = Math.min(now, tickBeforeAt ?? lastTickAt ?? now)
-    begun = { handledAt: now, signalledAt, waitingEnded: false, requestsEnded: false, frontClosed: false, exiting: false }
-    log({ kind: 'leaving', requests: requests(), heldUp: Math.round(now - signalledAt), grace: bounds().grace })
+    const signalledAt = Math.min(receivedAt, tickBeforeAt ?? lastTickAt ?? now)
+    const limits = bounds()
+    begun = { limits, handledAt: receivedAt, signalledAt, waitingEnded: false, requestsEnded: false, frontClosed: false, exiting: false }
+    log({ kind: 'leaving', requests: requests(), heldUp: Math.round(now - signalledAt), grace: limits.grace })
     announce()
     emit({ kind: 'gateway.closing' })
   }
@@ -106,25 +107,25 @@
   }
 
   const endDue = (state: Begun, now: number): void => {
-    if (!state.waitingEnded && now - state.signalledAt >= requestTime()) {
+    if (!state.waitingEnded && now - state.signalledAt >= requestTime(state.limits)) {
       state.waitingEnded = true
       endWaiting()
     }
-    if (!state.requestsEnded && now - state.handledAt >= requestTime()) {
+    if (!state.requestsEnded && now - state.handledAt >= requestTime(state.limits)) {
       state.requestsEnded = true
       endRequests()
     }
   }
 
   const closeFrontIfDue = (state: Begun, now: number): void => {
-    if (state.frontClosed || now - state.signalledAt < acceptTime()) return
+    if (state.frontClosed || now - state.signalledAt < acceptTime(state.limits)) return
     state.frontClosed = true
     closeFront()
   }
 
   const exitIfDue = (state: Begun, now: number): void => {
     if (state.exiting || !state.frontClosed) return
-    const within = Math.max(0, state.handledAt + bounds().grace - graceReserve - now)
+    const within = Math.max(0, state.handledAt + state.limits.grace - graceReserve - now)
     if (requests() > 0 && within > 0) return
     state.exiting = true
     // The others send heartbeats only to members, and without these the instance would take itself for the last one.
@@ -134,8 +135,9 @@
 
   const progress = (now: number): ShutdownProgress | undefined => {
     if (begun === undefined) return undefined
-    const since = now - begun.signalledAt
-    return { since, left: requestTime() - since, accepting: !begun.frontClosed && since < acceptTime() }
+    const { limits, signalledAt, frontClosed } = begun
+    const since = now - signalledAt
+    return { since, left: requestTime(limits) - since, accepting: !frontClosed && since < acceptTime(limits) }
   }
 
   const tick = (now: number): void => {
