--- a/src/forwarding/callerResponses.ts
+++ b/src/forwarding/callerResponses.ts
@@ -73,7 +73,7 @@
 
   const remove = (exchange: Exchange, whole: boolean, now: number): void => {
     releaseCredit(context, exchange, whole, now)
-    if (exchange.sentTo.size > 0) context.durations.add(exchange.route.name, now - exchange.arrivedAt, now)
+    if (exchange.sentTo.size > 0) context.durations.add(exchange.route.name, now - exchange.arrivedAt, whole, now)
     attempts.cancelAll(exchange)
     cancelRelay(exchange)
     if (exchange.streamBegun) context.streamOrigins.end(exchange.call.id, whole, now)
