A stopping instance counts the requests in progress when it judges how long one may last

The oldest request that a worker has counts as its age now, looked up only for requests that arrive during a stop.

--- a/src/forwarding/requestShutdown.ts
+++ b/src/forwarding/requestShutdown.ts
@@ -34,11 +34,22 @@
  * @param options - the requests, and how they end
  */
 export const createRequestShutdown = ({ context, exchanges, responses, isolation }: RequestShutdownOptions): RequestShutdown => {
+  /** Time since the arrival of the oldest request of a route that workers have; it will last longer. */
+  const oldestOpen = (route: string, now: number): number => {
+    const open = [...exchanges.values()].filter(exchange => exchange.route.name === route && exchange.sentTo.size > 0)
+    return Math.max(0, ...open.map(({ arrivedAt }) => now - arrivedAt))
+  }
+
+  const longestOf = (route: string, now: number): number | undefined => {
+    const longest = context.durations.longest(route, now)
+    return longest === undefined ? undefined : Math.max(longest, oldestOpen(route, now))
+  }
+
   const takes: RequestShutdown['takes'] = ({ call, route, deadline }, connection, now) => {
     const progress = context.shutdownProgress(now)
     if (progress === undefined) return true
     const needed = deadline - now
-    const taken = isTakenInShutdown({ progress, needed, longest: context.durations.longest(route.name, now) })
+    const taken = isTakenInShutdown({ progress, needed, longest: longestOf(route.name, now) })
     context.log({
       kind: 'arrivedInShutdown',
       id: call.id,
--- a/src/gateway/plannedStop.spec.ts
+++ b/src/gateway/plannedStop.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against a planned stop that takes a request which cannot end before the instance does, and breaks it off. */
 import { buildCall, buildCatalog, buildRoute } from '../../test/fixtures/forwarding.js'
-import { buildGatewayPlay, type GatewayPlay } from '../../test/fixtures/gateway.js'
+import { answerWhole, attemptsOf, buildGatewayPlay, type GatewayPlay } from '../../test/fixtures/gateway.js'
 import { loadHash, type Hash } from '../hash.js'
 
 let hash: Hash
@@ -33,14 +33,6 @@
   }
 }
 
-/** Sends the whole answer of the worker that got the last request. */
-const answerWhole = (play: GatewayPlay, id: string, now: number): void => {
-  const attempt = play.effects.flatMap(({ effect }) => effect.kind === 'attempt.send' ? [effect.attempt] : []).at(-1) ?? 0
-  play.send({ kind: 'attempt.head', attempt, head: { status: 200, headers: [], requestId: id, notRun: false, signed: true } }, now)
-  play.send({ kind: 'attempt.data', attempt, bytes: Buffer.from('id: 1\ndata: x\n\n') }, now)
-  play.send({ kind: 'attempt.ended', attempt }, now)
-}
-
 const readTimes = [0, 100, 1_500, 2_380, 2_420, 2_900, 3_500, 5_000, 7_000, 7_380]
 
 describe('an instance that shuts down', () => {
@@ -67,7 +59,7 @@
       const now = request * 10
       const id = `r${request}`
       play.send({ kind: 'call.arrived', request, call: buildCall({ id }) }, now)
-      answerWhole(play, id, now + 700)
+      answerWhole(play, attemptsOf(play).at(-1) ?? 0, id, now + 700)
     }
     play.run(600, leftAt)
     play.send({ kind: 'gateway.leave' }, leftAt)
--- a/src/gateway/plannedStopGaps.spec.ts
+++ b/src/gateway/plannedStopGaps.spec.ts
@@ -1,6 +1,6 @@
 /** Shows where a planned stop still begins or takes requests that cannot end before the instance does. */
 import { buildCall, buildCatalog, buildRoute, buildWorker } from '../../test/fixtures/forwarding.js'
-import { buildGatewayBounds, buildGatewayPlay, type GatewayPlay } from '../../test/fixtures/gateway.js'
+import { answerWhole, attemptsOf, buildGatewayBounds, buildGatewayPlay, type GatewayPlay } from '../../test/fixtures/gateway.js'
 import { loadHash, type Hash } from '../hash.js'
 import { createShutdown, type ShutdownBounds } from './shutdown.js'
 
@@ -22,9 +22,6 @@
   return play.logEvents().some(event => event.kind === 'sent' && event.id === `late${request}`)
 }
 
-const attemptsOf = (play: GatewayPlay): readonly number[] =>
-  play.effects.flatMap(({ effect }) => effect.kind === 'attempt.send' ? [effect.attempt] : [])
-
 describe('an instance that shuts down', () => {
   it('does not send a request that waits to a worker right before it ends all requests', () => {
     const play = build(0)
@@ -55,7 +52,7 @@
     play.run(0, 5_000)
     for (let request = 1; request <= 30; request++) {
       play.send({ kind: 'call.arrived', request, call: buildCall({ id: `r${request}` }) }, 5_000 + request * 20)
-      play.send({ kind: 'call.left', request, id: `r${request}`, stage: 'open', reason: 'callerClosed' }, 5_010 + request * 20)
+      answerWhole(play, attemptsOf(play).at(-1) ?? 0, `r${request}`, 5_010 + request * 20)
     }
     play.run(5_700, 6_000)
     play.send({ kind: 'gateway.leave' }, 6_000)
