A request that waits is not sent to a worker that cannot end it before the instance stops

The check was made at the arrival only: a request without a worker at SIGTERM that found one 7.2 s later was sent and cut 0.2 s after that, 502 with an unknown outcome in place of a refusal as not run; one that may not run twice was lost for its caller. Before each placement of a request that no worker can have run, the same question is asked again; if it may not begin, it is refused at once (shuttingDown). Retries and continuations go on as before: the outcome of such a request is unknown anyway.

--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -101,6 +101,7 @@
 
   const tryPlacement = (exchange: Exchange, cause: SendCause, time: DecisionTime): void => {
     exchange.awaitsPeerFor = undefined
+    if (!shutdown.mayBegin(exchange, time.now)) return responses.refuse(exchange, { kind: 'shuttingDown' }, time)
     const placement = placeRequest(context, exchange, cause, attempts.nextId(), time)
     switch (placement.kind) {
       case 'sent':
--- a/src/forwarding/requestShutdown.ts
+++ b/src/forwarding/requestShutdown.ts
@@ -4,12 +4,14 @@
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Exchange } from './forwardingTypes.js'
 import type { RequestIsolation } from './requestIsolation.js'
-import { isTakenInShutdown } from './shutdownAdmission.js'
+import { isTakenInShutdown, mayBeginInShutdown, type ArrivalInShutdown } from './shutdownAdmission.js'
 
 /** The shutdown as it concerns the requests of one instance. */
 export interface RequestShutdown {
   /** Whether a request that has arrived is taken; always while the instance does not shut down. */
   readonly takes: (exchange: Exchange, connection: ConnectionHistory | undefined, now: number) => boolean
+  /** Whether a request that waits, or is retried, may be sent to a worker; always if one may have run it, or while the instance does not shut down. */
+  readonly mayBegin: (exchange: Exchange, now: number) => boolean
   /** Refuses the requests that no worker has had. */
   readonly endWaiting: (time: DecisionTime) => void
   /** Refuses all requests, or breaks their responses off. */
@@ -45,11 +47,23 @@
     return longest === undefined ? undefined : Math.max(longest, oldestOpen(route, now))
   }
 
-  const takes: RequestShutdown['takes'] = ({ call, route, deadline }, connection, now) => {
+  const arrivalOf = ({ route, deadline }: Exchange, now: number): ArrivalInShutdown | undefined => {
     const progress = context.shutdownProgress(now)
-    if (progress === undefined) return true
-    const needed = deadline - now
-    const taken = isTakenInShutdown({ progress, needed, longest: longestOf(route.name, now) })
+    return progress === undefined ? undefined : { progress, needed: deadline - now, longest: longestOf(route.name, now) }
+  }
+
+  const mayBegin: RequestShutdown['mayBegin'] = (exchange, now) => {
+    if (mayHaveRun(exchange)) return true
+    const arrival = arrivalOf(exchange, now)
+    return arrival === undefined || mayBeginInShutdown(arrival)
+  }
+
+  const takes: RequestShutdown['takes'] = (exchange, connection, now) => {
+    const arrival = arrivalOf(exchange, now)
+    if (arrival === undefined) return true
+    const { progress, needed } = arrival
+    const { call } = exchange
+    const taken = isTakenInShutdown(arrival)
     context.log({
       kind: 'arrivedInShutdown',
       id: call.id,
@@ -74,6 +88,7 @@
 
   return {
     takes,
+    mayBegin,
     endWaiting: time => endEach([...exchanges.values()].filter(exchange => !mayHaveRun(exchange)), time),
     endAll: time => endEach([...exchanges.values()], time)
   }
--- a/src/forwarding/shutdownAdmission.spec.ts
+++ b/src/forwarding/shutdownAdmission.spec.ts
@@ -1,4 +1,4 @@
-import { isTakenInShutdown } from './shutdownAdmission.js'
+import { isTakenInShutdown, mayBeginInShutdown } from './shutdownAdmission.js'
 
 const progress = { since: 1_000, left: 4_000, accepting: true }
 
@@ -15,3 +15,14 @@
     expect(isTakenInShutdown({ progress: state, needed, longest })).toBe(taken)
   })
 })
+
+describe('a request that waits during the shutdown', () => {
+  it.each([
+    ['that must end before may', progress, 4_000, undefined, true],
+    ['of a route without recent requests may not', progress, 4_001, undefined, false],
+    ['of a route with requests of half of the time that is left may, also after the listener has closed,', { ...progress, accepting: false }, 15_000, 2_000, true],
+    ['of a route with requests beyond half of it may not', progress, 15_000, 2_001, false]
+  ])('%s begin', (_name, state, needed, longest, begins) => {
+    expect(mayBeginInShutdown({ progress: state, needed, longest })).toBe(begins)
+  })
+})
--- a/src/forwarding/shutdownAdmission.ts
+++ b/src/forwarding/shutdownAdmission.ts
@@ -31,12 +31,22 @@
 const durationMargin = 2
 
 /**
- * Whether a request that arrives during the shutdown is taken.
+ * Whether a request that no worker has had yet may still begin, as it will probably end in time.
  *
  * @param arrival - the request and how far the shutdown is
  */
-export const isTakenInShutdown = ({ progress, needed, longest }: ArrivalInShutdown): boolean => {
+export const mayBeginInShutdown = ({ progress, needed, longest }: ArrivalInShutdown): boolean => {
   if (needed <= progress.left) return true
-  if (!progress.accepting || longest === undefined) return false
-  return durationMargin * longest <= progress.left
+  return longest !== undefined && durationMargin * longest <= progress.left
+}
+
+/**
+ * Whether a request that arrives during the shutdown is taken.
+ *
+ * @param arrival - the request and how far the shutdown is
+ */
+export const isTakenInShutdown = (arrival: ArrivalInShutdown): boolean => {
+  const { progress, needed } = arrival
+  const mayStillCome = progress.accepting || needed <= progress.left
+  return mayStillCome && mayBeginInShutdown(arrival)
 }
--- a/src/gateway/hostileInputs.spec.ts
+++ b/src/gateway/hostileInputs.spec.ts
@@ -76,9 +76,11 @@
 
   it('runs the other steps of a tick, and serves, while one step throws an error at every tick, which is reported each time', () => {
     let failing = false
+    const failIfAsked = (): void => { if (failing) throw new TypeError('broken') }
     const { effects, errors, send } = build(() => {
-      if (failing) throw new TypeError('broken')
-      return buildGatewayBounds()
+      failIfAsked()
+      // The shutdown keeps the limits with which it began, and reads them at each tick.
+      return Object.defineProperty(buildGatewayBounds(), 'grace', { get: () => failIfAsked() ?? 8_000 })
     })
     send({ kind: 'gateway.leave' }, 10)
     failing = true
