One record or message with a long list of wrong values no longer holds or ends an instance

Cause: the schemas checked every element of a list and collected an issue for each wrong one, which was then finished, sorted and printed although 300 characters of the report are kept. Class: the cost of a refusal grew with what another writer sent.

Ruled out: depth. Lists with a `max` are refused by the library before their elements.

Change: `listOf`, a list schema that stops at its first fault, for all lists without a `max` in records of the store, answers of workers and part stores, and messages between instances. What is accepted does not change.

--- a/src/catalog/catalogTypes.ts
+++ b/src/catalog/catalogTypes.ts
@@ -1,5 +1,6 @@
 /** Schemas and types of the operator's configuration as instances use it: routes, services, workspaces and limits. */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 
 const maxPort = 65_535
 
@@ -26,7 +27,7 @@
   /** Scheduling priority; 0 is the most urgent. */
   priority: z.number(),
   /** Services that may handle the request, with their relative weights. */
-  targets: z.array(z.object({ service: z.string(), weight: z.number() })),
+  targets: listOf(z.object({ service: z.string(), weight: z.number() })),
   /** Maximum number of workers to which one request may be sent. */
   maxWorkers: z.number(),
   /** Whether callers may omit the API key. */
@@ -74,7 +75,7 @@
 
 const workspaceSchema = z.object({
   name: z.string(),
-  keys: z.array(z.string()),
+  keys: listOf(z.string()),
   /** Overrides the route's priority. */
   priority: z.number().optional(),
   /** Whether the workspace shares no cached prompt parts with other workspaces. */
@@ -86,8 +87,8 @@
 /** Schema of one version of the configuration. */
 export const catalogSchema = z.object({
   version: z.number(),
-  routes: z.array(routeSchema),
-  services: z.array(serviceSchema),
+  routes: listOf(routeSchema),
+  services: listOf(serviceSchema),
   limits: z.object({
     headerBytes: z.number(),
     bodyBytes: z.number(),
@@ -97,7 +98,7 @@
     idleTimeout: z.number()
   }),
   /** Workspaces with their API keys; undefined if no request needs a key. */
-  workspaces: z.array(workspaceSchema).optional()
+  workspaces: listOf(workspaceSchema).optional()
 })
 
 /** One version of the configuration. */
--- a/src/fleet/fleetMessages.ts
+++ b/src/fleet/fleetMessages.ts
@@ -3,6 +3,7 @@
 import { catalogSchema } from '../catalog/catalogTypes.js'
 import { quotaMessageSchemas } from '../quotas/quotaMessages.js'
 import { coordinationMessageSchemas } from '../coordination/coordinationMessages.js'
+import { listOf } from '../listSchema.js'
 import { streamOriginSchema } from '../streamOrigins/streamOriginsTypes.js'
 import { workerRecordSchema } from '../workers/workersTypes.js'
 
@@ -38,11 +39,11 @@
     /** Whether the first part store is reachable; undefined if there is none. Instances of an older version know only this one. */
     partStore: z.boolean().optional(),
     /** The part stores that are reachable, as `host:port`; undefined in an older version. */
-    partStores: z.array(z.string()).optional(),
+    partStores: listOf(z.string()).optional(),
     /** Ids of the instances whose heartbeats the sender misses. */
-    silent: z.array(z.string())
+    silent: listOf(z.string())
   }).optional(),
-  weights: z.array(z.object({ model: z.string(), version: z.number() }))
+  weights: listOf(z.object({ model: z.string(), version: z.number() }))
 })
 
 const permitDecisionSchema = z.discriminatedUnion('kind', [
@@ -124,7 +125,7 @@
     /** Whether the worker was asked to send the prompt to the part store. */
     stores: z.boolean().default(false),
     scope: z.string(),
-    parts: z.array(z.object({ id: z.string(), tokens: z.number() }))
+    parts: listOf(z.object({ id: z.string(), tokens: z.number() }))
   }),
   /** The sender could not reach a worker. */
   z.object({ kind: z.literal('fleet.doubt'), worker: z.string() }),
@@ -137,16 +138,16 @@
   /** The answer; `wait` in ms. */
   z.object({ kind: z.literal('fleet.permitDecision'), worker: z.string(), startedAt: z.number(), decision: permitDecisionSchema }),
   /** Streams that have begun at the sender, for instances that are to know where. */
-  z.object({ kind: z.literal('fleet.streams'), streams: z.array(z.object({ id: z.string(), origin: streamOriginSchema })), /** Whether the receiver is to record them in the store. */ record: z.boolean().default(false) }),
+  z.object({ kind: z.literal('fleet.streams'), streams: listOf(z.object({ id: z.string(), origin: streamOriginSchema })), /** Whether the receiver is to record them in the store. */ record: z.boolean().default(false) }),
   /** Asks where a stream began. */
   z.object({ kind: z.literal('fleet.streamQuestion'), id: z.string(), service: z.string(), workspace: z.string().optional(), /** Whether the receiver is to read the records of the store first if it has just started. */ read: z.boolean().default(false) }),
   /** Where it began, if the sender knows, and which versions of the service's software it has seen lately; `complete` as in `VersionSummary`. */
-  z.object({ kind: z.literal('fleet.streamAnswer'), id: z.string(), origin: streamOriginSchema.optional(), versions: z.array(z.string()), complete: z.boolean() }),
+  z.object({ kind: z.literal('fleet.streamAnswer'), id: z.string(), origin: streamOriginSchema.optional(), versions: listOf(z.string()), complete: z.boolean() }),
   ...poisonMessageSchemas,
   ...quotaMessageSchemas,
   ...coordinationMessageSchemas,
   /** Changed worker records from a sender that reads for others. */
-  z.object({ kind: z.literal('fleet.workers'), records: z.array(workerRecordSchema) }),
+  z.object({ kind: z.literal('fleet.workers'), records: listOf(workerRecordSchema) }),
   /** Asks whether the receiver has reached workers of the service since the sender found for all, `since` ms ago, that it does not. */
   z.object({ kind: z.literal('fleet.reachQuestion'), service: z.string(), since: z.number().min(0) }),
   /** The sender has reached a worker of the service since, and takes requests for it. */
--- a/src/streamOrigins/streamRecords.ts
+++ b/src/streamOrigins/streamRecords.ts
@@ -5,6 +5,7 @@
  * since many streams share one. Instances read the newest records after a start.
  */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 import { streamOriginSchema, type StreamOrigin } from './streamOriginsTypes.js'
 import { versionMemory } from './versionHistory.js'
 
@@ -18,10 +19,10 @@
   /** Time at which the record was made, in Unix ms. */
   at: z.number(),
   /** Services that run several versions; one with a single version has ceased to. */
-  services: z.array(z.object({ service: z.string(), versions: z.array(z.string()) })),
-  origins: z.array(streamOriginSchema),
+  services: listOf(z.object({ service: z.string(), versions: listOf(z.string()) })),
+  origins: listOf(streamOriginSchema),
   /** Id of each stream and the index of its origin. */
-  streams: z.array(z.tuple([z.string(), z.number().int().min(0)]))
+  streams: listOf(z.tuple([z.string(), z.number().int().min(0)]))
 })
 
 /** A record of the topic. */
--- a/src/workers/workersTypes.ts
+++ b/src/workers/workersTypes.ts
@@ -1,6 +1,7 @@
 /** Workers as the discovery source lists them. */
 import { z } from 'zod'
 import { addressSchema } from '../catalog/catalogTypes.js'
+import { listOf } from '../listSchema.js'
 
 const heldModel = z.object({ name: z.string(), version: z.number() })
 
@@ -12,7 +13,7 @@
   dataCentre: z.string(),
   slots: z.number(),
   state: z.enum(['live', 'draining']),
-  models: z.array(heldModel).readonly(),
+  models: listOf(heldModel).readonly(),
   /** Version of the worker's software; undefined if it was not reported. Streams of two versions do not fit together. */
   softwareVersion: z.string().optional(),
   /** Start of the worker in Unix ms; 0 if it was not reported. */
