References in CBOR are refused: a record of 40 KB held every reader of the streams' topic for 49 s

Callers would see: an instance that resumes a stream reads the topic `streams`; with one record of another writer in it, all instances that read it stop for most of a minute and are counted as lost, and again at each later read.

Cause: the decoder gave CBOR tags their meanings, among them references to earlier values. A list of 10,000 references to a list of 10,000 texts takes 40,061 bytes, and its check visits 100 million elements. Frames between instances went through the same decoder.

Evidence: one record took 49,466 ms and 761 MB (single run, arm64, beside other work).

Ruled out: lengths that lie (the library bounds lists by the bytes that are left) and depth (a caught error; the next value is decoded).

Change: `src/cbor.ts`, one encoder and decoder for both places, refuses tags and items of indefinite length, which no instance writes, before decoding. Arrays of bytes, the one tag that instances may write, stay.

--- a/src/adapters/peerFrames.spec.ts
+++ b/src/adapters/peerFrames.spec.ts
@@ -21,6 +21,10 @@
     expect(createFrameReader(64).push(Buffer.from([0, 0, 0, 2, 0xff, 0xff]))._unsafeUnwrapErr()).toEqual({ kind: 'notCbor' })
   })
 
+  it('are rejected if the payload repeats its elements by references', () => {
+    expect(createFrameReader(64).push(Buffer.from([0, 0, 0, 9, 0x82, 0xd8, 28, 0x81, 0x61, 0x61, 0xd8, 29, 0]))._unsafeUnwrapErr()).toEqual({ kind: 'notCbor' })
+  })
+
   it('are not decoded before their last byte has arrived', () => {
     const frame = encodeFrame({ kind: 'a' })
     expect(createFrameReader(64).push(frame.subarray(0, frame.length - 1))._unsafeUnwrap()).toEqual([])
--- a/src/adapters/peerFrames.ts
+++ b/src/adapters/peerFrames.ts
@@ -1,15 +1,14 @@
 /** Framing of messages between instances: a length prefix of four bytes (big-endian), then one CBOR value. */
-import { Encoder } from 'cbor-x'
 import { err, ok, type Result } from 'neverthrow'
 import { createByteBuffer } from '../byteBuffer.js'
+import { decodeCbor, encodeCbor, type CborProblem } from '../cbor.js'
 
 /** Why received bytes are not a valid frame; sizes in bytes. */
 export type FrameError =
   | { readonly kind: 'frameTooLarge', readonly size: number, readonly limit: number }
-  | { readonly kind: 'notCbor' }
+  | CborProblem
 
 const lengthPrefixBytes = 4
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true })
 
 /**
  * Encodes one value as a frame.
@@ -18,7 +17,7 @@
  * @returns the frame, with its length prefix
  */
 export const encodeFrame = (value: unknown): Buffer => {
-  const payload = codec.encode(value)
+  const payload = encodeCbor(value)
   const frame = Buffer.allocUnsafe(lengthPrefixBytes + payload.length)
   frame.writeUInt32BE(payload.length)
   payload.copy(frame, lengthPrefixBytes)
@@ -34,14 +33,6 @@
   readonly push: (bytes: Buffer) => Result<readonly unknown[], FrameError>
 }
 
-const decode = (payload: Buffer): Result<unknown, FrameError> => {
-  try {
-    return ok(codec.decode(payload))
-  } catch {
-    return err({ kind: 'notCbor' })
-  }
-}
-
 /**
  * Creates a frame reader.
  *
@@ -63,7 +54,7 @@
       if (size > limit) return err({ kind: 'frameTooLarge', size, limit })
       needed = lengthPrefixBytes + size
       if (rest.length < needed) break
-      const value = decode(rest.subarray(lengthPrefixBytes, needed))
+      const value = decodeCbor(rest.subarray(lengthPrefixBytes, needed))
       if (value.isErr()) return err(value.error)
       values.push(value.value)
       rest = rest.subarray(needed)
