Reading one record of streams takes time in proportion to its size

Cause: each stream that a record named again had its origin written as text and compared, and each entry of a service copied all its versions so far. Both grow with the square of the record.

The two new tests failed before (1,998 origins written for 6; 51 copies).

Change: each origin is written once a record, and origins that say the same are one object. Versions are added to the set of their service.

--- a/src/streamOrigins/streamRecords.spec.ts
+++ b/src/streamOrigins/streamRecords.spec.ts
@@ -59,6 +59,27 @@
     expect(read.malformed).toBe(1)
     expect([...read.origins.keys()]).toEqual(['s2'])
   })
+
+  it('reads each origin and each version once, however often a record of another writer names them: one of 140 KB held an instance for 30 s', () => {
+    const written = jest.spyOn(JSON, 'stringify')
+    const origins = [{ service: 's', version: '1' }, { service: 's', version: '1', worker: 'w' }, { service: 's', version: '2' }]
+    const streams = Array.from({ length: 1_000 }, (_, index) => [index < 999 ? 'a' : 'b', index % 2])
+    const read = readStreamRecords([{ at: 0, services: [], origins, streams }, { at: 0, services: [], origins, streams: [['b', 2]] }], 1)
+    const calls = written.mock.calls.length
+    written.mockRestore()
+    expect(calls).toBeLessThanOrEqual(2 * origins.length)
+    expect([...read.origins.keys()]).toEqual(['a'])
+  })
+
+  it('collects the versions of a service without copying those before: a record that named one 8,000 times held an instance for 8 s', () => {
+    const services = Array.from({ length: 50 }, (_, index) => ({ service: 's', versions: [`${index}a`, `${index}b`] }))
+    const iterated = jest.spyOn(Set.prototype, Symbol.iterator as never)
+    const { versions } = readStreamRecords([{ at: 0, services, origins: [], streams: [] }], 1)
+    const calls = iterated.mock.calls.length
+    iterated.mockRestore()
+    expect(versions.get('s')?.size).toBe(100)
+    expect(calls).toBeLessThan(10)
+  })
 })
 
 const buildRecorder = () => {
--- a/src/streamOrigins/streamRecords.ts
+++ b/src/streamOrigins/streamRecords.ts
@@ -101,9 +101,6 @@
   }
 }
 
-const isSame = (left: StreamOrigin, right: StreamOrigin): boolean =>
-  JSON.stringify(compactOrigin(left)) === JSON.stringify(compactOrigin(right))
-
 /**
  * Reads records. A stream of which they state two origins is left out, as are
  * records older than `versionMemory`: their callers have left, or the store was
@@ -114,18 +111,29 @@
  */
 export const readStreamRecords = (records: readonly unknown[], wall: number): RecordedStreams => {
   const origins = new Map<string, StreamOrigin>()
+  const distinct = new Map<string, StreamOrigin>()
   const contradicted = new Set<string>()
   const versions = new Map<string, Set<string>>()
   const lastWord = new Map<string, { readonly at: number, readonly versions: readonly string[] }>()
   let malformed = 0
 
   const addVersions = (service: string, added: readonly string[]): void => {
-    versions.set(service, new Set([...versions.get(service) ?? [], ...added]))
+    const known = versions.get(service) ?? new Set()
+    versions.set(service, known)
+    for (const version of added) known.add(version)
+  }
+
+  /** Returns the first origin that says the same, so that the origins of a stream are compared without reading their texts. */
+  const firstSame = (origin: StreamOrigin): StreamOrigin => {
+    const key = JSON.stringify(compactOrigin(origin))
+    const first = distinct.get(key) ?? origin
+    distinct.set(key, first)
+    return first
   }
 
   const addStream = (stream: string, origin: StreamOrigin): void => {
     const known = origins.get(stream)
-    if (known !== undefined && !isSame(known, origin)) contradicted.add(stream)
+    if (known !== undefined && known !== origin) contradicted.add(stream)
     origins.set(stream, origin)
   }
 
@@ -139,7 +147,8 @@
     for (const { service, versions: stated } of services) lastWord.set(service, { at, versions: stated })
     if (wall - at >= versionMemory) continue
     for (const { service, versions: stated } of services) if (stated.length > 1) addVersions(service, stated)
-    for (const [stream, index] of streams) addStream(stream, listed[index])
+    const firsts = listed.map(firstSame)
+    for (const [stream, index] of streams) addStream(stream, firsts[index])
   }
   for (const [service, { at, versions: stated }] of lastWord) {
     if (stated.length > 1 && wall - at < openMemory) addVersions(service, stated)
