Absurd times and versions in messages and records do not outlast themselves

Callers would see, each after a single message of an instance (or record of the operator's topic) with a number too large: - a heartbeat whose echo or age of proof lies in the future: the configuration counts as proven for ever, so an instance that is cut off keeps using an old one, and the connection is never reset; - a version of weights of 1e308, 2^53, 1.5 or -1: no worker holds "the newest weights", and since each instance tells the others the newest version that it knows, it never goes away; - a configuration of version 1e308 from a peer: no later one replaces it.

Cause: finite numbers passed the schemas whatever their size; the echo of this incarnation was trusted without a look at the clock that made it.

Change: an echo is this instance's own clock and must not lie in the future; an age below 0 counts as 0; versions of weights are whole numbers from 0 within the safe range, wherever they come from; versions of configurations are at most 2^53 - 1.

Ruled out: Infinity and NaN (the schemas refuse them), pauses that workers ask for (at most 60 s are kept).

--- a/src/catalog/catalogTypes.ts
+++ b/src/catalog/catalogTypes.ts
@@ -86,7 +86,7 @@
 
 /** Schema of one version of the configuration. */
 export const catalogSchema = z.object({
-  version: z.number(),
+  version: z.number().max(Number.MAX_SAFE_INTEGER),
   routes: listOf(routeSchema),
   services: listOf(serviceSchema),
   limits: z.object({
--- a/src/fleet/fleetMachine.spec.ts
+++ b/src/fleet/fleetMachine.spec.ts
@@ -57,6 +57,15 @@
 const servingFrontsAt = (fleet: Fleet, now: number): readonly string[] => fleet.serving(at(now)).map(({ member }) => member.front)
 
 describe('the fleet', () => {
+  it('takes no proof from a time that this instance has not reached: its configuration would count as proven for ever', () => {
+    const { fleet, proofs, resets } = build()
+    const odd = [{ echo: at(1e308), proofAge: 0 }, { echo: at(1e308), proofAge: 1e308 }, { echo: at(90), proofAge: -1e308 }, { echo: at(90), proofAge: -5_000 }]
+    for (const beat of odd) fleet.receive('b', buildHeartbeat({ ...beat, echoOf: 'a-1' }), at(100))
+    expect(proofs.filter(({ steady }) => steady > 100)).toEqual([])
+    for (let now = 120; now < 60_000; now += 20) fleet.tick(at(now))
+    expect(resets).toContain('b')
+  })
+
   it('takes no proof from the echo of a heartbeat that an earlier incarnation sent', () => {
     const { fleet, proofs } = build()
     fleet.receive('b', buildHeartbeat({ echo: at(8_000), echoOf: 'a-0', proofAge: 100 }), at(300))
--- a/src/fleet/fleetMachine.ts
+++ b/src/fleet/fleetMachine.ts
@@ -281,12 +281,12 @@
     behindSince = undefined
     if (heartbeat.configuration !== own || own === 0) return
     if (heartbeat.echo === undefined || heartbeat.proofAge === undefined) return
-    events.configurationProven(own, earlier(heartbeat.echo, heartbeat.proofAge))
+    events.configurationProven(own, earlier(heartbeat.echo, Math.max(0, heartbeat.proofAge)))
   }
 
-  /** Whether the echo is of a heartbeat of this incarnation. An older version of the program does not say whose it is; then it must not lie in the future. */
+  /** Whether the echo is of a heartbeat of this incarnation, which must not lie in the future. An older version of the program does not say whose it is. */
   const isOwnEcho = ({ echo, echoOf }: Heartbeat, now: Moment): boolean =>
-    echo !== undefined && (echoOf === undefined ? echo.steady <= now.steady : echoOf === self.incarnation)
+    echo !== undefined && echo.steady <= now.steady && (echoOf === undefined || echoOf === self.incarnation)
 
   const handleHeartbeat = (from: string, received: Heartbeat, now: Moment): void => {
     const peer = peers.get(from)
--- a/src/gateway/hostileInputs.spec.ts
+++ b/src/gateway/hostileInputs.spec.ts
@@ -38,6 +38,11 @@
   return { gateway, effects, send, errors }
 }
 
+const buildBeat = (weights: readonly { readonly model: string, readonly version: number }[]): PeerMessage & Record<string, unknown> =>
+  ({ kind: 'fleet.beat', incarnation: 'b-1', ready: true, leaving: false, sentAt: at(10), configuration: 1, holding: false, weights })
+
+const catalogOf = (version: number): PeerMessage & Record<string, unknown> => ({ kind: 'fleet.catalog', catalog: buildCatalog({ version }) })
+
 /** Feeds a series of inputs to an instance, one a tick, and then a request; no error may be thrown. */
 const survives = (inputs: readonly GatewayInput[]): void => {
   const { gateway, send, errors } = build()
@@ -70,6 +75,25 @@
     fc.assert(fc.property(catalogs, catalog => survives([{ kind: 'feed.catalog', catalog }])), { seed: 63, numRuns: 100 })
   })
 
+  it.each([1e308, 2 ** 53, 1.5, -1])('passes over the version %d of weights, after which no worker would hold the newest ones', version => {
+    const { send, gateway, effects } = build()
+    send({ kind: 'peer.message', from: 'b', message: buildBeat([{ model: 'llm', version }]) }, 20)
+    send({ kind: 'feed.weights', model: 'llm', version }, 20)
+    send({ kind: 'feed.weights', model: 'llm', version: 2 }, 30)
+    send({ kind: 'tick' }, 2_000)
+    const named = effects.flatMap(effect => effect.kind === 'gateway.note' && effect.note.kind === 'weightsNamed' ? [effect.note.version] : [])
+    expect(named).toEqual([2])
+    gateway.directory(at(2_000))
+  })
+
+  it('passes over a configuration of a peer whose version no later one can exceed', () => {
+    const { send, effects } = build()
+    send({ kind: 'peer.message', from: 'b', message: catalogOf(1e308) }, 20)
+    send({ kind: 'feed.catalog', catalog: buildCatalog({ version: 100 }) }, 30)
+    const versions = effects.flatMap(effect => effect.kind === 'gateway.note' && effect.note.kind === 'configurationInForce' ? [effect.note.version] : [])
+    expect(versions.at(-1)).toBe(100)
+  })
+
   it('throws no error for any record of the claim stream', () => {
     fc.assert(fc.property(anything, claim => survives([{ kind: 'claim.records', token: 1, records: [{ offset: 0, claim }], end: 1, era: 0 }])), { seed: 64, numRuns: 100 })
   })
--- a/src/workers/weightsTracker.ts
+++ b/src/workers/weightsTracker.ts
@@ -14,7 +14,7 @@
 
 /** The weights known to one instance. */
 export interface WeightsTracker {
-  /** Records that a version was announced; returns false if it or a newer one is known already. */
+  /** Records that a version was announced; returns false if it or a newer one is known already, or if it is no count. */
   readonly name: (model: string, version: number, now: number) => boolean
   /** Returns the newest announced version of a model. */
   readonly newest: (model: string) => AnnouncedWeights | undefined
@@ -61,6 +61,7 @@
   }
 
   const name = (model: string, version: number, now: number): boolean => {
+    if (!Number.isSafeInteger(version) || version < 0) return false
     const known = announced.get(model) ?? []
     if ((known.at(-1)?.version ?? -Infinity) >= version) return false
     announced.set(model, [...known, { version, at: now }].slice(-maxAnnounced))
