--- a/src/placement/workerLoad.ts
+++ b/src/placement/workerLoad.ts
@@ -77,6 +77,8 @@
 const smoothingFactor = 0.2
 /** Tokens ahead below which a first event is not used to measure the prefill time. */
 const minSampleTokens = 300
+/** Longest time, in ms, for which the prompt of another instance counts. */
+const maxPeerPrompt = 60_000
 /** Half-life, in ms, of the other instances' load in a report. */
 const reportHalfLife = 400
 /** Weight of a sample below the estimated token cost. Low samples count more, since a request that is answered quickly waited only for its own prefill. */
@@ -134,7 +136,7 @@
  * @param now - present time in ms
  */
 export const notePeerSent = (load: WorkerLoad, tokens: number, tokenCost: number, now: number): void => {
-  load.peerPrompts.push({ tokens, until: now + tokens * tokenCost })
+  load.peerPrompts.push({ tokens, until: now + Math.min(tokens * tokenCost, maxPeerPrompt) })
 }
 
 /**
