A worker that another instance says is loading weights gets requests again after a minute at most

One `fleet.loading` with a time of 1e308 kept a worker without requests at each receiver for good, unless the sender's `fleet.loaded` came. The new test of hostileInputs.spec.ts failed before (no request was sent after two minutes).

--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -42,6 +42,8 @@
 const leavingTellers = 4
 /** Time between ticks, in ms. */
 export const tickInterval = 20
+/** Longest time, in ms, for which a worker gets no requests because another instance says that it loads weights. */
+const maxLoadTime = 60_000
 /** Fleet size up to which instances inform each other of every long prompt. In a larger fleet, where the number of messages would grow quadratically, they do so only for shared parts that a worker prefills for the first time. */
 const maxFleetForAllPrompts = 12
 
@@ -129,7 +131,7 @@
       configurationBehind: () => { if (storeReader.mode() === 'throughPeers') emit({ kind: 'configuration.read' }) },
       catalog: catalog => { configuration.apply(catalog, 'peer', lease.age(currentTime)) },
       weightsNamed: (model, version) => { noteAnnouncedWeights(model, version) },
-      workerLoading: (worker, time) => weights.noteLoading(worker, currentTime.steady + time),
+      workerLoading: (worker, time) => weights.noteLoading(worker, currentTime.steady + Math.min(time, maxLoadTime)),
       workerLoaded: registry.noteLoaded,
       peerSentToWorker: sent => {
         registry.noteSentByPeer(sent, currentTime.steady)
--- a/src/gateway/hostileInputs.spec.ts
+++ b/src/gateway/hostileInputs.spec.ts
@@ -43,6 +43,8 @@
 
 const catalogOf = (version: number): PeerMessage & Record<string, unknown> => ({ kind: 'fleet.catalog', catalog: buildCatalog({ version }) })
 
+const loadingOf = (worker: string): PeerMessage & Record<string, unknown> => ({ kind: 'fleet.loading', worker, model: 'm', version: 1, time: 1e308 })
+
 /** Feeds a series of inputs to an instance, one a tick, and then a request; no error may be thrown. */
 const survives = (inputs: readonly GatewayInput[]): void => {
   const { gateway, send, errors } = build()
@@ -94,6 +96,16 @@
     expect(versions.at(-1)).toBe(100)
   })
 
+  it('gives requests again to workers that load weights, as another instance has said, without an end', () => {
+    const { send, effects } = build()
+    const service = { name: 'desk', maxConnections: 100, purpose: { kind: 'model' as const, slots: 8, memoryTokens: 100_000, tokenBytes: 100, linkSpeed: 100 } }
+    send({ kind: 'feed.catalog', catalog: buildCatalog({ version: 100, services: [service] }) }, 20)
+    for (const worker of ['w1', 'w2']) send({ kind: 'peer.message', from: 'b', message: loadingOf(worker) }, 20)
+    send({ kind: 'feed.proof', asOf: at(120_000) }, 120_000)
+    send({ kind: 'call.arrived', request: 1, call: buildCall({ prompt: { model: 'm', inputTokens: 10, maxOutputTokens: 10, parts: [] } }) }, 120_000)
+    expect(effects.flatMap(effect => effect.kind === 'attempt.send' ? [effect.attempt] : [])).toHaveLength(1)
+  })
+
   it('throws no error for any record of the claim stream', () => {
     fc.assert(fc.property(anything, claim => survives([{ kind: 'claim.records', token: 1, records: [{ offset: 0, claim }], end: 1, era: 0 }])), { seed: 64, numRuns: 100 })
   })
