One odd entry of the membership list no longer hides all others

Change: entries are decoded one by one, and those that cannot be are passed over; ports are 0 to 65535.

--- a/src/adapters/membershipHttp.ts
+++ b/src/adapters/membershipHttp.ts
@@ -1,6 +1,6 @@
 /** HTTP and JSON adapter for the membership list. */
 import { z } from 'zod'
-import type { MembershipEffect, MembershipInput } from '../ports/membershipPort.js'
+import type { Member, MembershipEffect, MembershipInput } from '../ports/membershipPort.js'
 import { parseBaseUrl } from './baseUrl.js'
 import { createHttpClient, jsonRequest } from './httpExchange.js'
 import type { HttpClientOptions } from './httpExchange.js'
@@ -25,7 +25,9 @@
 
 const defaultTimeout = 3_000 // ms
 
-const addressSchema = z.object({ host: z.string(), port: z.number().int() })
+const maxPort = 65_535
+
+const addressSchema = z.object({ host: z.string(), port: z.number().int().min(0).max(maxPort) })
 
 const memberSchema = z.object({
   id: z.string(),
@@ -38,7 +40,10 @@
   size: z.number().positive()
 })
 
-const listSchema = z.object({ members: z.array(memberSchema) })
+const listSchema = z.object({ members: z.array(z.unknown()) })
+
+/** Decodes the entries one by one, since one of another writer must not hide the others. */
+const decodeMembers = (entries: readonly unknown[]): Member[] => entries.flatMap(entry => memberSchema.safeParse(entry).data ?? [])
 
 /**
  * Creates the adapter. A failed announcement is not reported, since the next
@@ -55,7 +60,7 @@
   const fetchList = async (): Promise<void> => {
     const result = await client.json(address, jsonRequest('GET', '/members'), timeout)
     const list = listSchema.safeParse(result.isOk() && result.value.status === 200 ? result.value.body : undefined)
-    options.emit(list.success ? { kind: 'membership.list', members: list.data.members } : { kind: 'membership.failed' })
+    options.emit(list.success ? { kind: 'membership.list', members: decodeMembers(list.data.members) } : { kind: 'membership.failed' })
   }
 
   const perform = (effect: MembershipEffect): void => {
--- a/src/adapters/platformHttp.spec.ts
+++ b/src/adapters/platformHttp.spec.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import type { LogEffect, LogInput } from '../ports/logPort.js'
 import type { Member, MembershipInput } from '../ports/membershipPort.js'
 import { createLogService } from '../standins/logService.js'
@@ -113,6 +115,22 @@
     return { list, fetched, announced, advance: (ms: number) => { now += ms } }
   }
 
+  test.each([
+    ['port out of range', { address: { host: '10.0.0.9', port: 99_999 } }],
+    ['port below 0', { peer: { host: '10.0.0.9', port: -1 } }],
+    ['a state that is not known', { state: 'resting' }],
+    ['a size that is none', { size: 'large' }]
+  ])('passes over the entry of another writer with %s, and returns the others', async (_what, odd) => {
+    const collector = createInputCollector<MembershipInput>()
+    const server = createServer((_request, response) => { response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({ members: [{ ...member({ id: 'odd' }), ...odd }, null, member()] })) })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const adapter = createMembershipHttp({ baseUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, emit: collector.emit })
+    closers.push(adapter.close, () => new Promise(resolve => { server.close(() => resolve()) }))
+    adapter.perform({ kind: 'membership.fetch' })
+    await collector.until(() => collector.inputs.length > 0)
+    expect(collector.inputs).toEqual([{ kind: 'membership.list', members: [member()] }])
+  })
+
   test('fetches the latest announcement of each member once the lag of the list has passed', async () => {
     const { fetched, announced, advance } = await start()
     await announced()
