--- a/src/gateway/hostileInputs.spec.ts
+++ b/src/gateway/hostileInputs.spec.ts
@@ -45,6 +45,8 @@
 
 const loadingOf = (worker: string): PeerMessage & Record<string, unknown> => ({ kind: 'fleet.loading', worker, model: 'm', version: 1, time: 1e308 })
 
+const sentOf = (tokens: number): PeerMessage & Record<string, unknown> => ({ kind: 'fleet.sent', worker: 'w1', unreadTokens: tokens, scope: 's', parts: [{ id: 'aa', tokens }] })
+
 /** Feeds a series of inputs to an instance, one a tick, and then a request; no error may be thrown. */
 const survives = (inputs: readonly GatewayInput[]): void => {
   const { gateway, send, errors } = build()
@@ -106,6 +108,16 @@
     expect(effects.flatMap(effect => effect.kind === 'attempt.send' ? [effect.attempt] : [])).toHaveLength(1)
   })
 
+  it.each([1.5, 0, -1, 1e308, 5e-324])('takes parts of %d tokens from a part store or another instance', tokens => {
+    const partStore = { host: '10.9.0.1', port: 80 }
+    const service = { name: 'parts', maxConnections: 100, purpose: { kind: 'partStore' as const, address: partStore, dataCentre: 'a', memoryTokens: 1_000 } }
+    survives([
+      { kind: 'feed.catalog', catalog: buildCatalog({ version: 100, services: [service] }) },
+      { kind: 'feed.parts', store: partStore, restarted: true, changes: [{ kind: 'kept', scope: 's', part: 'aa', tokens }] },
+      { kind: 'peer.message', from: 'b', message: sentOf(tokens) }
+    ])
+  })
+
   it('throws no error for any record of the claim stream', () => {
     fc.assert(fc.property(anything, claim => survives([{ kind: 'claim.records', token: 1, records: [{ offset: 0, claim }], end: 1, era: 0 }])), { seed: 64, numRuns: 100 })
   })
--- a/src/placement/cachedPartsEstimate.ts
+++ b/src/placement/cachedPartsEstimate.ts
@@ -28,7 +28,7 @@
  * @returns the estimate
  */
 export const createCachedPartsEstimate = (capacity: number): CachedPartsEstimate => {
-  const tokensByKey = new LRUCache<string, number>({ maxSize: Math.max(1, Math.floor(capacity)), sizeCalculation: tokens => Math.max(1, tokens) })
+  const tokensByKey = new LRUCache<string, number>({ maxSize: Math.max(1, Math.floor(capacity)), sizeCalculation: tokens => Math.max(1, Math.ceil(tokens)) })
 
   const add = (scope: string, parts: readonly PromptPart[]): void => {
     for (const { id, tokens } of parts) tokensByKey.set(keyOf(scope, id), tokens)
