Lists in messages of entry instances, the log and endpoints are checked up to the first fault

All six new tests of listSchema.spec.ts failed before (more than 40 issues). Lists with `min` or `max`, and of unknown values, stay as they are: the library refuses too many before it looks at them, and those with `min` hold configurations' histories.

--- a/src/adapters/endpointEvents.ts
+++ b/src/adapters/endpointEvents.ts
@@ -1,5 +1,6 @@
 /** Follows the prefix cache events of workers by long polling. */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 import type { Address } from '../endpoints/endpointsTypes.js'
 import type { EndpointInput } from '../ports/endpointPort.js'
 import { jsonRequest } from './httpExchange.js'
@@ -36,7 +37,7 @@
   incarnation: z.string(),
   seq: z.number().int().nonnegative(),
   full: z.boolean(),
-  events: z.array(z.object({ kind: z.enum(['stored', 'removed']), block: z.string().regex(/^[0-9a-f]{16}$/) }))
+  events: listOf(z.object({ kind: z.enum(['stored', 'removed']), block: z.string().regex(/^[0-9a-f]{16}$/) }))
 })
 
 const eventsPath = ({ next, incarnation }: FollowedWorker): string => {
--- a/src/adapters/endpointHttp.ts
+++ b/src/adapters/endpointHttp.ts
@@ -3,6 +3,7 @@
  * endpoint port and converts responses, including malformed ones, into its inputs.
  */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 import { assertNever } from '../errors.js'
 import type { Address } from '../endpoints/endpointsTypes.js'
 import type { EndpointEffect, EndpointInput, EndpointOrder, EndpointRequest } from '../ports/endpointPort.js'
@@ -52,7 +53,7 @@
 
 const loadReportSchema = z.object({
   incarnation: z.string(),
-  models: z.array(z.object({ model: z.string(), adapter: z.string().optional(), weightVersion: z.string() })).default([]),
+  models: listOf(z.object({ model: z.string(), adapter: z.string().optional(), weightVersion: z.string() })).default([]),
   running: z.number().nonnegative().default(0),
   waiting: z.number().nonnegative().default(0),
   waiting_tokens: z.number().nonnegative().default(0),
--- a/src/adapters/logHttp.ts
+++ b/src/adapters/logHttp.ts
@@ -1,5 +1,6 @@
 /** HTTP and JSON adapter for the append-only log; every failure is reported as an input. */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 import type { Address } from '../endpoints/endpointsTypes.js'
 import type { LogEffect, LogFailure, LogInput } from '../ports/logPort.js'
 import { createHttpClient, jsonRequest } from './httpExchange.js'
@@ -31,7 +32,7 @@
 const recordsSchema = z.object({
   first: z.number().int().nonnegative(),
   end: z.number().int().nonnegative(),
-  records: z.array(z.object({ offset: z.number().int().nonnegative(), at: z.number(), payload: z.unknown() }))
+  records: listOf(z.object({ offset: z.number().int().nonnegative(), at: z.number(), payload: z.unknown() }))
 })
 
 const logFailures: Readonly<Record<ExchangeFailure, LogFailure>> = {
--- a/src/config/configMessages.ts
+++ b/src/config/configMessages.ts
@@ -1,5 +1,6 @@
 /** Schemas of the messages about the configuration between instances. */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 import { patchSchema, publicationSchema } from './configTypes.js'
 
 const version = z.number().int().nonnegative()
@@ -40,7 +41,7 @@
 /** Schema of a message with the whole text of the sender's version. `digest` is the hash of the text, `through` the last log offset that the sender has folded. */
 export const configTextSchema = z.object({
   kind: z.literal('config.text'),
-  lines: z.array(z.string()),
+  lines: listOf(z.string()),
   history: z.array(publicationSchema).min(1),
   digest,
   through: z.number().int()
--- a/src/config/configTypes.ts
+++ b/src/config/configTypes.ts
@@ -4,6 +4,7 @@
  * same version, and all of them ignore a record that does not match.
  */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 import type { Operator, RuleError, Ruleset } from '../rules/rulesTypes.js'
 import type { RuleChange } from '../rules/rulesDiff.js'
 
@@ -14,11 +15,11 @@
 export const hunkSchema = z.object({
   at: z.number().int().nonnegative(),
   remove: z.number().int().nonnegative(),
-  insert: z.array(z.string())
+  insert: listOf(z.string())
 })
 
 /** Schema of a patch: hunks in ascending order of `at`, all relative to the old text. */
-export const patchSchema = z.array(hunkSchema)
+export const patchSchema = listOf(hunkSchema)
 
 /** A replaced range of lines. */
 export type Hunk = z.infer<typeof hunkSchema>
@@ -52,7 +53,7 @@
 /** Schema of a record with a whole version and the position of the fold, for readers whose earlier records have expired. */
 export const snapshotRecordSchema = z.object({
   kind: z.literal('snapshot'),
-  lines: z.array(z.string()),
+  lines: listOf(z.string()),
   /** Accepted publishes in ascending order; the last made this version. */
   history: z.array(publicationSchema).min(1),
   /** The last log offset folded into this state. */
--- a/src/endpoints/endpointsMessages.ts
+++ b/src/endpoints/endpointsMessages.ts
@@ -1,5 +1,6 @@
 /** Schemas of the messages about endpoints that instances exchange. */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 
 const addressSchema = z.object({ host: z.string(), port: z.number() })
 
@@ -17,9 +18,9 @@
   /** Number of observed changes of incarnation. */
   generation: z.number(),
   /** Ended incarnations, newest last. */
-  past: z.array(z.string()),
+  past: listOf(z.string()),
   leaving: z.boolean(),
-  models: z.array(modelSchema),
+  models: listOf(modelSchema),
   /** Whether the endpoint was removed permanently. */
   gone: z.boolean(),
   /** Logical timestamp that orders observations of `models` and `gone`; 0 before the first. */
@@ -41,16 +42,16 @@
   /** Subscribes to the load reports of these endpoints for a limited time; sent to their owner. */
   z.object({
     kind: z.literal('endpoints.follow'),
-    ids: z.array(z.string()),
+    ids: listOf(z.string()),
     /** Requested interval between the messages, in ms. */
     interval: z.number()
   }),
   /** Load reports and unreachable endpoints, sent to a follower. */
-  z.object({ kind: z.literal('endpoints.loads'), loads: z.array(loadSchema), unreachable: z.array(z.string()) }),
+  z.object({ kind: z.literal('endpoints.loads'), loads: listOf(loadSchema), unreachable: listOf(z.string()) }),
   /** State of endpoints that changed or that a digest showed to differ. */
-  z.object({ kind: z.literal('endpoints.facts'), facts: z.array(factSchema) }),
+  z.object({ kind: z.literal('endpoints.facts'), facts: listOf(factSchema) }),
   /** Checksums of the sender's endpoint state, one per bucket of ids. */
-  z.object({ kind: z.literal('endpoints.digest'), sums: z.array(z.number()) }),
+  z.object({ kind: z.literal('endpoints.digest'), sums: listOf(z.number()) }),
   /** Requests the state of all endpoints; sent by an instance that has just started. */
   z.object({ kind: z.literal('endpoints.ask') })
 ])
--- a/src/limits/limitsMessages.ts
+++ b/src/limits/limitsMessages.ts
@@ -1,5 +1,6 @@
 /** Messages between the instances that serve a workspace. */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 
 /** Schema of the state of one workspace at the sender. */
 export const shareNotice = z.object({
@@ -22,7 +23,7 @@
 export const limitsMessage = z.object({
   kind: z.literal('limits.shares'),
   incarnation: z.string(),
-  shares: z.array(shareNotice)
+  shares: listOf(shareNotice)
 })
 
 /** The state of one workspace at the sender. */
--- a/src/listSchema.spec.ts
+++ b/src/listSchema.spec.ts
@@ -1,6 +1,9 @@
 import { z } from 'zod'
+import { configMessageSchema } from './config/configMessages.js'
+import { endpointsMessageSchema } from './endpoints/endpointsMessages.js'
 import { fleetMessageSchema } from './fleet/fleetMessages.js'
 import { listOf } from './listSchema.js'
+import { membershipMessageSchema } from './membership/membershipMessages.js'
 
 const issuesOf = (schema: z.ZodType, value: unknown): readonly z.core.$ZodIssue[] => schema.safeParse(value).error?.issues ?? []
 
@@ -21,6 +24,8 @@
   })
 })
 
+const wrongs = Array<object>(20_000).fill({ odd: true })
+
 /** Lists of 20,000 wrong values in each place of the messages that has a list. A whole frame of them ended the process for want of memory. */
 const longLists = (): readonly object[] => {
   const zeros = Array(20_000).fill(-1)
@@ -50,4 +55,17 @@
     expect(count).toBeGreaterThan(0)
     expect(count).toBeLessThan(40)
   })
+
+  it.each([
+    [membershipMessageSchema, { kind: 'membership.state', rumors: wrongs }],
+    [membershipMessageSchema, { kind: 'membership.ping', rumors: wrongs, health: wrongs }],
+    [endpointsMessageSchema, { kind: 'endpoints.loads', loads: wrongs, unreachable: wrongs }],
+    [endpointsMessageSchema, { kind: 'endpoints.facts', facts: wrongs }],
+    [endpointsMessageSchema, { kind: 'endpoints.digest', sums: wrongs }],
+    [configMessageSchema, { kind: 'config.text', lines: wrongs, history: [] }]
+  ])('collect few issues for lists of wrong values in the messages of entry instances (%#)', (schema, message) => {
+    const count = issuesOf(schema, message).length
+    expect(count).toBeGreaterThan(0)
+    expect(count).toBeLessThan(40)
+  })
 })
--- a/src/membership/membershipMessages.ts
+++ b/src/membership/membershipMessages.ts
@@ -1,5 +1,6 @@
 /** Messages of the membership protocol between instances. */
 import { z } from 'zod'
+import { listOf } from '../listSchema.js'
 
 const memberSchema = z.object({
   id: z.string(),
@@ -33,9 +34,9 @@
   /** Checksum of the sender's view, without dead instances. */
   sum: z.number(),
   self: rumorSchema,
-  rumors: z.array(rumorSchema),
+  rumors: listOf(rumorSchema),
   /** Failure states of members that the receiver is expected to know. */
-  health: z.array(healthSchema)
+  health: listOf(healthSchema)
 }
 
 /** Messages of the membership feature. */
@@ -49,7 +50,7 @@
   /** Requests the receiver's complete view. */
   z.object({ kind: z.literal('membership.pull'), self: rumorSchema }),
   /** Carries a complete view, or the part of it that the receiver lacks. */
-  z.object({ kind: z.literal('membership.state'), rumors: z.array(rumorSchema) })
+  z.object({ kind: z.literal('membership.state'), rumors: listOf(rumorSchema) })
 ])
 
 /** A message of the membership feature. */
