A claim of an era that the stream has not reached no longer keeps the rollout lease from all instances

Callers would see: new versions of weights that reach no worker, for good, after one record of another writer in the topic of claims: with an era of 1e308 (or 1, where the store was never restored) every later claim counted as older and was ignored, the instance's own accepted ones, too.

Change: a claim of an era after that of the response is ignored.

--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -50,6 +50,19 @@
 }
 
 describe('the rollout lease', () => {
+  it.each([1e308, 1, 0.5, -1e308])('is acquired although another writer has left a claim of era %d, which the stream has not reached', era => {
+    const stream = buildStream()
+    stream.records.push({ holder: 'x', incarnation: 'x-1', released: false, era })
+    const instance = buildInstance(stream, 'a', { canHoldLease: () => false })
+    expect(acquireWithin(instance, 0, 5_000)).toBeDefined()
+  })
+
+  it.each([null, 7, [], {}, { holder: 1 }, { holder: 'a', incarnation: 'a-1', released: 'no', era: 0 }, { holder: '__proto__', incarnation: '', released: false, era: '0' }])('is acquired although a record is %j', record => {
+    const stream = buildStream()
+    stream.records.push(record, record)
+    expect(acquireWithin(buildInstance(stream, 'a'), 0, 5_000)).toBeDefined()
+  })
+
   it('goes to the first instance that claims it', () => {
     const stream = buildStream()
     const first = buildInstance(stream, 'a')
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -182,6 +182,8 @@
   }
 
   const applyClaim = (offset: number, claim: Claim): void => {
+    // No instance can have made it, and later claims would count as older.
+    if (claim.era > (era ?? 0)) return
     // A claim of an earlier era that was applied late; its claimant no longer acts on it.
     if (claim.era < (latest?.era ?? 0)) return
     const isRenewal = latest !== undefined && !latest.released && latest.holder === claim.holder && latest.incarnation === claim.incarnation && latest.era === claim.era
