--- a/src/gateway/hostileInputs.spec.ts
+++ b/src/gateway/hostileInputs.spec.ts
@@ -38,6 +38,15 @@
   return { gateway, effects, send, errors }
 }
 
+const buildBeat = (weights: readonly { readonly model: string, readonly version: number }[]): PeerMessage & Record<string, unknown> =>
+  ({ kind: 'fleet.beat', incarnation: 'b-1', ready: true, leaving: false, sentAt: at(10), configuration: 1, holding: false, weights })
+
+const catalogOf = (version: number): PeerMessage & Record<string, unknown> => ({ kind: 'fleet.catalog', catalog: buildCatalog({ version }) })
+
+const loadingOf = (worker: string): PeerMessage & Record<string, unknown> => ({ kind: 'fleet.loading', worker, model: 'm', version: 1, time: 1e308 })
+
+const sentOf = (tokens: number): PeerMessage & Record<string, unknown> => ({ kind: 'fleet.sent', worker: 'w1', unreadTokens: tokens, scope: 's', parts: [{ id: 'aa', tokens }] })
+
 /** Feeds a series of inputs to an instance, one a tick, and then a request; no error may be thrown. */
 const survives = (inputs: readonly GatewayInput[]): void => {
   const { gateway, send, errors } = build()
@@ -70,6 +79,45 @@
     fc.assert(fc.property(catalogs, catalog => survives([{ kind: 'feed.catalog', catalog }])), { seed: 63, numRuns: 100 })
   })
 
+  it.each([1e308, 2 ** 53, 1.5, -1])('passes over the version %d of weights, after which no worker would hold the newest ones', version => {
+    const { send, gateway, effects } = build()
+    send({ kind: 'peer.message', from: 'b', message: buildBeat([{ model: 'llm', version }]) }, 20)
+    send({ kind: 'feed.weights', model: 'llm', version }, 20)
+    send({ kind: 'feed.weights', model: 'llm', version: 2 }, 30)
+    send({ kind: 'tick' }, 2_000)
+    const named = effects.flatMap(effect => effect.kind === 'gateway.note' && effect.note.kind === 'weightsNamed' ? [effect.note.version] : [])
+    expect(named).toEqual([2])
+    gateway.directory(at(2_000))
+  })
+
+  it('passes over a configuration of a peer whose version no later one can exceed', () => {
+    const { send, effects } = build()
+    send({ kind: 'peer.message', from: 'b', message: catalogOf(1e308) }, 20)
+    send({ kind: 'feed.catalog', catalog: buildCatalog({ version: 100 }) }, 30)
+    const versions = effects.flatMap(effect => effect.kind === 'gateway.note' && effect.note.kind === 'configurationInForce' ? [effect.note.version] : [])
+    expect(versions.at(-1)).toBe(100)
+  })
+
+  it('gives requests again to workers that load weights, as another instance has said, without an end', () => {
+    const { send, effects } = build()
+    const service = { name: 'desk', maxConnections: 100, purpose: { kind: 'model' as const, slots: 8, memoryTokens: 100_000, tokenBytes: 100, linkSpeed: 100 } }
+    send({ kind: 'feed.catalog', catalog: buildCatalog({ version: 100, services: [service] }) }, 20)
+    for (const worker of ['w1', 'w2']) send({ kind: 'peer.message', from: 'b', message: loadingOf(worker) }, 20)
+    send({ kind: 'feed.proof', asOf: at(120_000) }, 120_000)
+    send({ kind: 'call.arrived', request: 1, call: buildCall({ prompt: { model: 'm', inputTokens: 10, maxOutputTokens: 10, parts: [] } }) }, 120_000)
+    expect(effects.flatMap(effect => effect.kind === 'attempt.send' ? [effect.attempt] : [])).toHaveLength(1)
+  })
+
+  it.each([1.5, 0, -1, 1e308, 5e-324])('takes parts of %d tokens from a part store or another instance', tokens => {
+    const partStore = { host: '10.9.0.1', port: 80 }
+    const service = { name: 'parts', maxConnections: 100, purpose: { kind: 'partStore' as const, address: partStore, dataCentre: 'a', memoryTokens: 1_000 } }
+    survives([
+      { kind: 'feed.catalog', catalog: buildCatalog({ version: 100, services: [service] }) },
+      { kind: 'feed.parts', store: partStore, restarted: true, changes: [{ kind: 'kept', scope: 's', part: 'aa', tokens }] },
+      { kind: 'peer.message', from: 'b', message: sentOf(tokens) }
+    ])
+  })
+
   it('throws no error for any record of the claim stream', () => {
     fc.assert(fc.property(anything, claim => survives([{ kind: 'claim.records', token: 1, records: [{ offset: 0, claim }], end: 1, era: 0 }])), { seed: 64, numRuns: 100 })
   })
