--- a/src/forwarding/forwardingContext.ts
+++ b/src/forwarding/forwardingContext.ts
@@ -22,6 +22,7 @@
 import type { RequestOrder } from './requestOrder.js'
 import type { RouteDurations } from './routeDurations.js'
 import type { ShutdownProgress } from './shutdownAdmission.js'
+import type { UsableWeights } from './usableWeights.js'
 
 /** State of one instance that forwarding reads and updates, and its outputs. */
 export interface ForwardingContext {
@@ -38,6 +39,7 @@
   readonly workers: WorkersDb
   /** Which version of the weights each worker is known to hold. */
   readonly weights: WeightsTracker
+  readonly usableWeights: UsableWeights
   /** The limits that workers have stated, and the permits to send to these. */
   readonly limits: Pick<WorkerLimits, 'permitFor' | 'take' | 'applyResponse' | 'perSecond'>
   /** The quotas of workspaces, and the credit for requests. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -21,7 +21,6 @@
 import { priorityOf, workerPriority } from './requestPriority.js'
 import { bindToOrigin, fitsOrigin } from './streamContinuation.js'
 import { createStreamProgress } from './streamProgress.js'
-import { withUsableWeights } from './usableWeights.js'
 
 /** Result of an attempt to place a request on a worker. */
 export type PlacementResult =
@@ -80,6 +79,9 @@
   return context.workers.live(service).filter(worker => !isExcluded(exchange, worker.id, now) && (sentTo.has(worker.id) || liveCount < route.maxWorkers) && fitsOrigin(context, exchange, worker, now))
 }
 
+const withUsableWeights = (context: ForwardingContext, { call, service }: Exchange, workers: readonly Worker[], now: number): readonly Worker[] =>
+  call.prompt === undefined ? workers : context.usableWeights.among(workers, service, call.prompt.model, now)
+
 /** Time, in ms, from which the worker accepts a request of this instance; not after `now` if it does at once. */
 const acceptsFrom = (context: ForwardingContext, worker: Worker, now: number): number => {
   const { pausedUntil } = context.loadOf(worker.id)
--- a/src/forwarding/usableWeights.spec.ts
+++ b/src/forwarding/usableWeights.spec.ts
@@ -1,8 +1,8 @@
-import { buildCall, buildWorker } from '../../test/fixtures/forwarding.js'
+import { buildWorker } from '../../test/fixtures/forwarding.js'
 import { createWeightsTracker } from '../workers/weightsTracker.js'
 import { createWorkersDb } from '../workers/workersDb.js'
 import type { Worker } from '../workers/workersTypes.js'
-import { withUsableWeights } from './usableWeights.js'
+import { createUsableWeights } from './usableWeights.js'
 
 const now = 10_000
 
@@ -10,14 +10,12 @@
   buildWorker(id, { service: 'model', models: [{ name: 'm', version }] })
 
 /** Returns the ids of the usable workers among `eligible`, when version 2 was announced `age` ms ago. */
-const usableOf = (live: readonly Worker[], eligible: readonly Worker[], age: number, prompt = true): readonly string[] => {
+const usableOf = (live: readonly Worker[], eligible: readonly Worker[], age: number): readonly string[] => {
   const workers = createWorkersDb()
   const weights = createWeightsTracker()
   workers.apply(live.map(worker => ({ kind: 'present', worker })), true, 0)
   weights.name('m', 2, now - age)
-  const call = buildCall(prompt ? { prompt: { model: 'm', inputTokens: 10, maxOutputTokens: 10, parts: [] } } : {})
-  const context = { workers, weights, bounds: () => ({ keys: 4_500, absence: 1_500, weights: 8_000 }) }
-  return withUsableWeights(context, { call, service: 'model' }, eligible, now).map(({ id }) => id)
+  return createUsableWeights({ workers, weights, maxOutdatedTime: () => 8_000 }).among(eligible, 'model', 'm', now).map(({ id }) => id)
 }
 
 describe('the workers with usable weights', () => {
@@ -33,8 +31,18 @@
     expect(usableOf([outdated, current], [outdated], 6_000)).toEqual([])
   })
 
-  it('are all if no live worker holds newer weights, or if the request needs no model', () => {
+  it('are all if no live worker holds newer weights', () => {
     expect(usableOf([outdated], [outdated], 60_000)).toEqual(['w1'])
-    expect(usableOf([outdated, current], [outdated], 60_000, false)).toEqual(['w1'])
+  })
+
+  it('are judged anew soon after another worker has come', () => {
+    const workers = createWorkersDb()
+    const weights = createWeightsTracker()
+    const usable = createUsableWeights({ workers, weights, maxOutdatedTime: () => 8_000 })
+    weights.name('m', 2, 0)
+    workers.apply([{ kind: 'present', worker: outdated }], true, 0)
+    expect(usable.among([outdated], 'model', 'm', now)).toEqual([outdated])
+    workers.apply([{ kind: 'present', worker: current }], false, now)
+    expect(usable.among([outdated], 'model', 'm', now + 100)).toEqual([])
   })
 })
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -14,6 +14,7 @@
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import { createRequestOrder } from '../forwarding/requestOrder.js'
 import { createRouteDurations } from '../forwarding/routeDurations.js'
+import { createUsableWeights } from '../forwarding/usableWeights.js'
 import { splitHostPort } from '../hostPort.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
 import { createStoreBudget } from '../placement/storeBudget.js'
@@ -294,6 +295,7 @@
     bounds: () => bounds().forwarding,
     shutdownProgress: now => shutdown.progress(now),
     durations: createRouteDurations(),
+    usableWeights: createUsableWeights({ workers, weights, maxOutdatedTime: () => bounds().forwarding.weights }),
     workers,
     weights,
     limits,
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -5,6 +5,7 @@
 import { createForwarding } from '../../src/forwarding/forwardingMachine.js'
 import { createRequestOrder } from '../../src/forwarding/requestOrder.js'
 import { createRouteDurations } from '../../src/forwarding/routeDurations.js'
+import { createUsableWeights } from '../../src/forwarding/usableWeights.js'
 import type { ForwardLogEvent } from '../../src/forwarding/forwardingTypes.js'
 import type { RelayPeer } from '../../src/forwarding/relays.js'
 import type { Hash } from '../../src/hash.js'
@@ -136,6 +137,7 @@
     bounds: () => ({ keys: 4_500, absence: 1_500, weights: 8_000 }),
     shutdownProgress: () => undefined,
     durations: createRouteDurations(),
+    usableWeights: createUsableWeights({ workers, weights, maxOutdatedTime: () => 8_000 }),
     workers,
     weights,
     limits,
