The requests that wait in a stop look at those in progress once a tick, not once each

Callers: at an instance that stops with many waiting requests, every tick took longer than the time between two ticks, so that answers, and the stop itself, came late.

Cause: since each waiting request is judged before each placement, and each look at the oldest open request scanned all requests.

Test before: 20 looks for 20 waiting requests in one tick, 1 expected. After: passes, with plannedStop and shutdownAdmission.

Change: the oldest open request of each route is looked up once for each moment.

--- a/src/forwarding/requestShutdown.ts
+++ b/src/forwarding/requestShutdown.ts
@@ -36,15 +36,24 @@
  * @param options - the requests, and how they end
  */
 export const createRequestShutdown = ({ context, exchanges, responses, isolation }: RequestShutdownOptions): RequestShutdown => {
-  /** Time since the arrival of the oldest request of a route that workers have; it will last longer. */
-  const oldestOpen = (route: string, now: number): number => {
-    const open = [...exchanges.values()].filter(exchange => exchange.route.name === route && exchange.sentTo.size > 0)
-    return Math.max(0, ...open.map(({ arrivedAt }) => now - arrivedAt))
+  let openAt = -Infinity
+  let oldestOpen: ReadonlyMap<string, number> = new Map()
+
+  /** Arrival of the oldest request of each route that workers have; it will last longer. It is looked up once for all requests of a moment. */
+  const oldestOpenAt = (now: number): ReadonlyMap<string, number> => {
+    if (openAt === now) return oldestOpen
+    const oldest = new Map<string, number>()
+    for (const { route, arrivedAt, sentTo } of exchanges.values()) {
+      if (sentTo.size > 0) oldest.set(route.name, Math.min(arrivedAt, oldest.get(route.name) ?? Infinity))
+    }
+    openAt = now
+    oldestOpen = oldest
+    return oldest
   }
 
   const longestOf = (route: string, now: number): number | undefined => {
     const longest = context.durations.longest(route, now)
-    return longest === undefined ? undefined : Math.max(longest, oldestOpen(route, now))
+    return longest === undefined ? undefined : Math.max(longest, now - (oldestOpenAt(now).get(route) ?? now))
   }
 
   const arrivalOf = ({ route, deadline }: Exchange, now: number): ArrivalInShutdown | undefined => {
