Requests begin on the weights before while no holder of newer ones can be reached

Callers: while the only worker with newer weights was out of reach, 0 of 36 requests were served from 5.7 to 7.5 s after the announcement, with 1 and 7 instances, though they may begin on the weights before until 8 s; the code before served all.

--- a/src/forwarding/usableWeights.spec.ts
+++ b/src/forwarding/usableWeights.spec.ts
@@ -1,10 +1,12 @@
 import { buildWorker } from '../../test/fixtures/forwarding.js'
+import { createWorkerLoad } from '../placement/workerLoad.js'
 import { createWeightsTracker } from '../workers/weightsTracker.js'
 import { createWorkersDb } from '../workers/workersDb.js'
 import type { Worker } from '../workers/workersTypes.js'
 import { createUsableWeights } from './usableWeights.js'
 
 const now = 10_000
+const loadOf = createWorkerLoad
 
 const buildModelWorker = (id: string, version: number): Worker =>
   buildWorker(id, { service: 'model', models: [{ name: 'm', version }] })
@@ -15,7 +17,7 @@
   const weights = createWeightsTracker()
   workers.apply(live.map(worker => ({ kind: 'present', worker })), true, 0)
   weights.name('m', 2, now - age)
-  return createUsableWeights({ workers, weights, maxOutdatedTime: () => 8_000 }).among(eligible, 'model', 'm', now).map(({ id }) => id)
+  return createUsableWeights({ workers, weights, loadOf, maxOutdatedTime: () => 8_000 }).among(eligible, 'model', 'm', now).map(({ id }) => id)
 }
 
 describe('the workers with usable weights', () => {
@@ -38,7 +40,7 @@
   it('are judged anew soon after another worker has come', () => {
     const workers = createWorkersDb()
     const weights = createWeightsTracker()
-    const usable = createUsableWeights({ workers, weights, maxOutdatedTime: () => 8_000 })
+    const usable = createUsableWeights({ workers, weights, loadOf, maxOutdatedTime: () => 8_000 })
     weights.name('m', 2, 0)
     workers.apply([{ kind: 'present', worker: outdated }], true, 0)
     expect(usable.among([outdated], 'model', 'm', now)).toEqual([outdated])
--- a/src/forwarding/usableWeights.ts
+++ b/src/forwarding/usableWeights.ts
@@ -1,10 +1,12 @@
 /**
  * Leaves out workers whose weights have been outdated for long, as after an absence,
- * so that the rollout updates them first. Whether there are others is judged over
+ * so that the rollout updates them first: soon if others can be reached, at the
+ * latest when no request may begin on them. Whether there are others is judged over
  * all live workers of the service: those that are left for one request, or that
  * belong to the group that a coordinator places in, may all be outdated. As a
  * service may have hundreds of workers, the judgement is kept for a moment.
  */
+import { isPresumedReachable, type WorkerLoad } from '../placement/workerLoad.js'
 import type { Worker } from '../workers/workersTypes.js'
 import type { WeightsTracker } from '../workers/weightsTracker.js'
 import type { WorkersDb } from '../workers/workersDb.js'
@@ -19,11 +21,18 @@
 export interface UsableWeightsOptions {
   readonly workers: Pick<WorkersDb, 'live'>
   readonly weights: Pick<WeightsTracker, 'outdatedFor'>
+  readonly loadOf: (worker: string) => WorkerLoad
   /** Time from the announcement of newer weights after which requests may no longer begin on outdated ones, in ms. */
   readonly maxOutdatedTime: () => number
 }
 
-/** Fraction of the maximum outdated time after which a worker gets no new request, since a request may wait at the worker before it begins. */
+/** The longest time for which weights may be outdated, in ms, judged over all live workers, and until when it is kept. */
+interface Judgement {
+  readonly limit: number
+  readonly until: number
+}
+
+/** Fraction of the maximum outdated time after which a worker gets no new request if others can be reached, since a request may wait at the worker before it begins. */
 const usableShare = 0.7
 /** Time for which the judgement over all live workers is kept, in ms. */
 const keepTime = 100
@@ -33,29 +42,40 @@
  *
  * @param options - the workers and their weights
  */
-export const createUsableWeights = ({ workers: db, weights, maxOutdatedTime }: UsableWeightsOptions): UsableWeights => {
-  const judged = new Map<string, { readonly anyUsable: boolean, readonly until: number }>()
+export const createUsableWeights = ({ workers: db, weights, loadOf, maxOutdatedTime }: UsableWeightsOptions): UsableWeights => {
+  const judged = new Map<string, Judgement>()
 
-  const isUsable = (worker: Worker, model: string, now: number): boolean =>
-    weights.outdatedFor(worker, model, now) < maxOutdatedTime() * usableShare
+  const isCurrent = (worker: Worker, model: string, limit: number, now: number): boolean =>
+    weights.outdatedFor(worker, model, now) < limit
 
   /** Callers may name models without end. */
   const forgetOld = (now: number): void => {
     for (const [key, { until }] of judged) if (until <= now) judged.delete(key)
   }
 
-  const isAnyUsable = (service: string, model: string, now: number): boolean => {
+  /** Longest time for which the weights of a worker may be outdated, in ms. */
+  const findLimit = (service: string, model: string, now: number): number => {
+    const longest = maxOutdatedTime()
+    const live = db.live(service)
+    const others = live.filter(worker => isCurrent(worker, model, longest * usableShare, now))
+    if (others.some(({ id }) => isPresumedReachable(loadOf(id)))) return longest * usableShare
+    return live.some(worker => isCurrent(worker, model, longest, now)) ? longest : Infinity
+  }
+
+  const limitOf = (service: string, model: string, now: number): number => {
     const key = JSON.stringify([service, model])
     const known = judged.get(key)
-    if (known !== undefined && now < known.until) return known.anyUsable
-    const anyUsable = db.live(service).some(worker => isUsable(worker, model, now))
+    if (known !== undefined && now < known.until) return known.limit
+    const limit = findLimit(service, model, now)
     forgetOld(now)
-    judged.set(key, { anyUsable, until: now + keepTime })
-    return anyUsable
+    judged.set(key, { limit, until: now + keepTime })
+    return limit
   }
 
-  const among: UsableWeights['among'] = (workers, service, model, now) =>
-    isAnyUsable(service, model, now) ? workers.filter(worker => isUsable(worker, model, now)) : workers
+  const among: UsableWeights['among'] = (workers, service, model, now) => {
+    const limit = limitOf(service, model, now)
+    return limit === Infinity ? workers : workers.filter(worker => isCurrent(worker, model, limit, now))
+  }
 
   return { among }
 }
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -295,7 +295,7 @@
     bounds: () => bounds().forwarding,
     shutdownProgress: now => shutdown.progress(now),
     durations: createRouteDurations(),
-    usableWeights: createUsableWeights({ workers, weights, maxOutdatedTime: () => bounds().forwarding.weights }),
+    usableWeights: createUsableWeights({ workers, weights, loadOf, maxOutdatedTime: () => bounds().forwarding.weights }),
     workers,
     weights,
     limits,
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -137,7 +137,7 @@
     bounds: () => ({ keys: 4_500, absence: 1_500, weights: 8_000 }),
     shutdownProgress: () => undefined,
     durations: createRouteDurations(),
-    usableWeights: createUsableWeights({ workers, weights, maxOutdatedTime: () => 8_000 }),
+    usableWeights: createUsableWeights({ workers, weights, loadOf, maxOutdatedTime: () => 8_000 }),
     workers,
     weights,
     limits,
