--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -13,6 +13,7 @@
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
 import { createForwarding } from '../forwarding/forwardingMachine.js'
 import { createRequestOrder } from '../forwarding/requestOrder.js'
+import { createRouteDurations } from '../forwarding/routeDurations.js'
 import { splitHostPort } from '../hostPort.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
 import { createStoreBudget } from '../placement/storeBudget.js'
@@ -190,7 +191,6 @@
     registry,
     catalog: configuration.index,
     partStoreOf: partStores.storeOf,
-    bounds: () => bounds().forwarding,
     now: () => currentTime,
     onAnswer: request => forwarding.placeOne(request, currentTime),
     log
@@ -289,6 +289,8 @@
     catalog: configuration.index,
     lease,
     bounds: () => bounds().forwarding,
+    shutdownProgress: now => shutdown.progress(now),
+    durations: createRouteDurations(),
     workers,
     weights,
     limits,
@@ -333,6 +335,7 @@
     id: self.id,
     bounds,
     requests: () => forwarding.size(),
+    endWaiting: () => forwarding.endWaiting(currentTime),
     endRequests: () => forwarding.endAll(currentTime),
     announce: () => {
       fleet.announce(currentTime)
@@ -413,10 +416,13 @@
     return effects.splice(0)
   }
 
+  const acceptsCallers = (now: Moment): boolean => shutdown.progress(now.steady)?.accepting ?? true
+
   const directory = (now: Moment): DirectoryAnswer => {
     const others = fleet.serving(now)
     const own = { member: self, impaired: lagDetector.isLagging() || workerReach.cutOffCount() > 0 }
-    const serving = isReady(now) || others.length === 0 ? [own, ...others] : others
+    const isLastResort = others.length === 0 && acceptsCallers(now)
+    const serving = isReady(now) || isLastResort ? [own, ...others] : others
     return { addresses: selectDirectoryAddresses(self.id, serving, hash), ttl: bounds().addressLife }
   }
 
