--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -6,6 +6,7 @@
 import { Server } from 'node:net'
 import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { RawCall, WireCodec } from '../ports/platformPort.js'
+import { breakOff } from './brokenResponse.js'
 import { followCallerConnections, type ConnectionCounts } from './callerConnections.js'
 import { listen, type ReportAdapterError } from './listening.js'
 import { unreadBound, type ReaderCut } from '../slowReaders/slowReaders.js'
@@ -23,6 +24,8 @@
   readonly headerBytes: number
   /** Decodes a received request. */
   readonly decode: WireCodec['decodeCall']
+  /** Adds the id of the request to the headers of its response. */
+  readonly nameRequest: WireCodec['nameRequest']
   /** Called for each closed connection. */
   readonly onConnectionClosed?: (end: ConnectionEnd) => void
   /** Bound for what callers have not read of their responses, in bytes; by default as without a known limit of the memory. */
@@ -133,7 +136,7 @@
     reportError(place, error)
     connections.noteEnd(message.socket, 'aborted')
     openRequest.stage = 'ended'
-    if (response.headersSent) response.destroy()
+    if (response.headersSent) breakOff(openRequest)
     else response.writeHead(500, { 'Content-Type': 'application/json', 'Content-Length': errorBody.length }).end(errorBody)
     if (stage === 'open') emit({ kind: 'call.left', request, id: idOf(openRequest), stage, reason: 'aborted' })
   }
@@ -255,7 +258,7 @@
   const writeHead = (request: number, openRequest: OpenRequest, status: number, headers: readonly string[]): void => {
     const { message, response } = openRequest
     if (closing && connections.isNewest(message.socket, request)) announceEnd(request, openRequest)
-    response.writeHead(status, [...headers])
+    response.writeHead(status, [...options.nameRequest(headOf(openRequest), headers)])
   }
 
   const answer = (openRequest: OpenRequest, effect: Extract<CallEffect, { kind: 'call.answer' }>): void => {
@@ -274,7 +277,10 @@
     if (openRequest === undefined) return
     options.onReaderCut?.({ ...cut, id: idOf(openRequest) })
     if (cut.told === 'error') openRequest.response.writeHead(502, { 'Content-Type': 'application/json', 'Content-Length': slowReaderBody.length }).end(slowReaderBody)
-    else connections.destroy(openRequest.message.socket, 'backlog')
+    else {
+      connections.noteEnd(openRequest.message.socket, 'backlog')
+      breakOff(openRequest)
+    }
   }
   const unread = createUnreadResponses({ bound: options.unreadBound ?? (() => unreadBound(0, undefined)), now: () => performance.now(), cut: cutReader })
 
@@ -309,7 +315,7 @@
         return
       case 'call.abort':
         connections.noteEnd(openRequest.message.socket, 'aborted')
-        openRequest.response.destroy()
+        breakOff(openRequest)
     }
   }
 
@@ -340,6 +346,10 @@
     unreadBytes: unread.measure,
     destroy: () => {
       server.close()
+      for (const openRequest of openRequests.values()) {
+        connections.noteEnd(openRequest.message.socket, 'shutdown')
+        breakOff(openRequest)
+      }
       connections.destroyAll('shutdown')
     }
   }
--- a/src/processes/entry.ts
+++ b/src/processes/entry.ts
@@ -41,12 +41,16 @@
 const operatorReceiveTimeout = 15_000
 /** Maximum size of the body of an operator's request, in bytes. */
 const operatorBodyLimit = 16 * 1024 * 1024
+/** Time for which an instance that exits waits until the outcomes of its calls have been recorded, in ms; the log may be unavailable for long. */
+const recordTimeout = 5_000
 /** Number of random bytes in a generated incarnation id. */
 const incarnationBytes = 6
 
 /** Response to a request whose handling failed with an unexpected error; it may have run. Ignored if the request has been answered. */
 const internalErrorAnswer = { status: 500, headers: { 'content-type': 'application/json' }, body: '{"error":{"type":"internal_error","outcome":"unknown"}}' }
 
+const delay = (time: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, time) })
+
 interface EntryServers {
   readonly callers: HttpServer
   readonly operators: HttpServer
@@ -114,9 +118,10 @@
  * Starts an entry instance.
  *
  * @param settings - validated settings
+ * @param beforeListening - awaited before callers can connect; by default nothing
  * @returns the running instance, once it listens on its ports
  */
-export const startEntry = async (settings: Settings): Promise<EntryProcess> => {
+export const startEntry = async (settings: Settings, beforeListening: () => Promise<void> = async () => {}): Promise<EntryProcess> => {
   const incarnation = settings.instance.incarnation || `${Date.now().toString(36)}-${randomBytes(incarnationBytes).toString('hex')}`
   const logger = createLogger(settings.instance.id, settings.instance.log_level)
   const metrics = createMetrics({ processMetrics: true })
@@ -136,6 +141,7 @@
   const servers = createServers(settings, incarnation, metrics, credentials, handleInput, reportError)
   const peerPort = await servers.peers.listen()
   const operatorPort = await servers.operators.listen()
+  await beforeListening()
   const callerPort = await servers.callers.listen()
 
   const endpoints = createEndpointHttp({ ...tlsOptions, emit: handleInput, kindOf: id => settings.service[id] === undefined ? 'worker' : 'service' })
@@ -147,9 +153,15 @@
   let resolveEnded: () => void = () => { /* Replaced by the promise below. */ }
   const ended = new Promise<void>(resolve => { resolveEnded = resolve })
 
+  /** What callers or operators have sent is still answered, for which the node, its peers and the log are needed. */
   const exit = async (): Promise<void> => {
-    clearInterval(timer)
+    await servers.callers.flushed()
+    while (node.running() > 0) await delay(tickInterval)
+    const recordBy = performance.now() + recordTimeout
+    while (!node.hasRecordedOutcomes() && performance.now() < recordBy) await delay(tickInterval)
     servers.operators.closeListener()
+    await servers.operators.flushed()
+    clearInterval(timer)
     servers.peers.close()
     await Promise.all([endpoints.close(), log?.close(), membership?.close()])
     servers.callers.destroy()
@@ -183,7 +195,11 @@
         else membership.perform(effect)
         return
       }
-      case 'drain.announce': return
+      case 'drain.announce': {
+        servers.callers.setClosing()
+        servers.operators.setClosing()
+        return
+      }
       case 'drain.closeListener': return servers.callers.closeListener()
       case 'drain.exit': {
         exit()
