--- a/src/gateway/plannedStop.spec.ts
+++ b/src/gateway/plannedStop.spec.ts
@@ -1,6 +1,6 @@
 /** Guards against a planned stop that takes a request which cannot end before the instance does, and breaks it off. */
 import { buildCall, buildCatalog, buildRoute } from '../../test/fixtures/forwarding.js'
-import { buildGatewayPlay, type GatewayPlay } from '../../test/fixtures/gateway.js'
+import { answerWhole, attemptsOf, buildGatewayPlay, type GatewayPlay } from '../../test/fixtures/gateway.js'
 import { loadHash, type Hash } from '../hash.js'
 
 let hash: Hash
@@ -15,10 +15,11 @@
 const build = (timeout: number): GatewayPlay => buildGatewayPlay(hash, 1, buildCatalog({ routes: [buildRoute({ kind: 'stream', resumable: false, timeout, objective: 600 })] }))
 
 /** Plays the whole stop of an instance that reads one request, whose worker never ends it. */
-const playStop = (readAfter: number, limit: number, heldUp = 0) => {
+const playStop = (readAfter: number, limit: number, heldUp = 0, overdueTick = false) => {
   const play = build(limit)
   const readAt = leftAt + readAfter
   play.run(0, leftAt - heldUp)
+  if (overdueTick) play.send({ kind: 'tick' }, leftAt)
   play.send({ kind: 'gateway.leave' }, leftAt)
   play.run(leftAt + 20, readAt)
   play.send({ kind: 'call.arrived', request: 1, call: buildCall({ patience: limit }) }, readAt)
@@ -56,8 +57,9 @@
     const play = build(15_000)
     for (let request = 1; request <= 30; request++) {
       const now = request * 10
-      play.send({ kind: 'call.arrived', request, call: buildCall({ id: `r${request}` }) }, now)
-      play.send({ kind: 'call.left', request, id: `r${request}`, stage: 'open', reason: 'callerClosed' }, now + 700)
+      const id = `r${request}`
+      play.send({ kind: 'call.arrived', request, call: buildCall({ id }) }, now)
+      answerWhole(play, attemptsOf(play).at(-1) ?? 0, id, now + 700)
     }
     play.run(600, leftAt)
     play.send({ kind: 'gateway.leave' }, leftAt)
@@ -75,4 +77,22 @@
     expect(playStop(100, 6_900, 900)).toMatchObject({ wasSent: false, status: 503 })
     expect(playStop(100, 6_300, 900)).toMatchObject({ wasSent: true })
   })
+
+  // The event loop runs the overdue tick before the handler of the signal.
+  it('counts its grace period from before a delay of the process, though a tick comes between the delay and the signal', () => {
+    expect(playStop(100, 6_900, 900, true)).toMatchObject({ wasSent: false, status: 503 })
+    expect(playStop(100, 6_300, 900, true)).toMatchObject({ wasSent: true })
+  })
+
+  it('counts its grace period from the receipt of a signal that came while the process was starting', () => {
+    const play = build(15_000)
+    play.send({ kind: 'gateway.leave', signalledAt: leftAt - 3_000 }, leftAt)
+    const isTaken = (request: number, limit: number): boolean => {
+      play.send({ kind: 'call.arrived', request, call: buildCall({ id: `r${request}`, patience: limit }) }, leftAt)
+      return play.logEvents().some(event => event.kind === 'sent' && event.id === `r${request}`)
+    }
+    expect([isTaken(1, 4_300), isTaken(2, 4_500)]).toEqual([true, false])
+    play.run(leftAt + 20, leftAt + 5_000)
+    expect(play.firstAt('gateway.exit')).toBeLessThanOrEqual(leftAt + 5_000 - 500)
+  })
 })
