--- a/src/forwarding/callerResponses.ts
+++ b/src/forwarding/callerResponses.ts
@@ -5,7 +5,7 @@
 import type { AttemptsInProgress } from './attemptsInProgress.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange } from './forwardingTypes.js'
-import { isStream } from './exchangeKind.js'
+import { isStream, isSuccess } from './exchangeKind.js'
 import { noteQuotaRefusal, releaseCredit } from './quotaCredit.js'
 import { outcomeOf, refusalResponse, type Refusal } from './refusal.js'
 
@@ -71,9 +71,13 @@
     context.emit({ kind: 'attempt.cancel', attempt: id })
   }
 
+  /** An error may come much sooner than an answer. */
+  const noteDuration = ({ route, arrivedAt, sentTo }: Exchange, served: boolean, now: number): void => {
+    if (sentTo.size > 0) context.durations.add(route.name, now - arrivedAt, served, now)
+  }
+
   const remove = (exchange: Exchange, whole: boolean, now: number): void => {
     releaseCredit(context, exchange, whole, now)
-    if (exchange.sentTo.size > 0) context.durations.add(exchange.route.name, now - exchange.arrivedAt, whole, now)
     attempts.cancelAll(exchange)
     cancelRelay(exchange)
     if (exchange.streamBegun) context.streamOrigins.end(exchange.call.id, whole, now)
@@ -84,6 +88,7 @@
   const refuse = (exchange: Exchange, refusal: Refusal, { now, moment }: DecisionTime): void => {
     const { request, call, lastFailure } = exchange
     noteQuotaRefusal(context, exchange, refusal)
+    noteDuration(exchange, false, now)
     remove(exchange, false, now)
     if (exchange.headSent) {
       context.log({ kind: 'brokenOff', id: call.id, reason: refusal.kind, after: elapsed(exchange, now), events: exchange.events, ...(lastFailure === undefined ? {} : { lastAttempt: lastFailure.reason, worker: lastFailure.worker }) })
@@ -106,6 +111,7 @@
   }
 
   const answer = (exchange: Exchange, { worker, head, body }: CompleteAnswer, now: number): void => {
+    noteDuration(exchange, isSuccess(head.status), now)
     remove(exchange, true, now)
     context.log({ kind: 'answered', id: exchange.call.id, worker, status: head.status, after: elapsed(exchange, now), events: exchange.events, ...(exchange.firstEventAt === undefined ? {} : { first: Math.round(exchange.firstEventAt - exchange.arrivedAt) }) })
     if (isStream(exchange, head)) context.emit({ kind: 'call.end', request: exchange.request })
@@ -114,6 +120,7 @@
 
   const abandon = (exchange: Exchange, reason: ConnectionEnd, now: number): void => {
     context.log({ kind: 'callerLeft', id: exchange.call.id, reason, after: elapsed(exchange, now), events: exchange.events })
+    noteDuration(exchange, false, now)
     remove(exchange, false, now)
   }
 
--- a/src/forwarding/routeDurations.ts
+++ b/src/forwarding/routeDurations.ts
@@ -1,14 +1,14 @@
 /**
  * How long the requests of each route last, from their arrival to the end of their
  * answer. The longest of the last minute is kept in two windows, so that a moment of
- * slow workers is forgotten. A request that ended without a whole answer has lasted
- * at least until then, but says nothing of how short requests may be.
+ * slow workers is forgotten. A request that ended in an error or without a whole answer has
+ * lasted at least until then, but says nothing of how short requests may be.
  */
 
 /** The durations of the requests of one instance; all times in ms. */
 export interface RouteDurations {
-  /** Adds a request that a worker had, and that has ended at `now`, with a `whole` answer or without. */
-  readonly add: (route: string, duration: number, whole: boolean, now: number) => void
+  /** Adds a request that a worker had, and that has ended at `now`, with the answer that it asked for (`served`) or without. */
+  readonly add: (route: string, duration: number, served: boolean, now: number) => void
   /** The longest recent duration; undefined if too few requests have been answered lately. */
   readonly longest: (route: string, now: number) => number | undefined
 }
@@ -20,7 +20,7 @@
 
 interface Window {
   readonly startedAt: number
-  /** Number of whole answers. */
+  /** Number of requests that were served. */
   answers: number
   longest: number
 }
@@ -50,9 +50,9 @@
     return next
   }
 
-  const add: RouteDurations['add'] = (route, duration, whole, now) => {
+  const add: RouteDurations['add'] = (route, duration, served, now) => {
     const window = currentWindow(route, now)
-    if (whole) window.answers++
+    if (served) window.answers++
     window.longest = Math.max(window.longest, duration)
   }
 
