--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -1,8 +1,8 @@
 /** Admission of requests: finds the route, checks the API key and chooses the service. */
 import type { Route, Workspace } from '../catalog/catalogTypes.js'
 import type { Call } from '../ports/forwardPort.js'
+import { chooseService } from './chooseService.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
-import { chooseService } from './placeRequest.js'
 import type { Refusal } from './refusal.js'
 
 /** Whether a request may be forwarded; `workspace` is undefined on routes that need no key. */
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -1,8 +1,8 @@
 /** Chooses the service and the worker for a request and sends the request to it. */
-import type { ModelPurpose, Route } from '../catalog/catalogTypes.js'
+import type { ModelPurpose } from '../catalog/catalogTypes.js'
 import type { CoordinatedPlacement } from '../coordination/placementCoordination.js'
 import { assertNever } from '../errors.js'
-import { affinityPart, placeModelRequest, sharedParts, type ModelChoice } from '../placement/modelPlacement.js'
+import { placeModelRequest, sharedParts, type ModelChoice } from '../placement/modelPlacement.js'
 import { placePlainRequest } from '../placement/plainPlacement.js'
 import { noteSent, type InFlightRequest } from '../placement/workerLoad.js'
 import { shouldStorePrompt } from '../placement/shouldStorePrompt.js'
@@ -10,13 +10,13 @@
 import type { Worker } from '../workers/workersTypes.js'
 import { createByteBuffer } from '../byteBuffer.js'
 import { createEventSplitter } from './eventSplitter.js'
-import { isRetryable } from './exchangeKind.js'
 import { isExcluded } from './exclusions.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange, SendCause } from './forwardingTypes.js'
 import { modelQuery } from './modelQuery.js'
 import { checkCredit, takeCredit } from './quotaCredit.js'
 import type { Refusal } from './refusal.js'
+import { relayPeers } from './relayPeers.js'
 import type { RelayPeer } from './relays.js'
 import { priorityOf, workerPriority } from './requestPriority.js'
 import { bindToOrigin, fitsOrigin } from './streamContinuation.js'
@@ -48,30 +48,6 @@
   readonly coordinator?: string
 }
 
-/**
- * Chooses the service of a request from its route's targets in proportion to
- * their weights. The choice is a hash of the request's deepest shared prompt part,
- * so requests that share it get the same service; without a prompt it is a hash of
- * the request's id. Targets without a live worker are left out if any has one.
- *
- * @param context - state of the instance
- * @param route - the request's route
- * @param call - the request
- * @returns the name of the service; undefined if the route has no target
- */
-export const chooseService = (context: ForwardingContext, route: Route, call: Call): string | undefined => {
-  const usable = route.targets.filter(({ service, weight }) => weight > 0 && context.workers.live(service).length > 0)
-  const targets = usable.length > 0 ? usable : route.targets
-  const total = targets.reduce((sum, { weight }) => sum + weight, 0)
-  const key = (call.prompt === undefined ? undefined : affinityPart(call.prompt))?.id ?? call.id
-  let offset = context.hash.h32(key) / 2 ** 32 * total
-  for (const { service, weight } of targets) {
-    offset -= weight
-    if (offset < 0) return service
-  }
-  return targets.at(-1)?.service
-}
-
 /** The workers to which the request may be sent. Those that already received it stay eligible; others are added only while fewer than the route's `maxWorkers` known workers received it. */
 const eligible = (context: ForwardingContext, exchange: Exchange, now: number): readonly Worker[] => {
   const { sentTo, route, service } = exchange
@@ -259,20 +235,6 @@
   return sent
 }
 
-/** Number of instances that may get one request. */
-const maxRelays = 3
-
-/** The instances that may take the request, if this one is cut off from its service; one that was relayed here stays. */
-const relayPeers = (context: ForwardingContext, exchange: Exchange, now: number): readonly RelayPeer[] => {
-  // A stream that has begun is lost if it stays, so that only its pause limits it.
-  if (exchange.call.relayed === true || (!exchange.headSent && exchange.relayCount >= maxRelays)) return []
-  if (exchange.mayHaveRun && !isRetryable(exchange)) return []
-  return context.workerReach.relaysFor(exchange.service, now).flatMap(id => {
-    const front = context.frontOf(id)
-    return front === undefined ? [] : [{ id, front }]
-  })
-}
-
 /**
  * Sends a request to the best eligible worker by expected response time.
  *
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -7,7 +7,6 @@
 import { createRetryBudget, type RetryBudget } from '../admission/retryBudget.js'
 import type { Address } from '../catalog/catalogTypes.js'
 import { assertNever } from '../errors.js'
-import { selectDirectoryAddresses } from '../fleet/directory.js'
 import { createLagDetector } from '../fleet/lagDetector.js'
 import { createFleet } from '../fleet/fleetMachine.js'
 import { fleetMessageSchema } from '../fleet/fleetMessages.js'
@@ -33,8 +32,9 @@
 import { createFeedHandler } from './feedInputs.js'
 import { createRolloutNotices } from './rolloutNotices.js'
 import { readGauges } from './gatewayGauges.js'
-import type { DirectoryAnswer, Gateway, GatewayOptions } from './gatewayInterface.js'
+import type { Gateway, GatewayOptions } from './gatewayInterface.js'
 import type { GatewayEffect, GatewayInput, GatewayLogEvent } from './gatewayTypes.js'
+import { createInstanceDirectory } from './instanceDirectory.js'
 import { createShutdown } from './shutdown.js'
 import { createPartStores } from '../placement/partStores.js'
 import { createStoreReader } from './storeReader.js'
@@ -421,15 +421,15 @@
     return effects.splice(0)
   }
 
-  const acceptsCallers = (now: Moment): boolean => shutdown.progress(now.steady)?.accepting ?? true
-
-  const directory = (now: Moment): DirectoryAnswer => {
-    const others = fleet.serving(now)
-    const own = { member: self, impaired: lagDetector.isLagging() || workerReach.cutOffCount() > 0 }
-    const isLastResort = others.length === 0 && acceptsCallers(now)
-    const serving = isReady(now) || isLastResort ? [own, ...others] : others
-    return { addresses: selectDirectoryAddresses(self.id, serving, hash), ttl: bounds().addressLife }
-  }
+  const directory = createInstanceDirectory({
+    self,
+    hash,
+    isReady,
+    acceptsCallers: now => shutdown.progress(now.steady)?.accepting ?? true,
+    isImpaired: () => lagDetector.isLagging() || workerReach.cutOffCount() > 0,
+    others: fleet.serving,
+    addressLife: () => bounds().addressLife
+  })
 
   return {
     handle,
