Requests begin on the weights before while the only holder of newer ones loads still newer ones

Cause: workers on the oldest weights were left out after 0.7 of the time for others that were loading, and so took nothing. A holder that loads is no longer another one that is available, as one that is out of reach; the whole time still holds. The test of a loading holder failed before, the one of a suspected holder passed.

--- a/src/forwarding/usableWeights.spec.ts
+++ b/src/forwarding/usableWeights.spec.ts
@@ -1,6 +1,6 @@
 import { buildWorker } from '../../test/fixtures/forwarding.js'
 import { createWorkerLoad } from '../placement/workerLoad.js'
-import { createWeightsTracker } from '../workers/weightsTracker.js'
+import { createWeightsTracker, type WeightsTracker } from '../workers/weightsTracker.js'
 import { createWorkersDb } from '../workers/workersDb.js'
 import type { Worker } from '../workers/workersTypes.js'
 import { createUsableWeights } from './usableWeights.js'
@@ -37,6 +37,21 @@
     expect(usableOf([outdated], [outdated], 60_000)).toEqual(['w1'])
   })
 
+  it.each([
+    ['loads still newer weights', (weights: WeightsTracker) => weights.noteLoading('w2', now + 1_000), loadOf],
+    ['is suspected to be out of reach', () => { /* It loads nothing. */ }, (id: string) => ({ ...createWorkerLoad(id), suspectedSince: now })]
+  ])('are with the outdated one, until no request may begin there, while the only other one %s', (_name, disturb, loads) => {
+    const among = (age: number): readonly Worker[] => {
+      const workers = createWorkersDb()
+      const weights = createWeightsTracker()
+      workers.apply([outdated, current].map(worker => ({ kind: 'present', worker })), true, 0)
+      weights.name('m', 2, now - age)
+      disturb(weights)
+      return createUsableWeights({ workers, weights, loadOf: loads, maxOutdatedTime: () => 8_000 }).among([outdated], 'model', 'm', now)
+    }
+    expect([among(7_900), among(8_100)]).toEqual([[outdated], []])
+  })
+
   it('are judged anew soon after another worker has come', () => {
     const workers = createWorkersDb()
     const weights = createWeightsTracker()
--- a/src/forwarding/usableWeights.ts
+++ b/src/forwarding/usableWeights.ts
@@ -1,6 +1,6 @@
 /**
  * Leaves out workers whose weights have been outdated for long, as after an absence,
- * so that the rollout updates them first: soon if others can be reached, at the
+ * so that the rollout updates them first: soon if others are available, at the
  * latest when no request may begin on them. Whether there are others is judged over
  * all live workers of the service: those that are left for one request, or that
  * belong to the group that a coordinator places in, may all be outdated. As a
@@ -20,7 +20,7 @@
 /** What the choice depends on. */
 export interface UsableWeightsOptions {
   readonly workers: Pick<WorkersDb, 'live'>
-  readonly weights: Pick<WeightsTracker, 'outdatedFor'>
+  readonly weights: Pick<WeightsTracker, 'outdatedFor' | 'isLoading'>
   readonly loadOf: (worker: string) => WorkerLoad
   /** Time from the announcement of newer weights after which requests may no longer begin on outdated ones, in ms. */
   readonly maxOutdatedTime: () => number
@@ -32,7 +32,7 @@
   readonly until: number
 }
 
-/** Fraction of the maximum outdated time after which a worker gets no new request if others can be reached, since a request may wait at the worker before it begins. */
+/** Fraction of the maximum outdated time after which a worker gets no new request if others are available, since a request may wait at the worker before it begins. */
 const usableShare = 0.7
 /** Time for which the judgement over all live workers is kept, in ms. */
 const keepTime = 100
@@ -53,12 +53,14 @@
     for (const [key, { until }] of judged) if (until <= now) judged.delete(key)
   }
 
+  const isAvailable = ({ id }: Worker, now: number): boolean => isPresumedReachable(loadOf(id)) && !weights.isLoading(id, now)
+
   /** Longest time for which the weights of a worker may be outdated, in ms. */
   const findLimit = (service: string, model: string, now: number): number => {
     const longest = maxOutdatedTime()
     const live = db.live(service)
     const others = live.filter(worker => isCurrent(worker, model, longest * usableShare, now))
-    if (others.some(({ id }) => isPresumedReachable(loadOf(id)))) return longest * usableShare
+    if (others.some(worker => isAvailable(worker, now))) return longest * usableShare
     return live.some(worker => isCurrent(worker, model, longest, now)) ? longest : Infinity
   }
 
