--- a/src/adapters/frontDrain.spec.ts
+++ b/src/adapters/frontDrain.spec.ts
@@ -1,6 +1,7 @@
 /** Guards against a planned stop that cuts off requests which have just been accepted: each is answered, or never read, so that its caller may send it elsewhere. */
 import { requestText, startFront, suspend, type FrontFixture } from '../../test/fixtures/front.js'
 import { waitFor } from '../../test/fakes/waitFor.js'
+import { afterNextRead } from './nextRead.js'
 
 const answerAll = (fixture: FrontFixture): void => {
   for (const input of fixture.inputs) if (input.kind === 'call.arrived') fixture.answer(input.request, input.call.id)
@@ -9,6 +10,14 @@
 /** Requests that were read and are not answered whole. */
 const cutOff = (fixture: FrontFixture): readonly unknown[] => fixture.inputs.filter(({ kind }) => kind === 'call.left')
 
+/** Sends a request on another connection and waits for its answer, by when the server has read what came before. */
+const exchangeOnOther = async (fixture: FrontFixture): Promise<void> => {
+  const other = await fixture.open()
+  other.socket.write(requestText('other'))
+  fixture.answer(await fixture.arrived('other'), 'other')
+  await waitFor(() => other.text().endsWith('other'))
+}
+
 describe('a server for callers that stops', () => {
   it('answers or never reads a request that comes on a connection without requests, at any time until all connections are closed', async () => {
     const fixture = await startFront()
@@ -85,11 +94,11 @@
     const fixture = await startFront()
     const caller = await fixture.open()
     caller.socket.write('POST /a/x HTTP/1.1\r\nHost: a.exa')
-    await new Promise(resolve => setTimeout(resolve, 20))
+    await exchangeOnOther(fixture)
     fixture.front.setClosing()
     fixture.front.closeListener()
     const drained = fixture.front.flushed()
-    await new Promise(resolve => setTimeout(resolve, 20))
+    for (let turn = 0; turn < 5; turn++) await new Promise<void>(resolve => afterNextRead(resolve))
     caller.socket.write('mple\r\nX-Request-Id: parts\r\nContent-Length: 0\r\n\r\n')
     fixture.answer(await fixture.arrived('parts'), 'parts')
     await drained
