--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -129,7 +129,7 @@
   /** Makes the attempt that has brought something the only one of its request, and begins the response if it is a stream. */
   const settleOn = (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number): void => {
     if (isSecond(exchange, attempt)) seconds.prefer(exchange, now)
-    else seconds.cancel(exchange)
+    else seconds.cancel(exchange, now)
     if (!isStream(exchange, head)) return
     if (!exchange.headSent) responses.open(exchange, head)
     if (attempt.body.size() === 0) return
--- a/src/forwarding/attemptsInProgress.ts
+++ b/src/forwarding/attemptsInProgress.ts
@@ -22,12 +22,14 @@
   /** Adds the second attempt of a request. */
   readonly beginSecond: (exchange: Exchange, attempt: Attempt) => void
   readonly find: (id: number) => ExchangeAttempt | undefined
-  /** Removes an attempt; `cancel` also closes its connection. */
-  readonly end: (exchange: Exchange, attempt: Attempt, cancel: boolean) => void
+  /** Removes an attempt whose response has arrived whole. */
+  readonly complete: (exchange: Exchange, attempt: Attempt) => void
+  /** Removes an attempt that is not needed any more, and closes its connection. */
+  readonly cancel: (exchange: Exchange, attempt: Attempt, now: number) => void
   /** Removes an attempt that brought no usable response; `cancel` also closes its connection. */
   readonly fail: (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number) => void
   /** Cancels all attempts of a request. */
-  readonly cancelAll: (exchange: Exchange) => void
+  readonly cancelAll: (exchange: Exchange, now: number) => void
 }
 
 /** Whether the end may be that of the worker, so that it matters whether the same request ended others. */
@@ -43,7 +45,7 @@
   const attempts = new Map<number, ExchangeAttempt>()
   let lastId = 0
 
-  const end = (exchange: Exchange, attempt: Attempt, cancel: boolean): void => {
+  const remove = (exchange: Exchange, attempt: Attempt, cancel: boolean): void => {
     noteEnded(context.loadOf(attempt.worker), attempt.flight)
     attempts.delete(attempt.id)
     heldAnswers.release(attempt.id)
@@ -54,8 +56,20 @@
     context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
   }
 
-  const fail = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, cancel: boolean, now: number): void => {
-    const { worker, workerStartedAt, sentAt, lastDataAt, flight: { firstEventAt } } = attempt
+  const cancel = (exchange: Exchange, attempt: Attempt, now: number): void => {
+    const { worker, sentAt, flight: { firstEventAt } } = attempt
+    context.log({
+      kind: 'attemptCancelled',
+      id: exchange.call.id,
+      worker,
+      after: Math.round(now - sentAt),
+      ...(firstEventAt === undefined ? {} : { begun: Math.round(now - firstEventAt) })
+    })
+    remove(exchange, attempt, true)
+  }
+
+  const fail = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, givenUp: boolean, now: number): void => {
+    const { worker, workerStartedAt, sentAt, lastDataAt, head, flight: { firstEventAt } } = attempt
     context.log({
       kind: 'attemptFailed',
       id: exchange.call.id,
@@ -65,11 +79,12 @@
       ...(firstEventAt === undefined ? {} : { begun: Math.round(now - firstEventAt) }),
       startedAt: workerStartedAt,
       quiet: Math.round(now - lastDataAt),
-      givenUp: cancel,
+      givenUp,
+      ...(reason === 'turnedAway' && head?.load !== undefined ? { stated: head.load.running + head.load.waiting } : {}),
       ...(isBrokenConnection(reason) ? { request: context.fingerprintOf(exchange) } : {})
     })
     if (exchange.attempt === attempt) exchange.lastFailure = { worker, reason }
-    end(exchange, attempt, cancel)
+    remove(exchange, attempt, givenUp)
   }
 
   return {
@@ -86,10 +101,11 @@
       attempts.set(attempt.id, { exchange, attempt })
     },
     find: id => attempts.get(id),
-    end,
+    complete: (exchange, attempt) => remove(exchange, attempt, false),
+    cancel,
     fail,
-    cancelAll: exchange => {
-      for (const attempt of [exchange.attempt, exchange.second]) if (attempt !== undefined) end(exchange, attempt, true)
+    cancelAll: (exchange, now) => {
+      for (const attempt of [exchange.attempt, exchange.second]) if (attempt !== undefined) cancel(exchange, attempt, now)
     }
   }
 }
--- a/src/forwarding/callerResponses.ts
+++ b/src/forwarding/callerResponses.ts
@@ -78,7 +78,7 @@
 
   const remove = (exchange: Exchange, whole: boolean, now: number): void => {
     releaseCredit(context, exchange, whole, now)
-    attempts.cancelAll(exchange)
+    attempts.cancelAll(exchange, now)
     cancelRelay(exchange)
     if (exchange.streamBegun) context.streamOrigins.end(exchange.call.id, whole, now)
     exchanges.delete(exchange.request)
@@ -106,7 +106,7 @@
   }
 
   const complete = (exchange: Exchange, attempt: Attempt, head: AnswerHead, now: number): void => {
-    attempts.end(exchange, attempt, false)
+    attempts.complete(exchange, attempt)
     answer(exchange, { worker: attempt.worker, head, body: attempt.body.bytes() }, now)
   }
 
--- a/src/forwarding/secondAttempts.ts
+++ b/src/forwarding/secondAttempts.ts
@@ -27,7 +27,7 @@
   /** Ends a second attempt that brought no usable response, or none in time. */
   readonly drop: (exchange: Exchange, second: Attempt, reason: AttemptEnd, cancel: boolean, now: number) => void
   /** Ends a second attempt that is not needed any more, as the current one goes on. */
-  readonly cancel: (exchange: Exchange) => void
+  readonly cancel: (exchange: Exchange, now: number) => void
   /** Makes the second attempt, which has brought something, the current one, and cancels that. */
   readonly prefer: (exchange: Exchange, now: number) => void
   /** Makes the second attempt the current one after that has failed; returns false if there is none. */
@@ -101,7 +101,7 @@
     begin,
     check,
     drop,
-    cancel: exchange => { if (exchange.second !== undefined) attempts.end(exchange, exchange.second, true) },
+    cancel: (exchange, now) => { if (exchange.second !== undefined) attempts.cancel(exchange, exchange.second, now) },
     prefer: (exchange, now) => {
       if (exchange.attempt !== undefined) attempts.fail(exchange, exchange.attempt, 'silent', true, now)
       takeOver(exchange)
