Failing test: brittle workers end of runs whose callers have left

Played in virtual time with whole cores of gateways: model workers that run 8 requests and queue 4 more, from 10 s on one more, state their load, and end if they turn away more than 3 requests in a second. Two fifths of the callers leave 0.1 to 0.7 s after their request, and some runs go on although their connection was closed, as the users' pages allow.

--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -15,6 +15,7 @@
 import { createRandom } from '../../src/random.js'
 import type { Worker } from '../../src/workers/workersTypes.js'
 import { buildGatewayBounds } from '../fixtures/gateway.js'
+import type { BatchingWorkers } from './batchingWorkers.js'
 import { createFakeNetwork, type FakeNetwork } from './fakeNetwork.js'
 import { createFakeWorkers } from './fakeWorkers.js'
 import { createVirtualTime, type VirtualTime } from './virtualTime.js'
@@ -79,6 +80,8 @@
   readonly streamEvents?: number
   /** Whether the worker crashes soon after it has begun to write an answer to the request. */
   readonly crashes?: (call: Call, now: number) => boolean
+  /** Runs the requests of model workers; by default each worker runs any number of requests at once. */
+  readonly batching?: (time: VirtualTime, endWorker: (worker: string) => void) => BatchingWorkers
   /** Called when a worker has crashed under a request. */
   readonly onCrash?: (call: Call) => void
 }
@@ -94,6 +97,8 @@
   readonly recordCalls: readonly number[]
   readonly live: () => readonly string[]
   readonly send: (instance: string, call: Call) => FakeCall
+  /** Closes the connection of a request's caller; has no effect once its response is complete. */
+  readonly hangUp: (call: FakeCall) => void
   /** Ends an instance at once; its callers' responses break off. */
   readonly kill: (instance: string) => void
   /** Asks an instance to shut down; it goes on for as long as its grace period until it is killed. */
@@ -140,6 +145,8 @@
 interface Running {
   readonly gateway: Gateway
   readonly calls: Map<number, FakeCall>
+  /** Closes the connections of attempts at batching workers. */
+  readonly closes: Map<number, () => void>
   /** Attempts in progress; undefined for one that another instance has. */
   readonly attempts: Map<number, Dispatch | undefined>
   /** Requests of other instances, by their number here. */
@@ -172,6 +179,8 @@
   const recordCalls: number[] = []
   const streamRecords: unknown[] = []
 
+  const batching = options.batching?.(time, worker => { workers.crash(worker) })
+
   const moment = (): Moment => ({ steady: time.now(), wall: time.now() + (options.wallOffset ?? 0) })
 
   const input = (instance: string, event: GatewayInput): void => {
@@ -202,11 +211,37 @@
     return cut?.service === undefined || cut.service === serviceOf(worker) ? cut : undefined
   }
 
+  const runInBatch = (batch: BatchingWorkers, instance: string, node: Running, attempt: number, worker: Worker, call: Call, firstEvent: number): void => {
+    if (!node.attempts.has(attempt)) return
+    const { id } = worker
+    const disconnect = workers.connect(id, () => fail(instance, node, attempt, 'cut'))
+    arrivals.push({ call: call.id, worker: id, instance, at: time.now(), resumed: firstEvent > 1 })
+    /** What reaches the instance; links that hang carry nothing. */
+    const pass = (event: GatewayInput): void => {
+      if (cutBetween(instance, id)?.mode !== 'hangs') inputOfAttempt(instance, node, attempt, event)
+    }
+    const close = batch.run(id, call, firstEvent, {
+      head: head => pass({ kind: 'attempt.head', attempt, head: { ...headOf(worker, call), ...head } }),
+      event: number => pass({ kind: 'attempt.data', attempt, bytes: Buffer.from(`id: ${number}\ndata: ${id}\n\n`) }),
+      end: () => {
+        disconnect()
+        pass({ kind: 'attempt.ended', attempt })
+        node.attempts.delete(attempt)
+        node.closes.delete(attempt)
+      }
+    })
+    node.closes.set(attempt, () => {
+      disconnect()
+      if (cutBetween(instance, id)?.mode !== 'hangs') time.after(workerDelay, close)
+    })
+  }
+
   const runAt = (instance: string, node: Running, attempt: number, { call, worker: id, resumeAfter }: Dispatch): void => {
     const worker = workers.running(id)
     const cut = cutBetween(instance, id)
     if (cut?.mode === 'hangs') return time.after(connectTimeout, () => fail(instance, node, attempt, 'unsent'))
     if (worker === undefined || cut !== undefined) return fail(instance, node, attempt, 'unsent')
+    if (batching !== undefined && worker.models.length > 0) return runInBatch(batching, instance, node, attempt, worker, call, Number(resumeAfter ?? 0) + 1)
     const disconnect = workers.connect(id, () => fail(instance, node, attempt, 'cut'))
     const crash = (): void => {
       if (node.attempts.has(attempt) && workers.crash(id)) options.onCrash?.(call)
@@ -297,6 +332,8 @@
 
   const cancel = (node: Running, attempt: number): void => {
     node.attempts.delete(attempt)
+    node.closes.get(attempt)?.()
+    node.closes.delete(attempt)
     for (const [id, other] of running) {
       for (const [request, relayed] of other.relays) {
         if (relayed.node !== node || relayed.attempt !== attempt) continue
@@ -378,7 +415,7 @@
       hash,
       random: createRandom(count + hash.h32(id))
     })
-    const node: Running = { gateway, calls: new Map(), attempts: new Map(), relays: new Map(), lastRequest: 0 }
+    const node: Running = { gateway, calls: new Map(), closes: new Map(), attempts: new Map(), relays: new Map(), lastRequest: 0 }
     running.set(id, node)
     network.join(id, (from, message: PeerMessage) => input(id, { kind: 'peer.message', from, message }))
     every(id, node, storeReadInterval, () => readStore(id))
@@ -389,6 +426,7 @@
     const node = running.get(id)
     running.delete(id)
     network.leave(id)
+    for (const close of node?.closes.values() ?? []) close()
     for (const received of node?.calls.values() ?? []) if (received.state === 'open') received.state = 'broken'
   }
 
@@ -402,6 +440,13 @@
     return received
   }
 
+  const hangUp = ({ call, instance, state }: FakeCall): void => {
+    const node = running.get(instance)
+    const request = [...node?.calls ?? []].find(([, received]) => received.call === call)?.[0]
+    if (state !== 'open' || request === undefined) return
+    input(instance, { kind: 'call.left', request, id: call.id, stage: 'open', reason: 'callerClosed' })
+  }
+
   for (let index = 0; index < options.instances; index++) starts.set(`n${index}`, 0)
   for (const id of [...starts.keys()]) start(id)
 
@@ -414,6 +459,7 @@
     recordCalls,
     live: () => [...running.keys()],
     send,
+    hangUp,
     kill,
     leave: instance => input(instance, { kind: 'gateway.leave' }),
     start,
