The place of a run stays taken after its connection was closed until the worker has dropped it

Cause: an attempt that was cancelled left the counts of its worker in the same step, and its coordinator gave the place away 50 ms later, although nothing had said that the worker has dropped the run. Some workers finish a run whose connection was closed, and behind a cut link a close does not arrive. The worker's own load did say so, but a difference of one was taken for lag, and larger ones faded with a half-life of 400 ms. Class: an order that was given is taken for its effect.

Change: an attempt that ends without the end of its response is abandoned, not ended. Its sender tells the coordinator so (placementUpdates, abandoned); its place and memory stay taken until a statement of the worker no longer accounts for it, for as long as a run takes otherwise, and never beyond the time limit that the worker got. It holds for callers that leave, second attempts, links that break, requests that are given up, and stops, since all pass through attemptsInProgress.

--- a/src/coordination/coordinationMessages.ts
+++ b/src/coordination/coordinationMessages.ts
@@ -74,6 +74,9 @@
   begun: z.boolean()
 })
 
+/** A request that has no connection any more and that its worker may still run; times in ms. */
+const abandonedSchema = z.object({ id, worker: z.string(), memoryTokens: count, sent: age, age, left: age })
+
 /** Schemas of the messages about placement. */
 export const coordinationMessageSchemas = [
   /** Asks the coordinator of a group for a worker. */
@@ -101,6 +104,8 @@
     begun: z.array(z.object({ id, age })).max(maxUpdatesPerMessage),
     /** Requests that have ended, or were not sent. */
     ended: z.array(id).max(maxUpdatesPerMessage),
+    /** Requests whose connection was closed `age` ms ago and that the worker may still run, until it stops them in `left` ms; `sent` is the time since they were sent, in ms. Instances of an older version leave it out. */
+    abandoned: z.array(abandonedSchema).max(maxUpdatesPerMessage).default([]),
     /** Requests that are still in flight. */
     running: z.array(id).max(maxUpdatesPerMessage),
     reports: z.array(loadReportSchema).max(maxUpdatesPerMessage)
--- a/src/coordination/flightReports.ts
+++ b/src/coordination/flightReports.ts
@@ -49,11 +49,12 @@
   readonly flights: PlacementUpdates['flights']
   readonly begun: PlacementUpdates['begun']
   readonly ended: number[]
+  readonly abandoned: PlacementUpdates['abandoned']
   readonly running: number[]
   readonly reports: WorkerLoadReport[]
 }
 
-const emptyBatch = (): Batch => ({ flights: [], begun: [], ended: [], running: [], reports: [] })
+const emptyBatch = (): Batch => ({ flights: [], begun: [], ended: [], abandoned: [], running: [], reports: [] })
 
 const describeFlight = (id: number, { id: worker, service }: ReportedWorker, flight: InFlightRequest, now: number): PlacementUpdates['flights'][number] => ({
   id,
@@ -69,12 +70,12 @@
 
 /** Divides a batch into messages of bounded size. */
 const toMessages = (batch: Batch): readonly PlacementUpdates[] => {
-  const { flights, begun, ended, running, reports } = batch
+  const { flights, begun, ended, abandoned, running, reports } = batch
   const messages: PlacementUpdates[] = []
-  const longest = Math.max(flights.length, begun.length, ended.length, running.length, reports.length)
+  const longest = Math.max(flights.length, begun.length, ended.length, abandoned.length, running.length, reports.length)
   for (let from = 0; from < longest; from += maxUpdatesPerMessage) {
     const part = <Entry>(entries: readonly Entry[]): Entry[] => entries.slice(from, from + maxUpdatesPerMessage)
-    messages.push({ kind: 'fleet.placementUpdates', flights: part(flights), begun: part(begun), ended: part(ended), running: part(running), reports: part(reports) })
+    messages.push({ kind: 'fleet.placementUpdates', flights: part(flights), begun: part(begun), ended: part(ended), abandoned: part(abandoned), running: part(running), reports: part(reports) })
   }
   return messages
 }
@@ -86,6 +87,8 @@
  */
 export const createFlightReports = (firstId: (bound: number) => number): FlightReports => {
   const told = new Map<number, Told>()
+  /** Coordinators that know of abandoned runs, by attempt. */
+  const toldAbandoned = new Map<number, string>()
   const released: { readonly id: number, readonly coordinator: string }[] = []
   const reportedAt = new Map<string, { readonly at: number, readonly coordinator: string }>()
   let lastId: number | undefined
@@ -115,6 +118,19 @@
     }
   }
 
+  /** Tells of the runs without a connection; a coordinator that has placed one keeps its place for as long as the worker may run it. */
+  const addAbandoned = ({ id: worker, coordinator, load }: ReportedWorker, batch: Batch, now: number): void => {
+    for (const [key, { sentAt, closedAt, memoryTokens, deadline }] of load.abandoned) {
+      const attempt = Number(key)
+      if (deadline <= now || toldAbandoned.get(attempt) === coordinator) continue
+      const known = told.get(attempt)
+      if (known !== undefined && known.coordinator !== coordinator) released.push({ id: known.id, coordinator: known.coordinator })
+      told.delete(attempt)
+      toldAbandoned.set(attempt, coordinator)
+      batch.abandoned.push({ id: known?.id ?? nextId(), worker, memoryTokens: boundedCount(wholeBlocks(memoryTokens)), sent: now - sentAt, age: now - closedAt, left: deadline - now })
+    }
+  }
+
   const addReport = ({ id, coordinator, load }: ReportedWorker, batch: Batch, now: number): void => {
     const last = reportedAt.get(id)
     const { report, brittle } = load
@@ -135,12 +151,14 @@
       return batch
     }
     const inFlight = new Set<number>()
+    const stillAbandoned = new Set(workers.flatMap(({ load }) => [...load.abandoned.keys()].map(Number)))
     for (const worker of workers) {
       const batch = batchOf(worker.coordinator)
       for (const flight of worker.load.flights) {
         inFlight.add(flight.attempt)
         compareFlight(worker, flight, batch, now)
       }
+      addAbandoned(worker, batch, now)
       addReport(worker, batch, now)
     }
     for (const [attempt, { id, coordinator }] of told) {
@@ -148,6 +166,7 @@
       told.delete(attempt)
       batchOf(coordinator).ended.push(id)
     }
+    for (const attempt of toldAbandoned.keys()) if (!stillAbandoned.has(attempt)) toldAbandoned.delete(attempt)
     for (const { id, coordinator } of released.splice(0)) batchOf(coordinator).ended.push(id)
     if (reportedAt.size > 2 * workers.length + maxUpdatesPerMessage) reportedAt.clear()
     return [...batches].flatMap(([to, batch]) => toMessages(batch).map(updates => ({ to, updates })))
--- a/src/coordination/placementCoordination.ts
+++ b/src/coordination/placementCoordination.ts
@@ -7,6 +7,7 @@
 import type { Candidate } from '../addresses/rendezvous.js'
 import type { Hash } from '../hash.js'
 import { affinityPart, sharedParts } from '../placement/modelPlacement.js'
+import { countAbandoned } from '../placement/abandonedRuns.js'
 import type { WorkerLoad } from '../placement/workerLoad.js'
 import type { Prompt } from '../ports/forwardPort.js'
 import type { Random } from '../random.js'
@@ -32,7 +33,8 @@
   readonly liveWorkers: (service: string) => readonly Worker[]
   /** Names of all services with workers. */
   readonly services: () => readonly string[]
-  readonly isListed: (worker: string) => boolean
+  /** Returns when the present lifetime of a worker began, in ms; undefined if the worker is not listed. */
+  readonly startedAt: (worker: string) => number | undefined
   /** Load of a worker as this instance knows it. */
   readonly loadOf: (worker: string) => WorkerLoad
   readonly limitsOf: (worker: Worker) => RoomLimits
@@ -72,8 +74,8 @@
   readonly tick: (now: number) => void
   /** Whether coordinators place the requests of a service. */
   readonly isCoordinated: (service: string, now: number) => boolean
-  /** For the metrics: requests that this instance counts as a coordinator, and coordinators that it leaves out. */
-  readonly gauges: () => { readonly coordinatedRequests: number, readonly avoidedCoordinators: number }
+  /** For the metrics: requests and abandoned runs that this instance counts as a coordinator, and coordinators that it leaves out. */
+  readonly gauges: () => { readonly coordinatedRequests: number, readonly abandonedRuns: number, readonly avoidedCoordinators: number }
 }
 
 /** Number of instances up to which each places by itself, since two cannot agree without the other. */
@@ -130,7 +132,7 @@
       return options.queryOf(request, workers, countedLoadOf, now)
     },
     noteParts: options.noteParts,
-    isListed: options.isListed
+    startedAt: options.startedAt
   })
 
   const decide = (from: string, request: PlacementRequest, now: number): Answered => {
@@ -175,7 +177,8 @@
   }
 
   const aloneAmong = (workers: readonly Worker[], now: number): CoordinatedPlacement => {
-    const usable = workers.filter(({ id }) => !loadOf(id).brittle || loadOf(id).flights.size < maxAloneAtBrittle)
+    const requestsOf = ({ flights, abandoned }: WorkerLoad): number => flights.size + countAbandoned(abandoned, now)
+    const usable = workers.filter(({ id }) => !loadOf(id).brittle || requestsOf(loadOf(id)) < maxAloneAtBrittle)
     return usable.length === 0 && workers.length > 0 ? { kind: 'full', until: now + brittleRetryTime } : { kind: 'byItself', workers: usable }
   }
 
@@ -259,6 +262,6 @@
     receive,
     tick,
     isCoordinated,
-    gauges: () => ({ coordinatedRequests: coordinator.size(), avoidedCoordinators: trust.avoided() })
+    gauges: () => ({ coordinatedRequests: coordinator.size(), abandonedRuns: coordinator.abandonedRuns(), avoidedCoordinators: trust.avoided() })
   }
 }
--- a/src/coordination/placementCoordinator.spec.ts
+++ b/src/coordination/placementCoordinator.spec.ts
@@ -20,7 +20,7 @@
     random: createRandom(1),
     queryOf: (_request, loadOf) => ({ kind: 'plain', candidates: [...listed].map(id => ({ id, load: loadOf(id), slots: 4, sameDataCentre: true })) }),
     noteParts: () => { /* No prompts. */ },
-    isListed: worker => listed.has(worker)
+    startedAt: worker => listed.has(worker) ? 1 : undefined
   })
   const counts = () => workers.map(worker => coordinator.loadOf(worker).flights.size)
   return { coordinator, listed, counts }
@@ -28,7 +28,7 @@
 
 const buildRequest = (id: number): PlacementRequest => ({ kind: 'fleet.placementRequest', id, service: 's', group: 0, alternatives: [], excluded: [], loads: [] })
 
-const buildUpdates = (over: Partial<PlacementUpdates> = {}): PlacementUpdates => ({ kind: 'fleet.placementUpdates', flights: [], begun: [], ended: [], running: [], reports: [], ...over })
+const buildUpdates = (over: Partial<PlacementUpdates> = {}): PlacementUpdates => ({ kind: 'fleet.placementUpdates', flights: [], begun: [], ended: [], abandoned: [], running: [], reports: [], ...over })
 
 const buildFlight = (attempt: number, worker: string): InFlightRequest =>
   ({ attempt, worker, unreadTokens: 10, fetchedTokens: 0, memoryTokens: 100, tokensAhead: 10, sentAt: 0, expected: 20, firstEventAt: undefined })
--- a/src/coordination/workerRoom.ts
+++ b/src/coordination/workerRoom.ts
@@ -5,6 +5,7 @@
  * worker whose requests exceed its memory crashes with all of them. A brittle worker
  * crashes when it has to turn requests away, so it gets no more than its slots.
  */
+import { abandonedMemory, countAbandoned } from '../placement/abandonedRuns.js'
 import { peerRequests, type WorkerLoad } from '../placement/workerLoad.js'
 
 /** What a worker can hold. */
@@ -34,14 +35,14 @@
  */
 export const wholeBlocks = (tokens: number): number => Math.ceil(Math.max(0, tokens) / blockTokens) * blockTokens
 
-/** Requests at the worker, those included that the coordinator has not placed. */
-export const requestsAt = (load: WorkerLoad, now: number): number => load.flights.size + peerRequests(load, now)
+/** Requests at the worker, those included that the coordinator has not placed, and those that the worker may still run although nobody waits for them. */
+export const requestsAt = (load: WorkerLoad, now: number): number => load.flights.size + countAbandoned(load.abandoned, now) + peerRequests(load, now)
 
 const fitsMemory = (load: WorkerLoad, { memoryTokens }: RoomLimits, memory: number, now: number): boolean => {
   const requests = requestsAt(load, now)
   if (requests === 0) return memory <= memoryTokens
   const others = peerRequests(load, now) * (load.flights.size > 0 ? load.memoryTokens / load.flights.size : memory)
-  return load.memoryTokens + others + memory <= memoryTokens * usableMemoryShare
+  return load.memoryTokens + abandonedMemory(load.abandoned, now) + others + memory <= memoryTokens * usableMemoryShare
 }
 
 /**
@@ -67,6 +68,7 @@
   const residence = load.serviceTime || defaultResidence
   let wait = maxWait
   for (const { sentAt } of load.flights) wait = Math.min(wait, sentAt + residence - now)
+  for (const { until } of load.abandoned.values()) wait = Math.min(wait, until - now)
   return Math.max(minWait, wait)
 }
 
--- a/src/forwarding/attemptsInProgress.ts
+++ b/src/forwarding/attemptsInProgress.ts
@@ -2,7 +2,8 @@
  * The attempts of one instance that have not ended. A request has at most two:
  * its current attempt and, while that one is silent, a second one at another worker.
  */
-import { noteEnded } from '../placement/workerLoad.js'
+import { assertNever } from '../errors.js'
+import { noteAbandoned, noteEnded } from '../placement/workerLoad.js'
 import type { ForwardingContext } from './forwardingContext.js'
 import type { Attempt, AttemptEnd, Exchange } from './forwardingTypes.js'
 import type { HeldAnswers } from './heldAnswers.js'
@@ -35,6 +36,26 @@
 /** Whether the end may be that of the worker, so that it matters whether the same request ended others. */
 const isBrokenConnection = (reason: AttemptEnd): boolean => reason === 'cut' || reason === 'partialEvent'
 
+/** Whether the worker may still run the request, as the attempt ended without the end of its response. */
+const mayRunOn = (reason: AttemptEnd): boolean => {
+  switch (reason) {
+    case 'cut':
+    case 'garbled':
+    case 'oversized': return true
+    // These are of attempts that this instance itself closes.
+    case 'silent':
+    case 'blockedPart':
+    case 'blockedRequest': return true
+    case 'unsent':
+    case 'turnedAway':
+    case 'otherWorker':
+    case 'otherVersion':
+    case 'failedAnswer':
+    case 'partialEvent': return false
+    default: return assertNever(reason)
+  }
+}
+
 /**
  * Creates the table of attempts, which is empty.
  *
@@ -45,13 +66,25 @@
   const attempts = new Map<number, ExchangeAttempt>()
   let lastId = 0
 
-  const remove = (exchange: Exchange, attempt: Attempt, cancel: boolean): void => {
-    noteEnded(context.loadOf(attempt.worker), attempt.flight)
+  const remove = (exchange: Exchange, attempt: Attempt): void => {
     attempts.delete(attempt.id)
     heldAnswers.release(attempt.id)
     if (exchange.attempt === attempt) exchange.attempt = undefined
     if (exchange.second === attempt) exchange.second = undefined
-    if (!cancel) return
+  }
+
+  const removeEnded = (exchange: Exchange, attempt: Attempt): void => {
+    noteEnded(context.loadOf(attempt.worker), attempt.flight)
+    remove(exchange, attempt)
+  }
+
+  /** Removes an attempt whose worker may run on, as nothing has said that it does not. */
+  const removeAbandoned = (exchange: Exchange, attempt: Attempt, now: number): void => {
+    noteAbandoned(context.loadOf(attempt.worker), attempt.flight, exchange.deadline, now)
+    remove(exchange, attempt)
+  }
+
+  const close = (attempt: Attempt): void => {
     context.poisonRequests.noteCancelled(attempt.worker, attempt.id)
     context.emit({ kind: 'attempt.cancel', attempt: attempt.id })
   }
@@ -65,7 +98,8 @@
       after: Math.round(now - sentAt),
       ...(firstEventAt === undefined ? {} : { begun: Math.round(now - firstEventAt) })
     })
-    remove(exchange, attempt, true)
+    removeAbandoned(exchange, attempt, now)
+    close(attempt)
   }
 
   const fail = (exchange: Exchange, attempt: Attempt, reason: AttemptEnd, givenUp: boolean, now: number): void => {
@@ -84,7 +118,9 @@
       ...(isBrokenConnection(reason) ? { request: context.fingerprintOf(exchange) } : {})
     })
     if (exchange.attempt === attempt) exchange.lastFailure = { worker, reason }
-    remove(exchange, attempt, givenUp)
+    if (givenUp || mayRunOn(reason)) removeAbandoned(exchange, attempt, now)
+    else removeEnded(exchange, attempt)
+    if (givenUp) close(attempt)
   }
 
   return {
@@ -101,7 +137,7 @@
       attempts.set(attempt.id, { exchange, attempt })
     },
     find: id => attempts.get(id),
-    complete: (exchange, attempt) => remove(exchange, attempt, false),
+    complete: removeEnded,
     cancel,
     fail,
     cancelAll: (exchange, now) => {
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -102,6 +102,8 @@
   readonly coordinatedRequests: number
   /** Coordinators that this instance does not ask, as they did not answer. */
   readonly avoidedCoordinators: number
+  /** Runs without a connection whose places this instance counts as taken, as a coordinator. */
+  readonly abandonedRuns: number
   /** Workspaces with requests that were lately refused for want of credit of their quota. */
   readonly deniedWorkspaces: number
   /** Workspaces for which this instance grants the credit of their quota. */
--- a/src/gateway/workerRegistry.ts
+++ b/src/gateway/workerRegistry.ts
@@ -108,6 +108,7 @@
     if (change.kind === 'restarted') {
       cachedParts.delete(id)
       loadOf(id).pausedUntil = -Infinity
+      loadOf(id).abandoned.clear()
     }
     log({ kind: 'workerChanged', change: change.kind, worker: id, service, address: formatAddress(address), startedAt })
   }
--- a/src/placement/workerLoad.ts
+++ b/src/placement/workerLoad.ts
@@ -6,6 +6,7 @@
  * that fails immediately would otherwise look idle and fast.
  */
 import type { BrittleStatement, LoadCounts } from '../ports/forwardPort.js'
+import { addAbandonedRun, type AbandonedRuns } from './abandonedRuns.js'
 import { addPaceFigure, paceAt, type WorkerPace } from './workerPace.js'
 
 /** A request that this instance has sent to a worker and that has not ended. */
@@ -48,6 +49,8 @@
 export interface WorkerLoad {
   readonly id: string
   readonly flights: Set<InFlightRequest>
+  /** Runs that the worker may still have although their connection was closed. */
+  readonly abandoned: AbandonedRuns
   /** Unread tokens of this instance's requests that have had no first event. */
   pendingTokens: number
   /** Prompts that other instances reported sending, each until the worker has probably prefilled it. */
@@ -90,6 +93,7 @@
 export const createWorkerLoad = (id: string): WorkerLoad => ({
   id,
   flights: new Set(),
+  abandoned: new Map(),
   pendingTokens: 0,
   peerPrompts: [],
   memoryTokens: 0,
@@ -190,6 +194,20 @@
   load.memoryTokens = Math.max(0, load.memoryTokens - request.memoryTokens)
 }
 
+/**
+ * Removes a request whose connection was closed although the worker may still run it.
+ *
+ * @param load - load of the worker
+ * @param request - the request
+ * @param deadline - when the worker stops the run in any case, in ms
+ * @param now - present time in ms
+ */
+export const noteAbandoned = (load: WorkerLoad, request: InFlightRequest, deadline: number, now: number): void => {
+  const { attempt, sentAt, memoryTokens } = request
+  noteEnded(load, request)
+  addAbandonedRun(load.abandoned, String(attempt), { sentAt, closedAt: now, memoryTokens, deadline }, Infinity)
+}
+
 /** Records an attempt that succeeded; `responseTime` in ms is given for plain responses. */
 export const noteSuccess = (load: WorkerLoad, responseTime?: number): void => {
   load.failures *= 1 - smoothingFactor
--- a/test/fakes/fakePlacement.ts
+++ b/test/fakes/fakePlacement.ts
@@ -147,7 +147,7 @@
       coordinators: () => (options.coordinators?.(id, time.now()) ?? names).map(name => ({ id: name, weight: 1 })),
       liveWorkers: () => workers,
       services: () => ['m'],
-      isListed: worker => byId.has(worker),
+      startedAt: worker => byId.get(worker)?.startedAt,
       loadOf: worker => loadOf({ ...node, coordination }, worker),
       limitsOf: () => ({ slots, memoryTokens }),
       queryOf: ({ prompt }, allowed, countedLoadOf) => prompt === undefined ? undefined : { kind: 'model', input: inputOf(prompt, allowed.map(worker => countedLoadOf(worker.id))), candidates: candidatesOf({ ...node, coordination }, allowed.map(worker => worker.id), countedLoadOf) },
