A worker that has been seen to drop abandoned runs gives their places back at once

Cause: every abandoned run was held, although most workers drop all of theirs and their statements show so within 0.3 s.

Change: each coordinator learns the share of runs that go on, for each lifetime of a worker; below a tenth a new abandoned run takes no place, but is still judged, and takes one as soon as a statement accounts for it. A lifetime that begins anew is not known yet. Ruled out: learning it for a whole service, as some of its workers run on while others do not.

The new case of abandonedRuns.spec.ts failed before, as nothing was learned.

--- a/src/coordination/flightReports.ts
+++ b/src/coordination/flightReports.ts
@@ -120,7 +120,7 @@
 
   /** Tells of the runs without a connection; a coordinator that has placed one keeps its place for as long as the worker may run it. */
   const addAbandoned = ({ id: worker, coordinator, load }: ReportedWorker, batch: Batch, now: number): void => {
-    for (const [key, { sentAt, closedAt, memoryTokens, deadline }] of load.abandoned) {
+    for (const [key, { sentAt, closedAt, memoryTokens, deadline }] of load.abandoned.byKey) {
       const attempt = Number(key)
       if (deadline <= now || toldAbandoned.get(attempt) === coordinator) continue
       const known = told.get(attempt)
@@ -151,7 +151,7 @@
       return batch
     }
     const inFlight = new Set<number>()
-    const stillAbandoned = new Set(workers.flatMap(({ load }) => [...load.abandoned.keys()].map(Number)))
+    const stillAbandoned = new Set(workers.flatMap(({ load }) => [...load.abandoned.byKey.keys()].map(Number)))
     for (const worker of workers) {
       const batch = batchOf(worker.coordinator)
       for (const flight of worker.load.flights) {
--- a/src/coordination/placementCoordinator.spec.ts
+++ b/src/coordination/placementCoordinator.spec.ts
@@ -5,7 +5,7 @@
 import { boundedPrompt } from './coordinationMessages.js'
 import { createFlightReports, type ReportedWorker } from './flightReports.js'
 import { createPlacementCoordinator } from './placementCoordinator.js'
-import { createWorkerLoad, noteEnded, noteLoadCounts, noteSent, type InFlightRequest } from '../placement/workerLoad.js'
+import { createWorkerLoad, noteAbandoned, noteEnded, noteLoadCounts, noteSent, type InFlightRequest } from '../placement/workerLoad.js'
 
 let hash: Hash
 
@@ -15,15 +15,16 @@
 
 const build = () => {
   const listed = new Set(workers)
+  const lifetimes = new Map(workers.map(worker => [worker, 1]))
   const coordinator = createPlacementCoordinator({
     hash,
     random: createRandom(1),
     queryOf: (_request, loadOf) => ({ kind: 'plain', candidates: [...listed].map(id => ({ id, load: loadOf(id), slots: 4, sameDataCentre: true })) }),
     noteParts: () => { /* No prompts. */ },
-    startedAt: worker => listed.has(worker) ? 1 : undefined
+    startedAt: worker => listed.has(worker) ? lifetimes.get(worker) : undefined
   })
   const counts = () => workers.map(worker => coordinator.loadOf(worker).flights.size)
-  return { coordinator, listed, counts }
+  return { coordinator, listed, lifetimes, counts }
 }
 
 const buildRequest = (id: number): PlacementRequest => ({ kind: 'fleet.placementRequest', id, service: 's', group: 0, alternatives: [], excluded: [], loads: [] })
@@ -63,12 +64,43 @@
     expect(later).toMatchObject({ worker: 'w1' })
   })
 
+  it('gives the place of a run without a connection away only when the worker states that it is free', () => {
+    const { coordinator, listed } = build()
+    listed.delete('w2')
+    listed.delete('w3')
+    for (let id = 0; id < 8; id++) coordinator.decide('a', buildRequest(id), 0)
+    coordinator.update('a', buildUpdates({ running: [0, 1, 2, 3, 4, 5, 6, 7] }), 10)
+    coordinator.update('a', buildUpdates({ abandoned: [{ id: 7, worker: 'w1', memoryTokens: 0, sent: 100, age: 0, left: 5_000 }] }), 100)
+    const state = (requests: number, at: number): string => {
+      coordinator.update('b', buildUpdates({ reports: [{ worker: 'w1', age: 0, running: 4, waiting: requests - 4, slots: 4, brittle: false }] }), at)
+      coordinator.tick(at + 100)
+      return coordinator.decide('b', buildRequest(at), at + 100).kind
+    }
+    expect(coordinator.decide('b', buildRequest(1), 100).kind).toBe('noRoom')
+    expect(state(8, 200)).toBe('noRoom')
+    expect(state(7, 400)).toBe('placed')
+  })
+
+  it('forgets such runs when the worker starts anew or is not listed any more', () => {
+    const { coordinator, lifetimes, listed } = build()
+    const abandon = (id: number, worker: string): void => coordinator.update('a', buildUpdates({ abandoned: [{ id, worker, memoryTokens: 0, sent: 100, age: 0, left: 60_000 }] }), 0)
+    for (const [id, worker] of workers.entries()) abandon(id, worker)
+    abandon(9, 'unknown')
+    coordinator.tick(0)
+    expect(coordinator.abandonedRuns()).toBe(3)
+    lifetimes.set('w1', 2)
+    listed.delete('w2')
+    coordinator.tick(1_000)
+    expect(coordinator.abandonedRuns()).toBe(1)
+  })
+
   it('refuses malformed messages before they reach its counts', () => {
     const updates = (over: object): boolean => fleetMessageSchema.safeParse({ ...buildUpdates(), ...over }).success
     expect(updates({})).toBe(true)
     for (const value of [-1, NaN, Infinity, 2 ** 60, 'x', null]) {
       expect(updates({ reports: [{ worker: 'w1', age: 0, running: value, waiting: 0, slots: 4 }] })).toBe(false)
       expect(updates({ begun: [{ id: 1, age: value }] })).toBe(false)
+      expect(updates({ abandoned: [{ id: 1, worker: 'w1', memoryTokens: 0, sent: 0, age: 0, left: value }] })).toBe(false)
     }
     expect(updates({ ended: Array.from({ length: 10_000 }, (_, id) => id) })).toBe(false)
   })
@@ -115,6 +147,19 @@
     expect(prompt.parts).toHaveLength(1)
   })
 
+  it('tell of a run without a connection once, and not that it has ended', () => {
+    const reports = createFlightReports(() => 100)
+    const [worker] = buildReported('b')
+    const flight = buildFlight(1, 'w1')
+    noteSent(worker.load, flight)
+    reports.assign(1, reports.nextId(), 'b')
+    reports.collect(() => [worker], 0)
+    noteAbandoned(worker.load, flight, 900, 60)
+    expect(reports.collect(() => [worker], 100)).toMatchObject([{ to: 'b', updates: { ended: [], abandoned: [{ id: 101, worker: 'w1', memoryTokens: 112, sent: 100, age: 40, left: 800 }] } }])
+    expect(reports.collect(() => [worker], 200)).toEqual([])
+    expect(reports.collect(() => [{ ...worker, coordinator: 'c' }], 300)).toMatchObject([{ to: 'c', updates: { abandoned: [{ worker: 'w1', left: 600 }] } }])
+  })
+
   it('divide many changes into messages that the receiver takes', () => {
     const reports = createFlightReports(() => 100)
     const [worker] = buildReported('b')
--- a/src/coordination/placementCoordinator.ts
+++ b/src/coordination/placementCoordinator.ts
@@ -5,7 +5,7 @@
  * coordinator, or an instance without an answer, may have placed requests there.
  */
 import type { Hash } from '../hash.js'
-import { addAbandonedRun, applyStatedRequests, countOpenAt } from '../placement/abandonedRuns.js'
+import { addAbandonedRun, applyStatedRequests, countOpenAt, resetAbandonedRuns } from '../placement/abandonedRuns.js'
 import { firstEventOverhead } from '../placement/modelPlacement.js'
 import { createWorkerLoad, noteBrittle, noteEnded, noteFirstEvent, noteLoadCounts, noteSent, noteSuccess, type InFlightRequest, type WorkerLoad } from '../placement/workerLoad.js'
 import { paceAt } from '../placement/workerPace.js'
@@ -161,7 +161,7 @@
   }
 
   const noteStatement = (worker: string, statement: Statement): void => {
-    if (loadOf(worker).abandoned.size === 0) return
+    if (loadOf(worker).abandoned.byKey.size === 0) return
     const statements = unsettled.get(worker) ?? []
     unsettled.set(worker, statements)
     if (statements.length < maxUnsettled) statements.push(statement)
@@ -171,7 +171,7 @@
   const countedAt = (worker: string, at: number): number => {
     let counted = 0
     for (const { sentAt } of loadOf(worker).flights) if (sentAt <= at) counted++
-    for (const { sentAt } of loadOf(worker).abandoned.values()) if (sentAt <= at) counted++
+    for (const { sentAt } of loadOf(worker).abandoned.byKey.values()) if (sentAt <= at) counted++
     for (const { sentAt, endedAt } of past.get(worker) ?? []) if (sentAt <= at && endedAt > at) counted++
     return counted
   }
@@ -243,8 +243,8 @@
     for (const [worker, load] of loads) {
       const startedAt = options.startedAt(worker)
       // A worker that has started anew has nothing of its lifetime before.
-      if (lifetimes.get(worker) !== startedAt) {
-        load.abandoned.clear()
+      if (lifetimes.has(worker) && lifetimes.get(worker) !== startedAt) {
+        resetAbandonedRuns(load.abandoned)
         unsettled.delete(worker)
       }
       if (startedAt === undefined) forget(worker)
@@ -257,5 +257,5 @@
     return workers.reduce((sum, worker) => sum + shareInUse(loadOf(worker), limitsOf(worker), now) * paceAt(loadOf(worker).pace, now), 0) / workers.length
   }
 
-  return { decide, update, tick, loadOfGroup, loadOf, size: () => placements.size, abandonedRuns: () => [...loads.values()].reduce((sum, { abandoned }) => sum + abandoned.size, 0) }
+  return { decide, update, tick, loadOfGroup, loadOf, size: () => placements.size, abandonedRuns: () => [...loads.values()].reduce((sum, { abandoned }) => sum + abandoned.byKey.size, 0) }
 }
--- a/src/coordination/workerRoom.ts
+++ b/src/coordination/workerRoom.ts
@@ -68,7 +68,7 @@
   const residence = load.serviceTime || defaultResidence
   let wait = maxWait
   for (const { sentAt } of load.flights) wait = Math.min(wait, sentAt + residence - now)
-  for (const { until } of load.abandoned.values()) wait = Math.min(wait, until - now)
+  for (const { until } of load.abandoned.byKey.values()) wait = Math.min(wait, until - now)
   return Math.max(minWait, wait)
 }
 
--- a/src/gateway/workerRegistry.ts
+++ b/src/gateway/workerRegistry.ts
@@ -8,6 +8,7 @@
 import type { FleetMessage } from '../fleet/fleetMessages.js'
 import { createCachedPartsEstimate, type CachedPartsEstimate } from '../placement/cachedPartsEstimate.js'
 import { tokenCostOf } from '../placement/modelPlacement.js'
+import { resetAbandonedRuns } from '../placement/abandonedRuns.js'
 import { createWorkerLoad, notePeerSent, type WorkerLoad } from '../placement/workerLoad.js'
 import { createWeightsTracker, type WeightsTracker } from '../workers/weightsTracker.js'
 import { createStatedLimits, type StatedLimits } from '../workerLimits/statedLimits.js'
@@ -108,7 +109,7 @@
     if (change.kind === 'restarted') {
       cachedParts.delete(id)
       loadOf(id).pausedUntil = -Infinity
-      loadOf(id).abandoned.clear()
+      resetAbandonedRuns(loadOf(id).abandoned)
     }
     log({ kind: 'workerChanged', change: change.kind, worker: id, service, address: formatAddress(address), startedAt })
   }
--- a/src/placement/abandonedRuns.spec.ts
+++ b/src/placement/abandonedRuns.spec.ts
@@ -1,10 +1,10 @@
-import { abandonedMemory, addAbandonedRun, applyStatedRequests, countAbandoned, type AbandonedRuns } from './abandonedRuns.js'
+import { abandonedMemory, addAbandonedRun, applyStatedRequests, countAbandoned, createAbandonedRuns, type AbandonedRuns } from './abandonedRuns.js'
 
 const runTime = 1_000 // ms
 
 /** Builds runs whose connections were closed at these times, in ms. */
 const buildRuns = (closedAt: readonly number[], deadline = 5_000): AbandonedRuns => {
-  const runs: AbandonedRuns = new Map()
+  const runs = createAbandonedRuns()
   closedAt.forEach((at, index) => addAbandonedRun(runs, `r${index}`, { sentAt: at - 100, closedAt: at, memoryTokens: 32, deadline }, runTime))
   return runs
 }
@@ -41,4 +41,17 @@
     expect(applyStatedRequests(runs, { at: 110, unexplained: 0 }, runTime)).toBe(0)
     expect(countAbandoned(runs, 200)).toBe(1)
   })
+  it('take no place at a worker that has dropped all of a dozen before, until it has kept one', () => {
+    const runs = createAbandonedRuns()
+    const close = (key: string, at: number): void => addAbandonedRun(runs, key, { sentAt: at - 100, closedAt: at, memoryTokens: 32, deadline: at + 5_000 }, runTime)
+    for (let index = 0; index < 12; index++) {
+      close(`r${index}`, 100 * index)
+      applyStatedRequests(runs, { at: 100 * index + 50, unexplained: 0 }, runTime)
+    }
+    close('kept', 2_000)
+    expect(countAbandoned(runs, 2_000)).toBe(0)
+    applyStatedRequests(runs, { at: 2_050, unexplained: 1 }, runTime)
+    close('next', 2_100)
+    expect(countAbandoned(runs, 2_100)).toBe(2)
+  })
 })
--- a/src/placement/abandonedRuns.ts
+++ b/src/placement/abandonedRuns.ts
@@ -3,7 +3,8 @@
  * closed: the caller left, another attempt was faster, or the link broke. Most
  * workers drop such a run, some finish it, and a close may not reach a worker
  * whose link is cut. Its place therefore counts as taken until the worker's own
- * load shows that it is free, or for as long as a whole run takes.
+ * load shows that it is free, or for as long as a whole run takes; at a worker
+ * that has been seen to drop its runs it is free at once.
  */
 
 /** A run whose connection was closed; times in ms. */
@@ -16,17 +17,40 @@
   readonly deadline: number
   /** When the run counts as ended unless the worker shows that it is not. */
   until: number
+  /** Whether it takes a place. */
+  counted: boolean
+  /** Whether a statement of the worker has shown if it goes on. */
+  judged: boolean
 }
 
-/** Abandoned runs of one worker, by a key that names each, in the order in which their connections were closed. */
-export type AbandonedRuns = Map<string, AbandonedRun>
+/** The abandoned runs of one worker. */
+export interface AbandonedRuns {
+  /** By a key that names each, in the order in which their connections were closed. */
+  readonly byKey: Map<string, AbandonedRun>
+  /** Moving average of the share of runs that went on after their connection was closed. */
+  goOnShare: number
+}
 
 /** Time within which a worker that drops a run has done so after its connection was closed, in ms. */
 const dropTime = 20
 
+/** Share of runs that go on below which a worker is taken to drop them. */
+const droppingShare = 0.1
+/** Weight of a run in the share that goes on. */
+const smoothingFactor = 0.25
+
+/** Creates the runs of a worker that has none, and of which nothing is known. */
+export const createAbandonedRuns = (): AbandonedRuns => ({ byKey: new Map(), goOnShare: 1 })
+
+/** Forgets the runs of a worker that has started anew, and what it did with them. */
+export const resetAbandonedRuns = (runs: AbandonedRuns): void => {
+  runs.byKey.clear()
+  runs.goOnShare = 1
+}
+
 /** Removes the runs that count as ended. */
-const expire = (runs: AbandonedRuns, now: number): void => {
-  for (const [key, { until }] of runs) if (until <= now) runs.delete(key)
+const expire = ({ byKey }: AbandonedRuns, now: number): void => {
+  for (const [key, { until }] of byKey) if (until <= now) byKey.delete(key)
 }
 
 /**
@@ -37,26 +61,37 @@
  * @param run - the run
  * @param longest - time that a run takes at most, as far as it is known, in ms
  */
-export const addAbandonedRun = (runs: AbandonedRuns, key: string, run: Omit<AbandonedRun, 'until'>, longest: number): void => {
+export const addAbandonedRun = (runs: AbandonedRuns, key: string, run: Omit<AbandonedRun, 'until' | 'counted' | 'judged'>, longest: number): void => {
   expire(runs, run.closedAt)
-  runs.set(key, { ...run, until: Math.min(run.deadline, run.closedAt + longest) })
+  const counted = runs.goOnShare >= droppingShare
+  runs.byKey.set(key, { ...run, until: Math.min(run.deadline, run.closedAt + longest), counted, judged: false })
+}
+
+const countedRuns = (runs: AbandonedRuns, now: number): readonly AbandonedRun[] => {
+  if (runs.byKey.size === 0) return []
+  expire(runs, now)
+  return [...runs.byKey.values()].filter(({ counted }) => counted)
 }
 
 /** Number of places that runs take, as far as it is known at `now` (ms). */
 export const countAbandoned = (runs: AbandonedRuns, now: number): number => {
-  if (runs.size > 0) expire(runs, now)
-  return runs.size
+  return countedRuns(runs, now).length
 }
 
 /** Memory that runs take, in tokens, as far as it is known at `now` (ms). */
 export const abandonedMemory = (runs: AbandonedRuns, now: number): number => {
-  if (countAbandoned(runs, now) === 0) return 0
-  return [...runs.values()].reduce((sum, { memoryTokens }) => sum + memoryTokens, 0)
+  return countedRuns(runs, now).reduce((sum, { memoryTokens }) => sum + memoryTokens, 0)
 }
 
 /** Number of runs whose connection was open at a time, in ms, or closed so shortly before that the worker had not dropped them. */
-export const countOpenAt = (runs: AbandonedRuns, at: number): number =>
-  [...runs.values()].filter(({ sentAt, closedAt }) => sentAt <= at && closedAt + dropTime > at).length
+export const countOpenAt = ({ byKey }: AbandonedRuns, at: number): number =>
+  [...byKey.values()].filter(({ sentAt, closedAt }) => sentAt <= at && closedAt + dropTime > at).length
+
+const noteJudged = (runs: AbandonedRuns, run: AbandonedRun, goesOn: boolean): void => {
+  if (run.judged) return
+  run.judged = true
+  runs.goOnShare += smoothingFactor * (Number(goesOn) - runs.goOnShare)
+}
 
 /** What a worker has stated of its load; times in ms. */
 export interface StatedRequests {
@@ -75,9 +110,16 @@
  * @returns the number of runs that were removed
  */
 export const applyStatedRequests = (runs: AbandonedRuns, { at, unexplained }: StatedRequests, longest: number): number => {
-  const judged = [...runs].filter(([, { closedAt }]) => closedAt + dropTime <= at)
+  const judged = [...runs.byKey].filter(([, { closedAt }]) => closedAt + dropTime <= at)
   const dropped = Math.max(0, judged.length - Math.max(0, unexplained))
-  for (const [key] of judged.slice(0, dropped)) runs.delete(key)
-  for (const [, run] of judged.slice(dropped)) run.until = Math.min(run.deadline, Math.max(run.until, at + longest))
+  for (const [key, run] of judged.slice(0, dropped)) {
+    noteJudged(runs, run, false)
+    runs.byKey.delete(key)
+  }
+  for (const [, run] of judged.slice(dropped)) {
+    noteJudged(runs, run, true)
+    run.counted = true
+    run.until = Math.min(run.deadline, Math.max(run.until, at + longest))
+  }
   return dropped
 }
--- a/src/placement/workerLoad.ts
+++ b/src/placement/workerLoad.ts
@@ -6,7 +6,7 @@
  * that fails immediately would otherwise look idle and fast.
  */
 import type { BrittleStatement, LoadCounts } from '../ports/forwardPort.js'
-import { addAbandonedRun, type AbandonedRuns } from './abandonedRuns.js'
+import { addAbandonedRun, createAbandonedRuns, type AbandonedRuns } from './abandonedRuns.js'
 import { addPaceFigure, paceAt, type WorkerPace } from './workerPace.js'
 
 /** A request that this instance has sent to a worker and that has not ended. */
@@ -93,7 +93,7 @@
 export const createWorkerLoad = (id: string): WorkerLoad => ({
   id,
   flights: new Set(),
-  abandoned: new Map(),
+  abandoned: createAbandonedRuns(),
   pendingTokens: 0,
   peerPrompts: [],
   memoryTokens: 0,
