Two instances that are cut off together no longer agree on an outdated software version

Cause: a stream that nobody knows is taken to have begun on the only version that all who answered have seen. The two answered each other, and the silence of the others that were asked did not count. Class: agreement of a part is taken for agreement of all.

Change: more than half of those asked must have answered and more than half of the instances of the last minute must be live; else the records of streams are read from the store after the question, and decide. After a kill of many instances the store answers, so their streams go on as before.

--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -204,6 +204,7 @@
     self: self.id,
     keepersOf: (stream, count) => fleet.ownersOf(stream, count, currentTime),
     hasPeers: fleet.hasPeers,
+    liveShare: () => fleet.liveShare(currentTime),
     send: fleet.send,
     recorder: () => fleet.firstStoreReader(currentTime),
     emit,
--- a/src/streamOrigins/recordedStreams.ts
+++ b/src/streamOrigins/recordedStreams.ts
@@ -12,6 +12,10 @@
 export interface RecordReader {
   /** Begins to read unless that was done or has failed a moment ago, or is in progress. */
   readonly read: (now: number) => void
+  /** Begins to read unless a read that began after `moment` (ms) is in progress or done, or one has failed a moment ago. */
+  readonly readAfter: (moment: number, now: number) => void
+  /** Whether a read that began after `moment` (ms) is done. */
+  readonly hasReadAfter: (moment: number) => boolean
   /** Whether it is worth to wait for the result. */
   readonly isReading: (now: number) => boolean
   /** Applies the result and returns where the recorded streams began; undefined if the records could not be read. */
@@ -40,15 +44,26 @@
   let startedAt: number | undefined
   let isFailing = false
   let nextReadAt = -Infinity
+  /** When the newest read that is done began. */
+  let readFrom = -Infinity
+
+  const begin = (now: number): void => {
+    startedAt = now
+    emit({ kind: 'streams.read', count: newestRecords })
+  }
 
   return {
     read: now => {
-      if (startedAt !== undefined || now < nextReadAt) return
-      startedAt = now
-      emit({ kind: 'streams.read', count: newestRecords })
+      if (startedAt === undefined && now >= nextReadAt) begin(now)
+    },
+    readAfter: (moment, now) => {
+      const mayRead = startedAt === undefined && readFrom < moment && (!isFailing || now >= nextReadAt)
+      if (mayRead) begin(now)
     },
+    hasReadAfter: moment => readFrom >= moment,
     isReading: now => startedAt !== undefined && now - startedAt < readTimeout,
     apply: (input, now) => {
+      if (input.kind === 'streams.records') readFrom = startedAt ?? readFrom
       startedAt = undefined
       nextReadAt = now.steady + (input.kind === 'streams.unread' ? retryInterval : readInterval)
       if (input.kind === 'streams.unread') {
--- a/src/streamOrigins/streamLookups.ts
+++ b/src/streamOrigins/streamLookups.ts
@@ -37,6 +37,8 @@
   readonly keepersOf: (stream: string, count: number) => readonly string[]
   /** Whether other instances are known, whether live or not. */
   readonly hasPeers: () => boolean
+  /** Returns the fraction of the instances that were live lately that are live now. */
+  readonly liveShare: () => number
   /** Returns the instance that records streams in the store. */
   readonly recorder: () => string | undefined
   readonly send: (to: string, message: StreamMessage) => void
@@ -61,6 +63,8 @@
 
 /** Number of instances that are told of a stream; the instance that began it and another may be lost at once. */
 export const keeperCount = 3
+/** Fraction of the instances, those of the last minute, above which the live ones count as the majority. */
+const minLiveShare = 0.5
 /** Number of lookups in progress. */
 const maxQuestions = 20_000
 /** Time for the answers of other instances, in ms. */
@@ -74,6 +78,8 @@
 
 interface Question {
   readonly askedAt: number
+  /** Number of instances that were asked. */
+  readonly asked: number
   readonly open: Set<string>
   readonly answers: VersionSummary[]
 }
@@ -118,7 +124,7 @@
     const keepers = options.keepersOf(stream, keeperCount)
     const reader = isCertain(summarize(service, now)) ? undefined : options.recorder()
     const asked = new Set([...keepers, ...(reader === undefined ? [] : [reader])].filter(id => id !== self))
-    const question: Question = { askedAt: now, open: asked, answers: [] }
+    const question: Question = { askedAt: now, asked: asked.size, open: asked, answers: [] }
     questions.set(stream, question)
     for (const to of asked) {
       options.send(to, { kind: 'fleet.streamQuestion', id: stream, service, ...(workspace === undefined ? {} : { workspace }), read: to === reader })
@@ -139,9 +145,27 @@
       records.read(now)
       if (records.isReading(now)) return { kind: 'asked' }
     }
+    if (lookup.kind === 'known' && !isConfirmed(question) && options.hasPeers()) {
+      records.readAfter(question.askedAt, now)
+      if (records.isReading(now)) return { kind: 'asked' }
+      questions.delete(stream)
+      return confirmByRecords(question, service, now)
+    }
     questions.delete(stream)
-    // An instance that hears no other may lack the newest versions.
-    return options.hasPeers() && answers.length === 0 ? { kind: 'unknown' } : lookup
+    return lookup
+  }
+
+  /**
+   * Whether so many instances have answered that they cannot all have been cut off,
+   * with this one, from those at which another version has appeared.
+   */
+  const isConfirmed = ({ asked, answers }: Question): boolean => 2 * answers.length > asked && options.liveShare() > minLiveShare
+
+  /** The only version that has been seen, if the records, read after the question, name no other; an instance that hears no other may lack the newest versions. */
+  const confirmByRecords = ({ askedAt, answers }: Question, service: string, now: number): OriginLookup => {
+    const recorded = records.versionsOf(service)
+    if (answers.length === 0 || !records.hasReadAfter(askedAt) || recorded === undefined) return { kind: 'unknown' }
+    return originByVersion(service, [summarize(service, now), ...answers, { versions: recorded, complete: false }])
   }
 
   /** Whether the instance has just started and still waits for the first word of others. */
--- a/src/streamOrigins/streamOrigins.spec.ts
+++ b/src/streamOrigins/streamOrigins.spec.ts
@@ -19,6 +19,7 @@
       self,
       keepersOf: (_stream, count) => ids.slice(-count),
       hasPeers: () => ids.length > 1,
+      liveShare: () => cutOff.has(self) ? 1 / ids.length : 1,
       send: (to, message) => {
         sent.push(message)
         if (!cutOff.has(self) && !cutOff.has(to)) origins.get(to)?.receive(self, message, now)
@@ -142,7 +143,7 @@
   it('is recorded again while the stream goes on, and at once by the next recorder', () => {
     let recorder = 'b'
     const sent: (readonly [string, StreamMessage])[] = []
-    const instance = createStreamOrigins({ self: 'a', keepersOf: () => [], hasPeers: () => true, recorder: () => recorder, emit: () => {}, log: () => {}, send: (...message) => sent.push(message), onAnswer: () => {} })
+    const instance = createStreamOrigins({ self: 'a', keepersOf: () => [], hasPeers: () => true, liveShare: () => 1, recorder: () => recorder, emit: () => {}, log: () => {}, send: (...message) => sent.push(message), onAnswer: () => {} })
     const run = (from: number, to: number): void => {
       for (let now = from; now < to; now += 200) instance.observe(['v1', 'v2'].map(softwareVersion => buildWorker(softwareVersion, { service: 'model', softwareVersion })), at(now))
     }
--- a/src/streamOrigins/streamOrigins.ts
+++ b/src/streamOrigins/streamOrigins.ts
@@ -30,6 +30,8 @@
   readonly keepersOf: (stream: string, count: number) => readonly string[]
   /** Whether other instances are known, whether live or not. */
   readonly hasPeers: () => boolean
+  /** Returns the fraction of the instances that were live lately that are live now. */
+  readonly liveShare: () => number
   readonly send: (to: string, message: StreamMessage) => void
   /** Returns the instance that records streams in the store: the first one that reaches it, in an order that is the same on all instances. */
   readonly recorder: () => string | undefined
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -109,6 +109,7 @@
     self: 'a',
     keepersOf: () => ['a'],
     hasPeers: () => false,
+    liveShare: () => 1,
     send: () => { /* There is no other instance. */ },
     recorder: () => undefined,
     emit: effect => { if (effect.kind === 'streams.read') streamOrigins.handleStore({ kind: 'streams.records', records: [] }, momentAt(0)) },
--- a/test/fakes/fakeGateways.ts
+++ b/test/fakes/fakeGateways.ts
@@ -101,6 +101,8 @@
   readonly hangUp: (call: FakeCall) => void
   /** Ends an instance at once; its callers' responses break off. */
   readonly kill: (instance: string) => void
+  /** Stops an instance for a while; what arrives meanwhile is handled when it goes on, before its next tick. */
+  readonly freeze: (instance: string, duration: number) => void
   /** Asks an instance to shut down; it goes on for as long as its grace period until it is killed. */
   readonly leave: (instance: string) => void
   /** Starts an instance that was killed, without state. */
@@ -170,6 +172,8 @@
   const starts = new Map<string, number>()
   const storeCutOff = new Set<string>()
   const linkCuts = new Map<string, LinkCut>()
+  /** What has arrived at instances that stand still. */
+  const frozen = new Map<string, GatewayInput[]>()
   const crashRandom = createRandom(options.seed ?? 1)
   const workers = createFakeWorkers(time, crashRandom, options.workers)
   const arrivals: WorkerArrival[] = []
@@ -186,6 +190,11 @@
   const input = (instance: string, event: GatewayInput): void => {
     const node = running.get(instance)
     if (node === undefined) return
+    const held = frozen.get(instance)
+    if (held !== undefined) {
+      if (event.kind !== 'tick') held.push(event)
+      return
+    }
     for (const effect of node.gateway.handle(event, moment())) perform(instance, node, effect)
   }
 
@@ -440,6 +449,15 @@
     return received
   }
 
+  const freeze = (id: string, duration: number): void => {
+    frozen.set(id, [])
+    time.after(duration, () => {
+      const held = frozen.get(id) ?? []
+      frozen.delete(id)
+      for (const event of held) input(id, event)
+    })
+  }
+
   const hangUp = ({ call, instance, state }: FakeCall): void => {
     const node = running.get(instance)
     const request = [...node?.calls ?? []].find(([, received]) => received.call === call)?.[0]
@@ -460,6 +478,7 @@
     live: () => [...running.keys()],
     send,
     hangUp,
+    freeze,
     kill,
     leave: instance => input(instance, { kind: 'gateway.leave' }),
     start,
