A stopping instance takes a request that may not run again only if its deadline lies before the end

Until then one with a longer deadline was taken if the longest recent request of its route fits twice into what is left, also if it may not run again; one that lasts longer than ever is cut, and its caller can't repeat it. Class: a likelihood is taken for a promise.

Change: the durations of a route do not count for routes whose requests may run once. Its cost: such a request with a deadline beyond the end is refused as not run during the whole stop, and goes to another instance. Resumable and idempotent requests are taken as before. Ruled out: the same for streams that may not be resumed, as with limits of 15 s each caller with a kept connection would be refused once at every stop.

Test: plannedStop.spec.ts, its new first case failed before (taken 0.1 and 2.5 s after the signal with a limit of 15 s), the second is a guard.

--- a/src/forwarding/requestShutdown.ts
+++ b/src/forwarding/requestShutdown.ts
@@ -58,7 +58,9 @@
 
   const arrivalOf = ({ route, deadline }: Exchange, now: number): ArrivalInShutdown | undefined => {
     const progress = context.shutdownProgress(now)
-    return progress === undefined ? undefined : { progress, needed: deadline - now, longest: longestOf(route.name, now) }
+    // How short others were is a likelihood, which is not enough for one that may not run again.
+    const longest = route.kind === 'once' ? undefined : longestOf(route.name, now)
+    return progress === undefined ? undefined : { progress, needed: deadline - now, longest }
   }
 
   const mayBegin: RequestShutdown['mayBegin'] = (exchange, now) => {
--- a/src/forwarding/shutdownAdmission.ts
+++ b/src/forwarding/shutdownAdmission.ts
@@ -5,7 +5,7 @@
  * one that is refused as not run is sent to another instance at once. A request is
  * taken if its deadline lies before the end, or, as long as callers may have the
  * address cached, if requests of its route have lately lasted much shorter than what
- * is left.
+ * is left and it may run again.
  */
 
 /** The shutdown of an instance; times in ms. */
@@ -23,7 +23,7 @@
   readonly progress: ShutdownProgress
   /** Time until the deadline of the request. */
   readonly needed: number
-  /** Longest recent duration of requests of its route; undefined if it is not known. */
+  /** Longest recent duration of requests of its route; undefined if it is not known, or if the request may not run again. */
   readonly longest: number | undefined
 }
 
--- a/src/gateway/plannedStop.spec.ts
+++ b/src/gateway/plannedStop.spec.ts
@@ -12,7 +12,7 @@
 /** Grace period of the fixture. */
 const grace = 8_000
 
-const build = (timeout: number): GatewayPlay => buildGatewayPlay(hash, 1, buildCatalog({ routes: [buildRoute({ kind: 'stream', resumable: false, timeout, objective: 600 })] }))
+const build = (timeout: number, kind: 'stream' | 'once' = 'stream'): GatewayPlay => buildGatewayPlay(hash, 1, buildCatalog({ routes: [buildRoute({ kind, resumable: false, timeout, objective: 600 })] }))
 
 /** Plays the whole stop of an instance that reads one request, whose worker never ends it. */
 const playStop = (readAfter: number, limit: number, heldUp = 0, overdueTick = false) => {
@@ -33,6 +33,24 @@
   }
 }
 
+/** Plays thirty short requests before a signal to stop; returns a function that sends one more, with the longest limit of the route, at a time after it, and tells whether it is taken. */
+const playShortRequests = (kind: 'stream' | 'once', limit: number) => {
+  const play = build(limit, kind)
+  for (let request = 1; request <= 30; request++) {
+    const now = request * 10
+    const id = `r${request}`
+    play.send({ kind: 'call.arrived', request, call: buildCall({ id }) }, now)
+    answerWhole(play, attemptsOf(play).at(-1) ?? 0, id, now + 700)
+  }
+  play.run(600, leftAt)
+  play.send({ kind: 'gateway.leave' }, leftAt)
+  return (request: number, readAfter: number): boolean => {
+    play.run(leftAt + readAfter - 100, leftAt + readAfter)
+    play.send({ kind: 'call.arrived', request, call: buildCall({ id: `late${request}`, patience: limit }) }, leftAt + readAfter)
+    return play.logEvents().some(event => event.kind === 'sent' && event.id === `late${request}`)
+  }
+}
+
 const readTimes = [0, 100, 1_500, 2_380, 2_420, 2_900, 3_500, 5_000, 7_000, 7_380]
 
 describe('an instance that shuts down', () => {
@@ -54,25 +72,22 @@
   })
 
   it('takes a request that may last longer while callers may have its address, if requests of the route have lately been much shorter', () => {
-    const play = build(15_000)
-    for (let request = 1; request <= 30; request++) {
-      const now = request * 10
-      const id = `r${request}`
-      play.send({ kind: 'call.arrived', request, call: buildCall({ id }) }, now)
-      answerWhole(play, attemptsOf(play).at(-1) ?? 0, id, now + 700)
-    }
-    play.run(600, leftAt)
-    play.send({ kind: 'gateway.leave' }, leftAt)
-    const isTaken = (request: number, readAfter: number): boolean => {
-      play.run(leftAt + readAfter - 100, leftAt + readAfter)
-      play.send({ kind: 'call.arrived', request, call: buildCall({ id: `late${request}`, patience: 15_000 }) }, leftAt + readAfter)
-      return play.logEvents().some(event => event.kind === 'sent' && event.id === `late${request}`)
-    }
+    const isTaken = playShortRequests('stream', 15_000)
     expect(isTaken(101, 100)).toBe(true)
     expect(isTaken(102, 2_500)).toBe(true)
     expect(isTaken(103, 3_000)).toBe(false)
   })
 
+  it('takes no request that may not run again and may last longer, however short others have been', () => {
+    const isTaken = playShortRequests('once', 15_000)
+    expect([isTaken(101, 100), isTaken(102, 2_500), isTaken(103, 3_000)]).toEqual([false, false, false])
+  })
+
+  it('takes a request that may not run again as long as its time is over before its own', () => {
+    const isTaken = playShortRequests('once', 2_000)
+    expect([isTaken(101, 100), isTaken(102, 2_500), isTaken(103, 5_300), isTaken(104, 5_500)]).toEqual([true, true, true, false])
+  })
+
   it('counts its grace period from the earliest moment at which the signal may have come', () => {
     expect(playStop(100, 6_900, 900)).toMatchObject({ wasSent: false, status: 503 })
     expect(playStop(100, 6_300, 900)).toMatchObject({ wasSent: true })
