A run without a connection and without an end does not make a message unreadable

The coordinator would have refused the whole message, and with it the ends of other requests, whose places stay taken for 5 s then. The value is brought within the bounds as all others are. The spec "stay within the bounds of messages whatever callers and workers state" failed with such a run before.

--- a/src/coordination/flightReports.ts
+++ b/src/coordination/flightReports.ts
@@ -127,7 +127,7 @@
       if (known !== undefined && known.coordinator !== coordinator) released.push({ id: known.id, coordinator: known.coordinator })
       told.delete(attempt)
       toldAbandoned.set(attempt, coordinator)
-      batch.abandoned.push({ id: known?.id ?? nextId(), worker, memoryTokens: boundedCount(wholeBlocks(memoryTokens)), sent: now - sentAt, age: now - closedAt, left: deadline - now })
+      batch.abandoned.push({ id: known?.id ?? nextId(), worker, memoryTokens: boundedCount(wholeBlocks(memoryTokens)), sent: now - sentAt, age: now - closedAt, left: boundedCount(deadline - now) })
     }
   }
 
--- a/src/coordination/placementCoordinator.spec.ts
+++ b/src/coordination/placementCoordinator.spec.ts
@@ -140,6 +140,9 @@
     const [worker] = buildReported('b')
     noteSent(worker.load, { ...buildFlight(1, 'w1'), unreadTokens: Infinity, memoryTokens: Infinity, tokensAhead: NaN, expected: 1e300 })
     noteLoadCounts(worker.load, { running: -5, waiting: 1e300, slots: NaN, pace: 999_999_999_999_999 }, 0)
+    const endless = buildFlight(2, 'w1')
+    noteSent(worker.load, endless)
+    noteAbandoned(worker.load, endless, Infinity, 0)
     for (const { updates } of reports.collect(() => [worker], 0)) expect(fleetMessageSchema.safeParse(updates).success).toBe(true)
     const parts = [{ id: 'a', tokens: Infinity }, { id: 'f'.repeat(65_536), tokens: 1 }, ...Array.from({ length: 200 }, (_, index) => ({ id: `p${index}`, tokens: 1 }))]
     const prompt = boundedPrompt({ model: 'm', inputTokens: Infinity, maxOutputTokens: 2 ** 60, parts })
