Streams of unknown origin are looked up in the store at most every 250 ms, and not at all without an answer

And an instance that hears no other waited for such a read before it refused, although the result could not change that.

New case in streamOrigins.spec.ts: ten streams within 0.2 s, at most 3 reads, all ten origins known. It was not run on the code before, whose reader has no such bound.

--- a/src/streamOrigins/recordedStreams.ts
+++ b/src/streamOrigins/recordedStreams.ts
@@ -12,8 +12,8 @@
 export interface RecordReader {
   /** Begins to read unless that was done or has failed a moment ago, or is in progress. */
   readonly read: (now: number) => void
-  /** Begins to read unless a read that began after `moment` (ms) is in progress or done, or one has failed a moment ago. */
-  readonly readAfter: (moment: number, now: number) => void
+  /** Reads what is there after `moment` (ms); returns whether to wait for it. It has to be called again until it returns false. */
+  readonly readAfter: (moment: number, now: number) => boolean
   /** Whether a read that began after `moment` (ms) is done. */
   readonly hasReadAfter: (moment: number) => boolean
   /** Whether it is worth to wait for the result. */
@@ -30,6 +30,8 @@
 const readTimeout = 1_000
 /** Time after a read, in ms. Records of streams that began since are needed only if the instances that know them are killed, too. */
 const readInterval = 5_000
+/** Time between the beginnings of two reads that are to be newer than a question, in ms. */
+const renewInterval = 250
 /** Time after a failed read, in ms. */
 const retryInterval = 1_000
 
@@ -47,8 +49,11 @@
   /** When the newest read that is done began. */
   let readFrom = -Infinity
 
+  let begunAt = -Infinity
+
   const begin = (now: number): void => {
     startedAt = now
+    begunAt = now
     emit({ kind: 'streams.read', count: newestRecords })
   }
 
@@ -57,8 +62,9 @@
       if (startedAt === undefined && now >= nextReadAt) begin(now)
     },
     readAfter: (moment, now) => {
-      const mayRead = startedAt === undefined && readFrom < moment && (!isFailing || now >= nextReadAt)
-      if (mayRead) begin(now)
+      if (readFrom >= moment || (isFailing && now < nextReadAt)) return false
+      if (startedAt === undefined && now >= begunAt + renewInterval) begin(now)
+      return readFrom < moment && (startedAt === undefined || now - startedAt < readTimeout)
     },
     hasReadAfter: moment => readFrom >= moment,
     isReading: now => startedAt !== undefined && now - startedAt < readTimeout,
--- a/src/streamOrigins/streamLookups.ts
+++ b/src/streamOrigins/streamLookups.ts
@@ -146,8 +146,8 @@
       if (records.isReading(now)) return { kind: 'asked' }
     }
     if (lookup.kind === 'known' && !isConfirmed(question) && options.hasPeers()) {
-      records.readAfter(question.askedAt, now)
-      if (records.isReading(now)) return { kind: 'asked' }
+      const mayConfirm = answers.length > 0 && records.readAfter(question.askedAt, now)
+      if (mayConfirm) return { kind: 'asked' }
       questions.delete(stream)
       return confirmByRecords(question, service, now)
     }
@@ -161,7 +161,7 @@
    */
   const isConfirmed = ({ asked, answers }: Question): boolean => 2 * answers.length > asked && options.liveShare() > minLiveShare
 
-  /** The only version that has been seen, if the records, read after the question, name no other; an instance that hears no other may lack the newest versions. */
+  /** The only version that has been seen, if the records, read after the question, name no other. An instance that hears no other does not know. */
   const confirmByRecords = ({ askedAt, answers }: Question, service: string, now: number): OriginLookup => {
     const recorded = records.versionsOf(service)
     if (answers.length === 0 || !records.hasReadAfter(askedAt) || recorded === undefined) return { kind: 'unknown' }
--- a/src/streamOrigins/streamOrigins.spec.ts
+++ b/src/streamOrigins/streamOrigins.spec.ts
@@ -12,6 +12,7 @@
   const origins = new Map<string, StreamOrigins>()
   const sent: StreamMessage[] = []
   const cutOff = new Set<string>()
+  const reads: number[] = []
   let now = 0
   let observed: readonly (string | undefined)[] | undefined
   for (const self of ids) {
@@ -25,7 +26,11 @@
         if (!cutOff.has(self) && !cutOff.has(to)) origins.get(to)?.receive(self, message, now)
       },
       recorder: () => ids[0],
-      emit: effect => { if (effect.kind === 'streams.read') origins.get(self)?.handleStore({ kind: 'streams.records', records }, at(now)) },
+      emit: effect => {
+        if (effect.kind !== 'streams.read') return
+        reads.push(now)
+        origins.get(self)?.handleStore({ kind: 'streams.records', records }, at(now))
+      },
       log: () => { /* Not checked. */ },
       onAnswer: () => { /* The test looks it up again. */ }
     }))
@@ -46,7 +51,7 @@
   }
   const begin = (instance: string, stream: string, version: string | undefined, workspace?: string): void =>
     origins.get(instance)?.begin(stream, { service: 'model', worker: 'w0', startedAt: 1_000_000, ...(version === undefined ? {} : { version }), ...(workspace === undefined ? {} : { workspace }) }, now)
-  return { origins, sent, cutOff, observe, lookUp, begin, wait: (time: number) => { now = time } }
+  return { origins, sent, cutOff, reads, observe, lookUp, begin, wait: (time: number) => { now = time } }
 }
 
 const ids = ['a', 'b', 'c', 'd', 'e']
@@ -103,6 +108,28 @@
     expect(origins.get('a')?.lookUp(resumption, late + 260)).toEqual({ kind: 'unknown' })
   })
 
+  it('is looked up in the store, few times for many streams, if most of the instances that were asked do not answer', () => {
+    const { observe, lookUp, cutOff, reads, wait } = buildInstances(ids)
+    observe(['v1'], 0)
+    observe(['v1'], late)
+    cutOff.add('c')
+    cutOff.add('d')
+    const streams = Array.from({ length: 10 }, (_, index) => `s${index}`)
+    const results = new Map<string, unknown>()
+    for (let time = 0; time <= 1_200; time += 20) {
+      wait(late + time)
+      for (const stream of streams.slice(0, time / 20 + 1)) {
+        if (!results.has(stream)) {
+          const result = lookUp('a', stream)
+          if (result?.kind !== 'asked') results.set(stream, result)
+        }
+      }
+    }
+    expect([...results.values()]).toEqual(streams.map(() => ({ kind: 'known', origin: { service: 'model', version: 'v1' } })))
+    expect(reads.length).toBeGreaterThan(0)
+    expect(reads.length).toBeLessThanOrEqual(3)
+  })
+
   it('stays unknown while every instance has just started and a worker has, too', () => {
     const { observe, lookUp } = buildInstances(ids)
     observe(['v1'], 5_000)
