Requests of others are not taken for abandoned runs that a worker has dropped

The count held all abandoned runs, also those of a worker that drops its runs, which take no place; so up to as many requests of others were overlooked, and the worker got more than it has room for.

Only abandoned runs that take a place count now. The new case of placementCoordinator.spec.ts failed before: a worker with eight requests of others and eight places got one more.

--- a/src/coordination/placementCoordinator.spec.ts
+++ b/src/coordination/placementCoordinator.spec.ts
@@ -81,6 +81,22 @@
     expect(state(7, 400)).toBe('placed')
   })
 
+  it('does not take requests of others for runs that a worker has dropped', () => {
+    const { coordinator, listed } = build()
+    listed.delete('w2')
+    listed.delete('w3')
+    const abandon = (id: number, at: number): void => coordinator.update('a', buildUpdates({ abandoned: [{ id, worker: 'w1', memoryTokens: 0, sent: 50, age: 0, left: 60_000 }] }), at)
+    const state = (requests: number, at: number): void => coordinator.update('b', buildUpdates({ reports: [{ worker: 'w1', age: 0, running: requests, waiting: 0, slots: 4, brittle: false }] }), at)
+    for (let id = 0; id < 12; id++) {
+      abandon(id, 200 * id)
+      state(0, 200 * id + 50)
+      coordinator.tick(200 * id + 150)
+    }
+    for (const id of [20, 21, 22]) abandon(id, 3_000)
+    state(8, 3_050)
+    expect(coordinator.decide('b', buildRequest(1), 3_050).kind).toBe('noRoom')
+  })
+
   it('forgets such runs when the worker starts anew or is not listed any more', () => {
     const { coordinator, lifetimes, listed } = build()
     const abandon = (id: number, worker: string): void => coordinator.update('a', buildUpdates({ abandoned: [{ id, worker, memoryTokens: 0, sent: 100, age: 0, left: 60_000 }] }), 0)
--- a/src/coordination/placementCoordinator.ts
+++ b/src/coordination/placementCoordinator.ts
@@ -167,11 +167,11 @@
     if (statements.length < maxUnsettled) statements.push(statement)
   }
 
-  /** Number of requests that this coordinator had counted at a worker at a time, abandoned ones included. */
+  /** Number of requests that this coordinator had counted at a worker at a time, with the abandoned ones that take a place. */
   const countedAt = (worker: string, at: number): number => {
     let counted = 0
     for (const { sentAt } of loadOf(worker).flights) if (sentAt <= at) counted++
-    for (const { sentAt } of loadOf(worker).abandoned.byKey.values()) if (sentAt <= at) counted++
+    for (const { sentAt, counted: takesPlace } of loadOf(worker).abandoned.byKey.values()) if (takesPlace && sentAt <= at) counted++
     for (const { sentAt, endedAt } of past.get(worker) ?? []) if (sentAt <= at && endedAt > at) counted++
     return counted
   }
