The log line of a sent request names its cache scope

Nothing in the logs says under which scope a request was sent, so three causes look the same: the shared scope keeps its name when a workspace becomes isolated, an instance applies the configuration late, or a request is sent by what was true when it arrived.

Change: `sent` carries `scope`.

Tests: the new check of attemptLines.spec.ts failed before the change.

--- a/src/forwarding/attemptLines.spec.ts
+++ b/src/forwarding/attemptLines.spec.ts
@@ -29,6 +29,10 @@
     expect(play(undefined)).toContainEqual(expect.objectContaining({ kind: 'sent', parts: ['p1', 'p2', 'p3', 'p4'] }))
   })
 
+  it('name the cache scope of a prompt, which says with whom it shares parts', () => {
+    expect(play(undefined)).toContainEqual(expect.objectContaining({ kind: 'sent', scope: 'llm@1' }))
+  })
+
   it('say which lifetime of a worker cut it, how long after its first event, and which request it was', () => {
     const request: unknown = expect.stringMatching(/^[0-9a-f]{16}$/)
     expect(play('id: 1\ndata: x\n\n')).toContainEqual({ kind: 'attemptFailed', id: 'call-1', worker: 'w1', reason: 'cut', after: 65, begun: 45, startedAt: 7, quiet: 45, givenUp: false, request })
--- a/src/forwarding/placeRequest.ts
+++ b/src/forwarding/placeRequest.ts
@@ -226,6 +226,7 @@
     ...(exchange.call.resumes === undefined ? {} : { resumes: exchange.call.resumes }),
     ...(target.coordinator === undefined ? {} : { coordinator: target.coordinator }),
     ...loggedParts(exchange.call),
+    ...(target.model === undefined ? {} : { scope: target.model.scope }),
     configuration: context.catalog()?.catalog.version ?? 0,
     proofAge: Math.round(context.lease.age(moment))
   })
