A workspace that becomes isolated leaves no cached parts to the others

Cause: the scope that all other workspaces share was named by the model and the version of its weights only, and kept that name when a workspace became isolated, with the parts that this one had made in it, at the workers and in the part store. On a related path a request that arrived before the change and was sent once more after it took the isolation from the configuration of its arrival.

Change: the shared scope's name ends in a hash of the names of the isolated workspaces, if there are any. Who reads or writes a shared scope is then always left out of its name, whatever the order of changes. The name follows from the configuration alone: no history, no message between instances, and no cost as long as the isolation does not change. A request gets its scope when it is sent. Names of workspaces are encoded in scopes, which also keeps a name such as a@5 from being read as a version of weights.

--- a/src/catalog/catalogIndex.ts
+++ b/src/catalog/catalogIndex.ts
@@ -1,4 +1,6 @@
 /** Lookup functions over one version of the configuration: request routing, API keys, services and the part store. */
+import type { Hash } from '../hash.js'
+import { cacheIsolationOf, type CacheIsolation } from '../placement/cacheScope.js'
 import type { Catalog, Route, Service, Workspace } from './catalogTypes.js'
 
 /** Lookup functions over one configuration version. */
@@ -12,6 +14,8 @@
   readonly workspace: (name: string) => Workspace | undefined
   /** Finds a service by name. */
   readonly service: (name: string) => Service | undefined
+  /** Which workspaces share no cached prompt parts. */
+  readonly cacheIsolation: CacheIsolation
   /** The services that are stores of prompt parts. */
   readonly partStores: readonly Extract<Service['purpose'], { kind: 'partStore' }>[]
 }
@@ -32,9 +36,10 @@
  * Builds the lookup tables of a configuration version.
  *
  * @param catalog - the validated configuration
+ * @param hash - the process's hash functions
  * @returns its lookup functions
  */
-export const indexCatalog = (catalog: Catalog): CatalogIndex => {
+export const indexCatalog = (catalog: Catalog, hash: Hash): CatalogIndex => {
   const hosts = routesByHost(catalog.routes)
   const services = new Map(catalog.services.map(service => [service.name, service]))
   const workspaces = new Map(catalog.workspaces?.flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)))
@@ -46,6 +51,7 @@
     findWorkspace: key => workspaces.get(key),
     workspace: name => workspacesByName.get(name),
     service: name => services.get(name),
+    cacheIsolation: cacheIsolationOf(catalog.workspaces, hash),
     partStores
   }
 }
--- a/src/forwarding/modelQuery.ts
+++ b/src/forwarding/modelQuery.ts
@@ -1,6 +1,6 @@
 /** Describes a prompt and the workers that may get it, for the choice of a worker by this instance or by a coordinator. */
 import type { ModelPurpose, Workspace } from '../catalog/catalogTypes.js'
-import { cacheScope } from '../placement/cacheScope.js'
+import { cacheScope, noIsolation } from '../placement/cacheScope.js'
 import { sharedParts, type ModelCandidate, type ModelPlacementInput } from '../placement/modelPlacement.js'
 import type { WorkerLoad } from '../placement/workerLoad.js'
 import type { Prompt } from '../ports/forwardPort.js'
@@ -8,7 +8,7 @@
 import type { ForwardingContext } from './forwardingContext.js'
 
 /** What the description depends on. */
-export type ModelQueryContext = Pick<ForwardingContext, 'weights' | 'cachedPartsOf' | 'dataCentre' | 'partStoreOf'>
+export type ModelQueryContext = Pick<ForwardingContext, 'weights' | 'cachedPartsOf' | 'dataCentre' | 'partStoreOf' | 'catalog'>
 
 /** The prompt and the workers that may get it. */
 export interface ModelQuery {
@@ -28,7 +28,7 @@
  * @param context - state of the instance
  * @param prompt - the prompt
  * @param purpose - purpose of the service
- * @param workspace - workspace of the request
+ * @param workspace - workspace of the request as the request found it at its arrival
  * @param workers - workers that may get it; those that load weights are left out
  * @param loadOf - loads of the workers
  * @param now - present time, in ms
@@ -43,7 +43,7 @@
       kept: context.cachedPartsOf(worker.id),
       slots: worker.slots || purpose.slots,
       outdatedFor: context.weights.outdatedFor(worker, prompt.model, now),
-      scope: cacheScope(prompt.model, context.weights.held(worker, prompt.model), workspace),
+      scope: cacheScope(prompt.model, context.weights.held(worker, prompt.model), workspace, context.catalog()?.cacheIsolation ?? noIsolation),
       sameDataCentre: worker.dataCentre === context.dataCentre
     }))
 })
--- a/src/gateway/configurationInForce.ts
+++ b/src/gateway/configurationInForce.ts
@@ -6,11 +6,13 @@
 import { indexCatalog, type CatalogIndex } from '../catalog/catalogIndex.js'
 import type { Address, Catalog } from '../catalog/catalogTypes.js'
 import type { GatewayEffect, GatewayLogEvent } from './gatewayTypes.js'
+import type { Hash } from '../hash.js'
 import type { PartStores } from '../placement/partStores.js'
 import { defaultMemoryTokens } from './workerRegistry.js'
 
 /** What the configuration in force depends on. */
 export interface ConfigurationOptions {
+  readonly hash: Hash
   readonly partStores: PartStores
   readonly emit: (effect: GatewayEffect) => void
   readonly log: (event: GatewayLogEvent) => void
@@ -36,7 +38,7 @@
  *
  * @param options - what it depends on
  */
-export const createConfigurationInForce = ({ partStores, emit, log }: ConfigurationOptions): ConfigurationInForce => {
+export const createConfigurationInForce = ({ hash, partStores, emit, log }: ConfigurationOptions): ConfigurationInForce => {
   let index: CatalogIndex | undefined
   let partStoreAddresses: readonly Address[] = []
 
@@ -56,8 +58,8 @@
     partStoreTokens,
     apply: (catalog, source, proofAge) => {
       if (index !== undefined && catalog.version <= index.catalog.version) return false
-      index = indexCatalog(catalog)
-      log({ kind: 'configurationInForce', version: catalog.version, source, proofAge: Math.round(Math.min(proofAge, Number.MAX_SAFE_INTEGER)) })
+      index = indexCatalog(catalog, hash)
+      log({ kind: 'configurationInForce', version: catalog.version, source, proofAge: Math.round(Math.min(proofAge, Number.MAX_SAFE_INTEGER)), isolated: index.cacheIsolation.count })
       const { bodyBytes, idleTimeout, headerTimeout } = catalog.limits
       emit({ kind: 'gateway.limits', bodyBytes, idleTimeout, headerTimeout })
       followPartStores(index.partStores)
--- a/src/gateway/gatewayCoordination.ts
+++ b/src/gateway/gatewayCoordination.ts
@@ -1,5 +1,4 @@
 /** Connects placement by coordinators with the workers, the configuration and the fleet of a gateway. */
-import type { CatalogIndex } from '../catalog/catalogIndex.js'
 import type { CoordinatorLogEvent } from '../coordination/coordinatorTrust.js'
 import type { PlacementRequest } from '../coordination/coordinationMessages.js'
 import type { GroupQuery } from '../coordination/groupPlacement.js'
@@ -17,13 +16,12 @@
 import type { WorkerRegistry } from './workerRegistry.js'
 
 /** What the connection depends on. */
-export interface GatewayCoordinationOptions extends Pick<ModelQueryContext, 'partStoreOf'> {
+export interface GatewayCoordinationOptions extends Pick<ModelQueryContext, 'partStoreOf' | 'catalog'> {
   readonly self: FleetMember
   readonly hash: Hash
   readonly random: Random
   readonly fleet: Pick<Fleet, 'size' | 'coordinators' | 'send'>
   readonly registry: Pick<WorkerRegistry, 'workers' | 'weights' | 'loadOf' | 'cachedPartsOf'>
-  readonly catalog: () => CatalogIndex | undefined
   readonly now: () => Moment
   /** Called when the coordinator has answered for a request. */
   readonly onAnswer: (request: number) => void
@@ -37,7 +35,7 @@
  */
 export const createGatewayCoordination = ({ self, hash, random, fleet, registry, catalog, partStoreOf, now: currentTime, onAnswer, log }: GatewayCoordinationOptions): PlacementCoordination => {
   const { workers, weights, loadOf, cachedPartsOf } = registry
-  const context: ModelQueryContext = { weights, cachedPartsOf, dataCentre: self.dataCentre, partStoreOf }
+  const context: ModelQueryContext = { weights, cachedPartsOf, dataCentre: self.dataCentre, partStoreOf, catalog }
 
   const limitsOf = ({ service, slots }: Worker): RoomLimits => {
     const purpose = catalog()?.service(service)?.purpose
@@ -49,7 +47,7 @@
     const purpose = index?.service(service)?.purpose
     if (index === undefined || purpose === undefined) return undefined
     if (purpose.kind === 'model' && prompt !== undefined) {
-      const found = index.catalog.workspaces?.find(({ name }) => name === workspace)
+      const found = workspace === undefined ? undefined : index.workspace(workspace)
       return { kind: 'model', ...modelQuery(context, prompt, purpose, found, allowed, countedLoadOf, now) }
     }
     return { kind: 'plain', candidates: allowed.map(worker => ({ id: worker.id, load: countedLoadOf(worker.id), slots: limitsOf(worker).slots, sameDataCentre: worker.dataCentre === self.dataCentre })) }
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -73,7 +73,7 @@
   /** Read lease renewed only by proofs from the store itself, not by those of other instances. */
   const storeLease = createReadLease()
   const partStores = createPartStores(hash)
-  const configuration = createConfigurationInForce({ partStores, emit, log })
+  const configuration = createConfigurationInForce({ hash, partStores, emit, log })
   const registry = createWorkerRegistry({
     catalog: configuration.index,
     log,
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -61,7 +61,7 @@
   | QuotaLogEvent
   | StreamLogEvent
   | CoordinatorLogEvent
-  | { readonly kind: 'configurationInForce', readonly version: number, readonly source: 'store' | 'peer', readonly proofAge: number }
+  | { readonly kind: 'configurationInForce', readonly version: number, readonly source: 'store' | 'peer', readonly proofAge: number, /** Number of workspaces that share no cached prompt parts. */ readonly isolated: number }
   | { readonly kind: 'weightsNamed', readonly model: string, readonly version: number }
   | { readonly kind: 'workerChanged', readonly change: Exclude<WorkerChange['kind'], 'updated'>, readonly worker: string, readonly service: string, readonly address: string, readonly startedAt: number }
   | { readonly kind: 'peerChanged', readonly peer: string, readonly change: string }
--- a/test/fakes/fakeForwarding.ts
+++ b/test/fakes/fakeForwarding.ts
@@ -118,7 +118,7 @@
   })
   const lease = createReadLease()
   const retryBudget = createRetryBudget({ fraction: 0.2, slack: options.retrySlack ?? 50, window: 10_000 })
-  let index = options.catalog === undefined ? undefined : indexCatalog(options.catalog)
+  let index = options.catalog === undefined ? undefined : indexCatalog(options.catalog, options.hash)
   workers.apply(options.workers.map(worker => ({ kind: 'present', worker })), true, 0)
   lease.renew(momentAt(0))
 
@@ -210,7 +210,7 @@
     retriesUsed: (now: number): number => retryBudget.used(now),
     logEvents,
     errors,
-    setCatalog: (catalog: Catalog): void => { index = indexCatalog(catalog) },
+    setCatalog: (catalog: Catalog): void => { index = indexCatalog(catalog, options.hash) },
     weights,
     workers,
     lease,
