Tests with crowds of clients that aren't ours, before the product changes

What callers saw: in a trial of the users, clients with many large bodies at once, whole or in pieces, stopping short of their end, in large or tiny chunks, or far over the limit, made a process run out of memory.

--- a/test/knownRed/checkTests.ts
+++ b/test/knownRed/checkTests.ts
@@ -3,7 +3,7 @@
 import { existsSync, mkdtempSync, readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { judgeTests, parseKnownRed, testReportSchema, type KnownRed } from './knownRed.js'
+import { joinReports, judgeTests, parseKnownRed, testReportSchema, type KnownRed, type TestReport } from './knownRed.js'
 
 const listFile = 'KNOWN-RED.txt'
 /** Length of a soak, in s, as in CI's own soak. */
@@ -14,9 +14,14 @@
 const printEntry = ({ test, soak, command, seen, issue }: KnownRed): void =>
   print(`known red: ${test ?? `soak seed ${soak}`} (issue ${issue}): ${seen}\n           ${command}`)
 
-/** Runs every test; the runner's own exit code is not used, since listed tests fail. */
-const runTests = (reportFile: string): void => {
-  spawnSync('npx', ['jest', '--json', `--outputFile=${reportFile}`], { stdio: ['ignore', 'ignore', 'inherit'] })
+/** Configurations of the test runner. The tests of the second load the machine and run alone. */
+const configurations = ['jest.config.cjs', 'jest.crowd.config.cjs']
+
+/** Runs the tests of a configuration; the runner's own exit code is not used, since listed tests fail. */
+const runTests = (configuration: string, folder: string): TestReport => {
+  const reportFile = join(folder, `${configuration}.json`)
+  spawnSync('npx', ['jest', '--config', configuration, '--json', `--outputFile=${reportFile}`], { stdio: ['ignore', 'ignore', 'inherit'] })
+  return testReportSchema.parse(JSON.parse(readFileSync(reportFile, 'utf8')))
 }
 
 /** Whether the soak of a listed seed fails, as it has to. */
@@ -37,9 +42,7 @@
   }
   parsed.value.forEach(printEntry)
   const folder = mkdtempSync(join(tmpdir(), 'wasabireel-tests-'))
-  const reportFile = join(folder, 'report.json')
-  runTests(reportFile)
-  const report = testReportSchema.parse(JSON.parse(readFileSync(reportFile, 'utf8')))
+  const report = joinReports(configurations.map(configuration => runTests(configuration, folder)))
   rmSync(folder, { recursive: true })
   const objections = judgeTests(parsed.value, report, process.cwd())
   for (const objection of objections) print(`not accepted: ${JSON.stringify(objection)}`)
--- a/test/knownRed/knownRed.spec.ts
+++ b/test/knownRed/knownRed.spec.ts
@@ -1,4 +1,4 @@
-import { judgeTests, parseKnownRed, type KnownRed, type TestReport } from './knownRed.js'
+import { joinReports, judgeTests, parseKnownRed, type KnownRed, type TestReport } from './knownRed.js'
 
 const entryText = 'test: src/a.spec.ts > a thing works\ncommand: npx jest src/a.spec.ts\nseen: it does not\nissue: 25\n'
 
@@ -49,4 +49,11 @@
     expect(judge([], { numTotalTests: 1, testResults: [{ name: '/repo/src/b.spec.ts', message: 'syntax error', assertionResults: [] }] })).toEqual(['fileNotRun'])
     expect(judge([], buildReport({ a: 'passed' }, 'error after the tests'))).toEqual(['fileNotRun'])
   })
+
+  it('is judged by the reports of all runs together', () => {
+    const joined = joinReports([buildReport({ a: 'passed' }), buildReport({ b: 'failed' }, 'b failed')])
+    expect(joined.numTotalTests).toBe(buildReport({ a: 'passed' }).numTotalTests + buildReport({ b: 'failed' }).numTotalTests)
+    expect(judge(['b'], joined)).toEqual([])
+    expect(judge([], joined)).toEqual(['unlistedFailure'])
+  })
 })
--- a/test/knownRed/knownRed.ts
+++ b/test/knownRed/knownRed.ts
@@ -44,6 +44,12 @@
 /** The test runner's report. */
 export type TestReport = z.infer<typeof testReportSchema>
 
+/** Joins the reports of several runs, of which each has run other tests. */
+export const joinReports = (reports: readonly TestReport[]): TestReport => ({
+  numTotalTests: reports.reduce((sum, { numTotalTests }) => sum + numTotalTests, 0),
+  testResults: reports.flatMap(({ testResults }) => testResults)
+})
+
 /** Why a run of the tests is not accepted. */
 export type Objection =
   | { readonly kind: 'unlistedFailure', readonly test: string }
