Tiny chunks of a request body are joined in blocks as they arrive

What callers saw: a crowd of 12 clients that send chunks of 1 byte and stop short of the end ends the process: its heap is full, and all callers lose their connections.

Cause: each chunk was kept as a buffer of its own, some hundred bytes of heap for one byte, until the body was whole. The limit of the body counts the bytes only.

Change: the bytes are copied into blocks (createByteBuffer, which the answers of workers already use); the first part is kept without a copy, so a body of one part costs what it did.

--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -6,6 +6,7 @@
 import { Server } from 'node:net'
 import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { RawCall, WireCodec } from '../ports/platformPort.js'
+import { createByteBuffer } from '../byteBuffer.js'
 import { breakOff } from './brokenResponse.js'
 import { followCallerConnections, type ConnectionCounts } from './callerConnections.js'
 import { listen, type ReportAdapterError } from './listening.js'
@@ -184,8 +185,7 @@
   const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
     lastRequest++
     const request = lastRequest
-    const chunks: Buffer[] = []
-    let size = 0
+    const body = createByteBuffer()
     const openRequest: OpenRequest = { message, response, method: message.method ?? '', stage: 'reading' }
     openRequests.set(request, openRequest)
     connections.addRequest(message.socket, request)
@@ -203,16 +203,15 @@
 
     message.on('data', (chunk: Buffer) => {
       if (openRequest.stage !== 'reading') return
-      size += chunk.length
-      if (size > bodyLimit()) return rejectBody()
-      chunks.push(chunk)
+      if (body.size() + chunk.length > bodyLimit()) return rejectBody()
+      body.push(chunk)
     })
     const deliver = (): void => {
       if (openRequest.stage !== 'read') return
       if (message.socket.readableEnded || message.socket.destroyed) return reportLeft(request, openRequest)
       if (connections.isAfterEnd(message.socket, request)) return
       try {
-        const decoded = options.decode(headOf(openRequest), chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
+        const decoded = options.decode(headOf(openRequest), body.bytes())
         openRequest.stage = 'open'
         decoded.match(
           call => emit({ kind: 'call.arrived', request, call, connection }),
