The bodies of all requests of an instance count against one bound

What callers saw: a crowd whose clients each keep to the size limit of a body takes 277 to 875 MB in one instance (48 clients of 4 MiB), bodies over the limit 223 to 354 MB. On the users' machines, of 186 MB and more, that ends the process and cuts all other callers.

Cause: each body was bounded, their sum was not; what had been read of a refused body stayed until its connection was closed; and of the buffers that nobody uses any more the runtime lets some ten megabytes wait for its next collection.

Change: src/requestBodies/ decides, src/adapters/requestBodies.ts keeps account. Bodies count from their first byte to the end of their request. Beyond the bound ([memory] bodies, a twelfth of the memory, at least 16 MiB) bodies that are still being read give way, of the workspace that holds the most, the longest stopped first, with 503 not_run: nothing of them has been passed on. Whole bodies never do. A quarter is kept for bodies of up to 128 KiB. Unused buffers are freed when 12 MiB of them have added up (bufferGarbage.ts), which the usual traffic never reaches. The choice of who gives way is the one of slow readers, moved to src/heldBytes/. Line bodyRefused, gauge bodyBytes, counter wasabireel_bodies_refused_total.

Three checks of frontBodies.spec.ts failed before.

--- a/src/adapters/frontBodies.spec.ts
+++ b/src/adapters/frontBodies.spec.ts
@@ -1,5 +1,7 @@
 /** Guards against request bodies that take the memory of an instance. */
-import { startFront, type FrontFixture } from '../../test/fixtures/front.js'
+import { startFront, type FrontFixture, type TestCaller } from '../../test/fixtures/front.js'
+import { waitFor } from '../../test/fakes/waitFor.js'
+import type { BodyRefusal } from '../requestBodies/requestBodies.js'
 
 let fixture: FrontFixture
 
@@ -21,4 +23,49 @@
     expect(joined).toBeLessThan(20)
     concat.mockRestore()
   })
+
+  const limits = { bodyBytes: 300_000, idleTimeout: 60_000, headerTimeout: 3_000 }
+
+  /** Starts a server with room for two large bodies, and sends all but the last byte of a body on each connection. */
+  const holdBodies = async (ids: readonly string[], refusals: BodyRefusal[] = []): Promise<readonly TestCaller[]> => {
+    fixture = await startFront({ bodiesBound: () => 800_000, workspaceOfKey: key => key === 'k' ? 'w' : undefined, onBodyRefused: refusal => refusals.push(refusal) })
+    fixture.front.setLimits(limits)
+    const callers: TestCaller[] = []
+    for (const [index, id] of ids.entries()) {
+      const caller = await fixture.open()
+      callers.push(caller)
+      caller.socket.write(`POST /a/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: ${id}\r\nContent-Length: 250000\r\n\r\n${'x'.repeat(249_999)}`)
+      await waitFor(() => fixture.front.bodyBytes() >= Math.min(2, index + 1) * 249_999 || fixture.inputs.length > 0)
+    }
+    return callers
+  }
+
+  // Guards against bodies that stop short of their end and are held without a bound in sum.
+  it('refuses the body that has stopped the longest when all of them exceed the bound, and reads on the others', async () => {
+    const refusals: BodyRefusal[] = []
+    const callers = await holdBodies(['first', 'second', 'third'], refusals)
+    await waitFor(() => fixture.inputs.length > 0)
+    expect(fixture.inputs).toEqual([{ kind: 'call.unreadable', request: 1, problem: { kind: 'noMemory' } }])
+    expect(refusals).toMatchObject([{ id: 'first', reason: 'noMemory', request: 1 }])
+    callers[2].socket.write('y')
+    await fixture.arrived('third')
+    await waitFor(() => fixture.front.bodyBytes() === 499_999)
+  })
+
+  // Guards against large bodies that displace the usual requests.
+  it('reads small bodies while large ones hold all that there is for them', async () => {
+    await holdBodies(['first', 'second'])
+    const caller = await fixture.open()
+    caller.socket.write('POST /a/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: small\r\nContent-Length: 5\r\n\r\nhello')
+    await fixture.arrived('small')
+  })
+
+  // Guards against memory that stays counted, or kept, after a request.
+  it('frees the body of a request that is answered, refused or left', async () => {
+    const callers = await holdBodies(['first', 'second'])
+    callers[0].socket.write('y')
+    fixture.answer(await fixture.arrived('first'), 'done')
+    callers[1].socket.destroy()
+    await waitFor(() => fixture.front.bodyBytes() === 0)
+  })
 })
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -4,14 +4,18 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { Server } from 'node:net'
-import type { CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
+import type { Call, CallProblem, CallStage, ConnectionEnd, ForwardEffect, ForwardInput } from '../ports/forwardPort.js'
 import type { RawCall, WireCodec } from '../ports/platformPort.js'
-import { createByteBuffer } from '../byteBuffer.js'
+import { createByteBuffer, type ByteBuffer } from '../byteBuffer.js'
 import { breakOff } from './brokenResponse.js'
 import { followCallerConnections, type ConnectionCounts } from './callerConnections.js'
 import { listen, type ReportAdapterError } from './listening.js'
-import { unreadBound, type ReaderCut } from '../slowReaders/slowReaders.js'
+import { heldBound } from '../heldBytes/heldBound.js'
+import type { ReaderCut } from '../slowReaders/slowReaders.js'
 import { afterNextRead } from './nextRead.js'
+import type { BodyRefusal } from '../requestBodies/requestBodies.js'
+import { createBufferGarbage } from './bufferGarbage.js'
+import { createRequestBodies } from './requestBodies.js'
 import { createUnreadResponses } from './unreadResponses.js'
 
 /** Effects on requests of callers. */
@@ -33,6 +37,12 @@
   readonly unreadBound?: () => number
   /** Called for each response that is given up because its caller reads slowly. */
   readonly onReaderCut?: (cut: ReaderCut & { /** Id of the request. */ readonly id: string }) => void
+  /** Bound for the bodies of all requests together, in bytes; by default as without a known limit of the memory. */
+  readonly bodiesBound?: () => number
+  /** Finds the workspace that an API key belongs to. */
+  readonly workspaceOfKey?: (key: string) => string | undefined
+  /** Called for each request whose body is given up. */
+  readonly onBodyRefused?: (refusal: BodyRefusal & { /** Id of the request. */ readonly id: string }) => void
   /** Receives unexpected errors, with the place. */
   readonly reportError?: ReportAdapterError
 }
@@ -65,6 +75,8 @@
   readonly countConnections: () => ConnectionCounts
   /** Number of requests that are being read or answered. */
   readonly countRequests: () => number
+  /** Number of bytes of the bodies of requests that are being read or answered. */
+  readonly bodyBytes: () => number
   /** Number of bytes that callers have not read of their responses. */
   readonly unreadBytes: () => number
   /** Stops listening and closes all connections at once. */
@@ -83,6 +95,7 @@
   readonly message: IncomingMessage
   readonly response: ServerResponse
   readonly method: string
+  readonly body: ByteBuffer
   /** `ended` once the whole response has been sent or the end has been reported. */
   stage: CallStage | 'ended'
 }
@@ -123,14 +136,22 @@
 
   const headOf = ({ message, method }: OpenRequest): RawCall => ({ method, target: message.url ?? '/', headers: message.rawHeaders })
 
-  const idOf = (openRequest: OpenRequest): string => {
+  /** Reads a field of a request from its head, if that can be decoded. */
+  const fromHead = <Field>(openRequest: OpenRequest, read: (call: Call) => Field, otherwise: Field): Field => {
     try {
-      return options.decode(headOf(openRequest), noBody).match(call => call.id, () => 'none')
+      return options.decode(headOf(openRequest), noBody).match(read, () => otherwise)
     } catch {
-      return 'none'
+      return otherwise
     }
   }
 
+  const idOf = (openRequest: OpenRequest): string => fromHead(openRequest, ({ id }) => id, 'none')
+
+  const workspaceOf = (request: number): string => {
+    const openRequest = openRequests.get(request)
+    return openRequest === undefined ? '' : fromHead(openRequest, ({ key }) => key === undefined ? undefined : options.workspaceOfKey?.(key), undefined) ?? ''
+  }
+
   /** Ends a request whose handling failed: with an error response, or by breaking its response off. */
   const failRequest = (request: number, openRequest: OpenRequest, place: string, error: unknown): void => {
     const { message, response, stage } = openRequest
@@ -154,6 +175,7 @@
     const openRequest = openRequests.get(request)
     if (openRequest === undefined) return
     openRequests.delete(request)
+    bodies.end(request)
     reportLeft(request, openRequest)
     if (openRequests.size > 0) return
     for (const resolve of flushWaiters.splice(0)) resolve()
@@ -182,29 +204,41 @@
     connections.announceEnd(message.socket, request)
   }
 
+  /** Answers a request whose body is not read any further. What still comes of it is dropped until the connection is closed. */
+  const rejectBody = (request: number, openRequest: OpenRequest, problem: CallProblem): void => {
+    openRequest.stage = 'open'
+    openRequest.body.clear()
+    bodies.end(request)
+    announceEnd(request, openRequest)
+    emit({ kind: 'call.unreadable', request, problem })
+  }
+
+  const refuseBody = (refusal: BodyRefusal): void => {
+    const openRequest = openRequests.get(refusal.request)
+    if (openRequest === undefined) return
+    options.onBodyRefused?.({ ...refusal, id: idOf(openRequest) })
+    rejectBody(refusal.request, openRequest, refusal.reason === 'noMemory' ? { kind: 'noMemory' } : { kind: 'bodyStalled' })
+  }
+
   const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
     lastRequest++
     const request = lastRequest
     const body = createByteBuffer()
-    const openRequest: OpenRequest = { message, response, method: message.method ?? '', stage: 'reading' }
+    const openRequest: OpenRequest = { message, response, method: message.method ?? '', body, stage: 'reading' }
     openRequests.set(request, openRequest)
     connections.addRequest(message.socket, request)
+    bodies.begin(request)
     const connection = connections.historyOf(message.socket)
 
     const { bodyBytes } = limits
     /** A request may be as long as when it began, or as it may be now. */
     const bodyLimit = (): number => Math.max(bodyBytes, limits.bodyBytes)
 
-    const rejectBody = (): void => {
-      openRequest.stage = 'open'
-      announceEnd(request, openRequest)
-      emit({ kind: 'call.unreadable', request, problem: { kind: 'bodyTooLarge', limit: bodyLimit() } })
-    }
-
     message.on('data', (chunk: Buffer) => {
+      garbage.noteReceived(chunk.length)
       if (openRequest.stage !== 'reading') return
-      if (body.size() + chunk.length > bodyLimit()) return rejectBody()
-      body.push(chunk)
+      if (body.size() + chunk.length > bodyLimit()) return rejectBody(request, openRequest, { kind: 'bodyTooLarge', limit: bodyLimit() })
+      if (bodies.makeRoom(request, chunk.length)) body.push(chunk)
     })
     const deliver = (): void => {
       if (openRequest.stage !== 'read') return
@@ -224,6 +258,7 @@
     message.on('end', () => {
       if (openRequest.stage !== 'reading') return
       openRequest.stage = 'read'
+      bodies.complete(request)
       afterNextRead(deliver)
     })
     message.on('error', () => { /* Handled by the close event that follows. */ })
@@ -253,6 +288,14 @@
     requestTimeout: 0
   }, handleRequest)
   const connections = followCallerConnections(server, endAll)
+  const bodies = createRequestBodies({
+    limits: () => ({ bound: (options.bodiesBound ?? (() => heldBound(0, undefined)))(), bodyBytes: limits.bodyBytes }),
+    stallTime: () => limits.idleTimeout,
+    workspaceOf,
+    refuse: refuseBody,
+    now: () => performance.now()
+  })
+  const garbage = createBufferGarbage({ inUse: () => bodies.heldBytes() + unread.measure() })
 
   const writeHead = (request: number, openRequest: OpenRequest, status: number, headers: readonly string[]): void => {
     const { message, response } = openRequest
@@ -281,7 +324,7 @@
       breakOff(openRequest)
     }
   }
-  const unread = createUnreadResponses({ bound: options.unreadBound ?? (() => unreadBound(0, undefined)), now: () => performance.now(), cut: cutReader })
+  const unread = createUnreadResponses({ bound: options.unreadBound ?? (() => heldBound(0, undefined)), now: () => performance.now(), cut: cutReader })
 
   const perform = (effect: CallEffect): void => {
     const openRequest = openRequests.get(effect.request)
@@ -342,6 +385,7 @@
     flushed,
     countConnections: connections.countByUse,
     countRequests: () => openRequests.size,
+    bodyBytes: bodies.heldBytes,
     unreadBytes: unread.measure,
     destroy: () => {
       server.close()
--- a/src/forwarding/refusal.ts
+++ b/src/forwarding/refusal.ts
@@ -58,12 +58,26 @@
 const workerRetryAfter = 500
 /** Time after which another instance is likely to grant credit in place of one that does not answer, in ms. */
 const granterRetryAfter = 1_000
+/** Time after which memory for request bodies is likely to be free again, in ms. */
+const memoryRetryAfter = 500
 /** Largest random addition to `Retry-After`, as a fraction of it, so that callers do not retry all at once. */
 const retryJitter = 0.5
 /** Shortest `Retry-After` before jitter, in ms. */
 const minRetryAfter = 50
 const msPerSecond = 1000
 
+const statusOfProblem = (problem: CallProblem): number => {
+  switch (problem.kind) {
+    case 'missingId':
+    case 'repeatedHeader':
+    case 'badHeader': return 400
+    case 'bodyTooLarge': return 413
+    case 'noMemory': return 503
+    case 'bodyStalled': return 408
+    default: return assertNever(problem)
+  }
+}
+
 const statusOf = (refusal: Refusal): number => {
   switch (refusal.kind) {
     case 'noConfiguration':
@@ -81,7 +95,7 @@
     case 'overQuota': return 429
     case 'noRoute': return 404
     case 'unknownKey': return 401
-    case 'unreadable': return refusal.problem.kind === 'bodyTooLarge' ? 413 : 400
+    case 'unreadable': return statusOfProblem(refusal.problem)
     case 'late': return 504
     case 'broken':
     case 'cutByShutdown': return 502
@@ -103,9 +117,9 @@
     case 'overloaded':
     case 'turnedAway':
     case 'overShare': return refusal.wait
+    case 'unreadable': return refusal.problem.kind === 'noMemory' ? memoryRetryAfter : undefined
     case 'noRoute':
     case 'unknownKey':
-    case 'unreadable':
     case 'blockedPart':
     case 'blockedRequest':
     case 'late':
--- a/src/gateway/gatewayBounds.spec.ts
+++ b/src/gateway/gatewayBounds.spec.ts
@@ -9,7 +9,7 @@
   retries: { fraction: 0.2, slack: 50, window: 10 },
   shutdown: { grace: 8 },
   addresses: { time_to_live: 800, kept_times: 3 },
-  memory: { unread: 0 },
+  memory: { limit: 0, bodies: 0, unread: 0 },
   weights: { apply_within: 8_000, load_share: 0.286 }
 })
 
--- a/src/gateway/gatewayInterface.ts
+++ b/src/gateway/gatewayInterface.ts
@@ -39,6 +39,8 @@
   readonly directory: (now: Moment) => DirectoryAnswer
   /** Whether the instance accepts requests: the proof of its configuration is recent enough to accept keys, and it is not shutting down. */
   readonly isReady: (now: Moment) => boolean
+  /** Finds the workspace that an API key belongs to by the configuration in force. */
+  readonly workspaceOfKey: (key: string) => string | undefined
   /** Current values for the metrics; `proofAge` in ms. */
   readonly gauges: (now: Moment) => GatewayGauges
   /** State of all features, for diagnosis. */
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -436,6 +436,7 @@
     handle,
     directory,
     isReady,
+    workspaceOfKey: key => configuration.index()?.findWorkspace(key)?.name,
     gauges: now => readGauges({ forwarding, lease, configuration, fleet, registry, poisonRequests, workerReach, quotas, requestOrder, streamOrigins, coordination }, now),
     dump: now => ({
       self,
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { GatewayGauges, GatewayLogEvent } from '../gateway/gatewayTypes.js'
 import type { ConnectionEnd } from '../ports/forwardPort.js'
+import type { BodyRefusalReason } from '../requestBodies/requestBodies.js'
 
 /** Histogram bucket bounds, in seconds. */
 const answerTimeBuckets = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 2, 5, 15]
@@ -11,6 +12,8 @@
 export interface ProcessGauges extends GatewayGauges {
   /** Bytes that callers have not read of their responses. */
   readonly unreadBytes: number
+  /** Bytes of the bodies of requests that are being read or in progress. */
+  readonly bodyBytes: number
   /** Log lines that were dropped. */
   readonly droppedLines: number
 }
@@ -30,6 +33,8 @@
   readonly internalError: (place: string) => void
   /** Counts a response that was given up because its caller reads slowly, by how the caller was told. */
   readonly readerCut: (told: 'brokenOff' | 'error') => void
+  /** Counts a request that was refused while its body was read, by reason. */
+  readonly bodyRefused: (reason: BodyRefusalReason) => void
 }
 
 /**
@@ -54,6 +59,7 @@
   const platformErrors = new Counter({ name: 'wasabireel_platform_troubles_total', help: 'Failed calls and malformed records by kind.', labelNames: ['kind'], registers })
   const internalErrors = new Counter({ name: 'wasabireel_internal_errors_total', help: 'Unexpected errors by place.', labelNames: ['place'], registers })
   const readersCut = new Counter({ name: 'wasabireel_slow_readers_cut_total', help: 'Responses given up because their callers read slowly, by how these were told.', labelNames: ['told'], registers })
+  const bodiesRefused = new Counter({ name: 'wasabireel_bodies_refused_total', help: 'Requests refused while their bodies were read, by reason.', labelNames: ['reason'], registers })
   const state = new Gauge({
     name: 'wasabireel_state',
     help: 'Present values: requests, waiting, proof age in ms, configuration, instances, workers, dropped log lines.',
@@ -85,6 +91,7 @@
     callerConnectionClosed: reason => callerConnections.inc({ reason }),
     platformError: kind => platformErrors.inc({ kind }),
     internalError: place => internalErrors.inc({ place }),
-    readerCut: told => readersCut.inc({ told })
+    readerCut: told => readersCut.inc({ told }),
+    bodyRefused: reason => bodiesRefused.inc({ reason })
   }
 }
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -46,6 +46,10 @@
   | { readonly kind: 'repeatedHeader', readonly header: string }
   | { readonly kind: 'badHeader', readonly header: string, readonly found: string }
   | { readonly kind: 'bodyTooLarge', readonly limit: number }
+  /** The bodies of all callers took too much memory, and this one gave way before it was whole. */
+  | { readonly kind: 'noMemory' }
+  /** No byte of the body came for too long. */
+  | { readonly kind: 'bodyStalled' }
 
 /** A request as sent to one incarnation of a worker. */
 export interface Dispatch {
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -10,6 +10,7 @@
 import { createErrorReports } from '../gateway/errorReports.js'
 import { createGateway, tickInterval } from '../gateway/gatewayMachine.js'
 import type { GatewayEffect, GatewayInput, GatewayLogEvent } from '../gateway/gatewayTypes.js'
+import { heldBound } from '../heldBytes/heldBound.js'
 import { loadHash } from '../hash.js'
 import { splitHostPort } from '../hostPort.js'
 import type { Moment } from '../lease/readLease.js'
@@ -17,8 +18,9 @@
 import { createGatewayMetrics } from '../metrics/gatewayMetrics.js'
 import type { Platform } from '../ports/platformPort.js'
 import { createRandom } from '../random.js'
+import type { BodyRefusal } from '../requestBodies/requestBodies.js'
 import type { GatewaySettings } from '../settings/gatewaySettings.js'
-import { unreadBound, type ReaderCut } from '../slowReaders/slowReaders.js'
+import type { ReaderCut } from '../slowReaders/slowReaders.js'
 import { processMemory, readMemoryLimits } from './processMemory.js'
 
 /** A running gateway. */
@@ -42,11 +44,24 @@
  * to each other, and one without power does not respond at all.
  */
 const peerConnectTimeout = 500
+/** Unit of the memory in the settings, in bytes. */
+const bytesPerMegabyte = 1_000_000
 /** Delay before reconnecting to a peer, in ms. It is short, since after a power failure all instances may start again at the same time. */
 const peerReconnectDelay = 400
 /** Time for sending the remaining bytes before the process exits, in ms. */
 const flushDelay = 150
 
+/** Bounds for what is held for callers, in bytes. */
+interface HeldBounds {
+  readonly unread: number
+  readonly bodies: number
+}
+
+const heldBounds = ({ memory }: GatewaySettings): HeldBounds => {
+  const available = memory.limit > 0 ? memory.limit * bytesPerMegabyte : processMemory(readMemoryLimits())
+  return { unread: heldBound(memory.unread, available), bodies: heldBound(memory.bodies, available) }
+}
+
 /** Reads the monotonic clock and the wall clock of this process, both in ms. */
 export const readClocks = (): Moment => ({ steady: performance.now(), wall: Date.now() })
 
@@ -74,7 +89,7 @@
   const incarnation = `${Date.now().toString(36)}-${randomBytes(4).toString('hex')}`
   const platform = createPlatform(initialSettings.platform.store, readClocks)
   let bounds = boundsOf(initialSettings)
-  let unread = unreadBound(initialSettings.memory.unread, processMemory(readMemoryLimits()))
+  let held = heldBounds(initialSettings)
   const hash = await loadHash()
   const gateway = createGateway({
     self: { id: instance.id, incarnation, dataCentre: instance.data_centre, front: listen.front, peer: { host: instance.host, port: listen.peer_port }, capacity: instance.processors * instance.processor_speed },
@@ -82,7 +97,7 @@
     hash,
     random: createRandom(randomBytes(4).readInt32BE())
   })
-  const metrics = createGatewayMetrics(() => ({ ...gateway.gauges(readClocks()), unreadBytes: front.unreadBytes(), droppedLines: droppedLines() }))
+  const metrics = createGatewayMetrics(() => ({ ...gateway.gauges(readClocks()), unreadBytes: front.unreadBytes(), bodyBytes: front.bodyBytes(), droppedLines: droppedLines() }))
 
   const reports = createErrorReports({
     count: metrics.internalError,
@@ -108,9 +123,13 @@
 
   const onReaderCut = (cut: ReaderCut & { readonly id: string }): void => {
     metrics.readerCut(cut.told)
-    logger.warn({ id: cut.id, workspace: cut.workspace, held: cut.held, stalled: cut.stalled, told: cut.told, bound: unread }, 'slowReaderCut')
+    logger.warn({ id: cut.id, workspace: cut.workspace, held: cut.held, stalled: cut.stalled, told: cut.told, bound: held.unread }, 'slowReaderCut')
+  }
+  const onBodyRefused = (refusal: BodyRefusal & { readonly id: string }): void => {
+    metrics.bodyRefused(refusal.reason)
+    logger.warn({ id: refusal.id, reason: refusal.reason, workspace: refusal.workspace, held: refusal.held, stalled: refusal.stalled, bodies: front.bodyBytes(), bound: held.bodies }, 'bodyRefused')
   }
-  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall, nameRequest: platform.codec.nameRequest, onConnectionClosed: metrics.callerConnectionClosed, reportError, unreadBound: () => unread, onReaderCut }, receive)
+  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall, nameRequest: platform.codec.nameRequest, onConnectionClosed: metrics.callerConnectionClosed, reportError, unreadBound: () => held.unread, bodiesBound: () => held.bodies, workspaceOfKey: gateway.workspaceOfKey, onReaderCut, onBodyRefused }, receive)
   const channels = createWorkerChannels({ codec: platform.codec, emit: receive, onConnectionOpened: metrics.connectionOpened, reportError })
   const peers = createPeerTcp({ id: instance.id, incarnation, host: instance.host, port: listen.peer_port, frameLimit, connectTimeout: peerConnectTimeout, reconnectDelay: peerReconnectDelay }, {
     emit: receive,
@@ -215,7 +234,7 @@
     shutDown: signalledAt => receive({ kind: 'gateway.leave', signalledAt }),
     reload: settings => {
       bounds = boundsOf(settings)
-      unread = unreadBound(settings.memory.unread, processMemory(readMemoryLimits()))
+      held = heldBounds(settings)
       logger.info({ bounds }, 'reloaded')
     }
   }
--- a/src/processes/gatewayErrors.spec.ts
+++ b/src/processes/gatewayErrors.spec.ts
@@ -28,7 +28,7 @@
   retries: { fraction: 0.2, slack: 50, window: 10 },
   shutdown: { grace: 1 },
   addresses: { time_to_live: 1, kept_times: 1 },
-  memory: { unread: 0 },
+  memory: { limit: 0, bodies: 0, unread: 0 },
   weights: { apply_within: 8_000, load_share: 0.3 }
 })
 
--- a/src/processes/processMemory.spec.ts
+++ b/src/processes/processMemory.spec.ts
@@ -1,5 +1,5 @@
 /** Guards against a bound for slow readers that does not fit into the memory of a small process. */
-import { unreadBound } from '../slowReaders/slowReaders.js'
+import { heldBound } from '../heldBytes/heldBound.js'
 import { processMemory, readMemoryLimits } from './processMemory.js'
 
 describe('the memory of a process', () => {
@@ -14,7 +14,7 @@
   })
 
   it('gives the smallest deployment, with a heap of 110 MB, the least bound of 16 MiB', () => {
-    expect(unreadBound(0, processMemory({ constrained: 2 ** 64, heap: 114e6 }))).toBe(16_777_216)
+    expect(heldBound(0, processMemory({ constrained: 2 ** 64, heap: 114e6 }))).toBe(16_777_216)
   })
 
   it('is read from the environment without an error', () => {
--- a/src/slowReaders/slowReaders.spec.ts
+++ b/src/slowReaders/slowReaders.spec.ts
@@ -1,5 +1,6 @@
 /** Guards against slow callers that take the memory of an instance, and against cuts of callers that are not the cause. */
-import { decideCuts, unreadBound, type UnreadResponse } from './slowReaders.js'
+import { heldBound } from '../heldBytes/heldBound.js'
+import { decideCuts, type UnreadResponse } from './slowReaders.js'
 
 const mebibyte = 1_048_576
 const build = (request: number, overrides: Partial<UnreadResponse> = {}): UnreadResponse => ({ request, workspace: 'a', held: mebibyte, progressAt: 0, begun: true, ...overrides })
@@ -32,11 +33,11 @@
   })
 
   it('hold a twelfth of the memory, bounded below and above, 64 MiB where it is not known, or what the settings say', () => {
-    expect(unreadBound(0, 186e6)).toBe(16_777_216)
-    expect(unreadBound(0, 1_200e6)).toBe(100e6)
-    expect(unreadBound(0, 1e12)).toBe(268_435_456)
-    for (const memory of [undefined, 0, -1, NaN]) expect(unreadBound(0, memory)).toBe(67_108_864)
-    expect(unreadBound(5, 186e6)).toBe(5)
+    expect(heldBound(0, 186e6)).toBe(16_777_216)
+    expect(heldBound(0, 1_200e6)).toBe(100e6)
+    expect(heldBound(0, 1e12)).toBe(268_435_456)
+    for (const memory of [undefined, 0, -1, NaN]) expect(heldBound(0, memory)).toBe(67_108_864)
+    expect(heldBound(5, 186e6)).toBe(5)
   })
 
   it('among 5,000 are found in a few ms', () => {
