A body whose announced length is far over the limit is refused before it is read

What callers saw: a client that announces 4 GB is told of the limit only after it has sent as much as the limit allows, also if it had asked with Expect: 100-continue whether to send.

Cause: the length was counted as it came; the announced one was not looked at, and 100 Continue was sent for any.

Change: an announced length of more than four times the limit is refused at once with 413.

Evidence: the check of frontBodies.spec.ts, with and without Expect, failed before (nothing was answered until the body came) and passes.

--- a/src/adapters/frontBodies.spec.ts
+++ b/src/adapters/frontBodies.spec.ts
@@ -68,4 +68,22 @@
     callers[1].socket.destroy()
     await waitFor(() => fixture.front.bodyBytes() === 0)
   })
+
+  // Guards against a body far over the limit that is read although its length is announced.
+  it('refuses a body at once whose announced length is far over the limit, also before it is told to send it', async () => {
+    fixture = await startFront()
+    fixture.front.setLimits(limits)
+    for (const [index, expectation] of ['', 'Expect: 100-continue\r\n'].entries()) {
+      const caller = await fixture.open()
+      caller.socket.write(`POST /a/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: huge\r\n${expectation}Content-Length: 4000000000\r\n\r\n`)
+      await waitFor(() => fixture.inputs.length > index)
+      expect(fixture.inputs[index]).toMatchObject({ kind: 'call.unreadable', problem: { kind: 'bodyTooLarge', limit: limits.bodyBytes } })
+      expect(caller.text()).not.toContain('100 Continue')
+    }
+    const usual = await fixture.open()
+    usual.socket.write('POST /a/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: usual\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n')
+    await waitFor(() => usual.text().includes('100 Continue'))
+    usual.socket.write('hello')
+    await fixture.arrived('usual')
+  })
 })
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -89,6 +89,8 @@
 const checkInterval = 1_000
 /** Idle time of a connection before the first TCP keep-alive probe, in ms. */
 const keepAliveProbeDelay = 1_000
+/** An announced length of more than so many times the limit of a body is refused before the body is read. */
+const farOverLimit = 4
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304])
 
 interface OpenRequest {
@@ -220,7 +222,7 @@
     rejectBody(refusal.request, openRequest, refusal.reason === 'noMemory' ? { kind: 'noMemory' } : { kind: 'bodyStalled' })
   }
 
-  const handleRequest = (message: IncomingMessage, response: ServerResponse): void => {
+  const handleRequest = (message: IncomingMessage, response: ServerResponse, expectsContinue = false): void => {
     lastRequest++
     const request = lastRequest
     const body = createByteBuffer()
@@ -234,6 +236,10 @@
     /** A request may be as long as when it began, or as it may be now. */
     const bodyLimit = (): number => Math.max(bodyBytes, limits.bodyBytes)
 
+    // The limit may still be raised while a body somewhat over it arrives.
+    if (Number(message.headers['content-length'] ?? 0) > bodyLimit() * farOverLimit) rejectBody(request, openRequest, { kind: 'bodyTooLarge', limit: bodyLimit() })
+    else if (expectsContinue) response.writeContinue()
+
     message.on('data', (chunk: Buffer) => {
       garbage.noteReceived(chunk.length)
       if (openRequest.stage !== 'reading') return
@@ -286,7 +292,8 @@
     keepAliveTimeout: limits.idleTimeout,
     headersTimeout: limits.headerTimeout,
     requestTimeout: 0
-  }, handleRequest)
+  }, (message, response) => handleRequest(message, response))
+  server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => handleRequest(message, response, true))
   const connections = followCallerConnections(server, endAll)
   const bodies = createRequestBodies({
     limits: () => ({ bound: (options.bodiesBound ?? (() => heldBound(0, undefined)))(), bodyBytes: limits.bodyBytes }),
