A request whose body does not go on is refused after the idle timeout

What callers saw: with a head that announces 100 bytes and no body, a connection stays open for good; as many of them as an instance has descriptors keep all new callers out until they leave.

Cause: the header timeout ends with the head, and the idle timeout begins after the answer. Between them nothing limited how long a body may stand still.

A body that goes on, however slowly, is read. Line bodyRefused with reason stalled.

--- a/src/adapters/frontBodies.spec.ts
+++ b/src/adapters/frontBodies.spec.ts
@@ -69,6 +69,18 @@
     await waitFor(() => fixture.front.bodyBytes() === 0)
   })
 
+  // Guards against connections that are held open for good by a body that never comes.
+  it('refuses a body that does not go on for the idle timeout', async () => {
+    const refusals: BodyRefusal[] = []
+    fixture = await startFront({ onBodyRefused: refusal => refusals.push(refusal) })
+    fixture.front.setLimits({ ...limits, idleTimeout: 50 })
+    const caller = await fixture.open()
+    caller.socket.write('POST /a/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: never\r\nContent-Length: 5\r\n\r\n')
+    await waitFor(() => fixture.inputs.length > 0)
+    expect(fixture.inputs).toEqual([{ kind: 'call.unreadable', request: 1, problem: { kind: 'bodyStalled' } }])
+    expect(refusals).toMatchObject([{ id: 'never', reason: 'stalled', held: 0 }])
+  })
+
   // Guards against a body far over the limit that is read although its length is announced.
   it('refuses a body at once whose announced length is far over the limit, also before it is told to send it', async () => {
     fixture = await startFront()
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -303,6 +303,8 @@
     now: () => performance.now()
   })
   const garbage = createBufferGarbage({ inUse: () => bodies.heldBytes() + unread.measure() })
+  const sweepTimer = setInterval(bodies.sweep, checkInterval)
+  sweepTimer.unref()
 
   const writeHead = (request: number, openRequest: OpenRequest, status: number, headers: readonly string[]): void => {
     const { message, response } = openRequest
@@ -395,6 +397,7 @@
     bodyBytes: bodies.heldBytes,
     unreadBytes: unread.measure,
     destroy: () => {
+      clearInterval(sweepTimer)
       server.close()
       for (const openRequest of openRequests.values()) {
         connections.noteEnd(openRequest.message.socket, 'shutdown')
