Small request bodies may take all the memory that large ones leave

Change: the part of small bodies is what large ones leave, a quarter at least. Large ones still never take that quarter.

--- a/src/adapters/requestBodies.ts
+++ b/src/adapters/requestBodies.ts
@@ -74,7 +74,7 @@
     account(body, bytes)
     body.progressAt = now()
     const bodyClass = bodyClassOf(body.held)
-    const bound = classBound(bodyClass, limits())
+    const bound = classBound(bodyClass, limits(), sums.large)
     if (sums[bodyClass] <= bound) return true
     refuseAll(refuseForMemory(bodiesOf(({ held }) => bodyClassOf(held) === bodyClass), bound, now()))
     return tracked.has(request)
--- a/src/requestBodies/requestBodies.spec.ts
+++ b/src/requestBodies/requestBodies.spec.ts
@@ -30,9 +30,17 @@
 
   it('that are small have a part of the bound of their own, and one of the full size always has room', () => {
     expect([0, 131_072, 131_073].map(bodyClassOf)).toEqual(['small', 'small', 'large'])
-    expect(classBound('small', { bound: 16 * mebibyte, bodyBytes: 4 * mebibyte })).toBe(4 * mebibyte)
-    expect(classBound('large', { bound: 16 * mebibyte, bodyBytes: 4 * mebibyte })).toBe(12 * mebibyte)
-    expect(classBound('large', { bound: 16 * mebibyte, bodyBytes: 100 * mebibyte })).toBe(100 * mebibyte)
+    const limits = { bound: 16 * mebibyte, bodyBytes: 4 * mebibyte }
+    expect(classBound('small', limits, 12 * mebibyte)).toBe(4 * mebibyte)
+    expect(classBound('large', limits, 12 * mebibyte)).toBe(12 * mebibyte)
+    expect(classBound('large', { ...limits, bodyBytes: 100 * mebibyte }, 0)).toBe(100 * mebibyte)
+  })
+
+  // Guards against refusals of the usual requests while there is memory.
+  it('that are small may take all that large ones leave', () => {
+    const limits = { bound: 16 * mebibyte, bodyBytes: 4 * mebibyte }
+    expect(classBound('small', limits, 0)).toBe(16 * mebibyte)
+    expect(classBound('small', limits, 5 * mebibyte)).toBe(11 * mebibyte)
   })
 
   it('are given up after the longest time without a byte, and not while they wait for a worker', () => {
--- a/src/requestBodies/requestBodies.ts
+++ b/src/requestBodies/requestBodies.ts
@@ -1,9 +1,10 @@
 /**
  * Which request bodies an instance gives up. Bodies of all requests that are being
  * read or are in progress count against one bound. A quarter of it is kept for small
- * ones, so that large bodies, however many, never displace the usual requests. When a
- * class of size exceeds its part, bodies that are still being read give way: none of
- * them has reached a worker, so their callers can be told that they have not run.
+ * ones, so that large bodies, however many, never displace the usual requests; small
+ * ones may take all that large ones leave. When a class of size exceeds its part, bodies
+ * that are still being read give way: none of them has reached a worker, so their
+ * callers can be told that they have not run.
  */
 import { assertNever } from '../errors.js'
 import { heaviestFirst, stalledTime, type HeldBytes } from '../heldBytes/heaviestFirst.js'
@@ -46,11 +47,18 @@
 /** Class of a body of so many bytes. */
 export const bodyClassOf = (bytes: number): BodyClass => bytes <= maxSmallBytes ? 'small' : 'large'
 
-/** Bound for the bodies of a class, in bytes. */
-export const classBound = (bodyClass: BodyClass, { bound, bodyBytes }: BodyLimits): number => {
+/**
+ * Bound for the bodies of a class, in bytes.
+ *
+ * @param bodyClass - the class
+ * @param limits - what all bodies may take
+ * @param largeBytes - number of bytes of the large bodies
+ */
+export const classBound = (bodyClass: BodyClass, { bound, bodyBytes }: BodyLimits, largeBytes: number): number => {
+  const smallPart = bound * smallShare
   switch (bodyClass) {
-    case 'small': return bound * smallShare
-    case 'large': return Math.max(bound * (1 - smallShare), bodyBytes)
+    case 'small': return Math.max(smallPart, bound - largeBytes)
+    case 'large': return Math.max(bound - smallPart, bodyBytes)
     default: return assertNever(bodyClass)
   }
 }
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -47,7 +47,7 @@
   }).prefault({}),
   memory: z.strictObject({
     limit: withDefault(number('MB', 0, 2 ** 20, 'Memory that the process may take, in units of 1,000,000 bytes; 0 reads it from the control group or derives it from the limit of the heap.'), 0),
-    bodies: withDefault(integer('bytes', 0, 2 ** 40, 'Bound for the bodies of all requests that are being read or in progress; 0 derives it from the memory of the process as for `unread`. A quarter is kept for bodies of up to 128 KiB; beyond the bound, bodies that are still being read give way with status 503, those of the workspace that holds the most first. There is always room for one body of the full size.'), 0),
+    bodies: withDefault(integer('bytes', 0, 2 ** 40, 'Bound for the bodies of all requests that are being read or in progress; 0 derives it from the memory of the process as for `unread`. A quarter is kept for bodies of up to 128 KiB, which may take all that larger ones leave; beyond the bound, bodies that are still being read give way with status 503, those of the workspace that holds the most first. There is always room for one body of the full size.'), 0),
     unread: withDefault(integer('bytes', 0, 2 ** 40, 'Bound for what callers together have not read of their responses; 0 derives it from the memory of the process, as its control group or the limit of its heap states it: a twelfth of it, from 16 MiB to 256 MiB, or 64 MiB if neither does.'), 0)
   }).prefault({}),
   weights: z.strictObject({
