Connections of callers are bounded by the descriptors of the process

What callers saw: 500 connections that send nothing, or a head without its body, take all 400 descriptors of an instance; each new caller is reset until the header timeout has passed, and with a head but no body for as long as the connections stay. The listener of the directory has no limit either, and takes descriptors of the same process.

Cause: the number of connections was not limited at any listener, so neither callers nor the instance's own connections found a descriptor.

Ruled out: memory. 2,000 open heads add 3 MB.

Change: callers may have 0.6 of the descriptors, the listeners for readiness, directory and metrics 0.05 each ([listen] descriptors, by default the limit of the process; the template names it). Beyond that the connection with the least claim is closed: the oldest without a request, the one whose body has stopped the longest, the one idle the longest. One with a request in progress never is. Closed connections count with the reason noRoom.

--- a/src/adapters/adapterErrors.spec.ts
+++ b/src/adapters/adapterErrors.spec.ts
@@ -40,7 +40,7 @@
 describe('a status page', () => {
   it.each([['throws', () => { throw new TypeError('broken') }], ['rejects', () => Promise.reject(new TypeError('broken'))]])('whose handler %s is answered with status 500, and the next one is served', async (_how, answer) => {
     const { errors, report } = buildErrors()
-    const server = await startStatusServer('127.0.0.1', 0, { '/bad': answer, '/good': () => ({ status: 200, contentType: 'text/plain', body: 'ok' }) }, report)
+    const server = await startStatusServer('127.0.0.1', 0, { '/bad': answer, '/good': () => ({ status: 200, contentType: 'text/plain', body: 'ok' }) }, () => Infinity, report)
     const { port } = server.address() as AddressInfo
     expect(await get(port, '/bad')).toMatchObject({ status: 500 })
     expect(await get(port, '/%zz')).toMatchObject({ status: 404 })
--- a/src/adapters/callerConnections.ts
+++ b/src/adapters/callerConnections.ts
@@ -6,6 +6,7 @@
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
 import type { ConnectionEnd, ConnectionHistory } from '../ports/forwardPort.js'
+import { connectionToClose, type ConnectionUse } from '../callerConnections/connectionLimit.js'
 import { afterNextRead } from './nextRead.js'
 
 /** The connections of a server. */
@@ -67,6 +68,8 @@
   last: number
   /** Keep-alive timeout that the newest response announces, in ms. */
   keepAlive: number
+  /** When the newest request ended, in ms; when the connection was opened before the first one. */
+  endedAt: number
 }
 
 /** Time beyond its keep-alive timeout after which an idle connection is closed, in ms. */
@@ -101,8 +104,10 @@
  *
  * @param server - the server, which is not listening yet
  * @param onClosed - called for each closed connection
+ * @param limit - largest number of connections
+ * @param readingSince - when the last byte of the body came that is being read on a connection with this newest request, in ms; undefined if it has been read
  */
-export const followCallerConnections = (server: Server, onClosed: ConnectionClosed): CallerConnections => {
+export const followCallerConnections = (server: Server, onClosed: ConnectionClosed, limit: () => number, readingSince: (request: number) => number | undefined): CallerConnections => {
   const open = new Map<Socket, Connection>()
   const ends = new WeakMap<Duplex, ConnectionEnd>()
   const rejected = new WeakSet<Duplex>()
@@ -164,6 +169,7 @@
     if (connection === undefined) return
     connection.requests.delete(request)
     connection.readAtLastEnd = socket.bytesRead
+    connection.endedAt = performance.now()
     extendKeepAlive(socket, connection)
   }
 
@@ -220,6 +226,21 @@
     afterNextRead(() => { if (isUnused()) destroy(socket, 'shutdown') })
   }
 
+  const useOf = (connection: Connection): ConnectionUse => {
+    const { carried, endedAt, newest, requests } = connection
+    if (carried === 0) return { kind: 'unused', since: endedAt }
+    if (requests.size === 0) return { kind: 'idle', since: endedAt }
+    const since = requests.size === 1 ? readingSince(newest) : undefined
+    return since === undefined ? { kind: 'busy' } : { kind: 'reading', since }
+  }
+
+  /** Closes the connection with the least claim if there are more than the limit. */
+  const makeRoom = (added: Socket): void => {
+    if (open.size <= limit()) return
+    const others = [...open].flatMap(([socket, connection]) => socket === added ? [] : [[socket, useOf(connection)] as const])
+    destroy(connectionToClose(others, performance.now()) ?? added, 'noRoom')
+  }
+
   const countByUse = (): ConnectionCounts => {
     const all = [...open.values()]
     const busy = all.filter(({ requests }) => requests.size > 0).length
@@ -234,7 +255,7 @@
   }
 
   server.on('connection', socket => {
-    const connection: Connection = { openedAt: performance.now(), carried: 0, requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity, keepAlive: server.keepAliveTimeout }
+    const connection: Connection = { openedAt: performance.now(), carried: 0, requests: new Set(), readAtLastEnd: undefined, newest: 0, last: Infinity, keepAlive: server.keepAliveTimeout, endedAt: performance.now() }
     open.set(socket, connection)
     // The server calls it after a response that announced the end of its connection.
     socket.destroySoon = () => linger(socket)
@@ -246,6 +267,7 @@
       onClosed(connection.requests, endOf(socket))
       for (const resolve of closeWaiters.splice(0)) resolve()
     })
+    makeRoom(socket)
   })
   server.on('timeout', socket => {
     const connection = open.get(socket)
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -39,6 +39,8 @@
   readonly onReaderCut?: (cut: ReaderCut & { /** Id of the request. */ readonly id: string }) => void
   /** Bound for the bodies of all requests together, in bytes; by default as without a known limit of the memory. */
   readonly bodiesBound?: () => number
+  /** Largest number of connections; by default any. */
+  readonly maxConnections?: () => number
   /** Finds the workspace that an API key belongs to. */
   readonly workspaceOfKey?: (key: string) => string | undefined
   /** Called for each request whose body is given up. */
@@ -294,7 +296,7 @@
     requestTimeout: 0
   }, (message, response) => handleRequest(message, response))
   server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => handleRequest(message, response, true))
-  const connections = followCallerConnections(server, endAll)
+  const connections = followCallerConnections(server, endAll, options.maxConnections ?? (() => Infinity), request => bodies.readingSince(request))
   const bodies = createRequestBodies({
     limits: () => ({ bound: (options.bodiesBound ?? (() => heldBound(0, undefined)))(), bodyBytes: limits.bodyBytes }),
     stallTime: () => limits.idleTimeout,
--- a/src/adapters/requestBodies.ts
+++ b/src/adapters/requestBodies.ts
@@ -28,6 +28,8 @@
   readonly complete: (request: number) => void
   /** Forgets a request that has ended, or whose body is not kept. */
   readonly end: (request: number) => void
+  /** When the last byte of a body that is being read came, in ms; undefined if it has been read whole. */
+  readonly readingSince: (request: number) => number | undefined
   /** Number of bytes of all bodies. */
   readonly heldBytes: () => number
   /** Gives up the bodies that do not go on. */
@@ -88,6 +90,10 @@
       if (body !== undefined) body.whole = true
     },
     end,
+    readingSince: request => {
+      const body = tracked.get(request)
+      return body === undefined || body.whole ? undefined : body.progressAt
+    },
     heldBytes: () => sums.small + sums.large,
     sweep: () => refuseAll(refuseStalled(bodiesOf(({ whole }) => !whole), stallTime(), now()))
   }
--- a/src/gateway/gatewayBounds.spec.ts
+++ b/src/gateway/gatewayBounds.spec.ts
@@ -3,7 +3,7 @@
 
 const build = (strict: boolean): GatewaySettings => ({
   instance: { id: 'a', data_centre: 'a', host: '10.0.0.1', processors: 1, processor_speed: 1, log_level: 'info' },
-  listen: { front: '10.0.0.1:1', ready: '10.0.0.1:2', directory: '10.0.0.1:3', peer_port: 4, metrics_port: 5 },
+  listen: { front: '10.0.0.1:1', ready: '10.0.0.1:2', directory: '10.0.0.1:3', peer_port: 4, descriptors: 0, metrics_port: 5 },
   platform: { store: '10.0.0.2:1' },
   configuration: { apply_within: 2_000, revoke_within: 5_000, strict_revoke: strict },
   retries: { fraction: 0.2, slack: 50, window: 10 },
--- a/src/ports/forwardPort.ts
+++ b/src/ports/forwardPort.ts
@@ -159,6 +159,8 @@
   | 'backlog'
   /** No request came within the keep-alive timeout. */
   | 'idleTimeout'
+  /** There were more connections than the instance may have, and this one had the least claim. */
+  | 'noRoom'
   /** The headers of a request were not complete in time. */
   | 'headerTimeout'
   /** What the caller sent is not HTTP, or its headers are too large. */
--- a/src/processes/gateway.ts
+++ b/src/processes/gateway.ts
@@ -5,6 +5,7 @@
 import { createPeerTcp } from '../adapters/peerTcp.js'
 import { startStatusServer } from '../adapters/statusServer.js'
 import { createWorkerChannels } from '../adapters/workerChannels.js'
+import { connectionLimitsOf, type ConnectionLimits } from '../callerConnections/connectionLimit.js'
 import { assertNever } from '../errors.js'
 import { boundsOf } from '../gateway/gatewayBounds.js'
 import { createErrorReports } from '../gateway/errorReports.js'
@@ -21,6 +22,7 @@
 import type { BodyRefusal } from '../requestBodies/requestBodies.js'
 import type { GatewaySettings } from '../settings/gatewaySettings.js'
 import type { ReaderCut } from '../slowReaders/slowReaders.js'
+import { readDescriptorLimit } from './processDescriptors.js'
 import { processMemory, readMemoryLimits } from './processMemory.js'
 
 /** A running gateway. */
@@ -62,6 +64,8 @@
   return { unread: heldBound(memory.unread, available), bodies: heldBound(memory.bodies, available) }
 }
 
+const limitsOfConnections = ({ listen: { descriptors } }: GatewaySettings): ConnectionLimits => connectionLimitsOf(descriptors > 0 ? descriptors : readDescriptorLimit())
+
 /** Reads the monotonic clock and the wall clock of this process, both in ms. */
 export const readClocks = (): Moment => ({ steady: performance.now(), wall: Date.now() })
 
@@ -90,6 +94,7 @@
   const platform = createPlatform(initialSettings.platform.store, readClocks)
   let bounds = boundsOf(initialSettings)
   let held = heldBounds(initialSettings)
+  let connectionLimits = limitsOfConnections(initialSettings)
   const hash = await loadHash()
   const gateway = createGateway({
     self: { id: instance.id, incarnation, dataCentre: instance.data_centre, front: listen.front, peer: { host: instance.host, port: listen.peer_port }, capacity: instance.processors * instance.processor_speed },
@@ -129,7 +134,7 @@
     metrics.bodyRefused(refusal.reason)
     logger.warn({ id: refusal.id, reason: refusal.reason, workspace: refusal.workspace, held: refusal.held, stalled: refusal.stalled, bodies: front.bodyBytes(), bound: held.bodies }, 'bodyRefused')
   }
-  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall, nameRequest: platform.codec.nameRequest, onConnectionClosed: metrics.callerConnectionClosed, reportError, unreadBound: () => held.unread, bodiesBound: () => held.bodies, workspaceOfKey: gateway.workspaceOfKey, onReaderCut, onBodyRefused }, receive)
+  const front = createFrontServer({ ...splitHostPort(listen.front), headerBytes, decode: platform.codec.decodeCall, nameRequest: platform.codec.nameRequest, onConnectionClosed: metrics.callerConnectionClosed, reportError, unreadBound: () => held.unread, bodiesBound: () => held.bodies, maxConnections: () => connectionLimits.callers, workspaceOfKey: gateway.workspaceOfKey, onReaderCut, onBodyRefused }, receive)
   const channels = createWorkerChannels({ codec: platform.codec, emit: receive, onConnectionOpened: metrics.connectionOpened, reportError })
   const peers = createPeerTcp({ id: instance.id, incarnation, host: instance.host, port: listen.peer_port, frameLimit, connectTimeout: peerConnectTimeout, reconnectDelay: peerReconnectDelay }, {
     emit: receive,
@@ -208,15 +213,16 @@
     const ready = gateway.isReady(readClocks())
     return { status: ready ? 200 : 503, contentType: 'text/plain', body: ready ? 'ready\n' : 'not ready\n' }
   }
+  const statusLimit = (): number => connectionLimits.status
   const ready = splitHostPort(listen.ready)
   const directory = splitHostPort(listen.directory)
   servers.push(
-    await startStatusServer(ready.host, ready.port, { [platform.statusRoutes.readyPath]: readyAnswer }, reportError),
-    await startStatusServer(directory.host, directory.port, { [platform.statusRoutes.directoryPath]: directoryAnswer }, reportError),
+    await startStatusServer(ready.host, ready.port, { [platform.statusRoutes.readyPath]: readyAnswer }, statusLimit, reportError),
+    await startStatusServer(directory.host, directory.port, { [platform.statusRoutes.directoryPath]: directoryAnswer }, statusLimit, reportError),
     await startStatusServer(instance.host, listen.metrics_port, {
       '/metrics': async () => ({ status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics() }),
       '/dump': () => ({ status: 200, contentType: 'application/json', body: JSON.stringify(gateway.dump(readClocks())) })
-    }, reportError)
+    }, statusLimit, reportError)
   )
   const link = platform.open(receive, problem => {
     metrics.platformError(problem.kind)
@@ -235,6 +241,7 @@
     reload: settings => {
       bounds = boundsOf(settings)
       held = heldBounds(settings)
+      connectionLimits = limitsOfConnections(settings)
       logger.info({ bounds }, 'reloaded')
     }
   }
--- a/src/processes/gatewayErrors.spec.ts
+++ b/src/processes/gatewayErrors.spec.ts
@@ -22,7 +22,7 @@
 
 const buildSettings = ([front, ready, directory, peer, metrics]: readonly number[]): GatewaySettings => ({
   instance: { id: 'a', data_centre: 'a', host: '127.0.0.1', processors: 1, processor_speed: 1, log_level: 'error' },
-  listen: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`, directory: `127.0.0.1:${directory}`, peer_port: peer, metrics_port: metrics },
+  listen: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`, directory: `127.0.0.1:${directory}`, peer_port: peer, descriptors: 0, metrics_port: metrics },
   platform: { store: '127.0.0.1:1' },
   configuration: { apply_within: 2_000, revoke_within: 5_000, strict_revoke: false },
   retries: { fraction: 0.2, slack: 50, window: 10 },
--- a/src/settings/gatewaySettings.spec.ts
+++ b/src/settings/gatewaySettings.spec.ts
@@ -21,6 +21,7 @@
   'bounds.graceS': '8',
   'bounds.versionApplyMs': '8000',
   'limits.memoryMb': '200',
+  'limits.maxFds': '4100',
   'limits.cpuShare': '0.675',
   'limits.cores': '1'
 }
@@ -34,7 +35,7 @@
   it('accepts the rendered template of the platform', () => {
     expect(parse(renderTemplate())._unsafeUnwrap()).toMatchObject({
       instance: { id: 'front-a-1', data_centre: 'a' },
-      listen: { peer_port: 7_340 },
+      listen: { peer_port: 7_340, descriptors: 4_100 },
       memory: { limit: 200, bodies: 0, unread: 0 },
       retries: { fraction: 0.2, slack: 52, window: 10 },
       shutdown: { grace: 8 },
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -23,6 +23,7 @@
     ready: ipAndPort('Address and port of the readiness check for the platform.'),
     directory: ipAndPort('Address and port of the directory, from which callers get the addresses of instances.'),
     peer_port: port('Port for other instances.'),
+    descriptors: withDefault(integer('descriptors', 0, 2 ** 30, 'Descriptors that the process may open; 0 takes the limit that the system states for it. Callers may have connections on 0.6 of them, and each of `ready`, `directory` and `metrics_port` on 0.05; beyond that the one without a request, whose body has stopped, or idle for the longest time is closed.'), 0),
     metrics_port: withDefault(port('Port for metrics and the state dump.'), 9464)
   }),
   platform: z.strictObject({
