Answers to relayed requests count against the bound of held answers

What callers would see: an instance that is cut off from a service's workers passes requests on to another one. If that, or whatever has its address by then, answers without end, the first one keeps all of it and runs out of memory: 67 MB of one answer were held where 9 MiB are the limit, and any number beside it.

Cause: held answers were counted for attempts at workers only; the body and the incomplete event of a relayed request were collected beside that.

Change: both count (heldAnswers.ts); the largest is given up when the sum is exceeded, and a relayed request that is given up ends as any that was not answered whole: it is retried if its route allows that, else 502 unknown.

--- a/src/forwarding/attemptInputs.ts
+++ b/src/forwarding/attemptInputs.ts
@@ -34,6 +34,8 @@
   readonly suspectWorkers: SuspectWorkers
   readonly attempts: AttemptsInProgress
   readonly heldAnswers: HeldAnswers
+  /** Gives up an attempt or a relayed request whose answer is too large to be held; undefined stands for none. */
+  readonly giveUpOversized: (id: number | undefined, time: DecisionTime) => void
   readonly seconds: SecondAttempts
   readonly responses: CallerResponses
   /** Retries a request if the retry budget allows it, else refuses it with `fallback`. */
@@ -63,7 +65,7 @@
  *
  * @param options - state of the instance and the steps that follow the end of an attempt
  */
-export const createAttemptInputs = ({ context, suspectWorkers, attempts, heldAnswers, seconds, responses, retry, placeAgain, canRetry }: AttemptInputsOptions): AttemptInputs => {
+export const createAttemptInputs = ({ context, suspectWorkers, attempts, heldAnswers, giveUpOversized, seconds, responses, retry, placeAgain, canRetry }: AttemptInputsOptions): AttemptInputs => {
   const isSecond = (exchange: Exchange, attempt: Attempt): boolean => exchange.second === attempt
 
   const handleRejection = (exchange: Exchange, attempt: Attempt, head: AnswerHead, time: DecisionTime): void => {
@@ -209,13 +211,6 @@
     complete(exchange, attempt, head, time.now)
   }
 
-  /** Closes the connection of an attempt whose answer is too large to be held, which then has failed; undefined stands for none. */
-  const giveUpOversized = (attempt: number | undefined, time: DecisionTime): void => {
-    if (attempt === undefined) return
-    context.emit({ kind: 'attempt.cancel', attempt })
-    handle({ kind: 'attempt.failed', attempt, failure: 'oversized' }, time)
-  }
-
   const handle = (input: AttemptInput, time: DecisionTime): void => {
     const found = attempts.find(input.attempt)
     if (found === undefined) return
--- a/src/forwarding/callerResponses.ts
+++ b/src/forwarding/callerResponses.ts
@@ -6,6 +6,7 @@
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Attempt, Exchange } from './forwardingTypes.js'
 import { isStream, isSuccess } from './exchangeKind.js'
+import type { HeldAnswers } from './heldAnswers.js'
 import { noteQuotaRefusal, releaseCredit } from './quotaCredit.js'
 import { outcomeOf, refusalResponse, type Refusal } from './refusal.js'
 
@@ -45,8 +46,9 @@
  * @param waitingQueue - the requests that wait for a worker
  * @param attempts - the attempts in progress
  * @param relayed - the requests that other instances have, by the id of the relay
+ * @param heldAnswers - what is held of their answers
  */
-export const createCallerResponses = (context: ForwardingContext, exchanges: Map<number, Exchange>, waitingQueue: WaitingQueue, attempts: AttemptsInProgress, relayed: Map<number, Exchange>): CallerResponses => {
+export const createCallerResponses = (context: ForwardingContext, exchanges: Map<number, Exchange>, waitingQueue: WaitingQueue, attempts: AttemptsInProgress, relayed: Map<number, Exchange>, heldAnswers: Pick<HeldAnswers, 'release'>): CallerResponses => {
   const elapsed = (exchange: Exchange, now: number): number => Math.round(now - exchange.arrivedAt)
 
   const sendRefusal = (request: number, id: string, refusal: Refusal, after: number, moment: Moment): void => {
@@ -68,6 +70,7 @@
     const { id } = exchange.relay
     exchange.relay = undefined
     relayed.delete(id)
+    heldAnswers.release(id)
     context.emit({ kind: 'attempt.cancel', attempt: id })
   }
 
--- a/src/forwarding/forwardingMachine.ts
+++ b/src/forwarding/forwardingMachine.ts
@@ -86,12 +86,21 @@
   const heldAnswers = createHeldAnswers()
   const attempts = createAttemptsInProgress(context, heldAnswers)
   const relayed = new Map<number, Exchange>()
-  const responses = createCallerResponses(context, exchanges, waitingQueue, attempts, relayed)
+  const responses = createCallerResponses(context, exchanges, waitingQueue, attempts, relayed, heldAnswers)
   const isolation = createRequestIsolation({ context, exchanges, responses, removeWaiting: waitingQueue.remove })
+  /** Closes the connection on which a too large answer comes; its attempt or relayed request has then failed. */
+  const giveUpOversized = (attempt: number | undefined, time: DecisionTime): void => {
+    if (attempt === undefined) return
+    context.emit({ kind: 'attempt.cancel', attempt })
+    handleInput({ kind: 'attempt.failed', attempt, failure: 'oversized' }, time)
+  }
+
   const relays = createRelays({
     context,
     byId: relayed,
     responses,
+    heldAnswers,
+    giveUpOversized,
     nextId: attempts.nextId,
     placeAgain: (exchange, time) => tryPlacement(exchange, 'unsent', time),
     retry: (exchange, time) => retry(exchange, exchange.events > 0 ? 'resume' : 'failed', { kind: 'broken' }, time)
@@ -176,6 +185,7 @@
     suspectWorkers,
     attempts,
     heldAnswers,
+    giveUpOversized,
     seconds,
     responses,
     retry,
--- a/src/forwarding/heldAnswers.ts
+++ b/src/forwarding/heldAnswers.ts
@@ -1,15 +1,19 @@
 /**
- * Bounds the memory for workers' answers that are held until they are complete:
- * bodies that are not streamed, and the incomplete last event of each stream. A
- * worker that sends bytes without end thus costs only its own request.
+ * Bounds the memory for answers that are held until they are complete: bodies that
+ * are not streamed, and the incomplete last event of each stream. A worker, or an
+ * instance to which a request was passed on, that sends bytes without end thus costs
+ * only its own request.
  */
 import type { Attempt } from './forwardingTypes.js'
 
-/** Bytes held for the attempts of one instance. */
+/** What is held of the answer to an attempt or a relayed request. */
+export type HeldAnswer = Pick<Attempt, 'id' | 'body' | 'splitter'>
+
+/** Bytes held for the attempts and relayed requests of one instance. */
 export interface HeldAnswers {
-  /** Notes what is held for an attempt; returns the id of an attempt that has to be given up, or undefined if none has. */
-  readonly note: (attempt: Attempt) => number | undefined
-  /** Forgets an attempt that has ended. */
+  /** Notes what is held of an answer; returns the id of an attempt or relayed request that has to be given up, or undefined if none has. */
+  readonly note: (answer: HeldAnswer) => number | undefined
+  /** Forgets an attempt or a relayed request that has ended. */
   readonly release: (attempt: number) => void
 }
 
@@ -38,7 +42,7 @@
     return found
   }
 
-  const note = ({ id, body, splitter }: Attempt): number | undefined => {
+  const note = ({ id, body, splitter }: HeldAnswer): number | undefined => {
     release(id)
     const size = body.size() + splitter.heldBytes()
     if (size === 0) return undefined
--- a/src/forwarding/relays.ts
+++ b/src/forwarding/relays.ts
@@ -14,6 +14,7 @@
 import { isRetryable, isStream, isSuccess } from './exchangeKind.js'
 import type { DecisionTime, ForwardingContext } from './forwardingContext.js'
 import type { Exchange, Relay } from './forwardingTypes.js'
+import type { HeldAnswers } from './heldAnswers.js'
 import { handCreditOver } from './quotaCredit.js'
 import { promisesNotRun } from './refusal.js'
 import { continuedStream, goesOn } from './streamContinuation.js'
@@ -40,6 +41,10 @@
   /** The relayed requests in progress, by the id of the relay. */
   readonly byId: Map<number, Exchange>
   readonly responses: CallerResponses
+  /** What is held of answers, those of workers included. */
+  readonly heldAnswers: HeldAnswers
+  /** Gives up an attempt or a relayed request whose answer is too large to be held; undefined stands for none. */
+  readonly giveUpOversized: (id: number | undefined, time: DecisionTime) => void
   /** Returns a number that no attempt has. */
   readonly nextId: () => number
   /** Places a request that reached no other instance. */
@@ -60,7 +65,7 @@
  *
  * @param options - state and outputs of the instance
  */
-export const createRelays = ({ context, byId, responses, nextId, placeAgain, retry }: RelaysOptions): Relays => {
+export const createRelays = ({ context, byId, responses, heldAnswers, giveUpOversized, nextId, placeAgain, retry }: RelaysOptions): Relays => {
   const begin = (exchange: Exchange, peers: readonly RelayPeer[], { now }: DecisionTime): void => {
     const { call, deadline } = exchange
     const { id: peer, front } = peers[context.random.below(peers.length)]
@@ -78,6 +83,7 @@
 
   const end = (exchange: Exchange, relay: Relay): void => {
     byId.delete(relay.id)
+    heldAnswers.release(relay.id)
     exchange.relay = undefined
   }
 
@@ -151,7 +157,10 @@
     if (exchange === undefined || relay?.id !== input.attempt) return false
     switch (input.kind) {
       case 'attempt.head': handleHead(exchange, relay, input.head, time); break
-      case 'attempt.data': handleData(exchange, relay, input.bytes, time); break
+      case 'attempt.data':
+        handleData(exchange, relay, input.bytes, time)
+        if (byId.has(relay.id)) giveUpOversized(heldAnswers.note(relay), time)
+        break
       case 'attempt.ended': handleEnd(exchange, relay, time); break
       case 'attempt.failed':
         if (input.failure === 'unsent') handleUnsent(exchange, relay, time)
