A worker's head of too many lines is not handed to the HTTP library

What callers saw: while a faulty worker answers 200 requests at once with header lines without end, the instance takes 204 to 216 MB or ends for want of heap, and the ordinary requests of other callers wait for 11 s or are lost.

Cause: the HTTP library keeps two objects for each line, parses a whole read of 64 KiB although its limit of bytes is exceeded, and makes an error, with its stack, for each line beyond the limit. The limits here counted bytes after they had been parsed.

Ruled out: garbage that is collected late. With a heap limit of 90 MB in place of 110 the process ended; the objects were in use. A limit of 16 KiB in place of 64 did not help (211 MB).

Change: lines are counted before the library reads them. A head of more than 256 lines, interim ones included, closes the connection; the attempt fails as oversized, as before for too many bytes.

--- a/src/adapters/endlessBytes.spec.ts
+++ b/src/adapters/endlessBytes.spec.ts
@@ -42,6 +42,20 @@
     await fixture.close()
   })
 
+  // Guards against heads of many short lines, of each of which the HTTP library keeps objects.
+  it.each([
+    ['a head', ''],
+    ['a head after an interim one', 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n']
+  ])('%s of more than 256 lines is read no further, and one of fewer lines is served', async (_name, before) => {
+    const fixture = await buildFixture(socket => {
+      const lines = fixture.server.accepted() === 1 ? 250 : 260
+      socket.write(`${before}${okLine}${'X-A: b\r\n'.repeat(lines)}Content-Length: 5\r\nConnection: close\r\n\r\nhello`)
+    })
+    expect(await sendAttempt(fixture, 1)).toEqual({ kind: 'attempt.ended', attempt: 1 })
+    expect(await sendAttempt(fixture, 2)).toEqual({ kind: 'attempt.failed', attempt: 2, failure: 'oversized' })
+    await fixture.close()
+  })
+
   it('keeps its connection while it sends a large body in small chunks', async () => {
     const chunks = '1;a=bcdefgh\r\nx\r\n'.repeat(500_000)
     const fixture = await buildFixture(socket => { socket.write(`${chunked}${chunks}0\r\n\r\n`) })
--- a/src/adapters/workerConnection.ts
+++ b/src/adapters/workerConnection.ts
@@ -28,11 +28,59 @@
  */
 const maxFramingBytes = 131_072
 
+/** Maximum number of lines of a head. The HTTP library makes two objects of each line and an error of each one beyond its limit of bytes. */
+const maxHeadLines = 256
+const lineFeed = 10
+/** Begin of a response after which another one comes for the same request. */
+const interimPattern = /^HTTP\/1\.[01] 1\d\d/
+
 /** The worker sent too many bytes that belong to no response body. */
 export class OversizedFraming extends Error {
   override readonly name = 'OversizedFraming'
 }
 
+/** Counts the lines of a head that arrives in parts; returns false once there are too many. */
+const createHeadLines = (): (bytes: Buffer) => boolean => {
+  let lines = 0
+  let isInterim = false
+  /** Number of bytes of the present line that came before. */
+  let lineBytes = 0
+
+  return bytes => {
+    let start = 0
+    for (let end = bytes.indexOf(lineFeed); end >= 0; end = bytes.indexOf(lineFeed, start)) {
+      const length = lineBytes + end - start
+      lines++
+      if (lines > maxHeadLines) return false
+      if (lines === 1) isInterim = interimPattern.test(bytes.toString('latin1', start, end))
+      start = end + 1
+      lineBytes = 0
+      const endsHead = length <= 1 && lines > 1
+      if (!endsHead) continue
+      lines = 0
+      // What follows the head of a final response is its body.
+      if (!isInterim) return true
+    }
+    lineBytes += bytes.length - start
+    return true
+  }
+}
+
+/** Closes a connection on which a head of too many lines begins, before the HTTP library reads it. */
+const limitHeadLines = (socket: Socket, connection: Pick<WorkerConnection, 'receiving'>): void => {
+  let count = createHeadLines()
+  socket.on('readable', () => {
+    if (connection.receiving) {
+      count = createHeadLines()
+      return
+    }
+    const bytes = socket.read() as Buffer | null
+    if (bytes === null) return
+    if (!count(bytes)) socket.destroy(new OversizedFraming())
+    else socket.unshift(bytes)
+  })
+}
+
 /** Closes a connection on which more than `maxFramingBytes` in succession are no progress; returns a function that notes progress. */
 const limitFraming = (socket: Socket): () => void => {
   let progressed = false
@@ -58,6 +106,7 @@
   let reset = false
   let ended = false
   const connection: WorkerConnection = { receiving: false, reused: false, unsuccessful: new Set(), noteProgress: limitFraming(socket), isReset: () => reset, hasEnded: () => ended }
+  limitHeadLines(socket, connection)
   socket.once('error', () => { reset = true })
   socket.once('end', () => {
     ended = true
