A body that came while the process was suspended is read before it counts as stopped

What callers would see: an instance that was frozen for longer than the idle timeout refuses bodies with 408 although they lie in its socket.

Change: it runs after the next read, as the other time limits of connections do.

Evidence: the new check of frontBodies.spec.ts failed before and passes.

--- a/src/adapters/frontBodies.spec.ts
+++ b/src/adapters/frontBodies.spec.ts
@@ -1,5 +1,5 @@
 /** Guards against request bodies that take the memory of an instance. */
-import { startFront, type FrontFixture, type TestCaller } from '../../test/fixtures/front.js'
+import { startFront, suspend, type FrontFixture, type TestCaller } from '../../test/fixtures/front.js'
 import { waitFor } from '../../test/fakes/waitFor.js'
 import type { BodyRefusal } from '../requestBodies/requestBodies.js'
 
@@ -81,6 +81,19 @@
     expect(refusals).toMatchObject([{ id: 'never', reason: 'stalled', held: 0 }])
   })
 
+  // Guards against a refusal of a body that came while the process was suspended.
+  it('reads a body that has arrived while the process did not run', async () => {
+    fixture = await startFront()
+    fixture.front.setLimits({ ...limits, idleTimeout: 500 })
+    const caller = await fixture.open()
+    caller.socket.write('POST /a/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\nContent-Length: 5\r\n\r\n')
+    await waitFor(() => fixture.front.countRequests() === 1)
+    caller.socket.write('hello')
+    suspend(1_200)
+    await waitFor(() => fixture.inputs.length > 0)
+    expect(fixture.inputs[0]).toMatchObject({ kind: 'call.arrived', call: { id: 'late' } })
+  })
+
   // Guards against a body far over the limit that is read although its length is announced.
   it('refuses a body at once whose announced length is far over the limit, also before it is told to send it', async () => {
     fixture = await startFront()
--- a/src/adapters/frontServer.ts
+++ b/src/adapters/frontServer.ts
@@ -305,7 +305,7 @@
     now: () => performance.now()
   })
   const garbage = createBufferGarbage({ inUse: () => bodies.heldBytes() + unread.measure() })
-  const sweepTimer = setInterval(bodies.sweep, checkInterval)
+  const sweepTimer = setInterval(() => afterNextRead(bodies.sweep), checkInterval)
   sweepTimer.unref()
 
   const writeHead = (request: number, openRequest: OpenRequest, status: number, headers: readonly string[]): void => {
