Review: an instance runs out of memory as workers are replaced

Cause: the pool of connections to workers keeps idle connections by the id of their worker, and nothing removes those that were closed by their keep-alive timeout or whose worker has left. Each lifetime of a worker leaves up to 32 HTTP clients behind.

Evidence: review/6/run.sh replaces all eight workers of a service each second under 250 callers with kept channels. The instance ends by itself at the heap limit of the deploy file, and requests in progress at sound workers get no answer.

--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -41,9 +41,10 @@
   await new Promise(resolve => { server.listen(0, host, resolve) })
   const address = `${host}:${server.address().port}`
 
+  let state = 'ready'
   const register = () => {
     writes++
-    store.put('keyed.servers', id, { service, address, zone, version: software, slots, state: 'ready', coldRemainingMs: 0, stage: 'both', models: [], seq: writes, born })
+    store.put('keyed.servers', id, { service, address, zone, version: software, slots, state, coldRemainingMs: 0, stage: 'both', models: [], seq: writes, born })
   }
   register()
   const heartbeat = setInterval(register, heartbeatTime)
@@ -52,10 +53,15 @@
     id,
     address,
     register,
-    close: () => {
+    /** Reports that it is draining, serves for `time` ms, exits, and its entry is removed. */
+    leave: async time => {
+      state = 'draining'
+      register()
+      await new Promise(resolve => { setTimeout(resolve, time) })
       clearInterval(heartbeat)
       server.close()
       server.closeAllConnections()
+      store.put('keyed.servers', id, '')
     }
   }
 }
