--- a/review/standins/streamCaller.mjs
+++ b/review/standins/streamCaller.mjs
@@ -1,7 +1,8 @@
 /**
  * Stand-in of a caller of resumable streams: after a broken channel it takes the
- * stream up with `Last-Event-Id` at any instance, and abandons it after a gap of
- * two seconds without an event.
+ * stream up with `Last-Event-Id` at any instance, naming in `Resumes` the attempt
+ * that brought its first event, and abandons it after a gap of two seconds without
+ * an event.
  */
 import { request as httpRequest } from 'node:http'
 import { hostName } from './configuration.mjs'
@@ -32,11 +33,14 @@
   const prompt = `${sharedPart()}:198,${id().slice(-12)}:628`
   const attempts = []
   const versions = []
+  /** Id of the attempt that brought the first event. */
+  let begunBy
   let last = 0
   let lastAt = beganAt
   let inOrder = true
 
-  const take = (eventId, version, number) => {
+  const take = (requestId, eventId, version, number) => {
+    begunBy ??= requestId
     lastAt = Date.now()
     if (Number(eventId) !== last + 1 || number !== eventId) inOrder = false
     last = Number(eventId)
@@ -69,14 +73,14 @@
         'X-Model': 'm0',
         'X-Token-Count': '826,73',
         'X-Prompt-Prefix': prompt,
-        ...(after > 0 ? { 'Last-Event-Id': String(after) } : {})
+        ...(after > 0 ? { 'Last-Event-Id': String(after), Resumes: begunBy } : {})
       }
     }, response => {
       status = response.statusCode
       response.on('data', chunk => {
         text += chunk.toString()
         for (const [event, ...fields] of text.matchAll(eventPattern)) {
-          take(...fields)
+          take(requestId, ...fields)
           text = text.slice(text.indexOf(event) + event.length)
         }
       })
