Review: the drill of the store is dropped, the turns of holders become case 13

review/4 shows the cause of the case that was number 13: an instance that starts while the store comes back from a copy takes the copy's configuration for proven. Case 14 is number 13 from now on; its script is unchanged.

--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,109 +1,99 @@
 /**
- * The store comes back from a copy from before a tenant was isolated and a key was taken away, while an instance is added.
- * That instance lets a tenant use prompt parts of the isolated one, and accepts the key.
+ * Two holders of the rollout lease take turns within `leaseMs`, at one worker that does not check fences.
+ * The instance that gave the last order is killed and starts again; its successor is killed, too.
  */
-import { call } from '../lab/caller.mjs'
 import { configuration } from '../lab/configuration.mjs'
 import { createGateway } from '../lab/gateway.mjs'
 import { startModelWorker } from '../lab/modelWorker.mjs'
-import { startPlainWorker } from '../lab/plainWorker.mjs'
 import { isTroubled, run, sleep, until } from '../lab/scene.mjs'
 import { startStore } from '../lab/store.mjs'
 
 const net = `127.${20 + process.pid % 200}.${1 + (process.pid >> 8) % 200}`
-const revokeMs = 5000
-/** `configApplyMs`, and `maxStretchMs` for an unstable core. */
-const configBound = 2000 + 5000
-const awayMs = 1500
-const startBefore = 1000
-const rewriteAfter = 500
-const interval = 20
-const sharedPart = 'a1:2000'
+const instances = Number(process.env.INSTANCES ?? 3)
+const second = process.env.SECOND ?? 'SIGKILL'
+const restartAfter = 300
+const leaseMs = 3000
 
-const before = configuration(1, { 'tenant-a': ['key-a'], 'tenant-b': ['key-b'], 'tenant-c': ['key-c'] })
-const after = configuration(2, { 'tenant-a': ['key-a'], 'tenant-b': [], 'tenant-c': ['key-c'] }, ['tenant-c'])
+/** Finds the orders of one holder before and after those of another, all of them within `leaseMs`. */
+const findTurns = orders => {
+  const found = []
+  orders.forEach((last, index) => {
+    const before = orders.slice(0, index).filter(({ at }) => last.at - at < leaseMs)
+    const other = before.findLast(({ holder }) => holder !== last.holder)
+    const first = other === undefined ? undefined : before.slice(0, before.indexOf(other)).find(({ holder }) => holder === last.holder)
+    if (first !== undefined) found.push([first, other, last])
+  })
+  return found
+}
 
 run(new URL('.', import.meta.url).pathname, async ({ folder, record, now, defer }) => {
-  const runs = []
-  const uses = []
-  const sent = new Map()
+  const orders = []
   const store = await startStore(`${net}.1`)
   defer(store.close)
-  const operate = config => {
-    store.put('keyed.op', 'config', config)
-    store.put('keyed.op', 'version/m0', { model: 'm0', version: 1 })
-    record({ what: 'operator writes', config: config.version })
-  }
-  operate(before)
-  const note = (list, what) => entry => {
-    list.push({ at: now(), ...entry })
-    record({ what, ...entry })
-  }
+  store.put('keyed.op', 'config', configuration(1))
+  store.put('keyed.op', 'version/m0', { model: 'm0', version: 1 })
   const workers = []
   for (let index = 0; index < 3; index++) {
-    workers.push(await startPlainWorker({ id: `i-d${index}`, host: `${net}.${10 + index}`, zone: 'zone-a', service: 'desk', store, ran: note(runs, 'run') }))
-    workers.push(await startModelWorker({ id: `i-m${index}`, host: `${net}.${20 + index}`, zone: 'zone-a', service: 'writer', model: 'm0', store, ran: note(runs, 'run'), used: note(uses, 'part used') }))
+    const worker = await startModelWorker({
+      id: `i-w${index}`,
+      host: `${net}.${10 + index}`,
+      zone: 'zone-a',
+      service: 'writer',
+      model: 'm0',
+      store,
+      ordered: order => {
+        orders.push({ at: now(), ...order })
+        record({ what: 'order', ...order })
+      }
+    })
+    workers.push(worker)
+    defer(worker.close)
   }
-  workers.forEach(worker => defer(worker.close))
   const gateways = []
-  for (let index = 0; index < 4; index++) {
+  for (let index = 0; index < instances; index++) {
     const gateway = await createGateway({ id: `front-zone-a-${index + 1}`, host: `${net}.${100 + index}`, zone: 'zone-a', store: store.address, folder, record })
     gateways.push(gateway)
     defer(gateway.close)
+    gateway.start()
   }
-  const present = gateways.slice(0, 3)
-  const added = gateways[3]
-  for (const gateway of present) gateway.start()
-  if (!await until(async () => (await Promise.all(present.map(({ isReady }) => isReady()))).every(Boolean), 15_000, 100)) throw new Error('instances are not ready')
-  await sleep(1000)
+  if (!await until(async () => (await Promise.all(gateways.map(({ isReady }) => isReady()))).every(Boolean), 15_000, 100)) throw new Error('instances are not ready')
+  await sleep(5000)
 
-  const send = async (gateway, path, key, options = {}) => {
-    const at = now()
-    const answer = await call({ host: gateway.host, port: gateway.front, path, key, ...options })
-    sent.set(answer.id, at)
-    record({ what: 'answer', to: gateway.id, key, request: answer.id, sentAt: at, status: answer.status, error: answer.error })
-    return answer
+  let named = 1
+  const name = () => {
+    named++
+    record({ what: 'version named', version: named })
+    store.put('keyed.op', 'version/m0', { model: 'm0', version: named })
   }
-  let ownParts = 0
-  const draft = (gateway, key) => {
-    ownParts++
-    return send(gateway, '/draft/a', key, { method: 'POST', patience: 3000, headers: { 'x-model': 'm0', 'x-token-count': '2100,5', 'x-prompt-prefix': `${sharedPart},${(0xb000 + ownParts).toString(16)}:100` } })
+  const holderOf = async after => {
+    if (!await until(() => orders.some(({ at }) => at >= after), 8000, 2)) return undefined
+    const { holder } = orders.find(({ at }) => at >= after)
+    return gateways.find(({ id }) => id === holder)
   }
-  await Promise.all(Array.from({ length: 30 }, (_, index) => draft(present[index % 3], 'key-c')))
-  await sleep(1500)
-  store.copy()
-  await sleep(200)
-  operate(after)
-  const confirmedAt = now()
-  await sleep(6000)
-
-  const sending = setInterval(() => {
-    for (const gateway of gateways) send(gateway, '/read/a', 'key-b')
-    draft(added, 'key-a')
-  }, interval)
-  await sleep(500)
-  if (isTroubled) {
-    record({ what: 'store away' })
-    store.setDown(true)
+  const kill = (gateway, signal) => {
+    if (!isTroubled) return
+    gateway.signal(signal)
+    if (signal === 'SIGKILL') setTimeout(gateway.start, restartAfter)
   }
-  await sleep(awayMs - startBefore)
-  added.start()
-  await sleep(startBefore)
-  if (isTroubled) {
-    store.restore()
-    store.setDown(false)
-    record({ what: 'store back from its copy' })
-    for (const worker of workers) worker.register()
-    setTimeout(() => operate(after), rewriteAfter)
+
+  for (let round = 0; round < 6; round++) {
+    const begin = now()
+    name()
+    const first = await holderOf(begin)
+    if (first === undefined) throw new Error('no order was given')
+    await sleep(30)
+    kill(first, 'SIGKILL')
+    name()
+    const afterFirst = now()
+    await until(() => orders.some(({ at, holder }) => at >= afterFirst && holder !== first.id), 4000, 2)
+    const successor = gateways.find(({ id }) => id === orders.findLast(({ at }) => at >= afterFirst)?.holder)
+    if (successor !== undefined && successor !== first) {
+      await sleep(30)
+      kill(successor, second)
+    }
+    name()
+    await sleep(6000)
   }
-  await sleep(4000)
-  clearInterval(sending)
-  await sleep(3500)
-  const delays = requests => requests.map(request => sent.get(request) - confirmedAt).slice(0, 5).join(', ')
-  const foreign = uses.filter(({ request, tenant, madeBy }) => tenant !== madeBy && [tenant, madeBy].includes('tenant-c') && (sent.get(request) ?? -Infinity) > confirmedAt + configBound)
-  const late = runs.filter(({ request, tenant }) => tenant === 'tenant-b' && (sent.get(request) ?? -Infinity) > confirmedAt + revokeMs)
-  return [
-    ...(foreign.length === 0 ? [] : [`WALL: ${foreign.length} requests of ${foreign[0].tenant}, sent ${delays(foreign.map(({ request }) => request))} ms after the confirmation of the config that isolates tenant-c, ran on a part that a request of ${foreign[0].madeBy} had made (bound ${configBound} ms)`]),
-    ...(late.length === 0 ? [] : [`CONFIG: ${late.length} requests with key-b ran that were sent ${delays(late.map(({ request }) => request))} ms after the confirmation of the config that took it away (bound ${revokeMs} ms)`])
-  ]
+  return workers.flatMap(({ id }) => findTurns(orders.filter(({ worker }) => worker === id)).slice(0, 1).map(turn =>
+    `ONE: orders to ${id} within ${leaseMs} ms: ${turn.map(({ at, holder, fence, version }) => `${at} ms from ${holder} (fence ${fence}, version ${version})`).join(', ')}`))
 })
