--- a/review/lab/caller.mjs
+++ b/review/lab/caller.mjs
@@ -5,11 +5,11 @@
 let lastId = 0
 
 /** Sends a request; resolves to its id, status, headers and body, or to the error that ended its channel. */
-export const call = ({ host, port, path, key, method = 'GET', patience = 1000, body, headers = {} }) => new Promise(resolve => {
+export const call = ({ host, port, path, key, method = 'GET', patience = 1000, body, headers = {}, agent = false }) => new Promise(resolve => {
   lastId++
   const id = `${process.pid.toString(16)}-${lastId}`
   const chunks = []
-  const request = send({ host, port, path, method, agent: false, headers: { host: callHost, 'x-request-id': id, 'x-request-deadline-ms': patience, 'api-key': key, ...headers } }, response => {
+  const request = send({ host, port, path, method, agent, headers: { host: callHost, 'x-request-id': id, 'x-request-deadline-ms': patience, 'api-key': key, ...headers } }, response => {
     response.on('data', chunk => chunks.push(chunk))
     response.on('error', error => resolve({ id, error: error.code ?? error.message }))
     response.on('end', () => resolve({ id, status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks).toString() }))
--- a/review/lab/streamWorker.mjs
+++ b/review/lab/streamWorker.mjs
@@ -7,9 +7,9 @@
 /**
  * Creates a worker with its link and starts it.
  *
- * @param options - its id, loopback address, zone, service and model, software version, the store, pieces of a stream and their interval in ms, and the receiver of runs
+ * @param options - its id, loopback address, zone, service and model, software version, the store, pieces of a stream and their interval in ms, and the receivers of runs and of runs that are complete
  */
-export const startStreamWorker = async ({ id, host, zone, service, model, software, store, pieces, interval, ran = () => {} }) => {
+export const startStreamWorker = async ({ id, host, zone, service, model, software, store, pieces, interval, ran = () => {}, completed = () => {} }) => {
   let lifetime
   const link = await startLink(host, () => ({ host, port: lifetime?.port ?? 1 }))
 
@@ -29,6 +29,7 @@
       response.write(`id: ${piece}\ndata: ${own.software} ${name} ${piece}\n\n`)
     }
     response.end()
+    completed(name)
   }
 
   const start = async version => {
