--- a/review/lab/scene.mjs
+++ b/review/lab/scene.mjs
@@ -1,4 +1,7 @@
-/** The frame of a script: folder, record of what happened, clean-up and exit status. */
+/**
+ * The frame of a script: folder, record of what happened, clean-up and exit status. The codes are none that Node.js itself uses;
+ * `run.sh` turns them into 1, 0 and 2, so that a script that cannot start is not taken for a broken or a kept rule.
+ */
 import { mkdtempSync, rmSync, writeFileSync, cpSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -16,10 +19,14 @@
   return false
 }
 
+const brokenCode = 110
+const heldCode = 100
+const notRunCode = 120
+
 export const isTroubled = process.env.TROUBLE !== '0'
 
 /**
- * Plays a case and ends the process: with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+ * Plays a case and ends the process with the code for a broken rule, one that held, or a case that could not run.
  *
  * @param here - folder of the case, for its record
  * @param play - plays it; returns what broke the rule, one text for each
@@ -31,7 +38,7 @@
   const closers = []
   const now = () => Math.round(performance.now() - begin)
   const record = entry => { lines.push(JSON.stringify({ at: now(), ...entry })) }
-  let status = 2
+  let status = notRunCode
   const finish = async () => {
     for (const close of closers.reverse()) await close()
     writeFileSync(join(here, 'record.txt'), `${lines.join('\n')}\n`)
@@ -41,13 +48,18 @@
   }
   const limit = setTimeout(() => {
     record({ what: 'time limit' })
-    status = 2
+    status = notRunCode
     finish()
   }, 110_000)
+  process.on('uncaughtException', error => {
+    record({ what: 'unexpected error', error: String(error?.stack ?? error) })
+    status = notRunCode
+    finish()
+  })
   try {
     const broken = await play({ folder, record, now, defer: close => closers.push(close) })
     for (const text of broken) record({ what: 'RULE BROKEN', text })
-    status = broken.length > 0 ? 1 : 0
+    status = broken.length > 0 ? brokenCode : heldCode
     console.log(broken.length > 0 ? broken.join('\n') : 'the rule held')
   } catch (error) {
     record({ what: 'the case could not run', error: String(error?.stack ?? error) })
