--- a/review/lab/crowd.mjs
+++ b/review/lab/crowd.mjs
@@ -11,7 +11,7 @@
  * Opens the channels of a crowd and sends on each.
  *
  * @param options - the instance, the number of clients, the largest number of bytes of each body, all bytes a second on the wire, and the API key
- * @returns a function that closes the channels
+ * @returns a function that closes the channels and returns how many bytes of each body were written
  */
 export const startCrowd = ({ host, port, clients, bodyBytes, rate, key }) => {
   const members = Array.from({ length: clients }, (_, index) => {
@@ -36,5 +36,6 @@
   return () => {
     clearInterval(timer)
     for (const { socket } of members) socket.destroy()
+    return members.map(({ sent }) => sent)
   }
 }
--- a/review/lab/gateway.mjs
+++ b/review/lab/gateway.mjs
@@ -55,8 +55,11 @@
   }))
   let child
   let starts = 0
+  let isClosed = false
 
   const start = () => {
+    // A restart may be due after the end of a play.
+    if (isClosed) return
     starts++
     const log = createWriteStream(join(folder, `${id}.${starts}.log`))
     const started = spawn(program, words, { env: { PATH: process.env.PATH, HOME: process.env.HOME, WASABIREEL_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'pipe'] })
@@ -93,6 +96,7 @@
       child?.kill(name)
     },
     close: async () => {
+      isClosed = true
       const ending = child
       if (ending === undefined) return
       const ended = new Promise(resolve => { ending.on('exit', resolve) })
