Rollout lease: claims have a module of their own

What a claim is, which of them decides, and how the fencing token follows from it stood in the middle of the lease's timing. They are now in leaseClaims.ts, as functions of their inputs; rolloutLease.ts keeps when to read, renew and take over.

--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -15,28 +15,9 @@
  * nobody acquires the lease before the holder of the previous one must have
  * stopped.
  */
-import { z } from 'zod'
 import { ageOf, type Moment } from '../lease/readLease.js'
-import type { ClaimEffect, ClaimInput, ClaimRecord } from '../ports/claimPort.js'
-
-const claimSchema = z.object({
-  /** Id of the instance that claims the lease. */
-  holder: z.string(),
-  /** Start of the holder's process. */
-  incarnation: z.string(),
-  /** Whether the holder gives the lease up. */
-  released: z.boolean(),
-  /** Era of the stream in which the claimant made the claim. */
-  era: z.number().default(0)
-})
-
-type Claim = z.infer<typeof claimSchema>
-
-/** The instance that claims the lease. */
-export interface Claimant {
-  readonly id: string
-  readonly incarnation: string
-}
+import type { ClaimEffect, ClaimInput } from '../ports/claimPort.js'
+import { applyClaim, decodeClaims, type Claim, type Claimant, type LatestClaim } from './leaseClaims.js'
 
 /** What is known of the other instances. */
 export interface LeasePeers {
@@ -86,17 +67,9 @@
 const earlyReaders = 3
 /** Time in ms after which a read or an append without a response is given up. */
 const responseTimeout = 1_500
-/** Fencing token of a claim at offset 0. */
-const firstFence = 1
-/** Difference between the fencing tokens of two eras: more than the offsets of one, and small enough that the tokens of many eras fit into 32 bits. */
-const fencesPerEra = 2 ** 24
 /** Time without work after which an early reader reads the stream for the first time in an era, in ms, so that it need not wait when there is work. */
 const idleReadDelay = 3_000
 
-interface LatestClaim extends Claim {
-  readonly fence: number
-}
-
 type PendingRequest =
   | { readonly kind: 'read', readonly token: number, readonly sentAt: Moment }
   | { readonly kind: 'append', readonly token: number, readonly sentAt: Moment, readonly at: number, readonly claim: Claim }
@@ -181,31 +154,15 @@
     read(now)
   }
 
-  const applyClaim = (offset: number, claim: Claim): void => {
-    // No instance can have made it, and later claims would count as older.
-    if (claim.era > (era ?? 0)) return
-    // A claim of an earlier era that was applied late; its claimant no longer acts on it.
-    if (claim.era < (latest?.era ?? 0)) return
-    const isRenewal = latest !== undefined && !latest.released && latest.holder === claim.holder && latest.incarnation === claim.incarnation && latest.era === claim.era
-    latest = { ...claim, fence: isRenewal && latest !== undefined ? latest.fence : claim.era * fencesPerEra + offset + firstFence }
-  }
-
-  const applyRecords = (records: readonly ClaimRecord[]): void => {
-    for (const { offset, claim } of records) {
-      const parsed = claimSchema.safeParse(claim)
-      if (parsed.success) applyClaim(offset, parsed.data)
-    }
-  }
-
   const handleRecords = (input: Extract<ClaimInput, { kind: 'claim.records' }>, now: Moment): void => {
-    applyRecords(input.records)
+    for (const placed of decodeClaims(input.records)) latest = applyClaim(latest, placed, input.era)
     if (endSeenAt === undefined || input.end !== end) endSeenAt = now
     end = input.end
     if (wantedSince !== undefined && (isOwn(latest) || mayTakeOver(now))) append(false, now)
   }
 
   const handleAccepted = (at: number, claim: Claim, sentAt: Moment, now: Moment): void => {
-    applyClaim(at, claim)
+    latest = applyClaim(latest, { offset: at, claim }, era ?? 0)
     end = at + 1
     endSeenAt = now
     renewedAt = sentAt
