Rollout lease: log who held it, why it was free and for how long

The logs had the orders, but not the lease: neither who held it, nor why another instance took it, so that three explanations could not be told apart: an order of a killed process that arrives late, two instances that hold the lease at the same time, and a former holder that acquires it anew.

Each instance now logs leaseAcquired (fence, previous holder, why the lease was free, time without a claim) and leaseLost (why, to whom, held for how long), and states in the gauge rolloutFence the token with which it may order.

--- a/src/gateway/gatewayGauges.ts
+++ b/src/gateway/gatewayGauges.ts
@@ -6,6 +6,7 @@
 import type { Moment, ReadLease } from '../lease/readLease.js'
 import type { PoisonRequests } from '../poisonRequests/poisonRequests.js'
 import type { WorkspaceQuotas } from '../quotas/workspaceQuotas.js'
+import type { RolloutLease } from '../rollout/rolloutLease.js'
 import type { StreamOrigins } from '../streamOrigins/streamOrigins.js'
 import type { WorkerReach } from '../workerReach/workerReachTypes.js'
 import type { ConfigurationInForce } from './configurationInForce.js'
@@ -25,6 +26,7 @@
   readonly requestOrder: Pick<RequestOrder, 'shortage'>
   readonly streamOrigins: Pick<StreamOrigins, 'unrecorded'>
   readonly coordination: Pick<PlacementCoordination, 'gauges'>
+  readonly rolloutLease: Pick<RolloutLease, 'fence'>
 }
 
 /**
@@ -33,7 +35,7 @@
  * @param features - the features of one instance
  * @param now - present time
  */
-export const readGauges = ({ forwarding, lease, configuration, fleet, registry, poisonRequests, workerReach, quotas, requestOrder, streamOrigins, coordination }: GaugedFeatures, now: Moment): GatewayGauges => ({
+export const readGauges = ({ forwarding, lease, configuration, fleet, registry, poisonRequests, workerReach, quotas, requestOrder, streamOrigins, coordination, rolloutLease }: GaugedFeatures, now: Moment): GatewayGauges => ({
   requests: forwarding.size(),
   waiting: forwarding.waiting(),
   proofAge: lease.age(now),
@@ -48,5 +50,6 @@
   grantedWorkspaces: quotas.sizes().granting,
   shortage: requestOrder.shortage(now.steady),
   unrecordedStreams: streamOrigins.unrecorded(),
+  rolloutFence: rolloutLease.fence(now) ?? 0,
   ...coordination.gauges()
 })
--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -17,11 +17,9 @@
 import { splitHostPort } from '../hostPort.js'
 import { createReadLease, type Moment } from '../lease/readLease.js'
 import { createStoreBudget } from '../placement/storeBudget.js'
-import { peerRequests } from '../placement/workerLoad.js'
 import type { PeerMessage } from '../ports/peerPort.js'
-import { createRolloutLease } from '../rollout/rolloutLease.js'
-import { createRollout } from '../rollout/rolloutMachine.js'
 import { createGatewayCoordination } from './gatewayCoordination.js'
+import { createGatewayRollout } from './gatewayRollout.js'
 import { createPoisonRequests } from '../poisonRequests/poisonRequests.js'
 import { createRequestFingerprints } from '../poisonRequests/requestFingerprint.js'
 import { createWorkspaceQuotas } from '../quotas/workspaceQuotas.js'
@@ -30,7 +28,6 @@
 import { createWorkerLimits } from '../workerLimits/workerLimits.js'
 import { createConfigurationInForce } from './configurationInForce.js'
 import { createFeedHandler } from './feedInputs.js'
-import { createRolloutNotices } from './rolloutNotices.js'
 import { readGauges } from './gatewayGauges.js'
 import type { Gateway, GatewayOptions } from './gatewayInterface.js'
 import type { GatewayEffect, GatewayInput, GatewayLogEvent } from './gatewayTypes.js'
@@ -270,21 +267,7 @@
     onWorkersRead: workers.noteRead
   })
 
-  const rolloutLease = createRolloutLease(self, {
-    canHoldLease: (id, incarnation) => fleet.hasStoreAccess(id, incarnation, currentTime),
-    rank: () => fleet.rank(currentTime)
-  }, emit)
-
-  const rollout = createRollout({
-    self: self.id,
-    loadShare: bounds().loadShare,
-    workers,
-    weights,
-    lease: rolloutLease,
-    requestsAt: (worker, now) => loadOf(worker).flights.size + peerRequests(loadOf(worker), now),
-    emit,
-    notify: createRolloutNotices({ log, broadcast: fleet.broadcast })
-  })
+  const { rollout, rolloutLease } = createGatewayRollout({ self, fleet, registry, bounds, now: () => currentTime, emit, log })
 
   const requestOrder = createRequestOrder({ workers, loadOf, hasQuota: ({ quota }) => quota !== undefined, fingerprintOf, log })
 
@@ -437,7 +420,7 @@
     directory,
     isReady,
     workspaceOfKey: key => configuration.index()?.findWorkspace(key)?.name,
-    gauges: now => readGauges({ forwarding, lease, configuration, fleet, registry, poisonRequests, workerReach, quotas, requestOrder, streamOrigins, coordination }, now),
+    gauges: now => readGauges({ forwarding, lease, configuration, fleet, registry, poisonRequests, workerReach, quotas, requestOrder, streamOrigins, coordination, rolloutLease }, now),
     dump: now => ({
       self,
       configuration: configuration.version(),
--- a/src/gateway/gatewayTypes.ts
+++ b/src/gateway/gatewayTypes.ts
@@ -11,6 +11,7 @@
 import type { QuotaLogEvent } from '../quotas/quotaLog.js'
 import type { ReachLogEvent } from '../workerReach/workerReachTypes.js'
 import type { StreamLogEvent } from '../streamOrigins/streamOriginsTypes.js'
+import type { LeaseEvent } from '../rollout/leaseEvents.js'
 import type { RolloutEvent } from '../rollout/rolloutMachine.js'
 import type { WorkerChange } from '../workers/workersDb.js'
 
@@ -54,6 +55,7 @@
 export type GatewayLogEvent =
   | ForwardLogEvent
   | RolloutEvent
+  | LeaseEvent
   /** The connection of a request ended while the request was not in the core: before it was delivered, or after its response was complete. */
   | { readonly kind: 'cutOff', readonly id: string, readonly stage: CallStage, readonly reason: ConnectionEnd }
   | PoisonLogEvent
@@ -112,4 +114,6 @@
   readonly shortage: number
   /** Streams that this instance is to record and the store has not accepted yet. */
   readonly unrecordedStreams: number
+  /** Fencing token with which this instance may order workers to load weights; 0 if it may not. */
+  readonly rolloutFence: number
 }
--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -1,5 +1,6 @@
 import type { Moment } from '../lease/readLease.js'
 import type { ClaimEffect, ClaimInput } from '../ports/claimPort.js'
+import type { LeaseEvent } from './leaseEvents.js'
 import { createRolloutLease, type RolloutLease } from './rolloutLease.js'
 
 const at = (steady: number, wall = steady): Moment => ({ steady, wall })
@@ -29,7 +30,13 @@
 
 const buildInstance = (stream: Stream, id: string, options: { readonly rank?: number, readonly canHoldLease?: () => boolean } = {}) => {
   const effects: ClaimEffect[] = []
-  const lease = createRolloutLease({ id, incarnation: `${id}-1` }, { canHoldLease: options.canHoldLease ?? (() => true), rank: () => options.rank ?? 0 }, effect => effects.push(effect))
+  const events: LeaseEvent[] = []
+  const lease = createRolloutLease({
+    self: { id, incarnation: `${id}-1` },
+    peers: { canHoldLease: options.canHoldLease ?? (() => true), rank: () => options.rank ?? 0 },
+    emit: effect => effects.push(effect),
+    notify: event => events.push(event)
+  })
   const answerEffects = (now: Moment): void => {
     for (let effect = effects.shift(); effect !== undefined; effect = effects.shift()) lease.answer(stream.answer(effect), now)
   }
@@ -37,7 +44,7 @@
     lease.acquireOrRenew(now)
     answerEffects(now)
   }
-  return { lease, acquireOrRenew, answerEffects }
+  return { lease, acquireOrRenew, answerEffects, events }
 }
 
 /** Tries to acquire the lease every 50 ms; returns the time at which orders may first be given, or undefined if that is not within `limit` ms. */
@@ -206,6 +213,33 @@
     expect(appends).toBeLessThan(20)
   })
 
+  it('reports who held it before, why it was free and for how long it was held', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    for (let now = 0; now < 500; now += 50) first.acquireOrRenew(at(now))
+    const second = buildInstance(stream, 'b', { canHoldLease: () => false })
+    acquireWithin(second, 500, 3_000)
+    first.acquireOrRenew(at(3_000))
+    expect(first.events).toEqual([
+      { kind: 'leaseAcquired', fence: 1, reason: 'unclaimed', previous: undefined, silence: 0 },
+      { kind: 'leaseLost', fence: 1, reason: 'superseded', held: 3_000, next: 'b' }
+    ])
+    expect(second.events).toMatchObject([{ kind: 'leaseAcquired', reason: 'expired', previous: 'a' }])
+    expect(second.events).toMatchObject([{ silence: expect.any(Number) }])
+  })
+
+  it('reports that it was released and acquired without delay', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    first.acquireOrRenew(at(0))
+    first.lease.release(at(100))
+    first.answerEffects(at(100))
+    const second = buildInstance(stream, 'b')
+    second.acquireOrRenew(at(110))
+    expect(first.events.at(-1)).toEqual({ kind: 'leaseLost', fence: 1, reason: 'released', held: 100, next: undefined })
+    expect(second.events).toEqual([{ kind: 'leaseAcquired', fence: 3, reason: 'released', previous: 'a', silence: 0 }])
+  })
+
   it('is read ahead of any work, so that nobody waits for it in a restored stream', () => {
     const stream = buildStream()
     stream.restore(0)
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -18,6 +18,7 @@
 import { ageOf, type Moment } from '../lease/readLease.js'
 import type { ClaimEffect, ClaimInput } from '../ports/claimPort.js'
 import { applyClaim, decodeClaims, type Claim, type Claimant, type LatestClaim } from './leaseClaims.js'
+import type { LeaseEvent, LossReason, TakeoverReason } from './leaseEvents.js'
 
 /** What is known of the other instances. */
 export interface LeasePeers {
@@ -74,19 +75,32 @@
   | { readonly kind: 'read', readonly token: number, readonly sentAt: Moment }
   | { readonly kind: 'append', readonly token: number, readonly sentAt: Moment, readonly at: number, readonly claim: Claim }
 
+/** Dependencies of a lease. */
+export interface RolloutLeaseOptions {
+  /** This instance. */
+  readonly self: Claimant
+  readonly peers: LeasePeers
+  /** Receives reads and appends for the stream. */
+  readonly emit: (effect: ClaimEffect) => void
+  /** Receives what is logged of the lease. */
+  readonly notify: (event: LeaseEvent) => void
+}
+
+/** Time since a moment on the monotonic clock, in whole ms; 0 if there was none. */
+const elapsed = (since: Moment | undefined, now: Moment): number => since === undefined ? 0 : Math.round(now.steady - since.steady)
+
 /**
  * Creates the lease of one instance.
  *
- * @param self - this instance
- * @param peers - what is known of the other instances
- * @param emit - receives reads and appends for the stream
+ * @param options - dependencies
  */
-export const createRolloutLease = (self: Claimant, peers: LeasePeers, emit: (effect: ClaimEffect) => void): RolloutLease => {
+export const createRolloutLease = ({ self, peers, emit, notify }: RolloutLeaseOptions): RolloutLease => {
   let latest: LatestClaim | undefined
   let end = 0
   let endSeenAt: Moment | undefined
   let pending: PendingRequest | undefined
   let renewedAt: Moment | undefined
+  let acquiredAt: Moment | undefined
   let nextReadAt = -Infinity
   let nextAppendAt = -Infinity
   let wantedSince: number | undefined
@@ -181,7 +195,38 @@
     return readWhole
   }
 
+  const takeoverReason = (previous: LatestClaim | undefined): TakeoverReason => {
+    if (previous === undefined) return era === undefined || era === 0 ? 'unclaimed' : 'restored'
+    if (previous.era !== era) return 'restored'
+    return previous.released ? 'released' : 'expired'
+  }
+
+  const lossReason = (): LossReason => {
+    if (latest === undefined) return 'restored'
+    return latest.holder === self.id && latest.incarnation === self.incarnation ? 'released' : 'superseded'
+  }
+
+  /** Logs that this instance has acquired or lost the lease since `before`, when the stream had last seen a record at `seenAt`. */
+  const reportChange = (before: LatestClaim | undefined, held: boolean, seenAt: Moment | undefined, now: Moment): void => {
+    if (held === isOwn(latest)) return
+    if (held && before !== undefined) {
+      notify({ kind: 'leaseLost', fence: before.fence, reason: lossReason(), held: elapsed(acquiredAt, now), next: latest?.released === true ? undefined : latest?.holder })
+    }
+    if (!held && latest !== undefined) {
+      acquiredAt = now
+      notify({ kind: 'leaseAcquired', fence: latest.fence, reason: takeoverReason(before), previous: before?.holder, silence: elapsed(seenAt, now) })
+    }
+  }
+
   const answer = (input: ClaimInput, now: Moment): void => {
+    const before = latest
+    const held = isOwn(before)
+    const seenAt = endSeenAt
+    handleAnswer(input, now)
+    reportChange(before, held, seenAt, now)
+  }
+
+  const handleAnswer = (input: ClaimInput, now: Moment): void => {
     if (pending === undefined || input.token !== pending.token) return
     const request = pending
     pending = undefined
