--- a/src/gateway/gatewayBounds.spec.ts
+++ b/src/gateway/gatewayBounds.spec.ts
@@ -10,7 +10,7 @@
   shutdown: { grace: 8 },
   addresses: { time_to_live: 800, kept_times: 3 },
   memory: { limit: 0, bodies: 0, unread: 0 },
-  weights: { apply_within: 8_000, load_share: 0.286 }
+  weights: { apply_within: 8_000, load_share: 0.286, reacquire_after: 3_000 }
 })
 
 describe('the bounds of a gateway', () => {
--- a/src/gateway/gatewayBounds.ts
+++ b/src/gateway/gatewayBounds.ts
@@ -26,5 +26,6 @@
   addressLife: addresses.time_to_live,
   addressLifeFactor: addresses.kept_times,
   grace: shutdown.grace * msPerSecond,
-  loadShare: weights.load_share
+  loadShare: weights.load_share,
+  reacquireAfter: weights.reacquire_after
 })
--- a/src/gateway/gatewayInterface.ts
+++ b/src/gateway/gatewayInterface.ts
@@ -14,6 +14,8 @@
   readonly retries: RetryBudgetOptions
   /** Fraction of a service's workers that may load weights at the same time. */
   readonly loadShare: number
+  /** Time after its last order to a worker within which an instance does not order again after another one, in ms. */
+  readonly reacquireAfter: number
 }
 
 /** What a gateway depends on. */
--- a/src/gateway/gatewayRollout.ts
+++ b/src/gateway/gatewayRollout.ts
@@ -43,6 +43,7 @@
       canHoldLease: (id, incarnation) => fleet.hasStoreAccess(id, incarnation, currentTime()),
       rank: () => fleet.rank(currentTime())
     },
+    reacquireAfter: () => bounds().reacquireAfter,
     emit,
     notify: log
   })
--- a/src/processes/gatewayErrors.spec.ts
+++ b/src/processes/gatewayErrors.spec.ts
@@ -21,7 +21,7 @@
   shutdown: { grace: 1 },
   addresses: { time_to_live: 1, kept_times: 1 },
   memory: { limit: 0, bodies: 0, unread: 0 },
-  weights: { apply_within: 8_000, load_share: 0.3 }
+  weights: { apply_within: 8_000, load_share: 0.3, reacquire_after: 3_000 }
 })
 
 const exchange = async (port: number, text: string): Promise<string> => {
--- a/src/rollout/leaseEvents.ts
+++ b/src/rollout/leaseEvents.ts
@@ -28,3 +28,11 @@
     /** Instance that holds the lease now, if one is known. */
     readonly next: string | undefined
   }
+  /** The lease is free, but this instance gave orders lately and leaves it to others. */
+  | {
+    readonly kind: 'leaseLeft'
+    /** Instance that made the latest claim, if one is known. */
+    readonly previous: string | undefined
+    /** Time until this instance may acquire the lease, in ms. */
+    readonly wait: number
+  }
--- /dev/null
+++ b/src/rollout/leaseTurns.spec.ts
@@ -0,0 +1,119 @@
+import { buildRolloutSystem, findFenceReversals, findTurns, reacquireAfter, type FakeInstance, type RolloutSystem } from '../../test/fixtures/rolloutSystem.js'
+
+/** Time for which a system runs before its first version is named, in ms. */
+const settleTime = 5_000
+/** Time after the last trouble of a round, in ms. */
+const roundTime = 7_000
+const restartTime = 300
+
+type Trouble = (instance: FakeInstance, system: RolloutSystem) => void
+
+const kill = (instance: FakeInstance): void => instance.kill(restartTime)
+const stop: Trouble = instance => instance.stop(1_000, restartTime)
+const stopFast: Trouble = instance => instance.stop(50, restartTime)
+const suspend: Trouble = instance => instance.suspend(1_600)
+const cut: Trouble = instance => instance.cutFromStore(1_600)
+
+/** Runs until a newer order than the first `seen` came from an instance that is alive, at most for `limit` ms. */
+const nextHolder = ({ time, orders, holder }: RolloutSystem, seen: number, limit: number): FakeInstance | undefined => {
+  const end = time.now() + limit
+  while (time.now() < end && (orders.length === seen || holder() === undefined)) time.runUntil(time.now() + 5)
+  return holder()
+}
+
+/** Names versions and troubles each holder as soon as it has given an order, one trouble after the other. */
+const play = (instances: number, seed: number, troubles: readonly Trouble[], rounds = 4): RolloutSystem => {
+  const system = buildRolloutSystem({ instances, workers: 3, seed })
+  const { time, orders, name } = system
+  time.runUntil(settleTime)
+  for (let round = 0; round < rounds; round++) {
+    for (const trouble of troubles) {
+      const seen = orders.length
+      name()
+      const holder = nextHolder(system, seen, 5_000)
+      time.runUntil(time.now() + 30)
+      if (holder !== undefined) trouble(holder, system)
+    }
+    name()
+    time.runUntil(time.now() + roundTime)
+  }
+  return system
+}
+
+/** Number of records that a restored store lacks: more than the claims of two holders. */
+const lostRecords = 1_000
+const killAndRestore: Trouble = (instance, { stream }) => {
+  kill(instance)
+  stream.restoreWithout(lostRecords)
+}
+
+const loadedBy = ({ workers, time }: RolloutSystem): readonly number[] => workers.map(({ version }) => version(time.now()))
+
+const series: readonly (readonly [string, readonly Trouble[]])[] = [
+  ['the holder and its successor are killed', [kill, kill]],
+  ['the holder is killed and its successor is stopped', [kill, stop]],
+  ['the holder and its successor are stopped', [stop, stop]],
+  ['the holder and its successor leave fast', [stopFast, stopFast]],
+  ['the holder is killed and its successor is suspended', [kill, suspend]],
+  ['the holder and its successor are suspended', [suspend, suspend]],
+  ['the holder is suspended and its successor is killed', [suspend, kill]],
+  ['the holder is cut off from the store and its successor is killed', [cut, kill]],
+  ['three holders are killed one after the other', [kill, kill, kill]],
+  ['the holder and its successor are killed and the store loses their claims', [kill, killAndRestore]],
+  ['the store loses the claims of each holder that is killed', [killAndRestore, killAndRestore]]
+]
+
+// Guards against review/13: orders of two instances alternated at a worker within `leaseMs`, as a former holder acquired the lease anew.
+describe('orders of two instances do not alternate at a worker', () => {
+  it.each(series)('as %s', (_name, troubles) => {
+    for (const instances of [2, 3, 7, 24]) {
+      for (let seed = 1; seed <= 4; seed++) {
+        const system = play(instances, seed, troubles)
+        expect({ instances, seed, turns: findTurns(system.orders, reacquireAfter) }).toEqual({ instances, seed, turns: [] })
+        expect(findFenceReversals(system.orders)).toEqual([])
+        expect(new Set(loadedBy(system)).size).toBe(1)
+      }
+    }
+  })
+})
+
+describe('an instance that has given no orders lately', () => {
+  const takeoverLimit = 2_000
+
+  const eventsOf = ({ events }: RolloutSystem, from: number) => events.filter(({ at }) => at >= from).map(({ event }) => event)
+
+  it('takes the lease over at once from holders that wait for their own orders', () => {
+    const system = play(7, 1, [kill], 0)
+    const { time, orders, name } = system
+    for (let kills = 0; kills < 3; kills++) {
+      const seen = orders.length
+      name()
+      const from = time.now()
+      const holder = nextHolder(system, seen, 5_000)
+      expect(time.now() - from).toBeLessThan(takeoverLimit)
+      holder?.kill(restartTime)
+    }
+    expect(new Set(orders.map(({ holder }) => holder)).size).toBe(3)
+  })
+
+  it('does not wait for a lease that it held itself last, before and after a restart', () => {
+    const system = buildRolloutSystem({ instances: 1, workers: 3, seed: 1 })
+    const { time, orders, name } = system
+    time.runUntil(settleTime)
+    name()
+    const holder = nextHolder(system, 0, 5_000)
+    holder?.kill(restartTime)
+    const from = time.now()
+    const seen = orders.length
+    expect(nextHolder(system, seen, 5_000)).toBe(holder)
+    expect(time.now() - from).toBeLessThan(takeoverLimit)
+    expect(eventsOf(system, from)).not.toContainEqual(expect.objectContaining({ kind: 'leaseLeft' }))
+  })
+
+  it('says that it leaves the lease to others, and for how long', () => {
+    const system = play(2, 1, [kill, kill], 1)
+    const left = system.events.flatMap(({ event }) => event.kind === 'leaseLeft' ? [event] : [])
+    expect(left.length).toBeGreaterThan(0)
+    for (const { wait } of left) expect(wait).toBeLessThanOrEqual(reacquireAfter + 200)
+  })
+})
--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -33,6 +33,7 @@
   const events: LeaseEvent[] = []
   const lease = createRolloutLease({
     self: { id, incarnation: `${id}-1` },
+    reacquireAfter: () => 3_000,
     peers: { canHoldLease: options.canHoldLease ?? (() => true), rank: () => options.rank ?? 0 },
     emit: effect => effects.push(effect),
     notify: event => events.push(event)
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -14,11 +14,16 @@
  * which it was made, the fencing token rises with the era, and in a new era
  * nobody acquires the lease before the holder of the previous one must have
  * stopped.
+ *
+ * An instance that gave orders and lost the lease to another one leaves it to
+ * others for a while, see `reacquireDelay.ts`.
  */
 import { ageOf, type Moment } from '../lease/readLease.js'
 import type { ClaimEffect, ClaimInput } from '../ports/claimPort.js'
 import { applyClaim, decodeClaims, type Claim, type Claimant, type LatestClaim } from './leaseClaims.js'
-import type { LeaseEvent, LossReason, TakeoverReason } from './leaseEvents.js'
+import type { LeaseEvent } from './leaseEvents.js'
+import { createLeaseReport } from './leaseReport.js'
+import { createReacquireDelay, type LatestClaimant } from './reacquireDelay.js'
 
 /** What is known of the other instances. */
 export interface LeasePeers {
@@ -38,6 +43,8 @@
   readonly answer: (input: ClaimInput, now: Moment) => void
   /** Returns the fencing token if orders may be given now, else undefined. */
   readonly fence: (now: Moment) => number | undefined
+  /** Records that an order was sent to a worker, or that it was answered or given up. */
+  readonly noteOrder: (now: Moment) => void
   /** Whether the latest known claim is this instance's own; the lease may have expired since. */
   readonly holds: () => boolean
   /** Records that a worker has seen a higher fencing token; nothing may be ordered until the next renewal. */
@@ -68,6 +75,8 @@
 const earlyReaders = 3
 /** Time in ms after which a read or an append without a response is given up. */
 const responseTimeout = 1_500
+/** Era of a stream that was never restored. */
+const firstEra = 0
 /** Time without work after which an early reader reads the stream for the first time in an era, in ms, so that it need not wait when there is work. */
 const idleReadDelay = 3_000
 
@@ -80,27 +89,25 @@
   /** This instance. */
   readonly self: Claimant
   readonly peers: LeasePeers
+  /** Returns the time within which the orders of two instances may not alternate, in ms. */
+  readonly reacquireAfter: () => number
   /** Receives reads and appends for the stream. */
   readonly emit: (effect: ClaimEffect) => void
   /** Receives what is logged of the lease. */
   readonly notify: (event: LeaseEvent) => void
 }
 
-/** Time since a moment on the monotonic clock, in whole ms; 0 if there was none. */
-const elapsed = (since: Moment | undefined, now: Moment): number => since === undefined ? 0 : Math.round(now.steady - since.steady)
-
 /**
  * Creates the lease of one instance.
  *
  * @param options - dependencies
  */
-export const createRolloutLease = ({ self, peers, emit, notify }: RolloutLeaseOptions): RolloutLease => {
+export const createRolloutLease = ({ self, peers, reacquireAfter, emit, notify }: RolloutLeaseOptions): RolloutLease => {
   let latest: LatestClaim | undefined
   let end = 0
   let endSeenAt: Moment | undefined
   let pending: PendingRequest | undefined
   let renewedAt: Moment | undefined
-  let acquiredAt: Moment | undefined
   let nextReadAt = -Infinity
   let nextAppendAt = -Infinity
   let wantedSince: number | undefined
@@ -108,6 +115,9 @@
   /** Era of the latest response; undefined before the first one. */
   let era: number | undefined
   let token = 0
+  let mayHaveHeldEarlier = false
+  const reacquireDelay = createReacquireDelay(reacquireAfter)
+  const report = createLeaseReport(self, notify)
 
   const isOwn = (claim: Claim | undefined): boolean =>
     claim?.holder === self.id && claim.incarnation === self.incarnation && !claim.released && claim.era === era
@@ -132,12 +142,26 @@
   /** Whether claims may be missing from the stream, since it was restored after the latest one that it holds. */
   const mayLackClaims = (): boolean => era !== undefined && era > (latest?.era ?? 0)
 
-  const mayTakeOver = (now: Moment): boolean => {
+  const latestClaimant = (): LatestClaimant => {
+    if (mayLackClaims()) return 'unknown'
+    if (latest === undefined) return 'nobody'
+    if (latest.holder !== self.id) return 'anotherInstance'
+    return latest.incarnation === self.incarnation ? 'thisProcess' : 'earlierProcess'
+  }
+
+  const isFree = (now: Moment): boolean => {
     if (!mayLackClaims() && (latest === undefined || latest.released)) return true
     const limit = canHolderContinue() ? longTakeoverDelay : takeoverDelay
     return timeWithoutRecord(now) >= limit + rankDelay * peers.rank()
   }
 
+  const mayTakeOver = (now: Moment): boolean => {
+    if (!isFree(now)) return false
+    const wait = reacquireDelay.remaining({ latestBy: latestClaimant(), mayHaveHeldEarlier }, now)
+    if (wait > 0) report.left(latest, wait)
+    return wait === 0
+  }
+
   const firstReadDelay = (rank: number): number => rankDelay * rank + (rank < earlyReaders ? 0 : longTakeoverDelay)
 
   const isWaitingForResponse = (now: Moment): boolean => {
@@ -146,6 +170,7 @@
   }
 
   const markIdle = (now: Moment): void => {
+    reacquireDelay.noteRunning(now)
     wantedSince = undefined
     idleSince ??= now.steady
     const isReadDue = endSeenAt === undefined && now.steady >= idleSince + idleReadDelay && now.steady >= nextReadAt
@@ -155,6 +180,7 @@
   }
 
   const acquireOrRenew = (now: Moment): void => {
+    reacquireDelay.noteRunning(now)
     wantedSince ??= now.steady
     if (isWaitingForResponse(now)) return
     if (isOwn(latest)) {
@@ -169,7 +195,10 @@
   }
 
   const handleRecords = (input: Extract<ClaimInput, { kind: 'claim.records' }>, now: Moment): void => {
-    for (const placed of decodeClaims(input.records)) latest = applyClaim(latest, placed, input.era)
+    for (const placed of decodeClaims(input.records)) {
+      latest = applyClaim(latest, placed, input.era)
+      if (placed.claim.holder === self.id && placed.claim.incarnation !== self.incarnation) mayHaveHeldEarlier = true
+    }
     if (endSeenAt === undefined || input.end !== end) endSeenAt = now
     end = input.end
     if (wantedSince !== undefined && (isOwn(latest) || mayTakeOver(now))) append(false, now)
@@ -186,6 +215,8 @@
   const enterEra = (next: number, request: PendingRequest): boolean => {
     const isFirst = era === undefined
     era = next
+    // Claims of earlier processes may be missing after a restoration.
+    if (next > firstEra) mayHaveHeldEarlier = true
     if (isFirst) return true
     latest = undefined
     endSeenAt = undefined
@@ -195,35 +226,14 @@
     return readWhole
   }
 
-  const takeoverReason = (previous: LatestClaim | undefined): TakeoverReason => {
-    if (previous === undefined) return era === undefined || era === 0 ? 'unclaimed' : 'restored'
-    if (previous.era !== era) return 'restored'
-    return previous.released ? 'released' : 'expired'
-  }
-
-  const lossReason = (): LossReason => {
-    if (latest === undefined) return 'restored'
-    return latest.holder === self.id && latest.incarnation === self.incarnation ? 'released' : 'superseded'
-  }
-
-  /** Logs that this instance has acquired or lost the lease since `before`, when the stream had last seen a record at `seenAt`. */
-  const reportChange = (before: LatestClaim | undefined, held: boolean, seenAt: Moment | undefined, now: Moment): void => {
-    if (held === isOwn(latest)) return
-    if (held && before !== undefined) {
-      notify({ kind: 'leaseLost', fence: before.fence, reason: lossReason(), held: elapsed(acquiredAt, now), next: latest?.released === true ? undefined : latest?.holder })
-    }
-    if (!held && latest !== undefined) {
-      acquiredAt = now
-      notify({ kind: 'leaseAcquired', fence: latest.fence, reason: takeoverReason(before), previous: before?.holder, silence: elapsed(seenAt, now) })
-    }
-  }
-
   const answer = (input: ClaimInput, now: Moment): void => {
     const before = latest
     const held = isOwn(before)
-    const seenAt = endSeenAt
+    const silence = timeWithoutRecord(now)
     handleAnswer(input, now)
-    reportChange(before, held, seenAt, now)
+    const holds = isOwn(latest)
+    if (held && !holds) report.lost(before, latest, now)
+    if (!held && holds) report.acquired(before, latest, silence, now)
   }
 
   const handleAnswer = (input: ClaimInput, now: Moment): void => {
@@ -259,6 +269,7 @@
     markIdle,
     answer,
     fence,
+    noteOrder: reacquireDelay.noteOrder,
     holds: () => isOwn(latest),
     fenced: () => { renewedAt = undefined },
     release
--- a/src/rollout/rolloutMachine.spec.ts
+++ b/src/rollout/rolloutMachine.spec.ts
@@ -25,6 +25,7 @@
       markIdle: () => { /* The lease is held from the start. */ },
       answer: () => { /* The lease is held from the start. */ },
       fence: options.fence ?? (() => 7),
+      noteOrder: () => { /* The lease is held from the start. */ },
       holds: () => true,
       fenced: () => { fenced++ },
       release: () => { /* The lease is held from the start. */ }
--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -128,6 +128,7 @@
     token++
     orders.set(token, worker.id)
     loads.set(worker.id, { worker, model, version, fence, expectedOrders, startedAt: now, lastBusyAt: undefined, accepted: false, nextStatusAt: Infinity })
+    lease.noteOrder(now)
     weights.noteLoading(worker.id, now.steady + loadTime.expected())
     notify({ kind: 'loading', worker: worker.id, model, version, time: loadTime.expected() })
     emit({ kind: 'order.send', token, order: { worker: worker.id, address: worker.address, model, version, runs: 'goOn', holder: options.self, fence, expectedOrders } })
@@ -239,6 +240,7 @@
   const answer = (input: OrderInput, now: Moment): void => {
     switch (input.kind) {
       case 'order.answered': {
+        lease.noteOrder(now)
         const load = loads.get(orders.get(input.token) ?? '')
         orders.delete(input.token)
         if (load !== undefined) handleOutcome(load, input.outcome, now)
--- a/src/settings/gatewaySettings.spec.ts
+++ b/src/settings/gatewaySettings.spec.ts
@@ -20,6 +20,7 @@
   'bounds.retrySlack': '52',
   'bounds.graceS': '8',
   'bounds.versionApplyMs': '8000',
+  'bounds.leaseMs': '2500',
   'limits.memoryMb': '200',
   'limits.maxFds': '4100',
   'limits.cpuShare': '0.675',
@@ -52,4 +53,10 @@
     const problems = parse(renderTemplate({ 'bounds.graceS': 'soon', 'platform.address': 'nowhere' }))._unsafeUnwrapErr()
     expect(problems.map(({ section, key }) => `${section}.${key}`)).toEqual(['platform.store', 'shutdown.grace'])
   })
+
+  it('takes the time between orders of two instances from the bound of the platform, and its default where there is none', () => {
+    expect(parse(renderTemplate())._unsafeUnwrap().weights.reacquire_after).toBe(2_500)
+    expect(parse(renderTemplate({ 'bounds.leaseMs': '' }))._unsafeUnwrap().weights.reacquire_after).toBe(3_000)
+    expect(parse(renderTemplate({ 'bounds.leaseMs': '-1' }))._unsafeUnwrapErr()).toMatchObject([{ kind: 'wrongValue', section: 'weights', key: 'reacquire_after', found: '"-1"' }])
+  })
 })
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -1,11 +1,15 @@
 /** Schema of the gateway settings file. Units, allowed values and descriptions are generated into `docs/SETTINGS.md`. */
 import { z } from 'zod'
-import { boolean, host, integer, name, number, withDefault, port, text } from './settingsFields.js'
+import { boolean, emptyOr, host, integer, name, number, withDefault, port, text } from './settingsFields.js'
 
 const seconds = (description: string) => number('s', 0.1, 86_400, description)
 const milliseconds = (description: string) => number('ms', 1, 86_400_000, description)
 const ipAndPort = (description: string) => text('IP:PORT', /^[\d.]+:\d{1,5}$/, description)
 
+/** Default of `[weights] reacquire_after`, in ms. */
+const defaultReacquireAfter = 3_000
+const millisecondsOrEmpty = (emptyValue: number, description: string) => emptyOr(emptyValue, 'ms', 1, 86_400_000, description)
+
 const logLevels = z.enum(['debug', 'info', 'warn', 'error'])
 
 /** Schema of the whole gateway settings file. */
@@ -53,7 +57,8 @@
   }).prefault({}),
   weights: z.strictObject({
     apply_within: milliseconds('Time from the announcement of new weights until every request has to begin on them.'),
-    load_share: withDefault(number('share of workers', 0, 1, 'Maximum share of the workers of a service that may load weights at the same time.'), 0.286)
+    load_share: withDefault(number('share of workers', 0, 1, 'Maximum share of the workers of a service that may load weights at the same time.'), 0.286),
+    reacquire_after: withDefault(millisecondsOrEmpty(defaultReacquireAfter, 'Time after its last order to a worker within which an instance does not acquire the rollout lease again once another instance may have held it, as orders of two instances must not alternate.'), defaultReacquireAfter)
   })
 })
 
--- a/src/settings/settingsFields.ts
+++ b/src/settings/settingsFields.ts
@@ -26,6 +26,23 @@
     .pipe(z.number().min(min).max(max))
     .meta({ unit, allowed: `a number from ${min} to ${max}`, description })
 
+/**
+ * Schema of a decimal number for a key that may be left empty, as a template does for a value that it has not.
+ *
+ * @param emptyValue - value of an empty key
+ * @param unit - unit shown to operators
+ * @param min - lowest allowed value
+ * @param max - highest allowed value
+ * @param description - what the key sets
+ * @returns a schema that turns text into a number
+ */
+export const emptyOr = (emptyValue: number, unit: string, min: number, max: number, description: string) =>
+  z.string()
+    .regex(/^(-?\d+(\.\d+)?)?$/)
+    .transform(value => value === '' ? emptyValue : Number(value))
+    .pipe(z.number().min(min).max(max))
+    .meta({ unit, allowed: `a number from ${min} to ${max}, or nothing for ${emptyValue}`, description })
+
 /**
  * Schema of a non-negative integer.
  *
