Rollout: a load of an earlier order is not taken for one's own

What callers saw: after a holder of the rollout lease had been killed and its successor stopped as planned, or two holders stopped in turn (a rolling restart), new weights came 4 s late, though a load takes 0.57 s.

Cause: the new holder's order met a load that its predecessor had ordered, and was answered 409. The status then showed the worker busy, which counted as one's own load in progress; when that load ended with the older version, the holder went on waiting for its own until the 4 s limit of a load.

Fix: a conflict is not an acceptance, whatever the worker is busy with, and a load that was seen in progress and has ended without the wanted version was another one, so the worker is ordered again at once, with the count that it reported. An accepted load whose report lags behind is waited for as before. The load time that a conflict would have falsified is not learned.

Tests: rolloutMachine.spec.ts, two new checks that failed before (2 failed, 8 passed), and one that an accepted load is still waited for.

--- a/src/rollout/rolloutMachine.spec.ts
+++ b/src/rollout/rolloutMachine.spec.ts
@@ -110,6 +110,43 @@
     expect(fixture.orders().at(-1)?.order).toMatchObject({ worker: fixture.orders()[0].order.worker, expectedOrders: 5 })
   })
 
+  // Guards against new weights that come 4 s late: a holder's order met the load of its predecessor and was taken for it.
+  it('orders again as soon as the load of an earlier order, which the worker preferred, has ended', () => {
+    const fixture = build(2)
+    begin(fixture)
+    const { worker } = fixture.orders()[0].order
+    fixture.answer(0, 'conflict', 15)
+    fixture.answerStatus(20, { version: 1, orders: 4, busy: true })
+    fixture.rollout.tick(at(140))
+    fixture.answerStatus(145, { version: 1, orders: 4 })
+    fixture.rollout.tick(at(160))
+    expect(fixture.orders().filter(({ order }) => order.worker === worker)).toHaveLength(2)
+    expect(fixture.orders().at(-1)?.order).toMatchObject({ worker, version: 2, expectedOrders: 4 })
+  })
+
+  it('orders again when an order without an answer turns out to have met the load of an earlier one', () => {
+    const fixture = build(2)
+    begin(fixture)
+    const { worker } = fixture.orders()[0].order
+    fixture.answer(0, 'silent', 715)
+    fixture.answerStatus(720, { version: 1, orders: 4, busy: true })
+    fixture.rollout.tick(at(840))
+    fixture.answerStatus(845, { version: 1, orders: 4 })
+    fixture.rollout.tick(at(860))
+    expect(fixture.orders().filter(({ order }) => order.worker === worker)).toHaveLength(2)
+  })
+
+  it('waits for an accepted load whose report lags behind', () => {
+    const fixture = build(2)
+    begin(fixture)
+    fixture.answer(0, 'accepted', 15)
+    fixture.answer(1, 'accepted', 15)
+    fixture.rollout.tick(at(560))
+    fixture.answerStatus(565, { version: 1, orders: 3 })
+    fixture.rollout.tick(at(700))
+    expect(fixture.orders()).toHaveLength(2)
+  })
+
   it('reports to the lease that a worker refused its fencing token', () => {
     const fixture = build(2)
     begin(fixture)
--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -68,6 +68,8 @@
   /** Steady time in ms of the last status that showed the load in progress. */
   lastBusyAt: number | undefined
   accepted: boolean
+  /** Whether the worker rejected the order for an earlier one or a wrong count. */
+  conflicting: boolean
   /** Steady time in ms of the next status request. */
   nextStatusAt: number
 }
@@ -127,7 +129,7 @@
   const sendOrder = ({ worker, model, version }: OutstandingLoad, expectedOrders: number, fence: number, now: Moment): void => {
     token++
     orders.set(token, worker.id)
-    loads.set(worker.id, { worker, model, version, fence, expectedOrders, startedAt: now, lastBusyAt: undefined, accepted: false, nextStatusAt: Infinity })
+    loads.set(worker.id, { worker, model, version, fence, expectedOrders, startedAt: now, lastBusyAt: undefined, accepted: false, conflicting: false, nextStatusAt: Infinity })
     lease.noteOrder(now)
     weights.noteLoading(worker.id, now.steady + loadTime.expected())
     notify({ kind: 'loading', worker: worker.id, model, version, time: loadTime.expected() })
@@ -197,6 +199,8 @@
         return
       case 'holds': return finish(load)
       case 'conflict':
+        load.conflicting = true
+        return requestLoadStatus(load, now)
       case 'silent': return requestLoadStatus(load, now)
       case 'fenced':
         lease.fenced()
@@ -223,10 +227,12 @@
     }
     if (status.busy) {
       load.lastBusyAt = now.steady
-      load.accepted = true
+      load.accepted ||= !load.conflicting
       weights.noteLoading(worker.id, now.steady + statusInterval)
       return
     }
+    // A load that was in progress has ended without this version, so it was that of an earlier order.
+    if (load.lastBusyAt !== undefined) return abandon(load, 0, now)
     if (!load.accepted) abandon(load, retryDelay, now)
   }
 
