--- a/src/rollout/leaseEvents.ts
+++ b/src/rollout/leaseEvents.ts
@@ -1,10 +1,10 @@
 /** What an instance logs of the rollout lease: each change of its own part in it, with what the change rests on. */
 
-/** Why the lease was free: nobody had claimed it, its holder released it or stopped renewing it, or the stream was restored and may lack the latest claim. */
-export type TakeoverReason = 'unclaimed' | 'released' | 'expired' | 'restored'
+/** Why the lease was free: nobody had claimed it, its holder released it or stopped renewing it, or the stream was restored or has dropped records, and may lack the latest claim. */
+export type TakeoverReason = 'unclaimed' | 'released' | 'expired' | 'claimsMissing'
 
-/** Why a holder no longer holds the lease: it released it, another instance claimed it, or the stream was restored. */
-export type LossReason = 'released' | 'superseded' | 'restored'
+/** Why a holder no longer holds the lease: it released it, another instance claimed it, or may have, as claims are missing. */
+export type LossReason = 'released' | 'superseded' | 'claimsMissing'
 
 /** An event of the lease at one instance. */
 export type LeaseEvent =
--- a/src/rollout/leaseReport.ts
+++ b/src/rollout/leaseReport.ts
@@ -3,24 +3,34 @@
 import type { Claimant, LatestClaim } from './leaseClaims.js'
 import type { LeaseEvent, LossReason, TakeoverReason } from './leaseEvents.js'
 
+/** The lease before it was acquired. */
+export interface FreeLease {
+  /** The latest claim known. */
+  readonly before: LatestClaim | undefined
+  /** Whether a later one may be missing from the stream. */
+  readonly mayLackClaims: boolean
+  /** Time since the stream was first seen without a newer record, in ms. */
+  readonly silence: number
+}
+
 /** The log of one instance's part in the lease. */
 export interface LeaseReport {
-  /** Logs that the lease is held, for which no claim had been seen for `silence` ms. */
-  readonly acquired: (before: LatestClaim | undefined, latest: LatestClaim | undefined, silence: number, now: Moment) => void
+  /** Logs that the lease is held. */
+  readonly acquired: (free: FreeLease, latest: LatestClaim | undefined, now: Moment) => void
   /** Logs that the lease is no longer held. */
   readonly lost: (before: LatestClaim | undefined, latest: LatestClaim | undefined, now: Moment) => void
   /** Logs, once for each holder, that the lease is left to others for `wait` ms. */
   readonly left: (latest: LatestClaim | undefined, wait: number) => void
 }
 
-const takeoverReason = (before: LatestClaim | undefined, era: number): TakeoverReason => {
-  if (before === undefined) return era === 0 ? 'unclaimed' : 'restored'
-  if (before.era !== era) return 'restored'
+const takeoverReason = ({ before, mayLackClaims }: FreeLease): TakeoverReason => {
+  if (mayLackClaims) return 'claimsMissing'
+  if (before === undefined) return 'unclaimed'
   return before.released ? 'released' : 'expired'
 }
 
 const lossReason = (latest: LatestClaim | undefined, { id, incarnation }: Claimant): LossReason => {
-  if (latest === undefined) return 'restored'
+  if (latest === undefined) return 'claimsMissing'
   return latest.holder === id && latest.incarnation === incarnation ? 'released' : 'superseded'
 }
 
@@ -36,10 +46,10 @@
   let leftAfter: number | undefined
 
   return {
-    acquired: (before, latest, silence, now) => {
+    acquired: (free, latest, now) => {
       if (latest === undefined) return
       acquiredAt = now
-      notify({ kind: 'leaseAcquired', fence: latest.fence, reason: takeoverReason(before, latest.era), previous: before?.holder, silence: Math.round(silence) })
+      notify({ kind: 'leaseAcquired', fence: latest.fence, reason: takeoverReason(free), previous: free.before?.holder, silence: Math.round(free.silence) })
     },
     lost: (before, latest, now) => {
       if (before === undefined) return
--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -9,10 +9,13 @@
 const buildStream = () => {
   const records: unknown[] = []
   let era = 0
+  /** Offset of the oldest record that the stream still has. */
+  let first = 0
   const answer = (effect: ClaimEffect): ClaimInput => {
     const { token } = effect
     if (effect.kind === 'claim.read') {
-      return { kind: 'claim.records', token, records: records.slice(effect.from).map((claim, index) => ({ offset: effect.from + index, claim })), end: records.length, era }
+      const from = Math.max(effect.from, first)
+      return { kind: 'claim.records', token, records: records.slice(from).map((claim, index) => ({ offset: from + index, claim })), end: records.length, era }
     }
     if (effect.at !== records.length) return { kind: 'claim.refused', token, end: records.length, era }
     records.push(effect.claim)
@@ -23,7 +26,8 @@
     records.length = length
     era++
   }
-  return { records, answer, restore }
+  const forget = (): void => { first = records.length }
+  return { records, answer, restore, forget }
 }
 
 type Stream = ReturnType<typeof buildStream>
@@ -206,6 +210,31 @@
     expect(first.lease.fence(at(9_100))).toBeUndefined()
   })
 
+  // Guards against orders with a lower fencing token after a higher one, as the store had forgotten the successor's claims.
+  it('is not renewed with its former token by an instance that missed the claims of its successor, as the stream has forgotten them', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    first.acquireOrRenew(at(0))
+    const second = buildInstance(stream, 'b', { canHoldLease: () => false })
+    const taken = acquireWithin(second, 100, 3_000) ?? 0
+    stream.forget()
+    first.acquireOrRenew(at(taken + 50))
+    first.acquireOrRenew(at(taken + 100))
+    expect(first.lease.fence(at(taken + 100))).toBeUndefined()
+    expect(second.lease.fence(at(taken + 100))).toBe(2)
+    expect(first.events.at(-1)).toMatchObject({ kind: 'leaseLost', fence: 1, reason: 'claimsMissing' })
+  })
+
+  it('is not acquired while its holder may act, although the stream has forgotten all claims', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    first.acquireOrRenew(at(0))
+    stream.forget()
+    const taken = acquireWithin(buildInstance(stream, 'b'), 10, 8_000) ?? 0
+    expect(taken).toBeGreaterThanOrEqual(910)
+    expect(first.lease.fence(at(taken))).toBeUndefined()
+  })
+
   it('is not renewed again at once after a failure of the stream', () => {
     const stream = buildStream()
     const first = buildInstance({ ...stream, answer: effect => effect.kind === 'claim.append' && appends++ > 0 ? { kind: 'claim.failed', token: effect.token } : stream.answer(effect) }, 'a')
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -19,7 +19,7 @@
  * others for a while, see `reacquireDelay.ts`.
  */
 import { ageOf, type Moment } from '../lease/readLease.js'
-import type { ClaimEffect, ClaimInput } from '../ports/claimPort.js'
+import type { ClaimEffect, ClaimInput, ClaimRecord } from '../ports/claimPort.js'
 import { applyClaim, decodeClaims, type Claim, type Claimant, type LatestClaim } from './leaseClaims.js'
 import type { LeaseEvent } from './leaseEvents.js'
 import { createLeaseReport } from './leaseReport.js'
@@ -81,7 +81,7 @@
 const idleReadDelay = 3_000
 
 type PendingRequest =
-  | { readonly kind: 'read', readonly token: number, readonly sentAt: Moment }
+  | { readonly kind: 'read', readonly token: number, readonly sentAt: Moment, readonly from: number }
   | { readonly kind: 'append', readonly token: number, readonly sentAt: Moment, readonly at: number, readonly claim: Claim }
 
 /** Dependencies of a lease. */
@@ -116,6 +116,8 @@
   let era: number | undefined
   let token = 0
   let mayHaveHeldEarlier = false
+  /** Whether the stream has dropped claims that were not read here, and holds none that is newer. */
+  let hasForgotten = false
   const reacquireDelay = createReacquireDelay(reacquireAfter)
   const report = createLeaseReport(self, notify)
 
@@ -124,7 +126,7 @@
 
   const read = (now: Moment): void => {
     token++
-    pending = { kind: 'read', token, sentAt: now }
+    pending = { kind: 'read', token, sentAt: now, from: end }
     emit({ kind: 'claim.read', token, from: end })
   }
 
@@ -139,8 +141,8 @@
 
   const canHolderContinue = (): boolean => latest !== undefined && !latest.released && peers.canHoldLease(latest.holder, latest.incarnation)
 
-  /** Whether claims may be missing from the stream, since it was restored after the latest one that it holds. */
-  const mayLackClaims = (): boolean => era !== undefined && era > (latest?.era ?? 0)
+  /** Whether claims may be missing from the stream: it was restored after the latest one that it holds, or has forgotten all that followed those known here. */
+  const mayLackClaims = (): boolean => hasForgotten || (era !== undefined && era > (latest?.era ?? 0))
 
   const latestClaimant = (): LatestClaimant => {
     if (mayLackClaims()) return 'unknown'
@@ -194,18 +196,34 @@
     read(now)
   }
 
-  const handleRecords = (input: Extract<ClaimInput, { kind: 'claim.records' }>, now: Moment): void => {
-    for (const placed of decodeClaims(input.records)) {
-      latest = applyClaim(latest, placed, input.era)
+  const applyRecords = (records: readonly ClaimRecord[]): void => {
+    for (const placed of decodeClaims(records)) {
+      latest = applyClaim(latest, placed, era ?? firstEra)
+      hasForgotten = false
       if (placed.claim.holder === self.id && placed.claim.incarnation !== self.incarnation) mayHaveHeldEarlier = true
     }
+  }
+
+  /** Forgets the latest claim known, which dropped records may have superseded. */
+  const enterGap = (): void => {
+    latest = undefined
+    renewedAt = undefined
+    hasForgotten = true
+    mayHaveHeldEarlier = true
+  }
+
+  const handleRecords = (input: Extract<ClaimInput, { kind: 'claim.records' }>, from: number, now: Moment): void => {
+    const firstOffset = input.records[0]?.offset ?? input.end
+    if (firstOffset !== from) enterGap()
+    applyRecords(input.records)
     if (endSeenAt === undefined || input.end !== end) endSeenAt = now
     end = input.end
     if (wantedSince !== undefined && (isOwn(latest) || mayTakeOver(now))) append(false, now)
   }
 
   const handleAccepted = (at: number, claim: Claim, sentAt: Moment, now: Moment): void => {
-    latest = applyClaim(latest, { offset: at, claim }, era ?? 0)
+    latest = applyClaim(latest, { offset: at, claim }, era ?? firstEra)
+    hasForgotten = false
     end = at + 1
     endSeenAt = now
     renewedAt = sentAt
@@ -219,6 +237,7 @@
     if (next > firstEra) mayHaveHeldEarlier = true
     if (isFirst) return true
     latest = undefined
+    hasForgotten = false
     endSeenAt = undefined
     renewedAt = undefined
     const readWhole = request.kind === 'read' && end === 0
@@ -227,13 +246,12 @@
   }
 
   const answer = (input: ClaimInput, now: Moment): void => {
-    const before = latest
-    const held = isOwn(before)
-    const silence = timeWithoutRecord(now)
+    const free = { before: latest, mayLackClaims: mayLackClaims(), silence: timeWithoutRecord(now) }
+    const held = isOwn(latest)
     handleAnswer(input, now)
     const holds = isOwn(latest)
-    if (held && !holds) report.lost(before, latest, now)
-    if (!held && holds) report.acquired(before, latest, silence, now)
+    if (held && !holds) report.lost(free.before, latest, now)
+    if (!held && holds) report.acquired(free, latest, now)
   }
 
   const handleAnswer = (input: ClaimInput, now: Moment): void => {
@@ -242,7 +260,9 @@
     pending = undefined
     if (input.kind !== 'claim.failed' && input.era !== era && !enterEra(input.era, request)) return read(now)
     switch (input.kind) {
-      case 'claim.records': return handleRecords(input, now)
+      case 'claim.records':
+        if (request.kind === 'read') handleRecords(input, request.from, now)
+        return
       case 'claim.accepted':
         if (request.kind === 'append') handleAccepted(request.at, request.claim, request.sentAt, now)
         return
