ONE: the rollout lease is given up once no order is on its way

What a caller would have seen: a worker that checks no fencing tokens gets an order with a lower token after one with a higher token, when a holder stops as planned, or loses its way to the workers, right after it sent an order that takes some time to arrive (a slow link, a lost packet).

Cause: a release skips the time that the lease otherwise grants an order to arrive, and was sent whatever was on its way. Besides, a release that met a renewal on its way was refused and then followed by a renewal: the stopping instance kept the lease, and the others waited 0.9 s in place of none. The same answer could also make a stopping instance take a free lease over.

Fix: the rollout releases the lease when its last order was answered or given up (700 ms at most, when the lease has lapsed by itself). A release that is refused is repeated, and an instance that gave the lease up acquires none until it has work again.

Tests: three in rolloutMachine.spec.ts, two in rolloutLease.spec.ts, and the random series in leaseTurns.spec.ts (2, 3, 7 and 24 instances, 12 seeds each, with orders of up to 5 and 150 ms).

--- a/src/gateway/gatewayMachine.ts
+++ b/src/gateway/gatewayMachine.ts
@@ -220,7 +220,7 @@
     send: fleet.send,
     onChange: (service, reach) => {
       fleet.announce(currentTime)
-      if (workerReach.cutOffCount() > 0 && rolloutLease.holds()) rolloutLease.release(currentTime)
+      if (workerReach.cutOffCount() > 0 && rolloutLease.holds()) rollout.release(currentTime)
       if (reach === 'cutOff') forwarding.passOn(service, currentTime)
       else forwarding.placeWaiting(currentTime)
     },
@@ -328,7 +328,7 @@
     endRequests: () => forwarding.endAll(currentTime),
     announce: () => {
       fleet.announce(currentTime)
-      rolloutLease.release(currentTime)
+      rollout.release(currentTime)
     },
     emit,
     log
--- a/src/rollout/leaseTurns.spec.ts
+++ b/src/rollout/leaseTurns.spec.ts
@@ -77,6 +77,41 @@
   })
 })
 
+/** Names versions and draws a trouble every second or so, mostly for the instance that orders. */
+const playRandomly = (instances: number, seed: number, maxOrderDelay: number): RolloutSystem => {
+  const system = buildRolloutSystem({ instances, workers: 3, seed, maxOrderDelay })
+  const { time, random, name, holder, stream } = system
+  time.runUntil(settleTime)
+  const troubles: readonly Trouble[] = [
+    kill, stop, stopFast,
+    instance => instance.suspend(300 + random.below(3_000)),
+    instance => instance.cutFromStore(300 + random.below(3_000)),
+    () => stream.forget(),
+    () => stream.restoreWithout(random.below(lostRecords))
+  ]
+  for (let count = 0; count < 25; count++) {
+    name()
+    time.runUntil(time.now() + 100 + random.below(1_500))
+    const target = random.below(4) > 0 ? holder() : undefined
+    troubles[random.below(troubles.length)](target ?? system.instances[random.below(instances)], system)
+  }
+  name()
+  time.runUntil(time.now() + roundTime)
+  return system
+}
+
+describe('orders in a random series of troubles', () => {
+  const cases = [2, 3, 7, 24].flatMap(instances => [5, 150].map(maxOrderDelay => ({ instances, maxOrderDelay })))
+
+  it.each(cases)('do not alternate, and their fencing tokens rise, with $instances instances and up to $maxOrderDelay ms for an order', ({ instances, maxOrderDelay }) => {
+    for (let seed = 1; seed <= 12; seed++) {
+      const { orders } = playRandomly(instances, seed, maxOrderDelay)
+      expect({ seed, turns: findTurns(orders, reacquireAfter) }).toEqual({ seed, turns: [] })
+      expect({ seed, reversals: findFenceReversals(orders) }).toEqual({ seed, reversals: [] })
+    }
+  })
+})
+
 describe('an instance that has given no orders lately', () => {
   const takeoverLimit = 2_000
 
--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -235,6 +235,29 @@
     expect(first.lease.fence(at(taken))).toBeUndefined()
   })
 
+  it('is given up even if a renewal that was on its way comes first', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    first.acquireOrRenew(at(0))
+    first.lease.acquireOrRenew(at(400))
+    first.lease.release(at(410))
+    first.answerEffects(at(420))
+    expect(stream.records.at(-1)).toMatchObject({ holder: 'a', released: true })
+  })
+
+  it('is not acquired by an instance that gave it up and does not want it again', () => {
+    const stream = buildStream()
+    const first = buildInstance(stream, 'a')
+    first.acquireOrRenew(at(0))
+    const second = buildInstance(stream, 'b', { canHoldLease: () => false })
+    acquireWithin(second, 100, 3_000)
+    second.lease.release(at(3_000))
+    second.answerEffects(at(3_000))
+    first.lease.release(at(9_000))
+    first.answerEffects(at(9_000))
+    expect(stream.records.at(-1)).toMatchObject({ holder: 'b', released: true })
+  })
+
   it('is not renewed again at once after a failure of the stream', () => {
     const stream = buildStream()
     const first = buildInstance({ ...stream, answer: effect => effect.kind === 'claim.append' && appends++ > 0 ? { kind: 'claim.failed', token: effect.token } : stream.answer(effect) }, 'a')
--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -49,7 +49,7 @@
   readonly holds: () => boolean
   /** Records that a worker has seen a higher fencing token; nothing may be ordered until the next renewal. */
   readonly fenced: () => void
-  /** Gives the lease up, so that another instance can acquire it without delay. */
+  /** Gives the lease up, so that another instance can acquire it without delay; it is not acquired again before `acquireOrRenew`. */
   readonly release: (now: Moment) => void
 }
 
@@ -118,6 +118,7 @@
   let mayHaveHeldEarlier = false
   /** Whether the stream has dropped claims that were not read here, and holds none that is newer. */
   let hasForgotten = false
+  let isReleasing = false
   const reacquireDelay = createReacquireDelay(reacquireAfter)
   const report = createLeaseReport(self, notify)
 
@@ -184,6 +185,7 @@
   const acquireOrRenew = (now: Moment): void => {
     reacquireDelay.noteRunning(now)
     wantedSince ??= now.steady
+    isReleasing = false
     if (isWaitingForResponse(now)) return
     if (isOwn(latest)) {
       const isDue = renewedAt === undefined || ageOf(renewedAt, now) > renewAfter
@@ -196,6 +198,12 @@
     read(now)
   }
 
+  const release = (now: Moment): void => {
+    isReleasing = isOwn(latest)
+    wantedSince = undefined
+    if (isReleasing) append(true, now)
+  }
+
   const applyRecords = (records: readonly ClaimRecord[]): void => {
     for (const placed of decodeClaims(records)) {
       latest = applyClaim(latest, placed, era ?? firstEra)
@@ -218,6 +226,7 @@
     applyRecords(input.records)
     if (endSeenAt === undefined || input.end !== end) endSeenAt = now
     end = input.end
+    if (isReleasing) return release(now)
     if (wantedSince !== undefined && (isOwn(latest) || mayTakeOver(now))) append(false, now)
   }
 
@@ -280,10 +289,6 @@
     return ageOf(renewedAt, now) < actWindow ? latest.fence : undefined
   }
 
-  const release = (now: Moment): void => {
-    if (isOwn(latest)) append(true, now)
-  }
-
   return {
     acquireOrRenew,
     markIdle,
--- a/src/rollout/rolloutMachine.spec.ts
+++ b/src/rollout/rolloutMachine.spec.ts
@@ -13,6 +13,7 @@
   const effects: OrderEffect[] = []
   const requests = new Map<string, number>()
   let fenced = 0
+  let releases = 0
   const ids = Array.from({ length: count }, (_, index) => `w${index}`)
   workers.apply(ids.map(id => ({ kind: 'present', worker: buildWorker(id, { service: 'model', models: [{ name: 'llm', version: 1 }] }) })), true, 0)
   const rollout = createRollout({
@@ -28,7 +29,7 @@
       noteOrder: () => { /* The lease is held from the start. */ },
       holds: () => true,
       fenced: () => { fenced++ },
-      release: () => { /* The lease is held from the start. */ }
+      release: () => { releases++ }
     },
     requestsAt: worker => requests.get(worker) ?? 0,
     emit: effect => effects.push(effect),
@@ -46,7 +47,7 @@
   }
   const answer = (order: number, outcome: OrderOutcome, now: number): void =>
     rollout.answer({ kind: 'order.answered', token: orders()[order].token, outcome }, at(now))
-  return { workers, weights, rollout, orders, statusRequests, answerStatus, answer, requests, fenced: () => fenced }
+  return { workers, weights, rollout, orders, statusRequests, answerStatus, answer, requests, fenced: () => fenced, releases: () => releases }
 }
 
 /** Announces version 2 and lets the rollout learn the order counts of all workers. */
@@ -153,4 +154,32 @@
     fixture.answer(0, 'fenced', 15)
     expect(fixture.fenced()).toBe(1)
   })
+
+  // Guards against an order that reaches a worker after one of the next holder, as the lease was given up while it was on its way.
+  it('gives the lease up only when its last order was answered', () => {
+    const fixture = build(6)
+    begin(fixture)
+    fixture.rollout.release(at(12))
+    expect(fixture.releases()).toBe(0)
+    fixture.answer(0, 'accepted', 15)
+    expect(fixture.releases()).toBe(0)
+    fixture.answer(1, 'silent', 710)
+    expect(fixture.releases()).toBe(1)
+  })
+
+  it('gives the lease up at once if no order is on its way', () => {
+    const fixture = build(6)
+    fixture.rollout.release(at(12))
+    expect(fixture.releases()).toBe(1)
+  })
+
+  it('keeps the lease if it goes on before its last order was answered', () => {
+    const fixture = build(6)
+    begin(fixture)
+    fixture.rollout.release(at(12))
+    fixture.rollout.tick(at(20))
+    fixture.answer(0, 'accepted', 25)
+    fixture.answer(1, 'accepted', 25)
+    expect(fixture.releases()).toBe(0)
+  })
 })
--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -42,6 +42,8 @@
   readonly tick: (now: Moment) => void
   /** Handles a worker's response to an order or a status request. */
   readonly answer: (input: OrderInput, now: Moment) => void
+  /** Gives the lease up once no order is on its way, so that none arrives after one of the next holder; the next tick withdraws it. */
+  readonly release: (now: Moment) => void
   readonly dump: () => unknown
 }
 
@@ -88,6 +90,7 @@
   const pausedUntil = new Map<string, number>()
   const loadTime = createLoadTime()
   let token = 0
+  let isReleasing = false
 
   /** Returns the number of orders that the worker has accepted since its start; undefined until it has reported it. */
   const orderCountOf = ({ id, startedAt }: Worker): number | undefined => {
@@ -179,7 +182,19 @@
     if (now.steady >= load.nextStatusAt) requestLoadStatus(load, now)
   }
 
+  const releaseIfIdle = (now: Moment): void => {
+    if (!isReleasing || orders.size > 0) return
+    isReleasing = false
+    lease.release(now)
+  }
+
+  const release = (now: Moment): void => {
+    isReleasing = true
+    releaseIfIdle(now)
+  }
+
   const tick = (now: Moment): void => {
+    isReleasing = false
     for (const load of [...loads.values()]) checkLoad(load, now)
     const outstanding = outstandingLoads()
     if (outstanding.length === 0) return lease.markIdle(now)
@@ -250,7 +265,7 @@
         const load = loads.get(orders.get(input.token) ?? '')
         orders.delete(input.token)
         if (load !== undefined) handleOutcome(load, input.outcome, now)
-        return
+        return releaseIfIdle(now)
       }
       case 'worker.told': {
         const worker = statusRequests.get(input.token)
@@ -262,5 +277,5 @@
     }
   }
 
-  return { tick, answer, dump: () => ({ loads: [...loads.keys()], holds: lease.holds() }) }
+  return { tick, answer, release, dump: () => ({ loads: [...loads.keys()], holds: lease.holds() }) }
 }
