--- a/src/rollout/leaseTurns.spec.ts
+++ b/src/rollout/leaseTurns.spec.ts
@@ -1,52 +1,19 @@
-import { buildRolloutSystem, findFenceReversals, findTurns, reacquireAfter, type FakeInstance, type RolloutSystem } from '../../test/fixtures/rolloutSystem.js'
+import { buildRolloutSystem, findFenceReversals, findTurns, reacquireAfter, type RolloutSystem } from '../../test/fixtures/rolloutSystem.js'
+import { cut, kill, killAndRestore, nextHolder, playRandomly, playSeries, restartTime, roundTime, settleTime, stop, stopFast, suspend, type Trouble } from '../../test/fixtures/rolloutTroubles.js'
 
-/** Time for which a system runs before its first version is named, in ms. */
-const settleTime = 5_000
-/** Time after the last trouble of a round, in ms. */
-const roundTime = 7_000
-const restartTime = 300
-
-type Trouble = (instance: FakeInstance, system: RolloutSystem) => void
-
-const kill = (instance: FakeInstance): void => instance.kill(restartTime)
-const stop: Trouble = instance => instance.stop(1_000, restartTime)
-const stopFast: Trouble = instance => instance.stop(50, restartTime)
-const suspend: Trouble = instance => instance.suspend(1_600)
-const cut: Trouble = instance => instance.cutFromStore(1_600)
-
-/** Runs until a newer order than the first `seen` came from an instance that is alive, at most for `limit` ms. */
-const nextHolder = ({ time, orders, holder }: RolloutSystem, seen: number, limit: number): FakeInstance | undefined => {
-  const end = time.now() + limit
-  while (time.now() < end && (orders.length === seen || holder() === undefined)) time.runUntil(time.now() + 5)
-  return holder()
-}
-
-/** Names versions and troubles each holder as soon as it has given an order, one trouble after the other. */
+/** Plays a series of troubles several times over. */
 const play = (instances: number, seed: number, troubles: readonly Trouble[], rounds = 4): RolloutSystem => {
   const system = buildRolloutSystem({ instances, workers: 3, seed })
-  const { time, orders, name } = system
+  const { time, name } = system
   time.runUntil(settleTime)
   for (let round = 0; round < rounds; round++) {
-    for (const trouble of troubles) {
-      const seen = orders.length
-      name()
-      const holder = nextHolder(system, seen, 5_000)
-      time.runUntil(time.now() + 30)
-      if (holder !== undefined) trouble(holder, system)
-    }
+    playSeries(system, troubles)
     name()
     time.runUntil(time.now() + roundTime)
   }
   return system
 }
 
-/** Number of records that a restored store lacks: more than the claims of two holders. */
-const lostRecords = 1_000
-const killAndRestore: Trouble = (instance, { stream }) => {
-  kill(instance)
-  stream.restoreWithout(lostRecords)
-}
-
 const loadedBy = ({ workers, time }: RolloutSystem): readonly number[] => workers.map(({ version }) => version(time.now()))
 
 const series: readonly (readonly [string, readonly Trouble[]])[] = [
@@ -77,35 +44,12 @@
   })
 })
 
-/** Names versions and draws a trouble every second or so, mostly for the instance that orders. */
-const playRandomly = (instances: number, seed: number, maxOrderDelay: number): RolloutSystem => {
-  const system = buildRolloutSystem({ instances, workers: 3, seed, maxOrderDelay })
-  const { time, random, name, holder, stream } = system
-  time.runUntil(settleTime)
-  const troubles: readonly Trouble[] = [
-    kill, stop, stopFast,
-    instance => instance.suspend(300 + random.below(3_000)),
-    instance => instance.cutFromStore(300 + random.below(3_000)),
-    () => stream.forget(),
-    () => stream.restoreWithout(random.below(lostRecords))
-  ]
-  for (let count = 0; count < 25; count++) {
-    name()
-    time.runUntil(time.now() + 100 + random.below(1_500))
-    const target = random.below(4) > 0 ? holder() : undefined
-    troubles[random.below(troubles.length)](target ?? system.instances[random.below(instances)], system)
-  }
-  name()
-  time.runUntil(time.now() + roundTime)
-  return system
-}
-
 describe('orders in a random series of troubles', () => {
   const cases = [2, 3, 7, 24].flatMap(instances => [5, 150].map(maxOrderDelay => ({ instances, maxOrderDelay })))
 
   it.each(cases)('do not alternate, and their fencing tokens rise, with $instances instances and up to $maxOrderDelay ms for an order', ({ instances, maxOrderDelay }) => {
     for (let seed = 1; seed <= 12; seed++) {
-      const { orders } = playRandomly(instances, seed, maxOrderDelay)
+      const { orders } = playRandomly({ instances, workers: 3, seed, maxOrderDelay })
       expect({ seed, turns: findTurns(orders, reacquireAfter) }).toEqual({ seed, turns: [] })
       expect({ seed, reversals: findFenceReversals(orders) }).toEqual({ seed, reversals: [] })
     }
