--- a/src/rollout/rolloutLease.spec.ts
+++ b/src/rollout/rolloutLease.spec.ts
@@ -1,7 +1,8 @@
 import type { Moment } from '../lease/readLease.js'
 import type { ClaimEffect, ClaimInput } from '../ports/claimPort.js'
 import type { LeaseEvent } from './leaseEvents.js'
-import { createRolloutLease, type RolloutLease } from './rolloutLease.js'
+import { createRolloutLease } from './rolloutLease.js'
+import type { RolloutLease } from './rolloutLeaseTypes.js'
 
 const at = (steady: number, wall = steady): Moment => ({ steady, wall })
 
--- a/src/rollout/rolloutMachine.ts
+++ b/src/rollout/rolloutMachine.ts
@@ -13,7 +13,7 @@
 import type { WeightsTracker } from '../workers/weightsTracker.js'
 import type { WorkersDb } from '../workers/workersDb.js'
 import { createLoadTime } from './loadTime.js'
-import type { RolloutLease } from './rolloutLease.js'
+import type { RolloutLease } from './rolloutLeaseTypes.js'
 
 /** A step of the rollout that is reported to the other instances and the log; `time` is the expected load time in ms. */
 export type RolloutEvent =
