--- a/src/rollout/rolloutLease.ts
+++ b/src/rollout/rolloutLease.ts
@@ -74,9 +74,11 @@
   /** Era of the latest response; undefined before the first one. */
   let era: number | undefined
   let token = 0
+  /** Whether an earlier process of this instance may have held the lease. */
   let mayHaveHeldEarlier = false
   /** Whether the stream has dropped claims that were not read here, and holds none that is newer. */
   let hasForgotten = false
+  /** Whether the lease is to be given up, which a renewal on its way can delay. */
   let isReleasing = false
   const reacquireDelay = createReacquireDelay(reacquireAfter)
   const report = createLeaseReport(self, notify)
@@ -92,7 +94,7 @@
 
   const append = (released: boolean, now: Moment): void => {
     token++
-    const claim: Claim = { holder: self.id, incarnation: self.incarnation, released, era: era ?? 0 }
+    const claim: Claim = { holder: self.id, incarnation: self.incarnation, released, era: era ?? firstEra }
     pending = { kind: 'append', token, sentAt: now, at: end, claim }
     emit({ kind: 'claim.append', token, at: end, claim })
   }
@@ -102,7 +104,7 @@
   const canHolderContinue = (): boolean => latest !== undefined && !latest.released && peers.canHoldLease(latest.holder, latest.incarnation)
 
   /** Whether claims may be missing from the stream: it was restored after the latest one that it holds, or has forgotten all that followed those known here. */
-  const mayLackClaims = (): boolean => hasForgotten || (era !== undefined && era > (latest?.era ?? 0))
+  const mayLackClaims = (): boolean => hasForgotten || (era !== undefined && era > (latest?.era ?? firstEra))
 
   const latestClaimant = (): LatestClaimant => {
     if (mayLackClaims()) return 'unknown'
